--- /dev/null
+++ b/src/call_controller.cpp
@@ -0,0 +1,812 @@
+// The decision module of croftrun. Its interface (settings, events, actions): include/croftrun/call_controller.h
+//
+// In order: constants; exchange view; call table; route choice; admission; guards; event handlers. The
+// ordinary path is the one of docs/design.md; each extension says when it acts.
+#include "croftrun/call_controller.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <optional>
+#include <set>
+#include <tuple>
+
+namespace croftrun {
+namespace {
+
+// ---- constants: times in microseconds, shares of 1 ----
+
+constexpr TimeUs kSecond = 1'000'000;
+// The design page: a reported queue counts while under this age.
+constexpr TimeUs kReportFresh = 2 * kSecond;
+// "Recent" for the least set-up delay: two spans of this, so that a minimum lives 5 to 10 s.
+constexpr TimeUs kDelaySpan = 5 * kSecond;
+// Rates and pressures are averaged over a few seconds: the time in which traffic itself moves.
+constexpr double kRateTau = 5e6;
+constexpr double kPressureTau = 2e6;
+// Shares of the shortest aim: up to kCalm a set-up delay is ordinary, past kPressed it threatens the aim.
+constexpr double kCalm = 0.3;
+constexpr double kPressed = 0.5;
+// Loss control moves by these steps: up on a pressed set-up (more on a lost one), down by a share on a calm one.
+constexpr double kCutStep = 0.1;
+constexpr double kCutEase = 0.85;
+constexpr double kCutMost = 0.95;
+// Without news a cut fades at this pace, so that recovery is seen.
+constexpr double kCutFadeTau = 4e6;
+// One trial set-up in this time goes to an exchange that is otherwise given nothing.
+constexpr TimeUs kTrialGap = kSecond / 2;
+// A processor that said it is full is given nothing for this long.
+constexpr TimeUs kFullBackOff = kSecond / 4;
+// The answer to the caller is given this much before the caller's time is up.
+constexpr TimeUs kAnswerMargin = kSecond / 50;
+// A call is held for a circuit for at most this share of its aim.
+constexpr double kHoldShare = 0.5;
+constexpr std::size_t kMostHeldForCircuit = 256;
+constexpr std::size_t kMostNumbers = 64;
+constexpr std::uint64_t kSubscribeToken = std::uint64_t{1} << 40;
+
+double AsDouble(TimeUs value) { return static_cast<double>(value); }
+
+// SplitMix64: the whole of the module's randomness, from the instance's seed.
+class Random {
+ public:
+  explicit Random(std::uint64_t seed) : state_(seed) {}
+  double Unit() {
+    std::uint64_t z = (state_ += 0x9e3779b97f4a7c15U);
+    z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9U;
+    z = (z ^ (z >> 27U)) * 0x94d049bb133111ebU;
+    return static_cast<double>((z ^ (z >> 31U)) >> 11U) * 0x1.0p-53;
+  }
+
+ private:
+  std::uint64_t state_;
+};
+
+// A count that fades: its value over tau is a rate.
+class Fading {
+ public:
+  explicit Fading(double tau) : tau_(tau) {}
+  double At(TimeUs now) const { return value_ * std::exp(-AsDouble(now - last_) / tau_); }
+  void Add(TimeUs now, double amount) {
+    value_ = At(now) + amount;
+    last_ = now;
+  }
+  double PerSecond(TimeUs now) const { return At(now) / tau_ * AsDouble(kSecond); }
+
+ private:
+  double tau_;
+  double value_ = 0.0;
+  TimeUs last_ = 0;
+};
+
+// The least value of the present and the previous span.
+class RecentLeast {
+ public:
+  void Add(TimeUs now, double value) {
+    Roll(now);
+    present_ = std::min(present_.value_or(value), value);
+  }
+  std::optional<double> Get(TimeUs now) {
+    Roll(now);
+    if (!present_) return previous_;
+    return previous_ ? std::min(*present_, *previous_) : present_;
+  }
+
+ private:
+  void Roll(TimeUs now) {
+    const TimeUs span = now / kDelaySpan;
+    if (span == span_) return;
+    // A least that nobody replaced stays: an old figure beats "never heard".
+    if (present_) previous_ = present_;
+    present_.reset();
+    span_ = span;
+  }
+  TimeUs span_ = 0;
+  std::optional<double> present_;
+  std::optional<double> previous_;
+};
+
+// ---- exchange view ----
+
+struct Exchange {
+  DirectoryEntry entry;
+  TimeUs told_away = 0;  // when this instance was told that it drains or is gone
+  // Circuits of the own group; -1 while never told.
+  double spare = -1.0;
+  double total = -1.0;
+  // Reports, each with its time.
+  double queue = -1.0;
+  TimeUs queue_at = 0;
+  double reported_cut = 0.0;
+  TimeUs cut_at = 0;
+  double allowed = -1.0;
+  TimeUs allowed_at = 0;
+  // What is seen from here.
+  std::set<std::pair<TimeUs, CallId>> unanswered;
+  RecentLeast least_delay;
+  double delay = 0.0;  // smoothed set-up delay, direct set-ups only
+  TimeUs heard_at = 0;
+  double cut = 0.0;  // own loss control
+  TimeUs cut_moved = 0;
+  TimeUs full_until = 0;
+  TimeUs last_send = 0;
+  TimeUs lost_at = 0;  // a failed connect or a death noticed from here: its start, if it is back
+  Fading sent{kRateTau};
+  double cold_tokens = 1.0;
+  TimeUs cold_at = 0;
+};
+
+// ---- call table ----
+
+struct Call {
+  CallOffered offer;
+  TimeUs arrived = 0;
+  TimeUs deadline = 0;   // of this try
+  double density = 0.0;  // worth for a circuit and second
+  bool admitted = false;
+  int attempts = 0;
+  bool out = false;  // an attempt is out
+  bool stands = false;
+  ExchangeId at = 0;
+  bool sent_direct = false;
+  int tandems = 0;
+  std::set<ExchangeId> tried;
+  TimeUs not_before = 0;  // release wait
+  TimeUs hold_until = 0;  // 0: not held
+  // The earliest attempt that may have run.
+  bool may_have_run = false;
+  ExchangeId ran_at = 0;
+  TimeUs ran_sent = 0;
+};
+
+struct NumberCalled {
+  Fading busy{kRateTau};
+  Fading stood{kRateTau};
+  TimeUs last_send = 0;
+};
+
+}  // namespace
+
+class CallController::Impl {
+ public:
+  Impl(const Settings& settings, std::uint64_t seed, TimeUs now, std::vector<Action>* actions)
+      : settings_(settings), random_(seed), started_(now) {
+    for (const CallClass& c : settings_.classes) {
+      const TimeUs aim = c.aim_us > 0 ? c.aim_us : c.deadline_us;
+      if (aim > 0) shortest_aim_ = shortest_aim_ > 0 ? std::min(shortest_aim_, aim) : aim;
+    }
+    if (shortest_aim_ == 0) shortest_aim_ = kSecond;
+    offered_.assign(std::max<std::size_t>(settings_.classes.size(), 1) * 2, Fading(kRateTau));
+    quota_.assign(settings_.customers.size(), Fading(kRateTau));
+    actions_ = actions;
+    now_ = now;
+    if (settings_.discovery == Discovery::kSubscribe) actions_->push_back(Subscribe{true});
+  }
+
+  void Handle(TimeUs now, const Event& event, std::vector<Action>* actions) {
+    now_ = now;
+    actions_ = actions;
+    std::visit([this](const auto& e) { On(e); }, event);
+  }
+
+ private:
+  Exchange* Find(ExchangeId id) {
+    const auto found = exchanges_.find(id);
+    return found == exchanges_.end() ? nullptr : &found->second;
+  }
+
+  // The exchange that has this number now: a machine that replaced another has the same number.
+  Exchange* ByNumber(int number) {
+    Exchange* best = nullptr;
+    for (auto& [id, e] : exchanges_) {
+      if (e.entry.number != number) continue;
+      const auto rank = [](const Exchange& x) {
+        return std::make_tuple(x.entry.status == ExchangeStatus::kReady, x.entry.since_us);
+      };
+      if (best == nullptr || rank(e) > rank(*best)) best = &e;
+    }
+    return best;
+  }
+
+  bool Own(const Exchange& e) const {
+    return settings_.shape == Shape::kMeshed && e.entry.number == settings_.own_number;
+  }
+
+  // Share of its capacity that a restarted exchange can be trusted with: the least it may start with, then
+  // evenly up to the end of the longest warm-up.
+  double Warmth(const Exchange& e) const {
+    const TimeUs start = std::max(e.entry.since_us, e.lost_at);
+    if (start == 0 || settings_.warm_up_us == 0 || now_ >= start + settings_.warm_up_us) return 1.0;
+    const double grown = now_ > start ? AsDouble(now_ - start) / AsDouble(settings_.warm_up_us) : 0.0;
+    return settings_.cold_from + (1.0 - settings_.cold_from) * grown;
+  }
+
+  // ActNum of the design page.
+  double ActNum(const Exchange& e) const {
+    if (e.queue >= 0.0 && now_ - e.queue_at < kReportFresh) return e.queue;
+    return static_cast<double>(e.unanswered.size());
+  }
+
+  double PredictedTime(Exchange& e) { return ActNum(e) * e.least_delay.Get(now_).value_or(0.0); }
+
+  // Excess of the smoothed delay over the least one.
+  double Excess(Exchange& e) { return std::max(0.0, e.delay - e.least_delay.Get(now_).value_or(e.delay)); }
+
+  // What all far ends have in common is the own processor's: the least excess of those heard lately.
+  double OwnExcess() {
+    double least = 1e18;
+    int heard = 0;
+    for (auto& [id, e] : exchanges_) {
+      if (e.heard_at == 0 || now_ - e.heard_at > kReportFresh) continue;
+      ++heard;
+      least = std::min(least, Excess(e));
+    }
+    return heard >= 2 ? least : 0.0;
+  }
+
+  double FadedCut(double cut, TimeUs moved) const { return cut * std::exp(-AsDouble(now_ - moved) / kCutFadeTau); }
+
+  TimeUs OldestUnanswered(const Exchange& e) const {
+    return e.unanswered.empty() ? 0 : now_ - e.unanswered.begin()->first;
+  }
+
+  // One health per exchange, from its symptoms: the share of set-ups to be kept from it.
+  double CutFor(Exchange& e) {
+    double cut = FadedCut(e.cut, e.cut_moved);
+    if (now_ - e.cut_at < kReportFresh) cut = std::max(cut, e.reported_cut);
+    if (e.allowed >= 0.0 && now_ - e.allowed_at < kReportFresh) {
+      const double mine = e.sent.PerSecond(now_);
+      const double share = 2.0 * e.allowed / std::max(1, settings_.senders);
+      if (mine > share) cut = std::max(cut, 1.0 - share / mine);
+    }
+    cut = std::max(cut, 1.0 - Warmth(e));
+    const double silence = AsDouble(OldestUnanswered(e)) / AsDouble(shortest_aim_);
+    if (silence > kPressed) cut = std::max(cut, std::min(1.0, silence));
+    return std::min(cut, 1.0);
+  }
+
+  void MoveCut(double* cut, TimeUs* moved, double step) {
+    *cut = FadedCut(*cut, *moved);
+    *cut = step > 0.0 ? std::min(kCutMost, *cut + step) : *cut * kCutEase;
+    *moved = now_;
+  }
+
+  // A set-up delay was seen at `e`; `elapsed` of a direct set-up.
+  void NoteDelay(Exchange& e, double elapsed) {
+    e.least_delay.Add(now_, elapsed);
+    e.delay = e.heard_at == 0 ? elapsed : 0.6 * e.delay + 0.4 * elapsed;
+    e.heard_at = now_;
+    const double own = OwnExcess();
+    const double aim = AsDouble(shortest_aim_);
+    const double far = std::max(0.0, elapsed - own);
+    if (far > kPressed * aim) {
+      MoveCut(&e.cut, &e.cut_moved, kCutStep * std::min(3.0, far / (kPressed * aim)));
+    } else if (far < kCalm * aim) {
+      MoveCut(&e.cut, &e.cut_moved, 0.0);
+    }
+    if (own > kCalm * aim) {
+      MoveCut(&own_cut_, &own_cut_moved_, kCutStep / 2 * std::min(3.0, own / (kCalm * aim)));
+    } else if (own < kCalm * aim / 2) {
+      MoveCut(&own_cut_, &own_cut_moved_, 0.0);
+    }
+  }
+
+  double OwnCut() {
+    double cut = FadedCut(own_cut_, own_cut_moved_);
+    if (Exchange* own = settings_.shape == Shape::kMeshed ? ByNumber(settings_.own_number) : nullptr) {
+      cut = std::max(cut, 1.0 - Warmth(*own));
+    }
+    return std::max(cut, 1.0 - Warmth(own_));
+  }
+
+  void TakeReport(Exchange& e, const std::vector<float>& report, bool unasked) {
+    const std::size_t n = std::min(report.size(), settings_.report_fields.size());
+    for (std::size_t i = 0; i < n; ++i) {
+      const double value = static_cast<double>(report[i]);
+      if (!std::isfinite(value) || value < 0.0) continue;
+      switch (settings_.report_fields[i]) {
+        case ReportField::kSpare: e.spare = value; break;
+        case ReportField::kTotal: e.total = value; break;
+        case ReportField::kPending: if (!unasked) { e.queue = value; e.queue_at = now_; } break;
+        case ReportField::kCutBy: if (!unasked) { e.reported_cut = std::min(1.0, value); e.cut_at = now_; } break;
+        case ReportField::kAllowed: if (!unasked) { e.allowed = value; e.allowed_at = now_; } break;
+        default: break;
+      }
+    }
+  }
+
+  // ---- route choice ----
+
+  const CallClass& ClassOf(const Call& call) const {
+    static const CallClass kPlain{};
+    const auto i = static_cast<std::size_t>(call.offer.call_class);
+    return i < settings_.classes.size() ? settings_.classes[i] : kPlain;
+  }
+
+  bool MayUse(const Call& call, const Exchange& e) const {
+    if (settings_.shape != Shape::kGroups) return true;
+    const auto& pools = ClassOf(call).pools;
+    return pools.empty() || std::find(pools.begin(), pools.end(), e.entry.number) != pools.end();
+  }
+
+  double Pressure() const {
+    const double full = blocked_.At(now_);
+    const double all = full + carried_.At(now_);
+    return all > 0.0 ? full / all : 0.0;
+  }
+
+  // Trunk reservation: circuits that calls over two groups leave free. One in calm, rising with the share of
+  // direct calls that find their group full to the square root of the group.
+  double Reserve(const Exchange& e) const { return 1.0 + Pressure() * std::sqrt(std::max(0.0, e.total)); }
+
+  Exchange* PickTandem(const Call& call, const Exchange* destination) {
+    Exchange* best = nullptr;
+    std::tuple<double, double, double> best_rank;
+    for (auto& [id, e] : exchanges_) {
+      if (&e == destination || Own(e) || !MayUse(call, e) || !MaySendTo(call, e)) continue;
+      if (call.tried.count(id) > 0 || e.spare < 0.0) continue;
+      if (e.spare - call.offer.width < Reserve(e)) continue;
+      if (settings_.shape == Shape::kMeshed && CutFor(e) > kCutStep) continue;
+      const std::tuple<double, double, double> rank{PredictedTime(e), -e.spare, random_.Unit()};
+      if (best == nullptr || rank < best_rank) {
+        best = &e;
+        best_rank = rank;
+      }
+    }
+    return best;
+  }
+
+  // Sends the call on, holds it, or answers it: the ordinary path and the extensions around it.
+  void Route(CallId id, Call& call) {
+    if (call.out || call.stands) return;
+    if (now_ < call.not_before) return WakeAt(id, call.not_before);
+    Exchange* destination = ByNumber(call.offer.destination);
+    const bool meshed = settings_.shape == Shape::kMeshed;
+    if (meshed && (destination == nullptr || Own(*destination))) return Answer(id, call, false);
+    if (call.attempts >= settings_.most_attempts || LateAnyway(call)) return Answer(id, call, call.attempts > 0);
+    const bool direct_open =
+        destination != nullptr && MayUse(call, *destination) && MaySendTo(call, *destination);
+    if (call.offer.in_transit) {
+      // A transit call goes on, if that leaves the reserve free and no processor is pressed, or is turned back.
+      if (call.attempts == 0 && direct_open && destination->spare >= 0.0 &&
+          destination->spare - call.offer.width >= Reserve(*destination) && CutFor(*destination) <= kCutStep &&
+          OwnCut() <= kCutStep && TakeCold(*destination)) {
+        return SendTo(id, call, *destination);
+      }
+      return Answer(id, call, false);
+    }
+    if (!call.admitted) {
+      if (!Admit(call, destination)) return Answer(id, call, false);
+      call.admitted = true;
+    }
+    if (meshed && !direct_open) return Answer(id, call, false);
+    if (direct_open && call.tried.count(destination->entry.exchange) == 0) {
+      const bool room = destination->spare < 0.0 || destination->spare >= call.offer.width;
+      if (!call.sent_direct && call.tandems == 0 && call.hold_until == 0) {
+        (room ? carried_ : blocked_).Add(now_, 1.0);
+      }
+      if (room && !WaitsBehind(call, *destination) && TakeCold(*destination)) {
+        call.sent_direct = true;
+        return SendTo(id, call, *destination);
+      }
+      if (room && Warmth(*destination) < 1.0) return Answer(id, call, false);
+    }
+    if (call.tandems < 2) {
+      Exchange* tandem = PickTandem(call, destination);
+      if (tandem != nullptr && TakeCold(*tandem)) {
+        ++call.tandems;
+        return SendTo(id, call, *tandem);
+      }
+    }
+    // Nothing has room: held for a circuit while a set-up could still stand within the aim.
+    const TimeUs until = call.arrived + static_cast<TimeUs>(kHoldShare * AsDouble(Aim(call)));
+    if (now_ < until && (held_.size() < kMostHeldForCircuit || call.hold_until > 0)) {
+      if (call.hold_until == 0) {
+        call.hold_until = std::min(until, call.deadline - kAnswerMargin);
+        held_.insert({-call.density, id});
+        WakeAt(id, call.hold_until);
+      }
+      return;
+    }
+    Answer(id, call, false);
+  }
+
+  // A freed circuit goes to the held call of most worth first; a narrower one of less worth does not pass it.
+  bool WaitsBehind(const Call& call, const Exchange& e) const {
+    for (const auto& [negative_density, id] : held_) {
+      if (-negative_density <= call.density) return false;
+      const auto found = calls_.find(id);
+      if (found != calls_.end() && found->second.offer.destination == e.entry.number) return true;
+    }
+    return false;
+  }
+
+  void RouteHeld() {
+    const auto held = held_;
+    for (const auto& [density, id] : held) {
+      const auto found = calls_.find(id);
+      if (found != calls_.end() && found->second.hold_until > 0) Route(id, found->second);
+    }
+  }
+
+  // ---- admission ----
+
+  TimeUs Aim(const Call& call) const {
+    const CallClass& c = ClassOf(call);
+    const TimeUs aim = c.aim_us > 0 ? c.aim_us : c.deadline_us;
+    return aim > 0 ? aim : kSecond;
+  }
+
+  // A further set-up now would stand after the aim.
+  bool LateAnyway(const Call& call) const {
+    return now_ + kAnswerMargin >= call.deadline || (call.attempts > 0 && now_ >= call.arrived + Aim(call));
+  }
+
+  double Worth(const Call& call) const {
+    return ClassOf(call).worth * (over_quota_.count(call.offer.call) > 0 ? settings_.over_quota_worth : 1.0);
+  }
+
+  // Loss control (RFC 7339) by worth: of the calls offered lately the least worth go first.
+  bool Admit(const Call& call, Exchange* destination) {
+    const std::size_t mine = Rank(call);
+    double all = 0.0, below = 0.0, equal = 0.0;
+    const double worth = Worth(call);
+    for (std::size_t i = 0; i < offered_.size(); ++i) {
+      const double n = offered_[i].At(now_);
+      const std::size_t c = i / 2;
+      const double w = (c < settings_.classes.size() ? settings_.classes[c].worth : 1.0) *
+                       (i % 2 == 1 ? settings_.over_quota_worth : 1.0);
+      all += n;
+      if (w < worth && i != mine) below += n;
+      if (w == worth || i == mine) equal += n;
+    }
+    const double far = destination != nullptr ? CutFor(*destination) : 0.0;
+    const double cut = 1.0 - (1.0 - far) * (1.0 - OwnCut());
+    const double from_mine = equal > 0.0 ? std::clamp((cut * all - below) / equal, 0.0, 1.0) : cut;
+    if (NumberCrowded(call)) return false;
+    if (from_mine <= 0.0 || random_.Unit() >= from_mine) return true;
+    // The trickle by which a recovery is seen.
+    return destination != nullptr && now_ >= destination->last_send + kTrialGap &&
+           OldestUnanswered(*destination) < shortest_aim_ && OwnCut() < kPressed;
+  }
+
+  std::size_t Rank(const Call& call) const {
+    const auto c = static_cast<std::size_t>(call.offer.call_class);
+    const std::size_t i = c * 2 + (over_quota_.count(call.offer.call) > 0 ? 1 : 0);
+    return std::min(i, offered_.size() - 1);
+  }
+
+  // Symptom: that number. Its lines are busy most of the time, so trials are gapped.
+  bool NumberCrowded(const Call& call) {
+    const auto found = numbers_.find(call.offer.number_called);
+    if (call.offer.number_called == 0 || found == numbers_.end()) return false;
+    NumberCalled& n = found->second;
+    if (n.busy.At(now_) < 2.0 || n.busy.At(now_) < n.stood.At(now_)) return false;
+    if (now_ >= n.last_send + kTrialGap) return false;
+    return true;
+  }
+
+  // ---- guards: the rules are kept here ----
+
+  // Drains, and whether a repeat is legal there.
+  bool MaySendTo(const Call& call, const Exchange& e) const {
+    if (e.entry.status != ExchangeStatus::kReady || now_ < e.full_until || now_ < own_down_until_) return false;
+    if (!call.may_have_run) return true;
+    const CallClass& c = ClassOf(call);
+    if (c.repeat == Repeat::kIdempotent) return true;
+    if (c.repeat == Repeat::kAtMostOnce || now_ > call.ran_sent + c.window_us) return false;
+    const auto ran = exchanges_.find(call.ran_at);
+    if (ran == exchanges_.end()) return false;
+    if (c.group == RepeatGroup::kAll) return true;
+    return c.group == RepeatGroup::kZone ? ran->second.entry.zone == e.entry.zone
+                                         : ran->second.entry.number == e.entry.number;
+  }
+
+  // The cold budget: this sender's share of what a restarted exchange can take, from the rate at which warm
+  // exchanges are sent to from here.
+  bool TakeCold(Exchange& e) {
+    const double warmth = Warmth(e);
+    if (warmth >= 1.0) return true;
+    double rate = 0.0;
+    int warm = 0;
+    for (const auto& [id, other] : exchanges_) {
+      if (Own(other) || Warmth(other) < 1.0 || other.entry.status != ExchangeStatus::kReady) continue;
+      rate += other.sent.PerSecond(now_);
+      ++warm;
+    }
+    rate = warm > 0 ? rate / warm : 0.0;
+    const double spared = std::max(rate, 0.5) * warmth * AsDouble(now_ - e.cold_at) / AsDouble(kSecond);
+    e.cold_tokens = std::min(1.0, e.cold_tokens + spared);
+    e.cold_at = now_;
+    if (e.cold_tokens < 1.0) return false;
+    e.cold_tokens -= 1.0;
+    return true;
+  }
+
+  // The one path of every send. One attempt out, the release wait, the list, the own exchange: checked here.
+  void SendTo(CallId id, Call& call, Exchange& e) {
+    if (call.out || call.stands || now_ < call.not_before || Own(e) || !MaySendTo(call, e)) return;
+    Unhold(id, call);
+    const TimeUs aim_at = call.arrived + Aim(call);
+    const TimeUs until = now_ < aim_at ? std::min(aim_at, call.deadline) : call.deadline;
+    call.out = true;
+    call.at = e.entry.exchange;
+    call.tried.insert(e.entry.exchange);
+    ++call.attempts;
+    if (!call.may_have_run) call.ran_sent = now_;
+    sends_[{id, call.attempts - 1}] = {e.entry.exchange, now_};
+    e.unanswered.insert({now_, id});
+    e.last_send = now_;
+    e.sent.Add(now_, 1.0);
+    if (e.spare > 0.0) e.spare = std::max(0.0, e.spare - call.offer.width);
+    if (call.offer.number_called != 0) {
+      const auto number = numbers_.find(call.offer.number_called);
+      if (number != numbers_.end()) number->second.last_send = now_;
+    }
+    actions_->push_back(Send{id, e.entry.exchange, until - now_});
+  }
+
+  // The one path of every final answer. A refusal invites a repeat, so it is given only where one is legal.
+  void Answer(CallId id, Call& call, bool failed) {
+    if (call.out || call.stands) return;
+    const CallClass& c = ClassOf(call);
+    const bool refusable = !call.may_have_run || c.repeat == Repeat::kIdempotent ||
+                           (c.repeat == Repeat::kDeduplicated && c.group == RepeatGroup::kAll);
+    if (failed || !refusable) {
+      actions_->push_back(Fail{id});
+    } else {
+      actions_->push_back(Refuse{id, 0});
+    }
+    Forget(id);
+  }
+
+  void Unhold(CallId id, Call& call) {
+    if (call.hold_until == 0) return;
+    held_.erase({-call.density, id});
+    call.hold_until = 0;
+  }
+
+  void Forget(CallId id) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) return;
+    Unhold(id, found->second);
+    over_quota_.erase(id);
+    calls_.erase(found);
+  }
+
+  void WakeAt(CallId id, TimeUs when) { actions_->push_back(SetTimer{when > now_ ? when - now_ : 0, id}); }
+
+  // ---- event handlers ----
+
+  void On(const DirectoryUpdate& update) {
+    if (update.kind == DirectoryKind::kFailed) {
+      if (settings_.discovery == Discovery::kSubscribe) {
+        const double wait = AsDouble(kSecond) * (1.0 + random_.Unit());
+        actions_->push_back(SetTimer{static_cast<TimeUs>(wait), kSubscribeToken});
+      }
+      return;
+    }
+    if (update.kind != DirectoryKind::kDelta) {
+      std::set<ExchangeId> listed;
+      for (const DirectoryEntry& entry : update.entries) listed.insert(entry.exchange);
+      for (auto& [id, e] : exchanges_) {
+        if (listed.count(id) == 0) e.entry.status = ExchangeStatus::kGone;
+      }
+    }
+    for (const DirectoryEntry& entry : update.entries) {
+      Exchange& e = exchanges_[entry.exchange];
+      if (entry.since_us > e.entry.since_us) {
+        // A fresh start: what was learnt of the old process does not hold.
+        e.cut = 0.0;
+        e.cold_tokens = 1.0;
+        e.cold_at = now_;
+        e.lost_at = 0;
+        e.queue = -1.0;
+      }
+      e.entry = entry;
+    }
+    RouteHeld();
+  }
+
+  void On(const CallOffered& offer) {
+    if (calls_.count(offer.call) > 0) return;
+    Call call;
+    call.offer = offer;
+    if (!(call.offer.width > 0.0)) call.offer.width = 1.0;
+    call.arrived = now_;
+    call.deadline = now_ + offer.budget_us;
+    const auto customer = static_cast<std::size_t>(offer.customer);
+    if (!offer.in_transit && customer < quota_.size()) {
+      quota_[customer].Add(now_, 1.0);
+      const double quota = settings_.customers[customer].quota_per_s / std::max(1, settings_.senders);
+      if (quota > 0.0 && random_.Unit() * quota_[customer].PerSecond(now_) > quota) over_quota_.insert(offer.call);
+    }
+    const double holding = std::max(1.0, AsDouble(ClassOf(call).holding_us));
+    call.density = Worth(call) / (call.offer.width * holding);
+    if (!offer.in_transit) offered_[Rank(call)].Add(now_, 1.0);
+    Call& kept = calls_.emplace(offer.call, call).first->second;
+    Route(offer.call, kept);
+  }
+
+  // Takes the attempt off the exchange's unanswered set-ups; returns when it was sent.
+  TimeUs Settle(CallId id, int attempt, Exchange* e) {
+    const auto sent = sends_.find({id, attempt});
+    if (sent == sends_.end()) return 0;
+    const TimeUs at = sent->second.second;
+    if (e != nullptr) e->unanswered.erase({at, id});
+    sends_.erase(sent);
+    return at;
+  }
+
+  void On(const CallStands& stands) {
+    Exchange* e = Find(stands.exchange);
+    Settle(stands.call, stands.attempt, e);
+    const auto found = calls_.find(stands.call);
+    if (e == nullptr) return;
+    const bool direct = found != calls_.end() && found->second.offer.destination == e->entry.number;
+    if (direct) NoteDelay(*e, AsDouble(stands.elapsed_us));
+    if (!direct) e->least_delay.Add(now_, AsDouble(stands.elapsed_us));
+    if (found == calls_.end()) return;
+    NoteNumber(found->second.offer.number_called, false);
+    found->second.out = false;
+    found->second.stands = true;
+  }
+
+  void NoteNumber(std::uint64_t number, bool busy) {
+    if (number == 0) return;
+    auto found = numbers_.find(number);
+    if (found == numbers_.end()) {
+      if (!busy) return;
+      if (numbers_.size() >= kMostNumbers) {
+        auto least = numbers_.begin();
+        for (auto i = numbers_.begin(); i != numbers_.end(); ++i) {
+          if (i->second.busy.At(now_) < least->second.busy.At(now_)) least = i;
+        }
+        numbers_.erase(least);
+      }
+      found = numbers_.emplace(number, NumberCalled{}).first;
+    }
+    (busy ? found->second.busy : found->second.stood).Add(now_, 1.0);
+  }
+
+  void On(const AttemptEnded& ended) {
+    Exchange* e = Find(ended.exchange);
+    const bool set_up = sends_.count({ended.call, ended.attempt}) > 0;
+    const TimeUs sent_at = Settle(ended.call, ended.attempt, e);
+    if (e != nullptr) TakeReport(*e, ended.report, false);
+    const auto found = calls_.find(ended.call);
+    Call* call = found == calls_.end() ? nullptr : &found->second;
+    const bool direct = call == nullptr || e == nullptr || call->offer.destination == e->entry.number;
+    if (set_up && e != nullptr) Learn(*e, call, ended, direct);
+    if (call == nullptr) return;
+    if (ended.terminal || call->stands) {
+      Forget(ended.call);
+    } else {
+      call->out = false;
+      const bool never_ran = ended.outcome == Outcome::kFull || ended.outcome == Outcome::kConnectFailed ||
+                             ended.outcome == Outcome::kMoot;
+      if (!never_ran && !call->may_have_run) {
+        call->may_have_run = true;
+        call->ran_at = ended.exchange;
+        call->ran_sent = sent_at;
+      }
+      Continue(ended.call, *call, ended, direct);
+    }
+    RouteHeld();
+  }
+
+  // What the end of a set-up tells of the exchange.
+  void Learn(Exchange& e, Call* call, const AttemptEnded& ended, bool direct) {
+    Exchange* pressed = &e;
+    switch (ended.outcome) {
+      case Outcome::kTimeout:
+        MoveCut(&e.cut, &e.cut_moved, direct ? 3 * kCutStep : kCutStep);
+        break;
+      case Outcome::kConnectFailed:
+        e.lost_at = now_;
+        e.full_until = now_ + kFullBackOff;
+        break;
+      case Outcome::kFull:
+        if (ended.cause == Cause::kTurnedBackFull && call != nullptr) {
+          pressed = ByNumber(call->offer.destination);
+        } else if (ended.cause != Cause::kProcessorFull) {
+          break;
+        }
+        if (pressed == nullptr) break;
+        MoveCut(&pressed->cut, &pressed->cut_moved, 3 * kCutStep);
+        pressed->full_until = std::max(pressed->full_until, now_ + std::max(kFullBackOff, ended.wait_us));
+        break;
+      case Outcome::kMoot:
+        if (ended.cause == Cause::kProcessorFull) {
+          own_down_until_ = now_ + kFullBackOff;
+          own_.lost_at = now_;
+        } else if (ended.cause == Cause::kNoCircuit) {
+          e.spare = 0.0;
+        }
+        break;
+      case Outcome::kError:
+        if (ended.cause == Cause::kLinesBusy && call != nullptr) NoteNumber(call->offer.number_called, true);
+        break;
+      default: break;
+    }
+  }
+
+  // The attempt is over without a final answer: another route, the same one again, or an answer.
+  void Continue(CallId id, Call& call, const AttemptEnded& ended, bool direct) {
+    switch (ended.outcome) {
+      case Outcome::kTimeout:
+      case Outcome::kReset:
+      case Outcome::kCancelled:
+        call.not_before = now_ + settings_.release_us;
+        if (call.offer.in_transit || direct || ended.outcome == Outcome::kTimeout) return Answer(id, call, true);
+        return Route(id, call);
+      case Outcome::kError:
+        return Answer(id, call, true);
+      case Outcome::kMoot:
+        if (ended.cause == Cause::kNoCircuit) call.tried.erase(ended.exchange);
+        break;
+      case Outcome::kFull:
+        if (direct || ended.cause == Cause::kTurnedBackFull) return Answer(id, call, false);
+        break;
+      default: break;
+    }
+    Route(id, call);
+  }
+
+  void On(const CallerGone& gone) { Forget(gone.call); }
+
+  void On(const TimerDue& timer) {
+    if (timer.token == kSubscribeToken) {
+      actions_->push_back(Subscribe{true});
+      return;
+    }
+    const auto found = calls_.find(static_cast<CallId>(timer.token));
+    if (timer.token > 0xffffffffU || found == calls_.end()) return;
+    Call& call = found->second;
+    if (call.out || call.stands || now_ < call.not_before) return;
+    if (call.hold_until > 0 && now_ < call.hold_until) return;
+    Route(found->first, call);
+  }
+
+  void On(const ReportHeard& heard) {
+    Exchange* e = Find(heard.exchange);
+    if (e == nullptr) return;
+    TakeReport(*e, heard.report, heard.elapsed_us == 0);
+    if (heard.elapsed_us == 0) RouteHeld();
+  }
+
+  const Settings settings_;
+  Random random_;
+  const TimeUs started_;
+  TimeUs now_ = 0;
+  std::vector<Action>* actions_ = nullptr;
+  TimeUs shortest_aim_ = 0;
+  std::map<ExchangeId, Exchange> exchanges_;
+  std::map<CallId, Call> calls_;
+  std::map<std::pair<CallId, int>, std::pair<ExchangeId, TimeUs>> sends_;
+  std::set<std::pair<double, CallId>> held_;
+  std::set<CallId> over_quota_;
+  std::map<std::uint64_t, NumberCalled> numbers_;
+  std::vector<Fading> offered_;
+  std::vector<Fading> quota_;
+  Fading blocked_{kPressureTau};
+  Fading carried_{kPressureTau};
+  Exchange own_;
+  double own_cut_ = 0.0;
+  TimeUs own_cut_moved_ = 0;
+  TimeUs own_down_until_ = 0;
+};
+
+CallController::CallController(const Settings& settings, std::uint64_t seed, TimeUs now,
+                               std::vector<Action>* actions)
+    : impl_(std::make_unique<Impl>(settings, seed, now, actions)) {}
+CallController::~CallController() = default;
+CallController::CallController(CallController&&) noexcept = default;
+CallController& CallController::operator=(CallController&&) noexcept = default;
+
+void CallController::Handle(TimeUs now, const Event& event, std::vector<Action>* actions) {
+  impl_->Handle(now, event, actions);
+}
+
+}  // namespace croftrun
