Redials rank by what they can still earn; a call waits for a circuit most of its aim

Cause: the caller's aim runs from the first try, so an immediate refusal loses nearly all of a call's worth and buys three redials of processor work. The module now remembers unserved calls by the number called, counts the aim from the first try, sheds late redials first, and holds a call for a circuit for 0.8 of its aim (was 0.5).

--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -41,9 +41,11 @@
 // The answer to the caller is given this much before the caller's time is up.
 constexpr TimeUs kAnswerMargin = kSecond / 50;
 // A call is held for a circuit for at most this share of its aim.
-constexpr double kHoldShare = 0.5;
+constexpr double kHoldShare = 0.8;
 constexpr std::size_t kMostHeldForCircuit = 256;
 constexpr std::size_t kMostNumbers = 64;
+// Unserved calls remembered by the number called, so that a redial is known without a mark.
+constexpr std::size_t kMostUnserved = 4096;
 constexpr std::uint64_t kSubscribeToken = std::uint64_t{1} << 40;
 
 double AsDouble(TimeUs value) { return static_cast<double>(value); }
@@ -141,8 +143,9 @@
 
 struct Call {
   CallOffered offer;
-  TimeUs arrived = 0;
+  TimeUs arrived = 0;    // of the first try
   TimeUs deadline = 0;   // of this try
+  bool late = false;     // a redial that cannot stand within the aim any more
   double density = 0.0;  // worth for a circuit and second
   bool admitted = false;
   int attempts = 0;
@@ -177,7 +180,6 @@
       if (aim > 0) shortest_aim_ = shortest_aim_ > 0 ? std::min(shortest_aim_, aim) : aim;
     }
     if (shortest_aim_ == 0) shortest_aim_ = kSecond;
-    offered_.assign(std::max<std::size_t>(settings_.classes.size(), 1) * 2, Fading(kRateTau));
     quota_.assign(settings_.customers.size(), Fading(kRateTau));
     actions_ = actions;
     now_ = now;
@@ -443,40 +445,52 @@
     return now_ + kAnswerMargin >= call.deadline || (call.attempts > 0 && now_ >= call.arrived + Aim(call));
   }
 
+  // A call to a number whose last call from here was not served is that caller's redial: its aim runs from
+  // the first try. Marks, where there are any, say no more than that.
+  void NoteRedial(Call& call) {
+    const auto first = unserved_.find(call.offer.number_called);
+    if (call.offer.in_transit || call.offer.number_called == 0 || first == unserved_.end()) return;
+    const TimeUs age = now_ - first->second;
+    if (age > ClassOf(call).deadline_us) return;
+    call.arrived = first->second;
+    call.late = AsDouble(age) > kHoldShare * AsDouble(Aim(call));
+  }
+
+  void RememberUnserved(const Call& call) {
+    if (call.offer.in_transit || call.offer.number_called == 0) return;
+    if (unserved_.size() >= kMostUnserved) {
+      for (auto i = unserved_.begin(); i != unserved_.end();) {
+        i = now_ - i->second > 10 * shortest_aim_ ? unserved_.erase(i) : std::next(i);
+      }
+      if (unserved_.size() >= kMostUnserved) unserved_.clear();
+    }
+    unserved_[call.offer.number_called] = call.arrived;
+  }
+
   double Worth(const Call& call) const {
-    return ClassOf(call).worth * (over_quota_.count(call.offer.call) > 0 ? settings_.over_quota_worth : 1.0);
+    return ClassOf(call).worth * (over_quota_.count(call.offer.call) > 0 ? settings_.over_quota_worth : 1.0) *
+           (call.late ? ClassOf(call).late_worth : 1.0);
   }
 
   // Loss control (RFC 7339) by worth: of the calls offered lately the least worth go first.
   bool Admit(const Call& call, Exchange* destination) {
-    const std::size_t mine = Rank(call);
+    if (NumberCrowded(call)) return false;
     double all = 0.0, below = 0.0, equal = 0.0;
     const double worth = Worth(call);
-    for (std::size_t i = 0; i < offered_.size(); ++i) {
-      const double n = offered_[i].At(now_);
-      const std::size_t c = i / 2;
-      const double w = (c < settings_.classes.size() ? settings_.classes[c].worth : 1.0) *
-                       (i % 2 == 1 ? settings_.over_quota_worth : 1.0);
+    for (const auto& [w, offered] : offered_) {
+      const double n = offered.At(now_);
       all += n;
-      if (w < worth && i != mine) below += n;
-      if (w == worth || i == mine) equal += n;
+      (w < worth ? below : equal) += w <= worth ? n : 0.0;
     }
     const double far = destination != nullptr ? CutFor(*destination) : 0.0;
     const double cut = 1.0 - (1.0 - far) * (1.0 - OwnCut());
     const double from_mine = equal > 0.0 ? std::clamp((cut * all - below) / equal, 0.0, 1.0) : cut;
-    if (NumberCrowded(call)) return false;
     if (from_mine <= 0.0 || random_.Unit() >= from_mine) return true;
     // The trickle by which a recovery is seen.
     return destination != nullptr && now_ >= destination->last_send + kTrialGap &&
            OldestUnanswered(*destination) < shortest_aim_ && OwnCut() < kPressed;
   }
 
-  std::size_t Rank(const Call& call) const {
-    const auto c = static_cast<std::size_t>(call.offer.call_class);
-    const std::size_t i = c * 2 + (over_quota_.count(call.offer.call) > 0 ? 1 : 0);
-    return std::min(i, offered_.size() - 1);
-  }
-
   // Symptom: that number. Its lines are busy most of the time, so trials are gapped.
   bool NumberCrowded(const Call& call) {
     const auto found = numbers_.find(call.offer.number_called);
@@ -551,6 +565,7 @@
   void Answer(CallId id, Call& call, bool failed) {
     if (call.out || call.stands) return;
     const CallClass& c = ClassOf(call);
+    RememberUnserved(call);
     const bool refusable = !call.may_have_run || c.repeat == Repeat::kIdempotent ||
                            (c.repeat == Repeat::kDeduplicated && c.group == RepeatGroup::kAll);
     if (failed || !refusable) {
@@ -616,6 +631,7 @@
     if (!(call.offer.width > 0.0)) call.offer.width = 1.0;
     call.arrived = now_;
     call.deadline = now_ + offer.budget_us;
+    NoteRedial(call);
     const auto customer = static_cast<std::size_t>(offer.customer);
     if (!offer.in_transit && customer < quota_.size()) {
       quota_[customer].Add(now_, 1.0);
@@ -624,7 +640,7 @@
     }
     const double holding = std::max(1.0, AsDouble(ClassOf(call).holding_us));
     call.density = Worth(call) / (call.offer.width * holding);
-    if (!offer.in_transit) offered_[Rank(call)].Add(now_, 1.0);
+    if (!offer.in_transit) offered_.try_emplace(Worth(call), Fading(kRateTau)).first->second.Add(now_, 1.0);
     Call& kept = calls_.emplace(offer.call, call).first->second;
     Route(offer.call, kept);
   }
@@ -788,7 +804,8 @@
   std::set<std::pair<double, CallId>> held_;
   std::set<CallId> over_quota_;
   std::map<std::uint64_t, NumberCalled> numbers_;
-  std::vector<Fading> offered_;
+  std::map<std::uint64_t, TimeUs> unserved_;
+  std::map<double, Fading> offered_;
   std::vector<Fading> quota_;
   Fading blocked_{kPressureTau};
   Fading carried_{kPressureTau};
