--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -148,7 +148,6 @@
   bool late = false;     // a redial that cannot stand within the aim any more
   double density = 0.0;  // worth for a circuit and second
   bool admitted = false;
-  bool shed = false;  // turned away, its answer waits
   int attempts = 0;
   bool out = false;  // an attempt is out
   bool stands = false;
@@ -363,7 +362,6 @@
   // Sends the call on, holds it, or answers it: the ordinary path and the extensions around it.
   void Route(CallId id, Call& call) {
     if (call.out || call.stands) return;
-    if (call.shed) return now_ + kAnswerMargin >= call.deadline ? Answer(id, call, false) : void();
     if (now_ < call.not_before) return WakeAt(id, call.not_before);
     Exchange* destination = ByNumber(call.offer.destination);
     const bool meshed = settings_.shape == Shape::kMeshed;
@@ -381,7 +379,7 @@
       return Answer(id, call, false);
     }
     if (!call.admitted) {
-      if (!Admit(call, destination)) return TurnAway(id, call);
+      if (!Admit(call, destination)) return Answer(id, call, false);
       call.admitted = true;
     }
     if (meshed && !direct_open) return Answer(id, call, false);
@@ -416,15 +414,6 @@
     Answer(id, call, false);
   }
 
-  // A late redial that is shed is kept from dialling again at once: its answer waits for the end of its try.
-  void TurnAway(CallId id, Call& call) {
-    if (!call.late || call.offer.in_transit) return Answer(id, call, false);
-    call.shed = true;
-    const TimeUs when = call.deadline - kAnswerMargin;
-    if (now_ >= when) return Answer(id, call, false);
-    WakeAt(id, when);
-  }
-
   // A freed circuit goes to the held call of most worth first; a narrower one of less worth does not pass it.
   bool WaitsBehind(const Call& call, const Exchange& e) const {
     for (const auto& [negative_density, id] : held_) {
