Overflow is thinned to the share that went through lately

Cause: 90% of the calls sent over a tandem were turned back, each at the cost of work on two processors. Per destination the share that went through lately decides how many calls overflow; none do for a late redial or while the destination or the own processor is pressed. Should also guard a tandem whose second leg is cut. Harm: overflow reopens slowly (5 s) after a jam clears.

--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -135,6 +135,9 @@
   TimeUs last_send = 0;
   TimeUs lost_at = 0;  // a failed connect or a death noticed from here: its start, if it is back
   Fading sent{kRateTau};
+  // What became of calls sent over a tandem to this destination.
+  Fading overflow_stood{kRateTau};
+  Fading overflow_back{kRateTau};
   double cold_tokens = 1.0;
   TimeUs cold_at = 0;
 };
@@ -342,6 +345,15 @@
   // direct calls that find their group full to the square root of the group.
   double Reserve(const Exchange& e) const { return 1.0 + Pressure() * std::sqrt(std::max(0.0, e.total)); }
 
+  // Overflow that keeps being turned back costs three processors work for nothing: it is thinned to the share
+  // that went through lately. A call that could earn only late worth never displaces two others.
+  bool OverflowOpen(const Call& call, const Exchange* destination) {
+    if (settings_.shape != Shape::kMeshed || destination == nullptr) return true;
+    if (call.late || CutFor(exchanges_.at(destination->entry.exchange)) > kCutStep || OwnCut() > kCutStep) return false;
+    const double stood = destination->overflow_stood.At(now_) + 1.0;
+    return random_.Unit() < stood / (stood + 2.0 * destination->overflow_back.At(now_));
+  }
+
   Exchange* PickTandem(const Call& call, const Exchange* destination) {
     Exchange* best = nullptr;
     std::tuple<double, double, double> best_rank;
@@ -394,7 +406,7 @@
       }
       if (room && Warmth(*destination) < 1.0) return Answer(id, call, false);
     }
-    if (call.tandems < 2) {
+    if (call.tandems < 2 && OverflowOpen(call, destination)) {
       Exchange* tandem = PickTandem(call, destination);
       if (tandem != nullptr && TakeCold(*tandem)) {
         ++call.tandems;
@@ -662,6 +674,9 @@
     if (e == nullptr) return;
     const bool direct = found != calls_.end() && found->second.offer.destination == e->entry.number;
     if (direct) NoteDelay(*e, AsDouble(stands.elapsed_us));
+    if (!direct && found != calls_.end()) {
+      if (Exchange* to = ByNumber(found->second.offer.destination)) to->overflow_stood.Add(now_, 1.0);
+    }
     if (!direct) e->least_delay.Add(now_, AsDouble(stands.elapsed_us));
     if (found == calls_.end()) return;
     NoteNumber(found->second.offer.number_called, false);
@@ -715,6 +730,9 @@
   // What the end of a set-up tells of the exchange.
   void Learn(Exchange& e, Call* call, const AttemptEnded& ended, bool direct) {
     Exchange* pressed = &e;
+    if (!direct && ended.outcome != Outcome::kMoot) {
+      if (Exchange* to = ByNumber(call->offer.destination)) to->overflow_back.Add(now_, 1.0);
+    }
     switch (ended.outcome) {
       case Outcome::kTimeout:
         MoveCut(&e.cut, &e.cut_moved, direct ? 3 * kCutStep : kCutStep);
