--- a/include/croftrun/call_controller.h
+++ b/include/croftrun/call_controller.h
@@ -31,14 +31,14 @@
   std::string name;
   Repeat repeat = Repeat::kIdempotent;
   RepeatGroup group = RepeatGroup::kAll;
-  TimeUs window_us = 0;      // for kDeduplicated: how long a repeat is recognised
-  TimeUs aim_us = 0;         // set-up within this earns the full worth; 0: the deadline
-  TimeUs deadline_us = 0;    // callers try for this long; 0: unknown
+  TimeUs window_us = 0;    // for kDeduplicated: how long a repeat is recognised
+  TimeUs aim_us = 0;       // set-up within this earns the full worth; 0: the deadline
+  TimeUs deadline_us = 0;  // callers try for this long; 0: unknown
   double worth = 1.0;
-  double late_worth = 0.0;   // share of the worth after the aim
-  double width = 1.0;        // circuits taken on each group
-  TimeUs holding_us = 0;     // mean holding time; 0: unknown
-  std::vector<int> pools;    // Shape::kGroups: the pools it may use; empty: any
+  double late_worth = 0.0;  // share of the worth after the aim
+  double width = 1.0;       // circuits taken on each group
+  TimeUs holding_us = 0;    // mean holding time; 0: unknown
+  std::vector<int> pools;   // Shape::kGroups: the pools it may use; empty: any
 };
 
 struct Customer {
@@ -50,20 +50,20 @@
 struct Settings {
   Shape shape = Shape::kMeshed;
   Discovery discovery = Discovery::kAutomatic;
-  int own_number = -1;          // number of the own exchange; -1 with pools
+  int own_number = -1;  // number of the own exchange; -1 with pools
   int own_zone = 0;
-  int senders = 1;              // how many softswitches send to these exchanges
+  int senders = 1;  // how many softswitches send to these exchanges
   std::vector<CallClass> classes;
   std::vector<Customer> customers;
   double over_quota_worth = 1.0;
   std::vector<ReportField> report_fields;
-  TimeUs release_us = 0;        // no resend within this of a timeout, reset or cancel
-  TimeUs repeat_us = 0;         // a waiting set-up is repeated after this, then at doubling gaps; 0: never
+  TimeUs release_us = 0;  // no resend within this of a timeout, reset or cancel
+  TimeUs repeat_us = 0;   // a waiting set-up is repeated after this, then at doubling gaps; 0: never
   TimeUs drain_grace_us = 0;
-  double cold_from = 1.0;       // a restarted exchange has at least this share of its capacity
-  TimeUs warm_up_us = 0;        // and all of it after this
-  double fall_multiple = 0.0;   // sent more than this multiple of its capacity ...
-  TimeUs fall_us = 0;           // ... for this long, it falls over; 0: never
+  double cold_from = 1.0;      // a restarted exchange has at least this share of its capacity
+  TimeUs warm_up_us = 0;       // and all of it after this
+  double fall_multiple = 0.0;  // sent more than this multiple of its capacity ...
+  TimeUs fall_us = 0;          // ... for this long, it falls over; 0: never
   TimeUs ask_within_us = 0;
   int most_attempts = 1;
   std::uint32_t most_held = 20000;
@@ -71,7 +71,7 @@
   bool may_probe = false;
   bool may_tell_peers = false;
   bool may_duplicate = false;
-  bool honours_pause = false;   // callers are told how long to stay away
+  bool honours_pause = false;  // callers are told how long to stay away
   TimeUs longest_pause_us = 0;
   bool marks_redials = false;
   bool route_advice = false;
@@ -96,7 +96,7 @@
 struct DirectoryUpdate {
   DirectoryKind kind = DirectoryKind::kFull;
   std::uint32_t version = 0;
-  std::vector<DirectoryEntry> entries;
+  std::vector<DirectoryEntry> entries = {};
 };
 
 struct CallOffered {
@@ -107,7 +107,7 @@
   TimeUs budget_us = 0;             // until the caller gives up this try
   int destination = -1;             // number of an exchange, or of the first-choice pool
   double width = 1.0;
-  int via = -1;                     // in transit: where it comes from; else the centre's advice, or -1
+  int via = -1;  // in transit: where it comes from; else the centre's advice, or -1
   bool redialled = false;
   bool in_transit = false;
   bool cut_before = false;
@@ -126,7 +126,7 @@
   TimeUs wait_us = 0;  // stated by a full processor; 0: none
   TimeUs elapsed_us = 0;
   bool terminal = false;
-  std::vector<float> report;
+  std::vector<float> report = {};
 };
 
 struct CallStands {
@@ -149,11 +149,11 @@
   ExchangeId exchange = 0;
   Outcome outcome = Outcome::kOk;
   TimeUs elapsed_us = 0;
-  std::vector<float> report;
+  std::vector<float> report = {};
 };
 
-using Event = std::variant<DirectoryUpdate, CallOffered, AttemptEnded, CallStands, CallerGone, TimerDue,
-                           ReportHeard>;
+using Event =
+    std::variant<DirectoryUpdate, CallOffered, AttemptEnded, CallStands, CallerGone, TimerDue, ReportHeard>;
 
 // ---- actions ----
 struct Send {
--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -1,4 +1,5 @@
-// The decision module of croftrun. Its interface (settings, events, actions): include/croftrun/call_controller.h
+// The decision module of croftrun. Its interface (settings, events, actions):
+// include/croftrun/call_controller.h
 //
 // In order: constants; exchange view; call table; route choice; admission; guards; event handlers. The
 // ordinary path is the one of docs/design.md; each extension says when it acts.
@@ -28,7 +29,8 @@
 // Shares of the shortest aim: up to kCalm a set-up delay is ordinary, past kPressed it threatens the aim.
 constexpr double kCalm = 0.3;
 constexpr double kPressed = 0.5;
-// Loss control moves by these steps: up on a pressed set-up (more on a lost one), down by a share on a calm one.
+// Loss control moves by these steps: up on a pressed set-up (more on a lost one), down by a share on a calm
+// one.
 constexpr double kCutStep = 0.1;
 constexpr double kCutEase = 0.85;
 constexpr double kCutMost = 0.95;
@@ -250,7 +252,9 @@
     return heard >= 2 ? least : 0.0;
   }
 
-  double FadedCut(double cut, TimeUs moved) const { return cut * std::exp(-AsDouble(now_ - moved) / kCutFadeTau); }
+  double FadedCut(double cut, TimeUs moved) const {
+    return cut * std::exp(-AsDouble(now_ - moved) / kCutFadeTau);
+  }
 
   TimeUs OldestUnanswered(const Exchange& e) const {
     return e.unanswered.empty() ? 0 : now_ - e.unanswered.begin()->first;
@@ -311,12 +315,32 @@
       const double value = static_cast<double>(report[i]);
       if (!std::isfinite(value) || value < 0.0) continue;
       switch (settings_.report_fields[i]) {
-        case ReportField::kSpare: e.spare = value; break;
-        case ReportField::kTotal: e.total = value; break;
-        case ReportField::kPending: if (!unasked) { e.queue = value; e.queue_at = now_; } break;
-        case ReportField::kCutBy: if (!unasked) { e.reported_cut = std::min(1.0, value); e.cut_at = now_; } break;
-        case ReportField::kAllowed: if (!unasked) { e.allowed = value; e.allowed_at = now_; } break;
-        default: break;
+        case ReportField::kSpare:
+          e.spare = value;
+          break;
+        case ReportField::kTotal:
+          e.total = value;
+          break;
+        case ReportField::kPending:
+          if (!unasked) {
+            e.queue = value;
+            e.queue_at = now_;
+          }
+          break;
+        case ReportField::kCutBy:
+          if (!unasked) {
+            e.reported_cut = std::min(1.0, value);
+            e.cut_at = now_;
+          }
+          break;
+        case ReportField::kAllowed:
+          if (!unasked) {
+            e.allowed = value;
+            e.allowed_at = now_;
+          }
+          break;
+        default:
+          break;
       }
     }
   }
@@ -349,7 +373,8 @@
   // that went through lately. A call that could earn only late worth never displaces two others.
   bool OverflowOpen(const Call& call, const Exchange* destination) {
     if (settings_.shape != Shape::kMeshed || destination == nullptr) return true;
-    if (call.late || CutFor(exchanges_.at(destination->entry.exchange)) > kCutStep || OwnCut() > kCutStep) return false;
+    if (call.late || CutFor(exchanges_.at(destination->entry.exchange)) > kCutStep || OwnCut() > kCutStep)
+      return false;
     const double stood = destination->overflow_stood.At(now_) + 1.0;
     return random_.Unit() < stood / (stood + 2.0 * destination->overflow_back.At(now_));
   }
@@ -374,18 +399,24 @@
   // Sends the call on, holds it, or answers it: the ordinary path and the extensions around it.
   void Route(CallId id, Call& call) {
     if (call.out || call.stands) return;
-    if (now_ < call.not_before) return WakeAt(id, call.not_before);
+    if (now_ < call.not_before) {
+      // A release wait that would outlast the caller is answered now: no call is lost.
+      if (call.not_before + kAnswerMargin >= call.deadline) return Answer(id, call, true);
+      return WakeAt(id, call.not_before);
+    }
     Exchange* destination = ByNumber(call.offer.destination);
     const bool meshed = settings_.shape == Shape::kMeshed;
     if (meshed && (destination == nullptr || Own(*destination))) return Answer(id, call, false);
-    if (call.attempts >= settings_.most_attempts || LateAnyway(call)) return Answer(id, call, call.attempts > 0);
+    if (call.attempts >= settings_.most_attempts || LateAnyway(call))
+      return Answer(id, call, call.attempts > 0);
     const bool direct_open =
         destination != nullptr && MayUse(call, *destination) && MaySendTo(call, *destination);
     if (call.offer.in_transit) {
-      // A transit call goes on, if that leaves the reserve free and no processor is pressed, or is turned back.
+      // A transit call goes on, if that leaves the reserve free and no processor is pressed, or is turned
+      // back.
       if (call.attempts == 0 && direct_open && destination->spare >= 0.0 &&
-          destination->spare - call.offer.width >= Reserve(*destination) && CutFor(*destination) <= kCutStep &&
-          OwnCut() <= kCutStep && TakeCold(*destination)) {
+          destination->spare - call.offer.width >= Reserve(*destination) &&
+          CutFor(*destination) <= kCutStep && OwnCut() <= kCutStep && TakeCold(*destination)) {
         return SendTo(id, call, *destination);
       }
       return Answer(id, call, false);
@@ -517,7 +548,8 @@
 
   // Drains, and whether a repeat is legal there.
   bool MaySendTo(const Call& call, const Exchange& e) const {
-    if (e.entry.status != ExchangeStatus::kReady || now_ < e.full_until || now_ < own_down_until_) return false;
+    if (e.entry.status != ExchangeStatus::kReady || now_ < e.full_until || now_ < own_down_until_)
+      return false;
     if (!call.may_have_run) return true;
     const CallClass& c = ClassOf(call);
     if (c.repeat == Repeat::kIdempotent) return true;
@@ -648,7 +680,8 @@
     if (!offer.in_transit && customer < quota_.size()) {
       quota_[customer].Add(now_, 1.0);
       const double quota = settings_.customers[customer].quota_per_s / std::max(1, settings_.senders);
-      if (quota > 0.0 && random_.Unit() * quota_[customer].PerSecond(now_) > quota) over_quota_.insert(offer.call);
+      if (quota > 0.0 && random_.Unit() * quota_[customer].PerSecond(now_) > quota)
+        over_quota_.insert(offer.call);
     }
     const double holding = std::max(1.0, AsDouble(ClassOf(call).holding_us));
     call.density = Worth(call) / (call.offer.width * holding);
@@ -762,7 +795,8 @@
       case Outcome::kError:
         if (ended.cause == Cause::kLinesBusy && call != nullptr) NoteNumber(call->offer.number_called, true);
         break;
-      default: break;
+      default:
+        break;
     }
   }
 
@@ -773,7 +807,8 @@
       case Outcome::kReset:
       case Outcome::kCancelled:
         call.not_before = now_ + settings_.release_us;
-        if (call.offer.in_transit || direct || ended.outcome == Outcome::kTimeout) return Answer(id, call, true);
+        if (call.offer.in_transit || direct || ended.outcome == Outcome::kTimeout)
+          return Answer(id, call, true);
         return Route(id, call);
       case Outcome::kError:
         return Answer(id, call, true);
@@ -783,7 +818,8 @@
       case Outcome::kFull:
         if (direct || ended.cause == Cause::kTurnedBackFull) return Answer(id, call, false);
         break;
-      default: break;
+      default:
+        break;
     }
     Route(id, call);
   }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -47,7 +47,8 @@
   static_assert(std::is_unsigned_v<T>);
   T value = 0;
   for (std::size_t i = 0; i < sizeof(T); ++i) {
-    value = static_cast<T>(value | static_cast<T>(static_cast<T>(static_cast<unsigned char>(bytes[i])) << (8 * i)));
+    value = static_cast<T>(value |
+                           static_cast<T>(static_cast<T>(static_cast<unsigned char>(bytes[i])) << (8 * i)));
   }
   return value;
 }
@@ -147,15 +148,24 @@
   const std::size_t where = at_;
   const auto code = Take<std::uint16_t>();
   switch (code) {
-    case 200: return Outcome::kOk;
-    case 502: return Outcome::kError;
-    case 429: return Outcome::kFull;
-    case 408: return Outcome::kTimeout;
-    case 521: return Outcome::kConnectFailed;
-    case 520: return Outcome::kReset;
-    case 444: return Outcome::kCancelled;
-    case 409: return Outcome::kMoot;
-    default: Malformed(where, "unknown outcome " + std::to_string(code));
+    case 200:
+      return Outcome::kOk;
+    case 502:
+      return Outcome::kError;
+    case 429:
+      return Outcome::kFull;
+    case 408:
+      return Outcome::kTimeout;
+    case 521:
+      return Outcome::kConnectFailed;
+    case 520:
+      return Outcome::kReset;
+    case 444:
+      return Outcome::kCancelled;
+    case 409:
+      return Outcome::kMoot;
+    default:
+      Malformed(where, "unknown outcome " + std::to_string(code));
   }
 }
 
@@ -245,14 +255,22 @@
         ended.exchange = Take<std::uint32_t>();
         const auto why = Take<std::uint32_t>();
         switch (why & 15U) {
-          case 1: ended.cause = Cause::kNoCircuit; break;
-          case 2: ended.cause = (why & 16U) != 0 ? Cause::kTurnedBackFull : Cause::kTurnedBack; break;
+          case 1:
+            ended.cause = Cause::kNoCircuit;
+            break;
+          case 2:
+            ended.cause = (why & 16U) != 0 ? Cause::kTurnedBackFull : Cause::kTurnedBack;
+            break;
           case 3:
             ended.cause = Cause::kProcessorFull;
             ended.wait_us = TimeUs{why >> 4U} * 1000U;
             break;
-          case 4: ended.cause = Cause::kLinesBusy; break;
-          default: ended.cause = Cause::kNone; break;
+          case 4:
+            ended.cause = Cause::kLinesBusy;
+            break;
+          default:
+            ended.cause = Cause::kNone;
+            break;
         }
         ended.attempt = Take<std::uint16_t>();
         ended.elapsed_us = Take<std::uint32_t>();
--- /dev/null
+++ b/tests/controller_test.cpp
@@ -0,0 +1,366 @@
+// The ordinary path, the guards, and one test for each failure found.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "fixture.h"
+
+namespace croftrun {
+namespace {
+
+TEST(OrdinaryPath, DirectWhileTheOwnGroupHasRoom) {
+  Bench b;
+  b.Circuits(1, 1.0F);
+  b.Offer(1);
+  EXPECT_EQ(b.SentTo(), 1);
+}
+
+TEST(OrdinaryPath, OverflowKeepsACircuitFreeOnTheFirstLeg) {
+  Bench b;
+  b.Circuits(1, 0.0F);
+  b.Circuits(2, 1.0F);
+  b.Circuits(3, 0.0F);
+  b.Offer(1);
+  EXPECT_EQ(b.SentTo(), -1);
+  Bench c;
+  c.Circuits(1, 0.0F);
+  c.Circuits(2, 20.0F);
+  c.Circuits(3, 1.0F);
+  c.Offer(1);
+  EXPECT_EQ(c.SentTo(), 2);
+}
+
+TEST(OrdinaryPath, LeastQueueTimesServiceTimeByReport) {
+  Bench b;
+  for (int i = 2; i < 4; ++i) {
+    const CallId call = b.Offer(i);
+    b.now += 100 * kMs;
+    b.Stands(call, i, 100 * kMs);
+    b.Do(AttemptEnded{.call = call,
+                      .exchange = Bench::Id(i),
+                      .outcome = Outcome::kOk,
+                      .terminal = true,
+                      .report = {20.0F, 20.0F, i == 2 ? 5.0F : 2.0F, -1.0F}});
+  }
+  b.Circuits(2, 20.0F);
+  b.Circuits(3, 19.0F);
+  b.Circuits(1, 0.0F);
+  b.Offer(1);
+  EXPECT_EQ(b.SentTo(), 3);
+}
+
+TEST(OrdinaryPath, OwnUnansweredCountWithoutAFreshReport) {
+  Bench b;
+  for (int i = 2; i < 4; ++i) {
+    const CallId call = b.Offer(i);
+    b.now += 100 * kMs;
+    b.Stands(call, i, 100 * kMs);
+    // The report says that 2 is idle and 3 is not, but it will be old.
+    b.Do(AttemptEnded{.call = call,
+                      .exchange = Bench::Id(i),
+                      .outcome = Outcome::kOk,
+                      .terminal = true,
+                      .report = {20.0F, 20.0F, i == 2 ? 0.0F : 9.0F, -1.0F}});
+  }
+  b.now += 2000 * kMs;
+  b.Offer(2);
+  b.Circuits(2, 20.0F);
+  b.Circuits(1, 0.0F);
+  b.Offer(1);
+  EXPECT_EQ(b.SentTo(), 3);
+}
+
+TEST(OrdinaryPath, TiesGoToMostFreeCircuitsThenToChance) {
+  Bench b;
+  b.Circuits(1, 0.0F);
+  b.Circuits(2, 10.0F);
+  b.Circuits(3, 12.0F);
+  b.Offer(1);
+  EXPECT_EQ(b.SentTo(), 3);
+  std::set<int> chosen;
+  for (std::uint64_t seed = 1; seed < 20; ++seed) {
+    Bench c(PlainSettings(), seed);
+    c.Circuits(1, 0.0F);
+    c.Offer(1);
+    chosen.insert(c.SentTo());
+  }
+  EXPECT_EQ(chosen, (std::set<int>{2, 3}));
+}
+
+TEST(OrdinaryPath, OneFurtherTandemAfterATurnBackThenNoMore) {
+  for (std::uint64_t seed = 1; seed < 40; ++seed) {
+    Bench b(PlainSettings(), seed);
+    b.Circuits(1, 0.0F);
+    const CallId call = b.Offer(1);
+    const int first = b.SentTo();
+    ASSERT_GT(first, 1);
+    b.End(call, first, Outcome::kFull, Cause::kTurnedBack);
+    const int second = b.SentTo();
+    if (second < 0) continue;  // overflow is being thinned
+    EXPECT_EQ(second, 5 - first);
+    b.End(call, second, Outcome::kFull, Cause::kTurnedBack, 1);
+    EXPECT_EQ(b.SentTo(), -1);
+    return;
+  }
+  FAIL() << "never a second tandem";
+}
+
+TEST(OrdinaryPath, TransitGoesOnOrIsTurnedBack) {
+  Bench b;
+  b.Transit(1);
+  EXPECT_EQ(b.SentTo(), 1);
+  b.Circuits(2, 1.0F);  // the last circuit is kept for direct calls
+  b.Transit(2);
+  EXPECT_EQ(b.SentTo(), -1);
+  EXPECT_TRUE(b.Refused());
+}
+
+TEST(Rules, TransitThatFailsOnwardIsTurnedBackAtOnce) {
+  Bench b;
+  const CallId call = b.Transit(1);
+  b.End(call, 1, Outcome::kFull, Cause::kProcessorFull);
+  EXPECT_TRUE(b.Refused());
+  EXPECT_EQ(b.SentTo(), -1);
+}
+
+TEST(Rules, NothingNewToADrainingOrGoneExchange) {
+  for (const auto status : {ExchangeStatus::kDraining, ExchangeStatus::kGone}) {
+    Bench b;
+    b.Status(1, status);
+    b.Offer(1);
+    EXPECT_EQ(b.SentTo(), -1);
+    EXPECT_TRUE(b.Refused());
+    b.Circuits(2, 0.0F);
+    b.Status(3, status);
+    b.Offer(2);
+    EXPECT_EQ(b.SentTo(), -1);
+  }
+}
+
+TEST(Rules, AbsentFromAFullListIsGone) {
+  Bench b;
+  DirectoryUpdate list;
+  list.entries.push_back({.exchange = Bench::Id(2), .number = 2});
+  b.Do(list);
+  b.Offer(1);
+  EXPECT_EQ(b.SentTo(), -1);
+}
+
+TEST(Rules, TheReleaseIsAwaited) {
+  Bench b;
+  b.Circuits(1, 0.0F);
+  const CallId call = b.Offer(1);
+  const int tandem = b.SentTo();
+  ASSERT_GT(tandem, 1);
+  b.Circuits(1, 5.0F);
+  b.End(call, tandem, Outcome::kReset);
+  EXPECT_EQ(b.SentTo(), -1);
+  b.now += 299 * kMs;
+  b.Circuits(1, 6.0F);
+  b.Do(TimerDue{call});
+  EXPECT_EQ(b.SentTo(), -1);
+  b.now += 1 * kMs;
+  b.Do(TimerDue{call});
+  EXPECT_EQ(b.SentTo(), 1);
+}
+
+TEST(Rules, ATimeoutAtTheDeadlineIsAnsweredAtOnce) {
+  Bench b;
+  const CallId call = b.Offer(1);
+  b.now += 3000 * kMs;
+  b.End(call, 1, Outcome::kTimeout);
+  EXPECT_TRUE(b.Failed());
+  b.Do(CallerGone{call});
+  EXPECT_TRUE(b.actions.empty());
+}
+
+TEST(Rules, AReleaseWaitNeverOutlastsTheCaller) {
+  Bench b;
+  b.Circuits(1, 0.0F);
+  const CallId call = b.Offer(1);
+  const int tandem = b.SentTo();
+  ASSERT_GT(tandem, 1);
+  b.now += 2800 * kMs;
+  b.End(call, tandem, Outcome::kReset);
+  EXPECT_TRUE(b.Failed());
+}
+
+TEST(Rules, ARefusalOfAtMostOnceNeedsProof) {
+  Settings s = PlainSettings();
+  s.classes[0].repeat = Repeat::kAtMostOnce;
+  Bench b(s);
+  const CallId call = b.Offer(1);
+  b.End(call, 1, Outcome::kError);
+  EXPECT_FALSE(b.Refused());
+  EXPECT_TRUE(b.Failed());
+}
+
+TEST(Rules, AColdExchangeIsGivenAShare) {
+  Bench b;
+  b.Status(1, ExchangeStatus::kReady, kStart - 1000 * kMs);
+  int sent = 0;
+  for (int i = 0; i < 40; ++i) {
+    b.Offer(1);
+    sent += b.SentTo() == 1 ? 1 : 0;
+    b.now += 25 * kMs;
+  }
+  EXPECT_GE(sent, 1);
+  EXPECT_LE(sent, 3);
+}
+
+TEST(Failures, ACallWaitsForACircuitAndTakesTheFirstFreed) {
+  Bench b;
+  for (int i = 1; i < 4; ++i) b.Circuits(i, 0.0F);
+  const CallId call = b.Offer(1);
+  EXPECT_FALSE(b.Refused());
+  b.now += 400 * kMs;
+  b.Circuits(1, 1.0F);
+  ASSERT_EQ(b.SentTo(), 1);
+  EXPECT_EQ(b.First<Send>()->call, call);
+}
+
+TEST(Failures, AHeldCallIsRefusedWhenItWouldStandLate) {
+  Bench b;
+  for (int i = 1; i < 4; ++i) b.Circuits(i, 0.0F);
+  const CallId call = b.Offer(1);
+  const auto* timer = b.First<SetTimer>();
+  ASSERT_NE(timer, nullptr);
+  EXPECT_LT(timer->delay_us, 1500 * kMs);
+  b.now += timer->delay_us;
+  b.Do(TimerDue{call});
+  EXPECT_TRUE(b.Refused());
+}
+
+TEST(Failures, AFreedCircuitGoesToTheHeldCallOfMostWorth) {
+  Settings s = PlainSettings();
+  s.classes.push_back(s.classes[0]);
+  s.classes[1].worth = 3.0;
+  Bench b(s);
+  for (int i = 1; i < 4; ++i) b.Circuits(i, 0.0F);
+  b.Offer(1, 1.0, 0);
+  const CallId dear = b.Offer(1, 1.0, 1);
+  b.Circuits(1, 1.0F);
+  ASSERT_NE(b.First<Send>(), nullptr);
+  EXPECT_EQ(b.First<Send>()->call, dear);
+}
+
+TEST(Failures, OverflowThatIsTurnedBackIsThinned) {
+  Bench b;
+  int overflowed = 0;
+  for (int i = 0; i < 60; ++i) {
+    b.Circuits(1, 0.0F);
+    b.Circuits(2, 20.0F);
+    b.Circuits(3, 20.0F);
+    const CallId call = b.Offer(1);
+    for (int attempt = 0; b.SentTo() > 1; ++attempt) {
+      ++overflowed;
+      b.End(call, b.SentTo(), Outcome::kFull, Cause::kTurnedBack, attempt);
+    }
+    b.now += 20 * kMs;
+  }
+  EXPECT_GT(overflowed, 0);
+  EXPECT_LT(overflowed, 30);
+}
+
+TEST(Failures, ASilentExchangeIsNotFedAtFullRate) {
+  Bench b;
+  b.Offer(1);
+  b.now += 1500 * kMs;
+  int sent = 0;
+  for (int i = 0; i < 40; ++i) {
+    b.now += 25 * kMs;
+    b.Offer(1);
+    sent += b.SentTo() == 1 ? 1 : 0;
+  }
+  EXPECT_LE(sent, 4);
+}
+
+TEST(Failures, AFullProcessorIsBackedOff) {
+  Bench b;
+  const CallId call = b.Offer(1);
+  b.End(call, 1, Outcome::kFull, Cause::kProcessorFull);
+  b.Offer(1);
+  EXPECT_EQ(b.SentTo(), -1);
+}
+
+TEST(Failures, AReportedCutIsObeyed) {
+  Bench b;
+  const CallId call = b.Offer(1);
+  b.Stands(call, 1, 100 * kMs);
+  b.Do(AttemptEnded{.call = call,
+                    .exchange = Bench::Id(1),
+                    .outcome = Outcome::kOk,
+                    .terminal = true,
+                    .report = {20.0F, 20.0F, -1.0F, 0.9F}});
+  int sent = 0;
+  for (int i = 0; i < 100; ++i) {
+    b.now += 5 * kMs;
+    b.Circuits(1, 20.0F);
+    b.Offer(1);
+    sent += b.SentTo() == 1 ? 1 : 0;
+  }
+  EXPECT_LT(sent, 40);
+}
+
+TEST(Failures, ARedialThatCannotBeInTimeDoesNotOverflow) {
+  Bench b;
+  b.Status(1, ExchangeStatus::kDraining);
+  const CallOffered offer{.call = 900, .number_called = 77, .budget_us = 3000 * kMs, .destination = 1};
+  b.Do(offer);
+  ASSERT_TRUE(b.Refused());
+  b.Status(1, ExchangeStatus::kReady);
+  b.Circuits(1, 0.0F);
+  b.now += 1400 * kMs;
+  CallOffered again = offer;
+  again.call = 901;
+  b.Do(again);
+  EXPECT_EQ(b.SentTo(), -1);
+  again.call = 902;
+  again.number_called = 78;
+  b.Do(again);
+  EXPECT_GT(b.SentTo(), 1);
+}
+
+TEST(Failures, UnknownCallsAndExchangesAreHarmless) {
+  Bench b;
+  b.End(12345, 1, Outcome::kOk);
+  b.End(12345, 50, Outcome::kTimeout);
+  b.Stands(12345, 50, 5);
+  b.Do(CallerGone{12345});
+  b.Do(TimerDue{12345});
+  EXPECT_TRUE(b.actions.empty());
+  b.Offer(77);
+  EXPECT_TRUE(b.Refused());
+}
+
+TEST(Pools, ACallGoesOnlyToAPoolOfItsClass) {
+  Settings s = PlainSettings();
+  s.shape = Shape::kGroups;
+  s.own_number = -1;
+  s.classes[0].pools = {1, 3};
+  Bench b(s);
+  b.Offer(1);
+  EXPECT_EQ(b.SentTo(), 1);
+  b.Circuits(1, 0.0F);
+  b.Offer(1);
+  EXPECT_EQ(b.SentTo(), 3);
+  b.Circuits(3, 0.0F);
+  b.Offer(1);
+  EXPECT_EQ(b.SentTo(), -1);
+}
+
+TEST(Discovery, AFailedSubscriptionIsRepeated) {
+  Settings s = PlainSettings();
+  s.discovery = Discovery::kSubscribe;
+  Bench b(s);
+  b.Do(DirectoryUpdate{.kind = DirectoryKind::kFailed});
+  const auto* timer = b.First<SetTimer>();
+  ASSERT_NE(timer, nullptr);
+  b.now += timer->delay_us;
+  const auto token = timer->token;
+  b.Do(TimerDue{token});
+  EXPECT_NE(b.First<Subscribe>(), nullptr);
+}
+
+}  // namespace
+}  // namespace croftrun
