Loss control fades over 8 s and acts from 0.35 of the aim

Cause: half of the direct set-ups to slowed processors ended full or timed out; the cut faded between samples, which are few.

--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -27,15 +27,15 @@
 constexpr double kRateTau = 5e6;
 constexpr double kPressureTau = 2e6;
 // Shares of the shortest aim: up to kCalm a set-up delay is ordinary, past kPressed it threatens the aim.
-constexpr double kCalm = 0.3;
-constexpr double kPressed = 0.5;
+constexpr double kCalm = 0.2;
+constexpr double kPressed = 0.35;
 // Loss control moves by these steps: up on a pressed set-up (more on a lost one), down by a share on a calm
 // one.
 constexpr double kCutStep = 0.1;
 constexpr double kCutEase = 0.85;
 constexpr double kCutMost = 0.95;
 // Without news a cut fades at this pace, so that recovery is seen.
-constexpr double kCutFadeTau = 4e6;
+constexpr double kCutFadeTau = 8e6;
 // One trial set-up in this time goes to an exchange that is otherwise given nothing.
 constexpr TimeUs kTrialGap = kSecond / 2;
 // A processor that said it is full is given nothing for this long.
