One set-up at a time to a pressed exchange

Cause: with five to nine senders a few unanswered set-ups each already make a slowed processor's queue longer than the aim. Should also guard hanging and cold exchanges. Harm: with one or two senders it may underuse a slow exchange.

--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -528,6 +528,8 @@
     const double far = destination != nullptr ? CutFor(*destination) : 0.0;
     const double cut = 1.0 - (1.0 - far) * (1.0 - OwnCut());
     const double from_mine = equal > 0.0 ? std::clamp((cut * all - below) / equal, 0.0, 1.0) : cut;
+    // To a pressed exchange one set-up at a time: a further one would only lengthen its queue.
+    if (far > kPressed && !destination->unanswered.empty()) return false;
     if (from_mine <= 0.0 || random_.Unit() >= from_mine) return true;
     // The trickle by which a recovery is seen.
     return destination != nullptr && now_ >= destination->last_send + kTrialGap &&
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -275,6 +275,22 @@
   EXPECT_LE(sent, 4);
 }
 
+TEST(Failures, APressedExchangeGetsOneSetUpAtATime) {
+  Bench b;
+  for (int i = 0; i < 8; ++i) {
+    const CallId call = b.Offer(1);
+    b.now += 1000 * kMs;
+    if (b.SentTo() == 1) b.Stands(call, 1, 1000 * kMs);
+  }
+  int sent = 0;
+  for (int i = 0; i < 60; ++i) {
+    b.now += 2 * kMs;
+    b.Offer(1);
+    sent += b.SentTo() == 1 ? 1 : 0;
+  }
+  EXPECT_EQ(sent, 1);
+}
+
 TEST(Failures, AFullProcessorIsBackedOff) {
   Bench b;
   const CallId call = b.Offer(1);
