--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -427,9 +427,11 @@
     }
     if (meshed && !direct_open) return Answer(id, call, false);
     if (direct_open && call.tried.count(destination->entry.exchange) == 0) {
-      const bool room = destination->spare < 0.0 || destination->spare >= call.offer.width;
+      // To a pressed exchange one set-up at a time: a further one would only lengthen its queue.
+      const bool busy = CutFor(*destination) > kPressed && !destination->unanswered.empty();
+      const bool room = !busy && (destination->spare < 0.0 || destination->spare >= call.offer.width);
       if (!call.sent_direct && call.tandems == 0 && call.hold_until == 0) {
-        (room ? carried_ : blocked_).Add(now_, 1.0);
+        (room || busy ? carried_ : blocked_).Add(now_, 1.0);
       }
       if (room && !WaitsBehind(call, *destination) && TakeCold(*destination)) {
         call.sent_direct = true;
@@ -528,8 +530,6 @@
     const double far = destination != nullptr ? CutFor(*destination) : 0.0;
     const double cut = 1.0 - (1.0 - far) * (1.0 - OwnCut());
     const double from_mine = equal > 0.0 ? std::clamp((cut * all - below) / equal, 0.0, 1.0) : cut;
-    // To a pressed exchange one set-up at a time: a further one would only lengthen its queue.
-    if (far > kPressed && !destination->unanswered.empty()) return false;
     if (from_mine <= 0.0 || random_.Unit() >= from_mine) return true;
     // The trickle by which a recovery is seen.
     return destination != nullptr && now_ >= destination->last_send + kTrialGap &&
@@ -717,6 +717,7 @@
     NoteNumber(found->second.offer.number_called, false);
     found->second.out = false;
     found->second.stands = true;
+    RouteHeld();
   }
 
   void NoteNumber(std::uint64_t number, bool busy) {
