--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -447,14 +447,14 @@
       }
     }
     // Nothing has room: held for a circuit while a set-up could still stand within the aim.
-    const TimeUs until = call.arrived + static_cast<TimeUs>(kHoldShare * AsDouble(Aim(call)));
-    if (now_ < until && (held_.size() < kMostHeldForCircuit || call.hold_until > 0)) {
-      if (call.hold_until == 0) {
-        call.hold_until = std::min(until, call.deadline - kAnswerMargin);
-        held_.insert({-call.density, id});
-        WakeAt(id, call.hold_until);
-      }
-      return;
+    const double set_up = destination != nullptr ? destination->delay : 0.0;
+    const double longest = std::min(kHoldShare * AsDouble(Aim(call)), AsDouble(Aim(call)) - 1.5 * set_up);
+    const TimeUs until = call.arrived + static_cast<TimeUs>(std::max(0.0, longest));
+    if (call.hold_until > 0 && now_ < call.hold_until) return;
+    if (call.hold_until == 0 && now_ < until && held_.size() < kMostHeldForCircuit) {
+      call.hold_until = std::min(until, call.deadline - kAnswerMargin);
+      held_.insert({-call.density, id});
+      return WakeAt(id, call.hold_until);
     }
     Answer(id, call, false);
   }
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -231,6 +231,23 @@
   EXPECT_TRUE(b.Refused());
 }
 
+// Found by the random days: the set-up delay fell while the call was held, and its hold outlasted its timer.
+TEST(Failures, AHoldEndsAtItsTimerThoughTheDelayFell) {
+  Bench b;
+  const CallId slow = b.Offer(1);
+  b.now += 600 * kMs;
+  b.Stands(slow, 1, 600 * kMs);
+  for (int i = 1; i < 4; ++i) b.Circuits(i, 0.0F);
+  const CallId call = b.Offer(1);
+  const auto* timer = b.First<SetTimer>();
+  ASSERT_NE(timer, nullptr);
+  const TimeUs due = b.now + timer->delay_us;
+  b.Stands(slow, 1, 10 * kMs);
+  b.now = due;
+  b.Do(TimerDue{call});
+  EXPECT_TRUE(b.Refused());
+}
+
 TEST(Failures, AFreedCircuitGoesToTheHeldCallOfMostWorth) {
   Settings s = PlainSettings();
   s.classes.push_back(s.classes[0]);
