--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -39,7 +39,7 @@
 // One trial set-up in this time goes to an exchange that is otherwise given nothing.
 constexpr TimeUs kTrialGap = kSecond / 2;
 // A processor that said it is full is given nothing for this long.
-constexpr TimeUs kFullBackOff = kSecond / 4;
+constexpr TimeUs kFullBackOff = kSecond;
 // The answer to the caller is given this much before the caller's time is up.
 constexpr TimeUs kAnswerMargin = kSecond / 50;
 // A call is held for a circuit for at most this share of its aim.
@@ -376,7 +376,7 @@
     if (call.late || CutFor(exchanges_.at(destination->entry.exchange)) > kCutStep || OwnCut() > kCutStep)
       return false;
     const double stood = destination->overflow_stood.At(now_) + 1.0;
-    return random_.Unit() < stood / (stood + 2.0 * destination->overflow_back.At(now_));
+    return random_.Unit() < stood / (stood + 5.0 * destination->overflow_back.At(now_));
   }
 
   Exchange* PickTandem(const Call& call, const Exchange* destination) {
