--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -576,7 +576,7 @@
       ++warm;
     }
     rate = warm > 0 ? rate / warm : 0.0;
-    const double spared = std::max(rate, 0.5) * warmth * AsDouble(now_ - e.cold_at) / AsDouble(kSecond);
+    const double spared = 2.0 * std::max(rate, 0.5) * warmth * AsDouble(now_ - e.cold_at) / AsDouble(kSecond);
     e.cold_tokens = std::min(1.0, e.cold_tokens + spared);
     e.cold_at = now_;
     if (e.cold_tokens < 1.0) return false;
