--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -528,8 +528,7 @@
       (w < worth ? below : equal) += w <= worth ? n : 0.0;
     }
     const double far = destination != nullptr ? CutFor(*destination) : 0.0;
-    // A pressed exchange is shared out by turns, by worth; the draw here is for the milder cases.
-    const double cut = 1.0 - (1.0 - (far > kPressed && !call.late ? 0.5 * far : far)) * (1.0 - OwnCut());
+    const double cut = 1.0 - (1.0 - far) * (1.0 - OwnCut());
     const double from_mine = equal > 0.0 ? std::clamp((cut * all - below) / equal, 0.0, 1.0) : cut;
     if (from_mine <= 0.0 || random_.Unit() >= from_mine) return true;
     // The trickle by which a recovery is seen.
