--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -48,6 +48,10 @@
 constexpr std::size_t kMostNumbers = 64;
 // Unserved calls remembered by the number called, so that a redial is known without a mark.
 constexpr std::size_t kMostUnserved = 4096;
+// Exchanges no longer listed are remembered up to this many in all.
+constexpr std::size_t kMostExchanges = 4096;
+// The log says of one exchange at most once in this time that it is pressed.
+constexpr TimeUs kLogGap = 10 * kSecond;
 constexpr std::uint64_t kSubscribeToken = std::uint64_t{1} << 40;
 
 double AsDouble(TimeUs value) { return static_cast<double>(value); }
@@ -115,7 +119,6 @@
 
 struct Exchange {
   DirectoryEntry entry;
-  TimeUs told_away = 0;  // when this instance was told that it drains or is gone
   // Circuits of the own group; -1 while never told.
   double spare = -1.0;
   double total = -1.0;
@@ -142,6 +145,7 @@
   Fading overflow_back{kRateTau};
   double cold_tokens = 1.0;
   TimeUs cold_at = 0;
+  TimeUs logged_at = 0;
 };
 
 // ---- call table ----
@@ -179,7 +183,7 @@
 class CallController::Impl {
  public:
   Impl(const Settings& settings, std::uint64_t seed, TimeUs now, std::vector<Action>* actions)
-      : settings_(settings), random_(seed), started_(now) {
+      : settings_(settings), random_(seed) {
     for (const CallClass& c : settings_.classes) {
       const TimeUs aim = c.aim_us > 0 ? c.aim_us : c.deadline_us;
       if (aim > 0) shortest_aim_ = shortest_aim_ > 0 ? std::min(shortest_aim_, aim) : aim;
@@ -654,6 +658,11 @@
       for (auto& [id, e] : exchanges_) {
         if (listed.count(id) == 0) e.entry.status = ExchangeStatus::kGone;
       }
+      if (exchanges_.size() > kMostExchanges) {
+        std::erase_if(exchanges_, [&](const auto& x) {
+          return listed.count(x.first) == 0 && x.second.unanswered.empty();
+        });
+      }
     }
     for (const DirectoryEntry& entry : update.entries) {
       Exchange& e = exchanges_[entry.exchange];
@@ -745,7 +754,10 @@
     const auto found = calls_.find(ended.call);
     Call* call = found == calls_.end() ? nullptr : &found->second;
     const bool direct = call == nullptr || e == nullptr || call->offer.destination == e->entry.number;
-    if (set_up && e != nullptr) Learn(*e, call, ended, direct);
+    if (set_up && e != nullptr) {
+      Learn(*e, call, ended, direct);
+      LogPressed(*e);
+    }
     if (call == nullptr) return;
     if (ended.terminal || call->stands) {
       Forget(ended.call);
@@ -763,6 +775,17 @@
     RouteHeld();
   }
 
+  void LogPressed(Exchange& e) {
+    const double cut = CutFor(e);
+    if (cut <= kPressed || (e.logged_at > 0 && now_ < e.logged_at + kLogGap)) return;
+    e.logged_at = now_;
+    char text[160];
+    std::snprintf(text, sizeof(text),
+                  "exchange number %d pressed: keeping back %.0f%%, delay %.0f ms, %zu unanswered",
+                  e.entry.number, 100.0 * cut, e.delay / 1000.0, e.unanswered.size());
+    actions_->push_back(Log{text});
+  }
+
   // What the end of a set-up tells of the exchange.
   void Learn(Exchange& e, Call* call, const AttemptEnded& ended, bool direct) {
     Exchange* pressed = &e;
@@ -851,7 +874,6 @@
 
   const Settings settings_;
   Random random_;
-  const TimeUs started_;
   TimeUs now_ = 0;
   std::vector<Action>* actions_ = nullptr;
   TimeUs shortest_aim_ = 0;
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -308,6 +308,18 @@
   EXPECT_EQ(sent, 1);
 }
 
+TEST(Failures, APressedExchangeIsLoggedOnce) {
+  Bench b;
+  int lines = 0;
+  for (int i = 0; i < 8; ++i) {
+    const CallId call = b.Offer(1);
+    b.now += 1000 * kMs;
+    if (b.SentTo() == 1) b.End(call, 1, Outcome::kTimeout);
+    lines += b.First<Log>() != nullptr ? 1 : 0;
+  }
+  EXPECT_EQ(lines, 1);
+}
+
 TEST(Failures, AFullProcessorIsBackedOff) {
   Bench b;
   const CallId call = b.Offer(1);
