--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -200,14 +200,32 @@
   b.Status(1, ExchangeStatus::kReady, kStart - 1000 * kMs);
   int sent = 0;
   for (int i = 0; i < 40; ++i) {
-    b.Offer(1);
-    sent += b.SentTo() == 1 ? 1 : 0;
+    const CallId call = b.Offer(1);
     b.now += 25 * kMs;
+    if (b.SentTo() == 1) {
+      ++sent;
+      b.Stands(call, 1, 25 * kMs);
+    }
   }
   EXPECT_GE(sent, 1);
   EXPECT_LE(sent, 3);
 }
 
+TEST(Failures, ACrowdedNumberIsTriedNowAndThen) {
+  Bench b;
+  int sent = 0;
+  for (CallId id = 900; id < 1000; ++id) {
+    b.Do(CallOffered{.call = id, .number_called = 77, .budget_us = 3000 * kMs, .destination = 1});
+    b.now += 10 * kMs;
+    if (b.SentTo() == 1) {
+      ++sent;
+      b.End(id, 1, Outcome::kError, Cause::kLinesBusy);
+    }
+  }
+  EXPECT_GE(sent, 3);
+  EXPECT_LE(sent, 6);
+}
+
 TEST(Failures, ACallWaitsForACircuitAndTakesTheFirstFreed) {
   Bench b;
   for (int i = 1; i < 4; ++i) b.Circuits(i, 0.0F);
