--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -76,8 +76,9 @@
  public:
   explicit Fading(double tau) : tau_(tau) {}
   double At(TimeUs now) const { return value_ * std::exp(-AsDouble(now - last_) / tau_); }
-  void Add(TimeUs now, double amount) {
-    value_ = At(now) + amount;
+  void Add(TimeUs now, double amount) { Set(now, At(now) + amount); }
+  void Set(TimeUs now, double value) {
+    value_ = value;
     last_ = now;
   }
   double PerSecond(TimeUs now) const { return At(now) / tau_ * AsDouble(kSecond); }
@@ -134,8 +135,7 @@
   RecentLeast least_delay;
   double delay = 0.0;  // smoothed set-up delay, direct set-ups only
   TimeUs heard_at = 0;
-  double cut = 0.0;  // own loss control
-  TimeUs cut_moved = 0;
+  Fading cut{kCutFadeTau};  // own loss control
   TimeUs full_until = 0;
   TimeUs last_send = 0;
   TimeUs lost_at = 0;  // a failed connect or a death noticed from here: its start, if it is back
@@ -156,11 +156,11 @@
   TimeUs deadline = 0;   // of this try
   bool late = false;     // a redial that cannot stand within the aim any more
   double density = 0.0;  // worth for a circuit and second
+  bool over_quota = false;
   bool admitted = false;
   int attempts = 0;
   bool out = false;  // an attempt is out
   bool stands = false;
-  ExchangeId at = 0;
   bool sent_direct = false;
   int tandems = 0;
   std::set<ExchangeId> tried;
@@ -226,8 +226,8 @@
 
   // Share of its capacity that a restarted exchange can be trusted with: the least it may start with, then
   // evenly up to the end of the longest warm-up.
-  double Warmth(const Exchange& e) const {
-    const TimeUs start = std::max(e.entry.since_us, e.lost_at);
+  double Warmth(const Exchange& e) const { return WarmthSince(std::max(e.entry.since_us, e.lost_at)); }
+  double WarmthSince(TimeUs start) const {
     if (start == 0 || settings_.warm_up_us == 0 || now_ >= start + settings_.warm_up_us) return 1.0;
     const double grown = now_ > start ? AsDouble(now_ - start) / AsDouble(settings_.warm_up_us) : 0.0;
     return settings_.cold_from + (1.0 - settings_.cold_from) * grown;
@@ -256,17 +256,13 @@
     return heard >= 2 ? least : 0.0;
   }
 
-  double FadedCut(double cut, TimeUs moved) const {
-    return cut * std::exp(-AsDouble(now_ - moved) / kCutFadeTau);
-  }
-
   TimeUs OldestUnanswered(const Exchange& e) const {
     return e.unanswered.empty() ? 0 : now_ - e.unanswered.begin()->first;
   }
 
   // One health per exchange, from its symptoms: the share of set-ups to be kept from it.
   double CutFor(Exchange& e) {
-    double cut = FadedCut(e.cut, e.cut_moved);
+    double cut = e.cut.At(now_);
     if (now_ - e.cut_at < kReportFresh) cut = std::max(cut, e.reported_cut);
     if (e.allowed >= 0.0 && now_ - e.allowed_at < kReportFresh) {
       const double mine = e.sent.PerSecond(now_);
@@ -279,10 +275,9 @@
     return std::min(cut, 1.0);
   }
 
-  void MoveCut(double* cut, TimeUs* moved, double step) {
-    *cut = FadedCut(*cut, *moved);
-    *cut = step > 0.0 ? std::min(kCutMost, *cut + step) : *cut * kCutEase;
-    *moved = now_;
+  void MoveCut(Fading& cut, double step) {
+    const double present = cut.At(now_);
+    cut.Set(now_, step > 0.0 ? std::min(kCutMost, present + step) : present * kCutEase);
   }
 
   // A set-up delay was seen at `e`; `elapsed` of a direct set-up.
@@ -294,23 +289,23 @@
     const double aim = AsDouble(shortest_aim_);
     const double far = std::max(0.0, elapsed - own);
     if (far > kPressed * aim) {
-      MoveCut(&e.cut, &e.cut_moved, kCutStep * std::min(3.0, far / (kPressed * aim)));
+      MoveCut(e.cut, kCutStep * std::min(3.0, far / (kPressed * aim)));
     } else if (far < kCalm * aim) {
-      MoveCut(&e.cut, &e.cut_moved, 0.0);
+      MoveCut(e.cut, 0.0);
     }
     if (own > kCalm * aim) {
-      MoveCut(&own_cut_, &own_cut_moved_, kCutStep / 2 * std::min(3.0, own / (kCalm * aim)));
+      MoveCut(own_cut_, kCutStep / 2 * std::min(3.0, own / (kCalm * aim)));
     } else if (own < kCalm * aim / 2) {
-      MoveCut(&own_cut_, &own_cut_moved_, 0.0);
+      MoveCut(own_cut_, 0.0);
     }
   }
 
   double OwnCut() {
-    double cut = FadedCut(own_cut_, own_cut_moved_);
+    double cut = own_cut_.At(now_);
     if (Exchange* own = settings_.shape == Shape::kMeshed ? ByNumber(settings_.own_number) : nullptr) {
       cut = std::max(cut, 1.0 - Warmth(*own));
     }
-    return std::max(cut, 1.0 - Warmth(own_));
+    return std::max(cut, 1.0 - WarmthSince(own_lost_at_));
   }
 
   void TakeReport(Exchange& e, const std::vector<float>& report, bool unasked) {
@@ -517,7 +512,7 @@
   }
 
   double Worth(const Call& call) const {
-    return ClassOf(call).worth * (over_quota_.count(call.offer.call) > 0 ? settings_.over_quota_worth : 1.0) *
+    return ClassOf(call).worth * (call.over_quota ? settings_.over_quota_worth : 1.0) *
            (call.late ? ClassOf(call).late_worth : 1.0);
   }
 
@@ -546,8 +541,7 @@
     if (call.offer.number_called == 0 || found == numbers_.end()) return false;
     NumberCalled& n = found->second;
     if (n.busy.At(now_) < 2.0 || n.busy.At(now_) < n.stood.At(now_)) return false;
-    if (now_ >= n.last_send + kTrialGap) return false;
-    return true;
+    return now_ < n.last_send + kTrialGap;
   }
 
   // ---- guards: the rules are kept here ----
@@ -595,11 +589,9 @@
     const TimeUs aim_at = call.arrived + Aim(call);
     const TimeUs until = now_ < aim_at ? std::min(aim_at, call.deadline) : call.deadline;
     call.out = true;
-    call.at = e.entry.exchange;
     call.tried.insert(e.entry.exchange);
     ++call.attempts;
-    if (!call.may_have_run) call.ran_sent = now_;
-    sends_[{id, call.attempts - 1}] = {e.entry.exchange, now_};
+    sends_[{id, call.attempts - 1}] = now_;
     e.unanswered.insert({now_, id});
     e.last_send = now_;
     e.sent.Add(now_, 1.0);
@@ -636,7 +628,6 @@
     const auto found = calls_.find(id);
     if (found == calls_.end()) return;
     Unhold(id, found->second);
-    over_quota_.erase(id);
     calls_.erase(found);
   }
 
@@ -668,7 +659,7 @@
       Exchange& e = exchanges_[entry.exchange];
       if (entry.since_us > e.entry.since_us) {
         // A fresh start: what was learnt of the old process does not hold.
-        e.cut = 0.0;
+        e.cut.Set(now_, 0.0);
         e.cold_tokens = 1.0;
         e.cold_at = now_;
         e.lost_at = 0;
@@ -691,8 +682,7 @@
     if (!offer.in_transit && customer < quota_.size()) {
       quota_[customer].Add(now_, 1.0);
       const double quota = settings_.customers[customer].quota_per_s / std::max(1, settings_.senders);
-      if (quota > 0.0 && random_.Unit() * quota_[customer].PerSecond(now_) > quota)
-        over_quota_.insert(offer.call);
+      call.over_quota = quota > 0.0 && random_.Unit() * quota_[customer].PerSecond(now_) > quota;
     }
     const double holding = std::max(1.0, AsDouble(ClassOf(call).holding_us));
     call.density = Worth(call) / (call.offer.width * holding);
@@ -705,7 +695,7 @@
   TimeUs Settle(CallId id, int attempt, Exchange* e) {
     const auto sent = sends_.find({id, attempt});
     if (sent == sends_.end()) return 0;
-    const TimeUs at = sent->second.second;
+    const TimeUs at = sent->second;
     if (e != nullptr) e->unanswered.erase({at, id});
     sends_.erase(sent);
     return at;
@@ -717,12 +707,15 @@
     const auto found = calls_.find(stands.call);
     if (e == nullptr) return;
     const bool direct = found != calls_.end() && found->second.offer.destination == e->entry.number;
-    if (direct) NoteDelay(*e, AsDouble(stands.elapsed_us));
-    if (!direct && found != calls_.end()) {
-      if (Exchange* to = ByNumber(found->second.offer.destination)) to->overflow_stood.Add(now_, 1.0);
+    if (direct) {
+      NoteDelay(*e, AsDouble(stands.elapsed_us));
+    } else {
+      e->least_delay.Add(now_, AsDouble(stands.elapsed_us));
     }
-    if (!direct) e->least_delay.Add(now_, AsDouble(stands.elapsed_us));
     if (found == calls_.end()) return;
+    if (Exchange* to = direct ? nullptr : ByNumber(found->second.offer.destination)) {
+      to->overflow_stood.Add(now_, 1.0);
+    }
     NoteNumber(found->second.offer.number_called, false);
     found->second.out = false;
     found->second.stands = true;
@@ -794,7 +787,7 @@
     }
     switch (ended.outcome) {
       case Outcome::kTimeout:
-        MoveCut(&e.cut, &e.cut_moved, direct ? 3 * kCutStep : kCutStep);
+        MoveCut(e.cut, direct ? 3 * kCutStep : kCutStep);
         break;
       case Outcome::kConnectFailed:
         e.lost_at = now_;
@@ -807,13 +800,13 @@
           break;
         }
         if (pressed == nullptr) break;
-        MoveCut(&pressed->cut, &pressed->cut_moved, 3 * kCutStep);
+        MoveCut(pressed->cut, 3 * kCutStep);
         pressed->full_until = std::max(pressed->full_until, now_ + std::max(kFullBackOff, ended.wait_us));
         break;
       case Outcome::kMoot:
         if (ended.cause == Cause::kProcessorFull) {
           own_down_until_ = now_ + kFullBackOff;
-          own_.lost_at = now_;
+          own_lost_at_ = now_;
         } else if (ended.cause == Cause::kNoCircuit) {
           e.spare = 0.0;
         }
@@ -879,18 +872,16 @@
   TimeUs shortest_aim_ = 0;
   std::map<ExchangeId, Exchange> exchanges_;
   std::map<CallId, Call> calls_;
-  std::map<std::pair<CallId, int>, std::pair<ExchangeId, TimeUs>> sends_;
+  std::map<std::pair<CallId, int>, TimeUs> sends_;
   std::set<std::pair<double, CallId>> held_;
-  std::set<CallId> over_quota_;
   std::map<std::uint64_t, NumberCalled> numbers_;
   std::map<std::uint64_t, TimeUs> unserved_;
   std::map<double, Fading> offered_;
   std::vector<Fading> quota_;
   Fading blocked_{kPressureTau};
   Fading carried_{kPressureTau};
-  Exchange own_;
-  double own_cut_ = 0.0;
-  TimeUs own_cut_moved_ = 0;
+  TimeUs own_lost_at_ = 0;
+  Fading own_cut_{kCutFadeTau};
   TimeUs own_down_until_ = 0;
 };
 
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -32,16 +32,8 @@
 
 TEST(OrdinaryPath, LeastQueueTimesServiceTimeByReport) {
   Bench b;
-  for (int i = 2; i < 4; ++i) {
-    const CallId call = b.Offer(i);
-    b.now += 100 * kMs;
-    b.Stands(call, i, 100 * kMs);
-    b.Do(AttemptEnded{.call = call,
-                      .exchange = Bench::Id(i),
-                      .outcome = Outcome::kOk,
-                      .terminal = true,
-                      .report = {20.0F, 20.0F, i == 2 ? 5.0F : 2.0F, -1.0F}});
-  }
+  b.Complete(2, 5.0F, -1.0F);
+  b.Complete(3, 2.0F, -1.0F);
   b.Circuits(2, 20.0F);
   b.Circuits(3, 19.0F);
   b.Circuits(1, 0.0F);
@@ -51,17 +43,9 @@
 
 TEST(OrdinaryPath, OwnUnansweredCountWithoutAFreshReport) {
   Bench b;
-  for (int i = 2; i < 4; ++i) {
-    const CallId call = b.Offer(i);
-    b.now += 100 * kMs;
-    b.Stands(call, i, 100 * kMs);
-    // The report says that 2 is idle and 3 is not, but it will be old.
-    b.Do(AttemptEnded{.call = call,
-                      .exchange = Bench::Id(i),
-                      .outcome = Outcome::kOk,
-                      .terminal = true,
-                      .report = {20.0F, 20.0F, i == 2 ? 0.0F : 9.0F, -1.0F}});
-  }
+  // The reports say that 2 is idle and 3 is not, but they will be old.
+  b.Complete(2, 0.0F, -1.0F);
+  b.Complete(3, 9.0F, -1.0F);
   b.now += 2000 * kMs;
   b.Offer(2);
   b.Circuits(2, 20.0F);
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -89,6 +89,19 @@
                     .report = std::move(report)});
   }
 
+  // A call to `number` that stood after 100 ms and has ended, with the queue and the cut that came with its
+  // end.
+  void Complete(int number, float queue, float cut) {
+    const CallId call = Offer(number);
+    now += 100 * kMs;
+    Stands(call, number, 100 * kMs);
+    Do(AttemptEnded{.call = call,
+                    .exchange = Id(number),
+                    .outcome = Outcome::kOk,
+                    .terminal = true,
+                    .report = {20.0F, 20.0F, queue, cut}});
+  }
+
   // The exchange the last event sent a call to, by number; -1: none.
   int SentTo() const {
     const auto* send = First<Send>();
