Pairs without a group are planned over a tandem; candidates by the chance of the second leg

What stood and was turned back is now remembered by destination and tandem, pooled by tandem for a leg never tried; the centre's advice counts as a call that stood; planned calls are no overflow.

--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -44,6 +44,11 @@
 constexpr TimeUs kAnswerMargin = kSecond / 50;
 // A call is held for a circuit for at most this share of its aim.
 constexpr double kHoldShare = 0.8;
+// What a tandem's second legs let through is remembered for a few holding times; a tandem is a candidate while
+// its chance is at least this share of the best one's. A leg never tried weighs as one try at the tandem's rate.
+constexpr double kLegTau = 40e6;
+constexpr double kNearBest = 0.75;
+constexpr double kLegPrior = 1.0;
 constexpr std::size_t kMostHeldForCircuit = 256;
 constexpr std::size_t kMostNumbers = 64;
 // Unserved calls remembered by the number called, so that a redial is known without a mark.
@@ -116,6 +121,12 @@
   std::optional<double> previous_;
 };
 
+// What became of calls sent over a tandem.
+struct Leg {
+  Fading stood{kLegTau};
+  Fading back{kLegTau};
+};
+
 // ---- exchange view ----
 
 struct Exchange {
@@ -140,9 +151,8 @@
   TimeUs last_send = 0;
   TimeUs lost_at = 0;  // a failed connect or a death noticed from here: its start, if it is back
   Fading sent{kRateTau};
-  // What became of calls sent over a tandem to this destination.
-  Fading overflow_stood{kRateTau};
-  Fading overflow_back{kRateTau};
+  Leg as_tandem;                    // over this tandem, wherever to
+  std::map<ExchangeId, Leg> legs;  // to this destination, by tandem
   double cold_tokens = 1.0;
   TimeUs cold_at = 0;
   TimeUs logged_at = 0;
@@ -368,27 +378,52 @@
   // direct calls that find their group full to the square root of the group.
   double Reserve(const Exchange& e) const { return 1.0 + Pressure() * std::sqrt(std::max(0.0, e.total)); }
 
-  // Overflow that keeps being turned back costs three processors work for nothing: it is thinned to the share
-  // that went through lately. A call that could earn only late worth never displaces two others.
-  bool OverflowOpen(const Call& call, const Exchange* destination) {
-    if (settings_.shape != Shape::kMeshed || destination == nullptr) return true;
-    if (call.late || CutFor(exchanges_.at(destination->entry.exchange)) > kCutStep || OwnCut() > kCutStep)
-      return false;
-    const double stood = destination->overflow_stood.At(now_) + 1.0;
-    return random_.Unit() < stood / (stood + 5.0 * destination->overflow_back.At(now_));
-  }
-
-  Exchange* PickTandem(const Call& call, const Exchange* destination) {
+  // A pair without a group, or with one too narrow for the call, is planned over a tandem: its calls overflow
+  // nothing.
+  static bool Planned(const Call& call, const Exchange& destination) {
+    return destination.total >= 0.0 && destination.total < call.offer.width;
+  }
+
+  // The ranking ignores the second leg, which nobody tells: the chance that it lets a call through, from what
+  // stood and what was turned back there from here; what was seen of the tandem with all destinations stands in
+  // for a leg never tried, and the centre's advice counts as a call that stood.
+  double Chance(const Call& call, const Exchange& tandem, const Exchange& destination) const {
+    const auto rate = [this](const Leg& leg, double prior, double weight, double more) {
+      const double stood = leg.stood.At(now_) + more;
+      return (stood + prior * weight) / (stood + leg.back.At(now_) + weight);
+    };
+    const double any = rate(tandem.as_tandem, 0.5, 2.0, 0.0);
+    const auto leg = destination.legs.find(tandem.entry.exchange);
+    const bool advised = !call.offer.in_transit && call.offer.via == tandem.entry.number;
+    return rate(leg == destination.legs.end() ? Leg{} : leg->second, any, kLegPrior, advised ? 1.0 : 0.0);
+  }
+
+  // The design's ranking among the candidates: tandems with a circuit to spare after the call and a chance near
+  // the best one's. Overflow that keeps being turned back costs processors work for nothing and displaces two
+  // others where it stands: it is thinned by its chance, and there is none for a call that is late or to a
+  // pressed processor.
+  Exchange* PickTandem(const Call& call, Exchange* destination) {
+    const bool meshed = settings_.shape == Shape::kMeshed && destination != nullptr;
+    const bool overflow = meshed && !Planned(call, *destination);
+    if (overflow && (call.late || CutFor(*destination) > kCutStep || OwnCut() > kCutStep)) return nullptr;
+    std::vector<std::pair<double, Exchange*>> candidates;
+    double best_chance = 0.0;
+    for (auto& [id, e] : exchanges_) {
+      if (&e == destination || Own(e) || e.spare - call.offer.width < 1.0) continue;
+      if (!MayUse(call, e) || !MaySendTo(call, e) || call.tried.count(id) > 0) continue;
+      if (overflow && e.spare - call.offer.width < Reserve(e)) continue;
+      if (meshed && CutFor(e) > kCutStep) continue;
+      candidates.emplace_back(meshed ? Chance(call, e, *destination) : 1.0, &e);
+      best_chance = std::max(best_chance, candidates.back().first);
+    }
+    if (overflow && random_.Unit() * (5.0 - 4.0 * best_chance) > best_chance) return nullptr;
     Exchange* best = nullptr;
     std::tuple<double, double, double> best_rank;
-    for (auto& [id, e] : exchanges_) {
-      if (&e == destination || Own(e) || !MayUse(call, e) || !MaySendTo(call, e)) continue;
-      if (call.tried.count(id) > 0 || e.spare < 0.0) continue;
-      if (e.spare - call.offer.width < Reserve(e)) continue;
-      if (settings_.shape == Shape::kMeshed && CutFor(e) > kCutStep) continue;
-      const std::tuple<double, double, double> rank{PredictedTime(e), -e.spare, random_.Unit()};
+    for (const auto& [chance, e] : candidates) {
+      if (chance < kNearBest * best_chance) continue;
+      const std::tuple<double, double, double> rank{PredictedTime(*e), -e->spare, random_.Unit()};
       if (best == nullptr || rank < best_rank) {
-        best = &e;
+        best = e;
         best_rank = rank;
       }
     }
@@ -415,7 +450,7 @@
       // back.
       if (call.attempts == 0 && direct_open && destination->spare >= 0.0 &&
           destination->spare - call.offer.width >= Reserve(*destination) &&
-          CutFor(*destination) <= kCutStep && OwnCut() <= kCutStep && TakeCold(*destination)) {
+          CutFor(*destination) <= kPressed && OwnCut() <= kPressed && TakeCold(*destination)) {
         return SendTo(id, call, *destination);
       }
       return Answer(id, call, false);
@@ -425,7 +460,8 @@
       call.admitted = true;
     }
     if (meshed && !direct_open) return Answer(id, call, false);
-    if (direct_open && call.tried.count(destination->entry.exchange) == 0) {
+    const bool planned = meshed && Planned(call, *destination);
+    if (direct_open && !planned && call.tried.count(destination->entry.exchange) == 0) {
       // To a pressed exchange one set-up at a time: a further one would only lengthen its queue.
       const bool busy = CutFor(*destination) > kPressed && !destination->unanswered.empty();
       const bool room = !busy && (destination->spare < 0.0 || destination->spare >= call.offer.width);
@@ -438,13 +474,14 @@
       }
       if (room && Warmth(*destination) < 1.0) return Answer(id, call, false);
     }
-    if (call.tandems < 2 && OverflowOpen(call, destination)) {
+    if (call.tandems < 2) {
       Exchange* tandem = PickTandem(call, destination);
       if (tandem != nullptr && TakeCold(*tandem)) {
         ++call.tandems;
         return SendTo(id, call, *tandem);
       }
     }
+    if (planned && call.tandems > 0) return Answer(id, call, false);
     // Nothing has room: held for a circuit while a set-up could still stand within the aim.
     const double set_up = destination != nullptr ? destination->delay : 0.0;
     const double longest = std::min(kHoldShare * AsDouble(Aim(call)), AsDouble(Aim(call)) - 1.5 * set_up);
@@ -714,7 +751,8 @@
     }
     if (found == calls_.end()) return;
     if (Exchange* to = direct ? nullptr : ByNumber(found->second.offer.destination)) {
-      to->overflow_stood.Add(now_, 1.0);
+      to->legs[stands.exchange].stood.Add(now_, 1.0);
+      e->as_tandem.stood.Add(now_, 1.0);
     }
     NoteNumber(found->second.offer.number_called, false);
     found->second.out = false;
@@ -783,7 +821,8 @@
   void Learn(Exchange& e, Call* call, const AttemptEnded& ended, bool direct) {
     Exchange* pressed = &e;
     if (!direct && ended.outcome != Outcome::kMoot) {
-      if (Exchange* to = ByNumber(call->offer.destination)) to->overflow_back.Add(now_, 1.0);
+      if (Exchange* to = ByNumber(call->offer.destination)) to->legs[e.entry.exchange].back.Add(now_, 1.0);
+      e.as_tandem.back.Add(now_, 1.0);
     }
     switch (ended.outcome) {
       case Outcome::kTimeout:
