Evidence at size: losses pooled over all exchanges, trials and cold budget by the number of senders, one draw a caller

Changed: trial gap by senders; 'allowed' read as a dip against its usual value; reports fade over 8 s; one draw for all tries of a caller; no set-up that cannot stand before the caller hangs up; the share of set-ups lost or slow over all exchanges cuts at the source (it replaces the least excess over all exchanges and its loss control); silence is not counted over an own stall; planned calls are shed before direct ones; cold budget from fall_multiple and senders, first token by chance; exchanges indexed by number.

--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -24,37 +24,44 @@
 // "Recent" for the least set-up delay: two spans of this, so that a minimum lives 5 to 10 s.
 constexpr TimeUs kDelaySpan = 5 * kSecond;
 // Rates and pressures are averaged over a few seconds: the time in which traffic itself moves.
-constexpr double kRateTau = 5e6;
-constexpr double kPressureTau = 2e6;
+constexpr double kRateTau = 5e6, kPressureTau = 2e6;
 // Shares of the shortest aim: up to kCalm a set-up delay is ordinary, past kPressed it threatens the aim.
-constexpr double kCalm = 0.2;
-constexpr double kPressed = 0.35;
-// Loss control moves by these steps: up on a pressed set-up (more on a lost one), down by a share on a calm
-// one.
+constexpr double kCalm = 0.2, kPressed = 0.35;
+// Loss control steps up on a pressed set-up (more on a lost one), down by a share on a calm one.
 constexpr double kCutStep = 0.1;
-constexpr double kCutEase = 0.85;
-constexpr double kCutMost = 0.95;
+constexpr double kCutEase = 0.85, kCutMost = 0.95;
 // Without news a cut fades at this pace, so that recovery is seen.
 constexpr double kCutFadeTau = 8e6;
-// One trial set-up in this time goes to an exchange that is otherwise given nothing.
-constexpr TimeUs kTrialGap = kSecond / 2;
+// Trial set-ups to an exchange or number that is otherwise given nothing: at most this often from here, and
+// from all senders together.
+constexpr TimeUs kTrialGap = kSecond / 2, kTrialGapOfAll = kSecond / 4;
+// Figures of a report fade over this time: a sender of a large network hears of an exchange that seldom.
+constexpr double kReportTau = 8e6;
+// An exchange whose allowed rate falls under this share of its usual one is pressed.
+constexpr double kAllowedDip = 0.5;
+// No event for this long: the softswitch itself stood still, and answers wait to be read.
+constexpr TimeUs kStall = kSecond / 4;
 // A processor that said it is full is given nothing for this long.
 constexpr TimeUs kFullBackOff = kSecond;
 // The answer to the caller is given this much before the caller's time is up.
 constexpr TimeUs kAnswerMargin = kSecond / 50;
 // A call is held for a circuit for at most this share of its aim.
 constexpr double kHoldShare = 0.8;
-// What a tandem's second legs let through is remembered for a few holding times; a tandem is a candidate while
-// its chance is at least this share of the best one's. A leg never tried weighs as one try at the tandem's rate.
-constexpr double kLegTau = 40e6;
-constexpr double kNearBest = 0.75;
-constexpr double kLegPrior = 1.0;
-constexpr std::size_t kMostHeldForCircuit = 256;
-constexpr std::size_t kMostNumbers = 64;
-// Unserved calls remembered by the number called, so that a redial is known without a mark.
-constexpr std::size_t kMostUnserved = 4096;
-// Exchanges no longer listed are remembered up to this many in all.
-constexpr std::size_t kMostExchanges = 4096;
+// Second legs are remembered for a few holding times; a tandem is a candidate while its chance is at least
+// this share of the best one's. A leg never tried weighs as one try at the tandem's rate.
+constexpr double kLegTau = 40e6, kNearBest = 0.75, kLegPrior = 1.0;
+// A call over a tandem is set up by three processors in place of two: its worth for the work is this share.
+constexpr double kPlannedWork = 2.0 / 3.0;
+// Bounds of state: calls held, crowded numbers, unserved calls by number, exchanges (listed or not).
+constexpr std::size_t kMostHeld = 256, kMostNumbers = 64, kMostUnserved = 4096, kMostExchanges = 4096;
+// A share is not trusted before this many set-ups.
+constexpr double kFewSetUps = 2.0;
+// A turn-back weighs so many calls that stood in thinning overflow: where it stands it displaces two others.
+constexpr double kTurnBackWeight = 5.0;
+// A cold exchange is sent at most this share of what would push it over.
+constexpr double kColdMargin = 2.0 / 3.0;
+// Weight of the newest delay in a smoothed one.
+constexpr double kSmooth = 0.4;
 // The log says of one exchange at most once in this time that it is pressed.
 constexpr TimeUs kLogGap = 10 * kSecond;
 constexpr std::uint64_t kSubscribeToken = std::uint64_t{1} << 40;
@@ -123,8 +130,8 @@
 
 // What became of calls sent over a tandem.
 struct Leg {
-  Fading stood{kLegTau};
-  Fading back{kLegTau};
+  explicit Leg(double tau = kLegTau) : stood(tau), back(tau) {}
+  Fading stood, back;
 };
 
 // ---- exchange view ----
@@ -137,10 +144,9 @@
   // Reports, each with its time.
   double queue = -1.0;
   TimeUs queue_at = 0;
-  double reported_cut = 0.0;
-  TimeUs cut_at = 0;
-  double allowed = -1.0;
-  TimeUs allowed_at = 0;
+  Fading reported_cut{kReportTau};
+  Fading allowed_cut{kReportTau};
+  double usual_allowed = 0.0;
   // What is seen from here.
   std::set<std::pair<TimeUs, CallId>> unanswered;
   RecentLeast least_delay;
@@ -151,7 +157,8 @@
   TimeUs last_send = 0;
   TimeUs lost_at = 0;  // a failed connect or a death noticed from here: its start, if it is back
   Fading sent{kRateTau};
-  Leg as_tandem;                    // over this tandem, wherever to
+  Leg as_destination{kRateTau};    // over whatever tandem, to this destination
+  Leg as_tandem;                   // over this tandem, wherever to
   std::map<ExchangeId, Leg> legs;  // to this destination, by tandem
   double cold_tokens = 1.0;
   TimeUs cold_at = 0;
@@ -167,11 +174,12 @@
   bool late = false;     // a redial that cannot stand within the aim any more
   double density = 0.0;  // worth for a circuit and second
   bool over_quota = false;
+  double draw = 0.0;     // admitted if this is over the share kept back
+  bool planned = false;  // over a tandem: no group of its own, or one too narrow
   bool admitted = false;
   int attempts = 0;
   bool out = false;  // an attempt is out
   bool stands = false;
-  bool sent_direct = false;
   int tandems = 0;
   std::set<ExchangeId> tried;
   TimeUs not_before = 0;  // release wait
@@ -193,7 +201,7 @@
 class CallController::Impl {
  public:
   Impl(const Settings& settings, std::uint64_t seed, TimeUs now, std::vector<Action>* actions)
-      : settings_(settings), random_(seed) {
+      : settings_(settings), seed_(seed), random_(seed) {
     for (const CallClass& c : settings_.classes) {
       const TimeUs aim = c.aim_us > 0 ? c.aim_us : c.deadline_us;
       if (aim > 0) shortest_aim_ = shortest_aim_ > 0 ? std::min(shortest_aim_, aim) : aim;
@@ -206,6 +214,7 @@
   }
 
   void Handle(TimeUs now, const Event& event, std::vector<Action>* actions) {
+    if (now > now_ + kStall) awake_since_ = now;
     now_ = now;
     actions_ = actions;
     std::visit([this](const auto& e) { On(e); }, event);
@@ -217,17 +226,9 @@
     return found == exchanges_.end() ? nullptr : &found->second;
   }
 
-  // The exchange that has this number now: a machine that replaced another has the same number.
   Exchange* ByNumber(int number) {
-    Exchange* best = nullptr;
-    for (auto& [id, e] : exchanges_) {
-      if (e.entry.number != number) continue;
-      const auto rank = [](const Exchange& x) {
-        return std::make_tuple(x.entry.status == ExchangeStatus::kReady, x.entry.since_us);
-      };
-      if (best == nullptr || rank(e) > rank(*best)) best = &e;
-    }
-    return best;
+    const auto found = by_number_.find(number);
+    return found == by_number_.end() ? nullptr : found->second;
   }
 
   bool Own(const Exchange& e) const {
@@ -251,34 +252,14 @@
 
   double PredictedTime(Exchange& e) { return ActNum(e) * e.least_delay.Get(now_).value_or(0.0); }
 
-  // Excess of the smoothed delay over the least one.
-  double Excess(Exchange& e) { return std::max(0.0, e.delay - e.least_delay.Get(now_).value_or(e.delay)); }
-
-  // What all far ends have in common is the own processor's: the least excess of those heard lately.
-  double OwnExcess() {
-    double least = 1e18;
-    int heard = 0;
-    for (auto& [id, e] : exchanges_) {
-      if (e.heard_at == 0 || now_ - e.heard_at > kReportFresh) continue;
-      ++heard;
-      least = std::min(least, Excess(e));
-    }
-    return heard >= 2 ? least : 0.0;
-  }
-
   TimeUs OldestUnanswered(const Exchange& e) const {
-    return e.unanswered.empty() ? 0 : now_ - e.unanswered.begin()->first;
+    return e.unanswered.empty() ? 0 : now_ - std::max(e.unanswered.begin()->first, awake_since_);
   }
 
   // One health per exchange, from its symptoms: the share of set-ups to be kept from it.
   double CutFor(Exchange& e) {
     double cut = e.cut.At(now_);
-    if (now_ - e.cut_at < kReportFresh) cut = std::max(cut, e.reported_cut);
-    if (e.allowed >= 0.0 && now_ - e.allowed_at < kReportFresh) {
-      const double mine = e.sent.PerSecond(now_);
-      const double share = 2.0 * e.allowed / std::max(1, settings_.senders);
-      if (mine > share) cut = std::max(cut, 1.0 - share / mine);
-    }
+    cut = std::max({cut, e.reported_cut.At(now_), e.allowed_cut.At(now_)});
     cut = std::max(cut, 1.0 - Warmth(e));
     const double silence = AsDouble(OldestUnanswered(e)) / AsDouble(shortest_aim_);
     if (silence > kPressed) cut = std::max(cut, std::min(1.0, silence));
@@ -290,66 +271,61 @@
     cut.Set(now_, step > 0.0 ? std::min(kCutMost, present + step) : present * kCutEase);
   }
 
+  void SmoothDelay(Exchange& e, double elapsed) {
+    e.delay = e.heard_at == 0 ? elapsed : e.delay + kSmooth * (elapsed - e.delay);
+    e.heard_at = now_;
+    delay_ += kSmooth / 4 * (elapsed - delay_);
+  }
+
+  // What a set-up to `e` will take: what was seen of it, and with age what was seen of all.
+  double ExpectedDelay(const Exchange& e) const {
+    const double fresh = e.heard_at == 0 ? 0.0 : std::exp(-AsDouble(now_ - e.heard_at) / kReportTau);
+    return fresh * e.delay + (1.0 - fresh) * delay_;
+  }
+
   // A set-up delay was seen at `e`; `elapsed` of a direct set-up.
   void NoteDelay(Exchange& e, double elapsed) {
     e.least_delay.Add(now_, elapsed);
-    e.delay = e.heard_at == 0 ? elapsed : 0.6 * e.delay + 0.4 * elapsed;
-    e.heard_at = now_;
-    const double own = OwnExcess();
-    const double aim = AsDouble(shortest_aim_);
-    const double far = std::max(0.0, elapsed - own);
-    if (far > kPressed * aim) {
-      MoveCut(e.cut, kCutStep * std::min(3.0, far / (kPressed * aim)));
-    } else if (far < kCalm * aim) {
+    SmoothDelay(e, elapsed);
+    const double slow = elapsed / (kPressed * AsDouble(shortest_aim_));
+    if (slow > 1.0) {
+      MoveCut(e.cut, kCutStep * std::min(3.0, slow));
+    } else if (elapsed < kCalm * AsDouble(shortest_aim_)) {
       MoveCut(e.cut, 0.0);
     }
-    if (own > kCalm * aim) {
-      MoveCut(own_cut_, kCutStep / 2 * std::min(3.0, own / (kCalm * aim)));
-    } else if (own < kCalm * aim / 2) {
-      MoveCut(own_cut_, 0.0);
-    }
+    lost_.Add(now_, std::clamp(slow - 1.0, 0.0, 1.0));
   }
 
+  // What goes wrong with set-ups to most exchanges is the own processor's, or everyone's: evidence that is
+  // too thin exchange by exchange is pooled over all.
   double OwnCut() {
-    double cut = own_cut_.At(now_);
+    const double lost = lost_.At(now_) / (lost_.At(now_) + stood_.At(now_) + kFewSetUps);
+    double cut = std::clamp((lost - kPressed) / (1.0 - 2.0 * kPressed), 0.0, kCutMost);
     if (Exchange* own = settings_.shape == Shape::kMeshed ? ByNumber(settings_.own_number) : nullptr) {
       cut = std::max(cut, 1.0 - Warmth(*own));
     }
     return std::max(cut, 1.0 - WarmthSince(own_lost_at_));
   }
 
+  // An unasked report tells of the own group only.
   void TakeReport(Exchange& e, const std::vector<float>& report, bool unasked) {
     const std::size_t n = std::min(report.size(), settings_.report_fields.size());
     for (std::size_t i = 0; i < n; ++i) {
       const double value = static_cast<double>(report[i]);
+      const ReportField field = settings_.report_fields[i];
       if (!std::isfinite(value) || value < 0.0) continue;
-      switch (settings_.report_fields[i]) {
-        case ReportField::kSpare:
-          e.spare = value;
-          break;
-        case ReportField::kTotal:
-          e.total = value;
-          break;
-        case ReportField::kPending:
-          if (!unasked) {
-            e.queue = value;
-            e.queue_at = now_;
-          }
-          break;
-        case ReportField::kCutBy:
-          if (!unasked) {
-            e.reported_cut = std::min(1.0, value);
-            e.cut_at = now_;
-          }
-          break;
-        case ReportField::kAllowed:
-          if (!unasked) {
-            e.allowed = value;
-            e.allowed_at = now_;
-          }
-          break;
-        default:
-          break;
+      if (field == ReportField::kSpare) e.spare = value;
+      if (field == ReportField::kTotal) e.total = value;
+      if (unasked) continue;
+      if (field == ReportField::kPending) {
+        e.queue = value;
+        e.queue_at = now_;
+      } else if (field == ReportField::kCutBy) {
+        e.reported_cut.Set(now_, std::min(1.0, value));
+      } else if (field == ReportField::kAllowed) {
+        // The rate for all senders tells no sender its part; a dip against the usual tells of pressure.
+        e.usual_allowed = std::max(value, e.usual_allowed + (value - e.usual_allowed) / 64.0);
+        e.allowed_cut.Set(now_, std::max(0.0, 1.0 - value / (kAllowedDip * e.usual_allowed + 1e-9)));
       }
     }
   }
@@ -378,15 +354,9 @@
   // direct calls that find their group full to the square root of the group.
   double Reserve(const Exchange& e) const { return 1.0 + Pressure() * std::sqrt(std::max(0.0, e.total)); }
 
-  // A pair without a group, or with one too narrow for the call, is planned over a tandem: its calls overflow
-  // nothing.
-  static bool Planned(const Call& call, const Exchange& destination) {
-    return destination.total >= 0.0 && destination.total < call.offer.width;
-  }
-
   // The ranking ignores the second leg, which nobody tells: the chance that it lets a call through, from what
-  // stood and what was turned back there from here; what was seen of the tandem with all destinations stands in
-  // for a leg never tried, and the centre's advice counts as a call that stood.
+  // stood and what was turned back there from here; what was seen of the tandem with all destinations stands
+  // in for a leg never tried, and the centre's advice counts as a call that stood.
   double Chance(const Call& call, const Exchange& tandem, const Exchange& destination) const {
     const auto rate = [this](const Leg& leg, double prior, double weight, double more) {
       const double stood = leg.stood.At(now_) + more;
@@ -398,13 +368,13 @@
     return rate(leg == destination.legs.end() ? Leg{} : leg->second, any, kLegPrior, advised ? 1.0 : 0.0);
   }
 
-  // The design's ranking among the candidates: tandems with a circuit to spare after the call and a chance near
-  // the best one's. Overflow that keeps being turned back costs processors work for nothing and displaces two
-  // others where it stands: it is thinned by its chance, and there is none for a call that is late or to a
-  // pressed processor.
+  // The design's ranking among the candidates: tandems with a circuit to spare after the call and a chance
+  // near the best one's. Overflow that keeps being turned back costs processors work for nothing and
+  // displaces two others where it stands: it is thinned to what went through lately, and there is none for a
+  // call that is late or to a pressed processor.
   Exchange* PickTandem(const Call& call, Exchange* destination) {
     const bool meshed = settings_.shape == Shape::kMeshed && destination != nullptr;
-    const bool overflow = meshed && !Planned(call, *destination);
+    const bool overflow = meshed && !call.planned;
     if (overflow && (call.late || CutFor(*destination) > kCutStep || OwnCut() > kCutStep)) return nullptr;
     std::vector<std::pair<double, Exchange*>> candidates;
     double best_chance = 0.0;
@@ -416,7 +386,11 @@
       candidates.emplace_back(meshed ? Chance(call, e, *destination) : 1.0, &e);
       best_chance = std::max(best_chance, candidates.back().first);
     }
-    if (overflow && random_.Unit() * (5.0 - 4.0 * best_chance) > best_chance) return nullptr;
+    if (overflow) {
+      const double stood = destination->as_destination.stood.At(now_) + 1.0;
+      const double back = destination->as_destination.back.At(now_);
+      if (random_.Unit() * (stood + kTurnBackWeight * back) >= stood) return nullptr;
+    }
     Exchange* best = nullptr;
     std::tuple<double, double, double> best_rank;
     for (const auto& [chance, e] : candidates) {
@@ -446,8 +420,7 @@
     const bool direct_open =
         destination != nullptr && MayUse(call, *destination) && MaySendTo(call, *destination);
     if (call.offer.in_transit) {
-      // A transit call goes on, if that leaves the reserve free and no processor is pressed, or is turned
-      // back.
+      // It goes on, if that leaves the reserve free and no processor is pressed, or is turned back.
       if (call.attempts == 0 && direct_open && destination->spare >= 0.0 &&
           destination->spare - call.offer.width >= Reserve(*destination) &&
           CutFor(*destination) <= kPressed && OwnCut() <= kPressed && TakeCold(*destination)) {
@@ -460,18 +433,13 @@
       call.admitted = true;
     }
     if (meshed && !direct_open) return Answer(id, call, false);
-    const bool planned = meshed && Planned(call, *destination);
-    if (direct_open && !planned && call.tried.count(destination->entry.exchange) == 0) {
+    if (direct_open && !call.planned && call.tried.count(destination->entry.exchange) == 0) {
       // To a pressed exchange one set-up at a time: a further one would only lengthen its queue.
       const bool busy = CutFor(*destination) > kPressed && !destination->unanswered.empty();
       const bool room = !busy && (destination->spare < 0.0 || destination->spare >= call.offer.width);
-      if (!call.sent_direct && call.tandems == 0 && call.hold_until == 0) {
-        (room || busy ? carried_ : blocked_).Add(now_, 1.0);
-      }
-      if (room && !WaitsBehind(call, *destination) && TakeCold(*destination)) {
-        call.sent_direct = true;
+      if (call.attempts == 0 && call.hold_until == 0) (room || busy ? carried_ : blocked_).Add(now_, 1.0);
+      if (room && !WaitsBehind(call, *destination) && TakeCold(*destination))
         return SendTo(id, call, *destination);
-      }
       if (room && Warmth(*destination) < 1.0) return Answer(id, call, false);
     }
     if (call.tandems < 2) {
@@ -481,13 +449,13 @@
         return SendTo(id, call, *tandem);
       }
     }
-    if (planned && call.tandems > 0) return Answer(id, call, false);
+    if (call.planned && call.tandems > 0) return Answer(id, call, false);
     // Nothing has room: held for a circuit while a set-up could still stand within the aim.
-    const double set_up = destination != nullptr ? destination->delay : 0.0;
+    const double set_up = destination != nullptr ? ExpectedDelay(*destination) : 0.0;
     const double longest = std::min(kHoldShare * AsDouble(Aim(call)), AsDouble(Aim(call)) - 1.5 * set_up);
     const TimeUs until = call.arrived + static_cast<TimeUs>(std::max(0.0, longest));
     if (call.hold_until > 0 && now_ < call.hold_until) return;
-    if (call.hold_until == 0 && now_ < until && held_.size() < kMostHeldForCircuit) {
+    if (call.hold_until == 0 && now_ < until && held_.size() < kMostHeld) {
       call.hold_until = std::min(until, call.deadline - kAnswerMargin);
       held_.insert({-call.density, id});
       return WakeAt(id, call.hold_until);
@@ -540,16 +508,15 @@
   void RememberUnserved(const Call& call) {
     if (call.offer.in_transit || call.offer.number_called == 0) return;
     if (unserved_.size() >= kMostUnserved) {
-      for (auto i = unserved_.begin(); i != unserved_.end();) {
-        i = now_ - i->second > 10 * shortest_aim_ ? unserved_.erase(i) : std::next(i);
-      }
-      if (unserved_.size() >= kMostUnserved) unserved_.clear();
+      std::erase_if(unserved_, [this](const auto& x) { return now_ - x.second > 10 * shortest_aim_; });
+      if (unserved_.size() >= kMostUnserved) return;
     }
     unserved_[call.offer.number_called] = call.arrived;
   }
 
   double Worth(const Call& call) const {
-    return ClassOf(call).worth * (call.over_quota ? settings_.over_quota_worth : 1.0) *
+    return ClassOf(call).worth * (call.planned ? kPlannedWork : 1.0) *
+           (call.over_quota ? settings_.over_quota_worth : 1.0) *
            (call.late ? ClassOf(call).late_worth : 1.0);
   }
 
@@ -563,12 +530,15 @@
       all += n;
       (w < worth ? below : equal) += w <= worth ? n : 0.0;
     }
-    const double far = destination != nullptr ? CutFor(*destination) : 0.0;
+    double far = destination != nullptr ? CutFor(*destination) : 0.0;
+    // Who hangs up before a set-up can stand costs processors work for nothing: such calls get trials only.
+    if (destination != nullptr && AsDouble(call.deadline - now_) < ExpectedDelay(*destination)) far = 1.0;
     const double cut = 1.0 - (1.0 - far) * (1.0 - OwnCut());
     const double from_mine = equal > 0.0 ? std::clamp((cut * all - below) / equal, 0.0, 1.0) : cut;
-    if (from_mine <= 0.0 || random_.Unit() >= from_mine) return true;
+    if (from_mine <= 0.0 || call.draw >= from_mine) return true;
     // The trickle by which a recovery is seen.
-    return destination != nullptr && now_ >= destination->last_send + kTrialGap &&
+    const TimeUs gap = std::max(kTrialGap, kTrialGapOfAll * static_cast<TimeUs>(settings_.senders));
+    return destination != nullptr && now_ >= destination->last_send + gap &&
            OldestUnanswered(*destination) < shortest_aim_ && OwnCut() < kPressed;
   }
 
@@ -598,21 +568,22 @@
                                          : ran->second.entry.number == e.entry.number;
   }
 
-  // The cold budget: this sender's share of what a restarted exchange can take, from the rate at which warm
-  // exchanges are sent to from here.
+  // The cold budget: this sender's part of what a restarted exchange can take, from the rate at which warm
+  // ones are sent to from here, times the warmth, under the multiple at which it falls over. A sender of
+  // little traffic has its part of one set-up a second from all.
   bool TakeCold(Exchange& e) {
     const double warmth = Warmth(e);
     if (warmth >= 1.0) return true;
-    double rate = 0.0;
-    int warm = 0;
+    double rate = 0.0, warm = 1e-9;
     for (const auto& [id, other] : exchanges_) {
       if (Own(other) || Warmth(other) < 1.0 || other.entry.status != ExchangeStatus::kReady) continue;
       rate += other.sent.PerSecond(now_);
-      ++warm;
+      warm += 1.0;
     }
-    rate = warm > 0 ? rate / warm : 0.0;
-    const double spared = 2.0 * std::max(rate, 0.5) * warmth * AsDouble(now_ - e.cold_at) / AsDouble(kSecond);
-    e.cold_tokens = std::min(1.0, e.cold_tokens + spared);
+    const double part = std::max(rate / warm, 1.0 / std::max(1, settings_.senders)) * warmth;
+    const double multiple = settings_.fall_multiple > 0.0 ? kColdMargin * settings_.fall_multiple : 2.0;
+    e.cold_tokens += multiple * part * AsDouble(now_ - e.cold_at) / AsDouble(kSecond);
+    e.cold_tokens = std::min(1.0, e.cold_tokens);
     e.cold_at = now_;
     if (e.cold_tokens < 1.0) return false;
     e.cold_tokens -= 1.0;
@@ -662,10 +633,10 @@
   }
 
   void Forget(CallId id) {
-    const auto found = calls_.find(id);
-    if (found == calls_.end()) return;
-    Unhold(id, found->second);
-    calls_.erase(found);
+    if (const auto found = calls_.find(id); found != calls_.end()) {
+      Unhold(id, found->second);
+      calls_.erase(found);
+    }
   }
 
   void WakeAt(CallId id, TimeUs when) { actions_->push_back(SetTimer{when > now_ ? when - now_ : 0, id}); }
@@ -680,30 +651,35 @@
       }
       return;
     }
-    if (update.kind != DirectoryKind::kDelta) {
-      std::set<ExchangeId> listed;
-      for (const DirectoryEntry& entry : update.entries) listed.insert(entry.exchange);
-      for (auto& [id, e] : exchanges_) {
-        if (listed.count(id) == 0) e.entry.status = ExchangeStatus::kGone;
-      }
-      if (exchanges_.size() > kMostExchanges) {
-        std::erase_if(exchanges_, [&](const auto& x) {
-          return listed.count(x.first) == 0 && x.second.unanswered.empty();
-        });
-      }
+    for (auto& [id, e] : exchanges_) {
+      if (update.kind != DirectoryKind::kDelta) e.entry.status = ExchangeStatus::kGone;
     }
     for (const DirectoryEntry& entry : update.entries) {
       Exchange& e = exchanges_[entry.exchange];
       if (entry.since_us > e.entry.since_us) {
         // A fresh start: what was learnt of the old process does not hold.
         e.cut.Set(now_, 0.0);
-        e.cold_tokens = 1.0;
+        e.cold_tokens = random_.Unit();  // the first set-ups of many senders must not come at once
         e.cold_at = now_;
         e.lost_at = 0;
         e.queue = -1.0;
       }
       e.entry = entry;
     }
+    by_number_.clear();
+    if (exchanges_.size() > kMostExchanges) {
+      std::erase_if(exchanges_, [](const auto& x) {
+        return x.second.entry.status == ExchangeStatus::kGone && x.second.unanswered.empty();
+      });
+    }
+    // The exchange that has a number now: a machine that replaced another has the same one.
+    const auto rank = [](const Exchange& x) {
+      return std::make_pair(x.entry.status == ExchangeStatus::kReady, x.entry.since_us);
+    };
+    for (auto& [id, e] : exchanges_) {
+      Exchange*& best = by_number_[e.entry.number];
+      if (best == nullptr || rank(e) > rank(*best)) best = &e;
+    }
     RouteHeld();
   }
 
@@ -715,12 +691,19 @@
     call.arrived = now_;
     call.deadline = now_ + offer.budget_us;
     NoteRedial(call);
+    // One draw for a caller's tries: whoever dials a dozen times must not get a dozen draws.
+    call.draw = offer.number_called == 0 ? random_.Unit()
+                                         : Random(seed_ ^ offer.number_called ^ call.arrived << 20U).Unit();
     const auto customer = static_cast<std::size_t>(offer.customer);
     if (!offer.in_transit && customer < quota_.size()) {
       quota_[customer].Add(now_, 1.0);
       const double quota = settings_.customers[customer].quota_per_s / std::max(1, settings_.senders);
       call.over_quota = quota > 0.0 && random_.Unit() * quota_[customer].PerSecond(now_) > quota;
     }
+    // A pair without a group, or with one too narrow for the call, is planned over a tandem: its calls
+    // overflow nothing.
+    const Exchange* to = settings_.shape == Shape::kMeshed ? ByNumber(offer.destination) : nullptr;
+    call.planned = !offer.in_transit && to != nullptr && to->total >= 0.0 && to->total < call.offer.width;
     const double holding = std::max(1.0, AsDouble(ClassOf(call).holding_us));
     call.density = Worth(call) / (call.offer.width * holding);
     if (!offer.in_transit) offered_.try_emplace(Worth(call), Fading(kRateTau)).first->second.Add(now_, 1.0);
@@ -741,6 +724,7 @@
   void On(const CallStands& stands) {
     Exchange* e = Find(stands.exchange);
     Settle(stands.call, stands.attempt, e);
+    stood_.Add(now_, 1.0);
     const auto found = calls_.find(stands.call);
     if (e == nullptr) return;
     const bool direct = found != calls_.end() && found->second.offer.destination == e->entry.number;
@@ -751,8 +735,8 @@
     }
     if (found == calls_.end()) return;
     if (Exchange* to = direct ? nullptr : ByNumber(found->second.offer.destination)) {
-      to->legs[stands.exchange].stood.Add(now_, 1.0);
-      e->as_tandem.stood.Add(now_, 1.0);
+      for (Leg* leg : {&to->legs[e->entry.exchange], &to->as_destination, &e->as_tandem})
+        leg->stood.Add(now_, 1.0);
     }
     NoteNumber(found->second.offer.number_called, false);
     found->second.out = false;
@@ -766,11 +750,8 @@
     if (found == numbers_.end()) {
       if (!busy) return;
       if (numbers_.size() >= kMostNumbers) {
-        auto least = numbers_.begin();
-        for (auto i = numbers_.begin(); i != numbers_.end(); ++i) {
-          if (i->second.busy.At(now_) < least->second.busy.At(now_)) least = i;
-        }
-        numbers_.erase(least);
+        std::erase_if(numbers_, [this](const auto& x) { return x.second.busy.At(now_) < 1.0; });
+        if (numbers_.size() >= kMostNumbers) return;
       }
       found = numbers_.emplace(number, NumberCalled{}).first;
     }
@@ -820,13 +801,20 @@
   // What the end of a set-up tells of the exchange.
   void Learn(Exchange& e, Call* call, const AttemptEnded& ended, bool direct) {
     Exchange* pressed = &e;
+    // Callers of short patience end a set-up before it tells anything of the far end.
+    const double weight = std::min(1.0, AsDouble(ended.elapsed_us) / AsDouble(shortest_aim_));
     if (!direct && ended.outcome != Outcome::kMoot) {
-      if (Exchange* to = ByNumber(call->offer.destination)) to->legs[e.entry.exchange].back.Add(now_, 1.0);
-      e.as_tandem.back.Add(now_, 1.0);
+      if (Exchange* to = ByNumber(call->offer.destination)) {
+        for (Leg* leg : {&to->legs[e.entry.exchange], &to->as_destination, &e.as_tandem})
+          leg->back.Add(now_, 1.0);
+      }
     }
     switch (ended.outcome) {
       case Outcome::kTimeout:
-        MoveCut(e.cut, direct ? 3 * kCutStep : kCutStep);
+        if (direct && AsDouble(ended.elapsed_us) > ExpectedDelay(e))
+          SmoothDelay(e, AsDouble(ended.elapsed_us));
+        lost_.Add(now_, weight);
+        MoveCut(e.cut, (direct ? 3 : 1) * kCutStep * weight);
         break;
       case Outcome::kConnectFailed:
         e.lost_at = now_;
@@ -838,6 +826,7 @@
         } else if (ended.cause != Cause::kProcessorFull) {
           break;
         }
+        lost_.Add(now_, 1.0);
         if (pressed == nullptr) break;
         MoveCut(pressed->cut, 3 * kCutStep);
         pressed->full_until = std::max(pressed->full_until, now_ + std::max(kFullBackOff, ended.wait_us));
@@ -860,29 +849,23 @@
 
   // The attempt is over without a final answer: another route, the same one again, or an answer.
   void Continue(CallId id, Call& call, const AttemptEnded& ended, bool direct) {
-    switch (ended.outcome) {
-      case Outcome::kTimeout:
-      case Outcome::kReset:
-      case Outcome::kCancelled:
-        call.not_before = now_ + settings_.release_us;
-        if (call.offer.in_transit || direct || ended.outcome == Outcome::kTimeout)
-          return Answer(id, call, true);
-        return Route(id, call);
-      case Outcome::kError:
-        return Answer(id, call, true);
-      case Outcome::kMoot:
-        if (ended.cause == Cause::kNoCircuit) call.tried.erase(ended.exchange);
-        break;
-      case Outcome::kFull:
-        if (direct || ended.cause == Cause::kTurnedBackFull) return Answer(id, call, false);
-        break;
-      default:
-        break;
+    const bool timed_out = ended.outcome == Outcome::kTimeout;
+    if (timed_out || ended.outcome == Outcome::kReset || ended.outcome == Outcome::kCancelled) {
+      call.not_before = now_ + settings_.release_us;
+      if (call.offer.in_transit || direct || timed_out) return Answer(id, call, true);
     }
+    if (ended.outcome == Outcome::kError) return Answer(id, call, true);
+    if (ended.outcome == Outcome::kFull && (direct || ended.cause == Cause::kTurnedBackFull))
+      return Answer(id, call, false);
+    if (ended.outcome == Outcome::kMoot && ended.cause == Cause::kNoCircuit) call.tried.erase(ended.exchange);
     Route(id, call);
   }
 
-  void On(const CallerGone& gone) { Forget(gone.call); }
+  void On(const CallerGone& gone) {
+    const auto found = calls_.find(gone.call);
+    if (found != calls_.end()) RememberUnserved(found->second);
+    Forget(gone.call);
+  }
 
   void On(const TimerDue& timer) {
     if (timer.token == kSubscribeToken) {
@@ -905,11 +888,14 @@
   }
 
   const Settings settings_;
+  const std::uint64_t seed_;
   Random random_;
   TimeUs now_ = 0;
+  TimeUs awake_since_ = 0;  // silence before this is our own
   std::vector<Action>* actions_ = nullptr;
   TimeUs shortest_aim_ = 0;
   std::map<ExchangeId, Exchange> exchanges_;
+  std::map<int, Exchange*> by_number_;
   std::map<CallId, Call> calls_;
   std::map<std::pair<CallId, int>, TimeUs> sends_;
   std::set<std::pair<double, CallId>> held_;
@@ -919,8 +905,10 @@
   std::vector<Fading> quota_;
   Fading blocked_{kPressureTau};
   Fading carried_{kPressureTau};
+  Fading lost_{kPressureTau};  // set-ups to all exchanges that a processor lost, and those that stood
+  Fading stood_{kPressureTau};
+  double delay_ = 0.0;  // smoothed set-up delay to all exchanges
   TimeUs own_lost_at_ = 0;
-  Fading own_cut_{kCutFadeTau};
   TimeUs own_down_until_ = 0;
 };
 
