--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -271,9 +271,6 @@
     cut.Set(now_, step > 0.0 ? std::min(kCutMost, present + step) : present * kCutEase);
   }
 
-  // A loss at an exchange known as pressed says little of the others.
-  void Lose(Exchange& e, double weight) { lost_.Add(now_, weight * (1.0 - e.cut.At(now_))); }
-
   void SmoothDelay(Exchange& e, double elapsed) {
     e.delay = e.heard_at == 0 ? elapsed : e.delay + kSmooth * (elapsed - e.delay);
     e.heard_at = now_;
@@ -296,7 +293,7 @@
     } else if (elapsed < kCalm * AsDouble(shortest_aim_)) {
       MoveCut(e.cut, 0.0);
     }
-    Lose(e, std::clamp(slow - 1.0, 0.0, 1.0));
+    lost_.Add(now_, std::clamp(slow - 1.0, 0.0, 1.0));
   }
 
   // What goes wrong with set-ups to most exchanges is the own processor's, or everyone's: evidence that is
@@ -816,7 +813,7 @@
       case Outcome::kTimeout:
         if (direct && AsDouble(ended.elapsed_us) > ExpectedDelay(e))
           SmoothDelay(e, AsDouble(ended.elapsed_us));
-        Lose(e, weight);
+        lost_.Add(now_, weight);
         MoveCut(e.cut, (direct ? 3 : 1) * kCutStep * weight);
         break;
       case Outcome::kConnectFailed:
@@ -829,8 +826,8 @@
         } else if (ended.cause != Cause::kProcessorFull) {
           break;
         }
+        lost_.Add(now_, 1.0);
         if (pressed == nullptr) break;
-        Lose(*pressed, 1.0);
         MoveCut(pressed->cut, 3 * kCutStep);
         pressed->full_until = std::max(pressed->full_until, now_ + std::max(kFullBackOff, ended.wait_us));
         break;
