--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -429,11 +429,7 @@
       return Answer(id, call, false);
     }
     if (!call.admitted) {
-      if (!Admit(call, destination)) {
-        // At a pressed processor a refusal only brings the redial sooner: it comes at the end of the try.
-        if (OwnCut() > kPressed) return WakeAt(id, call.deadline - kAnswerMargin);
-        return Answer(id, call, false);
-      }
+      if (!Admit(call, destination)) return Answer(id, call, false);
       call.admitted = true;
     }
     if (meshed && !direct_open) return Answer(id, call, false);
