--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -621,9 +621,7 @@
     if (failed || !refusable) {
       actions_->push_back(Fail{id});
     } else {
-      // At a pressed processor the caller is asked to stay away: each look is work.
-      const bool away = settings_.honours_pause && OwnCut() > kPressed;
-      actions_->push_back(Refuse{id, away ? settings_.longest_pause_us : 0});
+      actions_->push_back(Refuse{id, 0});
     }
     Forget(id);
   }
