--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -34,7 +34,7 @@
 constexpr double kCutFadeTau = 8e6;
 // Trial set-ups to an exchange or number that is otherwise given nothing: at most this often from here, and
 // from all senders together.
-constexpr TimeUs kTrialGap = kSecond / 2, kTrialGapOfAll = kSecond / 4;
+constexpr TimeUs kTrialGap = kSecond / 2, kTrialGapOfAll = kSecond;
 // Figures of a report fade over this time: a sender of a large network hears of an exchange that seldom.
 constexpr double kReportTau = 8e6;
 // An exchange whose allowed rate falls under this share of its usual one is pressed.
