--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -31,7 +31,7 @@
 constexpr double kCutStep = 0.1;
 constexpr double kCutEase = 0.85, kCutMost = 0.95;
 // Without news a cut fades at this pace, so that recovery is seen.
-constexpr double kCutFadeTau = 20e6;
+constexpr double kCutFadeTau = 8e6;
 // Trial set-ups to an exchange or number that is otherwise given nothing: at most this often from here, and
 // from all senders together.
 constexpr TimeUs kTrialGap = kSecond / 2, kTrialGapOfAll = kSecond;
