No fixed circuit reserved on the second leg; planned calls thinned by turn-backs too

Can harm: on large groups under overload, where transit takes two circuits; there the share of blocked direct calls still raises the reserve.

--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -350,9 +350,10 @@
     return all > 0.0 ? full / all : 0.0;
   }
 
-  // Trunk reservation: circuits that calls over two groups leave free. One in calm, rising with the share of
-  // direct calls that find their group full to the square root of the group.
-  double Reserve(const Exchange& e) const { return 1.0 + Pressure() * std::sqrt(std::max(0.0, e.total)); }
+  // Trunk reservation: circuits that calls over two groups leave free, up to the root of the group, with the
+  // share of direct calls that find their group full; one more on the first leg (the design page). On groups
+  // of two or three circuits a fixed one on the second leg too would bar all transit.
+  double Reserve(const Exchange& e) const { return Pressure() * std::sqrt(std::max(0.0, e.total)); }
 
   // The ranking ignores the second leg, which nobody tells: the chance that it lets a call through, from what
   // stood and what was turned back there from here; what was seen of the tandem with all destinations stands
@@ -369,9 +370,9 @@
   }
 
   // The design's ranking among the candidates: tandems with a circuit to spare after the call and a chance
-  // near the best one's. Overflow that keeps being turned back costs processors work for nothing and
-  // displaces two others where it stands: it is thinned to what went through lately, and there is none for a
-  // call that is late or to a pressed processor.
+  // near the best one's. Calls that keep being turned back cost processors work for nothing: they are thinned
+  // to what went through lately, overflow more, as it displaces two others where it stands; and there is no
+  // overflow for a call that is late or to a pressed processor.
   Exchange* PickTandem(const Call& call, Exchange* destination) {
     const bool meshed = settings_.shape == Shape::kMeshed && destination != nullptr;
     const bool overflow = meshed && !call.planned;
@@ -381,15 +382,15 @@
     for (auto& [id, e] : exchanges_) {
       if (&e == destination || Own(e) || e.spare - call.offer.width < 1.0) continue;
       if (!MayUse(call, e) || !MaySendTo(call, e) || call.tried.count(id) > 0) continue;
-      if (overflow && e.spare - call.offer.width < Reserve(e)) continue;
+      if (overflow && e.spare - call.offer.width < 1.0 + Reserve(e)) continue;
       if (meshed && CutFor(e) > kCutStep) continue;
       candidates.emplace_back(meshed ? Chance(call, e, *destination) : 1.0, &e);
       best_chance = std::max(best_chance, candidates.back().first);
     }
-    if (overflow) {
+    if (meshed) {
       const double stood = destination->as_destination.stood.At(now_) + 1.0;
-      const double back = destination->as_destination.back.At(now_);
-      if (random_.Unit() * (stood + kTurnBackWeight * back) >= stood) return nullptr;
+      const double back = destination->as_destination.back.At(now_) * (overflow ? kTurnBackWeight : 1.0);
+      if (random_.Unit() * (stood + back) >= stood) return nullptr;
     }
     Exchange* best = nullptr;
     std::tuple<double, double, double> best_rank;
