--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -39,8 +39,7 @@
 constexpr double kReportTau = 8e6;
 // An exchange whose allowed rate falls under this share of its usual one is pressed.
 constexpr double kAllowedDip = 0.5;
-// While set-ups are out a timer beats twice in this time; no event for this long, then, means that the
-// softswitch itself stood still: answers wait to be read, and their delays are its own.
+// No event for this long: the softswitch itself stood still, and answers wait to be read.
 constexpr TimeUs kStall = kSecond / 4;
 // A processor that said it is full is given nothing for this long.
 constexpr TimeUs kFullBackOff = kSecond;
@@ -65,7 +64,7 @@
 constexpr double kSmooth = 0.4;
 // The log says of one exchange at most once in this time that it is pressed.
 constexpr TimeUs kLogGap = 10 * kSecond;
-constexpr std::uint64_t kSubscribeToken = std::uint64_t{1} << 40, kBeatToken = kSubscribeToken + 1;
+constexpr std::uint64_t kSubscribeToken = std::uint64_t{1} << 40;
 
 double AsDouble(TimeUs value) { return static_cast<double>(value); }
 
@@ -215,7 +214,7 @@
   }
 
   void Handle(TimeUs now, const Event& event, std::vector<Action>* actions) {
-    if (now > now_ + kStall && !sends_.empty()) awake_since_ = now;
+    if (now > now_ + kStall) awake_since_ = now;
     now_ = now;
     actions_ = actions;
     std::visit([this](const auto& e) { On(e); }, event);
@@ -610,7 +609,6 @@
       const auto number = numbers_.find(call.offer.number_called);
       if (number != numbers_.end()) number->second.last_send = now_;
     }
-    if (sends_.size() == 1) WakeAt(kBeatToken, now_ + kStall / 2);
     actions_->push_back(Send{id, e.entry.exchange, until - now_});
   }
 
@@ -642,9 +640,7 @@
     }
   }
 
-  void WakeAt(std::uint64_t id, TimeUs when) {
-    actions_->push_back(SetTimer{when > now_ ? when - now_ : 0, id});
-  }
+  void WakeAt(CallId id, TimeUs when) { actions_->push_back(SetTimer{when > now_ ? when - now_ : 0, id}); }
 
   // ---- event handlers ----
 
@@ -733,9 +729,7 @@
     const auto found = calls_.find(stands.call);
     if (e == nullptr) return;
     const bool direct = found != calls_.end() && found->second.offer.destination == e->entry.number;
-    if (now_ == awake_since_) {
-      // Read after an own stall: the delay is not the far end's.
-    } else if (direct) {
+    if (direct) {
       NoteDelay(*e, AsDouble(stands.elapsed_us));
     } else {
       e->least_delay.Add(now_, AsDouble(stands.elapsed_us));
@@ -879,7 +873,6 @@
       actions_->push_back(Subscribe{true});
       return;
     }
-    if (timer.token == kBeatToken && !sends_.empty()) WakeAt(kBeatToken, now_ + kStall / 2);
     const auto found = calls_.find(static_cast<CallId>(timer.token));
     if (timer.token > 0xffffffffU || found == calls_.end()) return;
     Call& call = found->second;
