--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -269,13 +269,10 @@
     delay_ += kSmooth / 4 * (elapsed - delay_);
   }
 
-  double Fresh(const Exchange& e) const {
-    return e.heard_at == 0 ? 0.0 : std::exp(-AsDouble(now_ - e.heard_at) / kReportTau);
-  }
-
   // What a set-up to `e` will take: what was seen of it, and with age what was seen of all.
   double ExpectedDelay(const Exchange& e) const {
-    return Fresh(e) * e.delay + (1.0 - Fresh(e)) * delay_;
+    const double fresh = e.heard_at == 0 ? 0.0 : std::exp(-AsDouble(now_ - e.heard_at) / kReportTau);
+    return fresh * e.delay + (1.0 - fresh) * delay_;
   }
 
   // A set-up delay was seen at `e`; `elapsed` of a direct set-up.
@@ -529,11 +526,7 @@
     double far = destination != nullptr ? CutFor(*destination) : 0.0;
     // Who hangs up before a set-up can stand costs processors work for nothing: such calls get trials only.
     if (destination != nullptr && AsDouble(call.deadline - now_) < ExpectedDelay(*destination)) far = 1.0;
-    // What is known of all weighs as far as nothing better is known of this one.
-    double pooled = OwnCut();
-    if (destination != nullptr && destination->delay < kPressed * AsDouble(shortest_aim_))
-      pooled *= 1.0 - Fresh(*destination) * (1.0 - destination->cut.At(now_));
-    const double cut = 1.0 - (1.0 - far) * (1.0 - pooled);
+    const double cut = 1.0 - (1.0 - far) * (1.0 - OwnCut());
     const double from_mine = equal > 0.0 ? std::clamp((cut * all - below) / equal, 0.0, 1.0) : cut;
     if (from_mine <= 0.0 || call.draw >= from_mine) return true;
     // The trickle by which a recovery is seen.
