--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -530,18 +530,21 @@
     const double from_mine = equal > 0.0 ? std::clamp((cut * all - below) / equal, 0.0, 1.0) : cut;
     if (from_mine <= 0.0 || call.draw >= from_mine) return true;
     // The trickle by which a recovery is seen.
-    const TimeUs gap = std::max(kTrialGap, kTrialGapOfAll * static_cast<TimeUs>(settings_.senders));
-    return destination != nullptr && now_ >= destination->last_send + gap &&
+    return destination != nullptr && now_ >= destination->last_send + TrialGap() &&
            OldestUnanswered(*destination) < shortest_aim_ && OwnCut() < kPressed;
   }
 
+  TimeUs TrialGap() const {
+    return std::max(kTrialGap, kTrialGapOfAll * static_cast<TimeUs>(std::max(1, settings_.senders)));
+  }
+
   // Symptom: that number. Its lines are busy most of the time, so trials are gapped.
   bool NumberCrowded(const Call& call) {
     const auto found = numbers_.find(call.offer.number_called);
     if (call.offer.number_called == 0 || found == numbers_.end()) return false;
     NumberCalled& n = found->second;
     if (n.busy.At(now_) < 2.0 || n.busy.At(now_) < n.stood.At(now_)) return false;
-    return now_ < n.last_send + kTrialGap;
+    return now_ < n.last_send + TrialGap();
   }
 
   // ---- guards: the rules are kept here ----
