--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -143,6 +143,7 @@
   TimeUs heard_at = 0;
   Fading cut{kCutFadeTau};  // own loss control
   TimeUs full_until = 0;
+  unsigned losses = 0;  // in a row
   TimeUs last_send = 0;
   TimeUs lost_at = 0;  // a failed connect or a death noticed from here: its start, if it is back
   Fading sent{kRateTau};
@@ -196,6 +197,7 @@
       if (aim > 0) shortest_aim_ = shortest_aim_ > 0 ? std::min(shortest_aim_, aim) : aim;
     }
     if (shortest_aim_ == 0) shortest_aim_ = kSecond;
+    trial_gap_ = std::max(kTrialGap, kTrialGapOfAll * static_cast<TimeUs>(std::max(1, settings.senders)));
     quota_.assign(settings_.customers.size(), Fading(kRateTau));
     actions_ = actions;
     now_ = now;
@@ -250,12 +252,9 @@
 
   // One health per exchange, from its symptoms: the share of set-ups to be kept from it.
   double CutFor(Exchange& e) {
-    double cut = e.cut.At(now_);
-    cut = std::max({cut, e.reported_cut.At(now_), e.allowed_cut.At(now_)});
-    cut = std::max(cut, 1.0 - Warmth(e));
     const double silence = AsDouble(OldestUnanswered(e)) / AsDouble(shortest_aim_);
-    if (silence > kPressed) cut = std::max(cut, std::min(1.0, silence));
-    return std::min(cut, 1.0);
+    return std::min(1.0, std::max({e.cut.At(now_), e.reported_cut.At(now_), e.allowed_cut.At(now_),
+                                   1.0 - Warmth(e), silence > kPressed ? silence : 0.0}));
   }
 
   void MoveCut(Fading& cut, double step) {
@@ -280,6 +279,7 @@
     e.least_delay.Add(now_, elapsed);
     SmoothDelay(e, elapsed);
     const double slow = elapsed / (kPressed * AsDouble(shortest_aim_));
+    if (slow < 2.0) e.losses = 0;
     if (slow > 1.0) {
       MoveCut(e.cut, kCutStep * std::min(3.0, slow));
     } else if (elapsed < kCalm * AsDouble(shortest_aim_)) {
@@ -292,11 +292,9 @@
   // too thin exchange by exchange is pooled over all.
   double OwnCut() {
     const double lost = lost_.At(now_) / (lost_.At(now_) + stood_.At(now_) + kFewSetUps);
-    double cut = std::clamp((lost - kCalm) / kCalm, 0.0, kCutMost);
-    if (Exchange* own = settings_.shape == Shape::kMeshed ? ByNumber(settings_.own_number) : nullptr) {
-      cut = std::max(cut, 1.0 - Warmth(*own));
-    }
-    return std::max(cut, 1.0 - WarmthSince(own_lost_at_));
+    const double cut = std::clamp((lost - kCalm) / kCalm, 0.0, kCutMost);
+    const Exchange* own = settings_.shape == Shape::kMeshed ? ByNumber(settings_.own_number) : nullptr;
+    return std::max({cut, own != nullptr ? 1.0 - Warmth(*own) : 0.0, 1.0 - WarmthSince(own_lost_at_)});
   }
 
   // An unasked report tells of the own group only.
@@ -482,7 +480,6 @@
     return aim > 0 ? aim : kSecond;
   }
 
-  // A further set-up now would stand after the aim.
   bool LateAnyway(const Call& call) const {
     return now_ + kAnswerMargin >= call.deadline || (call.attempts > 0 && now_ >= call.arrived + Aim(call));
   }
@@ -530,21 +527,17 @@
     const double from_mine = equal > 0.0 ? std::clamp((cut * all - below) / equal, 0.0, 1.0) : cut;
     if (from_mine <= 0.0 || call.draw >= from_mine) return true;
     // The trickle by which a recovery is seen.
-    return destination != nullptr && now_ >= destination->last_send + TrialGap() &&
+    return destination != nullptr && now_ >= destination->last_send + trial_gap_ &&
            OldestUnanswered(*destination) < shortest_aim_ && OwnCut() < kPressed;
   }
 
-  TimeUs TrialGap() const {
-    return std::max(kTrialGap, kTrialGapOfAll * static_cast<TimeUs>(std::max(1, settings_.senders)));
-  }
-
   // Symptom: that number. Its lines are busy most of the time, so trials are gapped.
   bool NumberCrowded(const Call& call) {
     const auto found = numbers_.find(call.offer.number_called);
     if (call.offer.number_called == 0 || found == numbers_.end()) return false;
     NumberCalled& n = found->second;
     if (n.busy.At(now_) < 2.0 || n.busy.At(now_) < n.stood.At(now_)) return false;
-    return now_ < n.last_send + TrialGap();
+    return now_ < n.last_send + trial_gap_;
   }
 
   // ---- guards: the rules are kept here ----
@@ -801,6 +794,14 @@
     actions_->push_back(Log{text});
   }
 
+  // Symptom: set-ups lost in a row. None follows for 1, 2, 4 ... s, up to the trial gap, so that the queue of
+  // a jammed processor drains though a sender sees little of it. Serves a hang too; may harm a quick
+  // recovery.
+  void Rest(Exchange& e, TimeUs stated) {
+    const TimeUs rest = std::min(trial_gap_, kFullBackOff << std::min(e.losses++, 8U));
+    e.full_until = std::max(e.full_until, now_ + std::max(rest, stated));
+  }
+
   // What the end of a set-up tells of the exchange.
   void Learn(Exchange& e, Call* call, const AttemptEnded& ended, bool direct) {
     Exchange* pressed = &e;
@@ -818,6 +819,7 @@
           SmoothDelay(e, AsDouble(ended.elapsed_us));
         lost_.Add(now_, weight);
         MoveCut(e.cut, (direct ? 3 : 1) * kCutStep * weight);
+        if (direct && weight > 0.5) Rest(e, 0);
         break;
       case Outcome::kConnectFailed:
         e.lost_at = now_;
@@ -832,7 +834,7 @@
         lost_.Add(now_, 1.0);
         if (pressed == nullptr) break;
         MoveCut(pressed->cut, 3 * kCutStep);
-        pressed->full_until = std::max(pressed->full_until, now_ + std::max(kFullBackOff, ended.wait_us));
+        Rest(*pressed, ended.wait_us);
         break;
       case Outcome::kMoot:
         if (ended.cause == Cause::kProcessorFull) {
@@ -893,7 +895,7 @@
   const Settings settings_;
   const std::uint64_t seed_;
   Random random_;
-  TimeUs now_ = 0, shortest_aim_ = 0, own_lost_at_ = 0, own_down_until_ = 0;
+  TimeUs now_ = 0, shortest_aim_ = 0, trial_gap_ = 0, own_lost_at_ = 0, own_down_until_ = 0;
   TimeUs awake_since_ = 0, stood_still_ = 0;  // silence before the first, for the second, was our own
   std::map<int, TimeUs> longest_budget_;      // by class
   std::vector<Action>* actions_ = nullptr;
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -381,6 +381,25 @@
   EXPECT_EQ(b.SentTo(), -1);
 }
 
+// A jammed processor loses set-up after set-up; each sender sees few of them and kept on sending.
+TEST(Failures, LossesInARowLengthenTheRest) {
+  Settings s = PlainSettings();
+  s.senders = 100;
+  Bench b(s);
+  std::vector<TimeUs> sent_at;
+  for (int i = 0; i < 300; ++i) {
+    b.now += 100 * kMs;
+    const CallId call = b.Offer(1);
+    if (b.SentTo() == 1) {
+      sent_at.push_back(b.now);
+      b.End(call, 1, Outcome::kFull, Cause::kProcessorFull);
+    }
+  }
+  ASSERT_GE(sent_at.size(), 3U);
+  EXPECT_LE(sent_at.size(), 6U);
+  EXPECT_GE(sent_at[2] - sent_at[1], 2000 * kMs);
+}
+
 TEST(Failures, AReportedCutIsObeyed) {
   Bench b;
   const CallId call = b.Offer(1);
