Trunk reservation taken out but for the design's one circuit on the first leg

A guard without gain at this size: groups are a few circuits, overflow is thinned by what was turned back, and a tandem that keeps circuits back only turns set-ups into waste. Can harm: a mesh of large groups under overload, where overflow displaces direct calls before turn-backs show it.

--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -334,17 +334,6 @@
     return pools.empty() || std::find(pools.begin(), pools.end(), e.entry.number) != pools.end();
   }
 
-  double Pressure() const {
-    const double full = blocked_.At(now_);
-    const double all = full + carried_.At(now_);
-    return all > 0.0 ? full / all : 0.0;
-  }
-
-  // Trunk reservation: circuits that calls over two groups leave free, up to the root of the group, with the
-  // share of direct calls that find their group full; one more on the first leg (the design page). On groups
-  // of two or three circuits a fixed one on the second leg too would bar all transit.
-  double Reserve(const Exchange& e) const { return Pressure() * std::sqrt(std::max(0.0, e.total)); }
-
   // The ranking ignores the second leg, which nobody tells: the chance that it lets a call through, from what
   // stood and what was turned back there from here; what was seen of the tandem with all destinations stands
   // in for a leg never tried, and the centre's advice counts as a call that stood.
@@ -372,7 +361,6 @@
     for (auto& [id, e] : exchanges_) {
       if (&e == destination || Own(e) || e.spare - call.offer.width < 1.0) continue;
       if (!MayUse(call, e) || !MaySendTo(call, e) || call.tried.count(id) > 0) continue;
-      if (overflow && e.spare - call.offer.width < 1.0 + Reserve(e)) continue;
       if (meshed && CutFor(e) > kCutStep) continue;
       candidates.emplace_back(meshed ? Chance(call, e, *destination) : 1.0, &e);
       best_chance = std::max(best_chance, candidates.back().first);
@@ -411,9 +399,8 @@
     const bool direct_open =
         destination != nullptr && MayUse(call, *destination) && MaySendTo(call, *destination);
     if (call.offer.in_transit) {
-      // It goes on, if that leaves the reserve free and no processor is pressed, or is turned back.
-      if (call.attempts == 0 && direct_open && destination->spare >= 0.0 &&
-          destination->spare - call.offer.width >= Reserve(*destination) &&
+      // It goes on, while a circuit is free and no processor is pressed, or is turned back.
+      if (call.attempts == 0 && direct_open && destination->spare >= call.offer.width &&
           CutFor(*destination) <= kPressed && OwnCut() <= kPressed && TakeCold(*destination)) {
         return SendTo(id, call, *destination);
       }
@@ -428,7 +415,6 @@
       // To a pressed exchange one set-up at a time: a further one would only lengthen its queue.
       const bool busy = CutFor(*destination) > kPressed && !destination->unanswered.empty();
       const bool room = !busy && (destination->spare < 0.0 || destination->spare >= call.offer.width);
-      if (call.attempts == 0 && call.hold_until == 0) (room || busy ? carried_ : blocked_).Add(now_, 1.0);
       if (room && !WaitsBehind(call, *destination) && TakeCold(*destination))
         return SendTo(id, call, *destination);
       if (room && Warmth(*destination) < 1.0) return Answer(id, call, false);
@@ -908,7 +894,6 @@
   std::map<std::uint64_t, TimeUs> unserved_;
   std::map<double, Fading> offered_;
   std::vector<Fading> quota_;
-  Fading blocked_{kPressureTau}, carried_{kPressureTau};
   Fading lost_{kPressureTau}, stood_{kPressureTau};  // set-ups to all, lost at a processor or standing
   double delay_ = 0.0;                               // smoothed set-up delay to all exchanges
 };
