--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -24,11 +24,11 @@
 // "Recent" for the least set-up delay: two spans of this, so that a minimum lives 5 to 10 s.
 constexpr TimeUs kDelaySpan = 5 * kSecond;
 // Rates and pressures are averaged over a few seconds: the time in which traffic itself moves.
-constexpr double kRateTau = 5e6, kPressureTau = 2e6;
+constexpr double kRateTau = 5e6, kPooledTau = 2e6;
 // Shares of the shortest aim: up to kCalm a set-up delay is ordinary, past kPressed it threatens the aim.
 constexpr double kCalm = 0.2, kPressed = 0.35;
 // Loss control steps up on a pressed set-up (more on a lost one), down by a share on a calm one.
-constexpr double kCutStep = 0.1;
+constexpr double kCutStep = 0.1, kLostSteps = 3.0;
 constexpr double kCutEase = 0.85, kCutMost = 0.95;
 // Without news a cut fades at this pace, so that recovery is seen.
 constexpr double kCutFadeTau = 8e6;
@@ -38,18 +38,23 @@
 // Figures of a report fade over this time: a sender of a large network hears of an exchange that seldom.
 constexpr double kReportTau = 8e6;
 // An exchange whose allowed rate falls under this share of its usual one is pressed.
-constexpr double kAllowedDip = 0.5;
+// The usual one falls by a 64th of the gap with each report, rises at once.
+constexpr double kAllowedDip = 0.5, kUsualEase = 1.0 / 64.0;
 // No event for this long: the softswitch itself stood still, and answers wait to be read.
 constexpr TimeUs kStall = kSecond / 4;
-// A processor that said it is full is given nothing for this long.
+// An exchange that lost a set-up is given nothing for this long, twice as long after each further one in a
+// row. A timeout counts from this share of the aim; a delay under so many times the pressed one ends the row.
 constexpr TimeUs kFullBackOff = kSecond;
+constexpr double kRowWeight = 0.5, kRowEnds = 2.0;
 // The answer to the caller is given this much before the caller's time is up.
 constexpr TimeUs kAnswerMargin = kSecond / 50;
-// A call is held for a circuit for at most this share of its aim.
-constexpr double kHoldShare = 0.8;
+// A call is held for a circuit for at most this share of its aim, and leaves time for so many set-ups.
+constexpr double kHoldShare = 0.8, kSetUpMargin = 1.5;
 // Second legs are remembered for a few holding times; a tandem is a candidate while its chance is at least
 // this share of the best one's. A leg never tried weighs as one try at the tandem's rate.
 constexpr double kLegTau = 40e6, kNearBest = 0.75, kLegPrior = 1.0;
+// A tandem never tried is taken to let every second call through, with the weight of two tries.
+constexpr double kTandemChance = 0.5, kTandemPrior = 2.0;
 // A call over a tandem is set up by three processors in place of two: its worth for the work is this share.
 constexpr double kPlannedWork = 2.0 / 3.0;
 // Bounds of state: calls held, crowded numbers, unserved calls by number, exchanges (listed or not).
@@ -60,8 +65,8 @@
 constexpr double kTurnBackWeight = 5.0;
 // A cold exchange is sent at most this share of what would push it over.
 constexpr double kColdMargin = 2.0 / 3.0;
-// Weight of the newest delay in a smoothed one.
-constexpr double kSmooth = 0.4;
+// Weight of the newest delay in a smoothed one, of one exchange and of all.
+constexpr double kSmooth = 0.4, kSmoothPooled = 0.1;
 // The log says of one exchange at most once in this time that it is pressed.
 constexpr TimeUs kLogGap = 10 * kSecond;
 constexpr std::uint64_t kSubscribeToken = std::uint64_t{1} << 40;
@@ -265,7 +270,7 @@
   void SmoothDelay(Exchange& e, double elapsed) {
     e.delay = e.heard_at == 0 ? elapsed : e.delay + kSmooth * (elapsed - e.delay);
     e.heard_at = now_;
-    delay_ += kSmooth / 4 * (elapsed - delay_);
+    delay_ += kSmoothPooled * (elapsed - delay_);
   }
 
   // What a set-up to `e` will take: what was seen of it, and with age what was seen of all.
@@ -279,9 +284,9 @@
     e.least_delay.Add(now_, elapsed);
     SmoothDelay(e, elapsed);
     const double slow = elapsed / (kPressed * AsDouble(shortest_aim_));
-    if (slow < 2.0) e.losses = 0;
+    if (slow < kRowEnds) e.losses = 0;
     if (slow > 1.0) {
-      MoveCut(e.cut, kCutStep * std::min(3.0, slow));
+      MoveCut(e.cut, kCutStep * std::min(kLostSteps, slow));
     } else if (elapsed < kCalm * AsDouble(shortest_aim_)) {
       MoveCut(e.cut, 0.0);
     }
@@ -314,7 +319,7 @@
         e.reported_cut.Set(now_, std::min(1.0, value));
       } else if (field == ReportField::kAllowed) {
         // The rate for all senders tells no sender its part; a dip against the usual tells of pressure.
-        e.usual_allowed = std::max(value, e.usual_allowed + (value - e.usual_allowed) / 64.0);
+        e.usual_allowed = std::max(value, e.usual_allowed + kUsualEase * (value - e.usual_allowed));
         e.allowed_cut.Set(now_, std::max(0.0, 1.0 - value / (kAllowedDip * e.usual_allowed + 1e-9)));
       }
     }
@@ -342,7 +347,7 @@
       const double stood = leg.stood.At(now_) + more;
       return (stood + prior * weight) / (stood + leg.back.At(now_) + weight);
     };
-    const double any = rate(tandem.as_tandem, 0.5, 2.0, 0.0);
+    const double any = rate(tandem.as_tandem, kTandemChance, kTandemPrior, 0.0);
     const auto leg = destination.legs.find(tandem.entry.exchange);
     const bool advised = !call.offer.in_transit && call.offer.via == tandem.entry.number;
     return rate(leg == destination.legs.end() ? Leg{} : leg->second, any, kLegPrior, advised ? 1.0 : 0.0);
@@ -429,7 +434,8 @@
     if (call.planned && call.tandems > 0) return Answer(id, call, false);
     // Nothing has room: held for a circuit while a set-up could still stand within the aim.
     const double set_up = destination != nullptr ? ExpectedDelay(*destination) : 0.0;
-    const double longest = std::min(kHoldShare * AsDouble(Aim(call)), AsDouble(Aim(call)) - 1.5 * set_up);
+    const double longest =
+        std::min(kHoldShare * AsDouble(Aim(call)), AsDouble(Aim(call)) - kSetUpMargin * set_up);
     const TimeUs until = call.arrived + static_cast<TimeUs>(std::max(0.0, longest));
     if (call.hold_until > 0 && now_ < call.hold_until) return;
     if (call.hold_until == 0 && now_ < until && held_.size() < kMostHeld) {
@@ -522,7 +528,7 @@
     const auto found = numbers_.find(call.offer.number_called);
     if (call.offer.number_called == 0 || found == numbers_.end()) return false;
     NumberCalled& n = found->second;
-    if (n.busy.At(now_) < 2.0 || n.busy.At(now_) < n.stood.At(now_)) return false;
+    if (n.busy.At(now_) < kFewSetUps || n.busy.At(now_) < n.stood.At(now_)) return false;
     return now_ < n.last_send + trial_gap_;
   }
 
@@ -804,8 +810,8 @@
         if (direct && AsDouble(ended.elapsed_us) > ExpectedDelay(e))
           SmoothDelay(e, AsDouble(ended.elapsed_us));
         lost_.Add(now_, weight);
-        MoveCut(e.cut, (direct ? 3 : 1) * kCutStep * weight);
-        if (direct && weight > 0.5) Rest(e, 0);
+        MoveCut(e.cut, (direct ? kLostSteps : 1.0) * kCutStep * weight);
+        if (direct && weight > kRowWeight) Rest(e, 0);
         break;
       case Outcome::kConnectFailed:
         e.lost_at = now_;
@@ -819,7 +825,7 @@
         }
         lost_.Add(now_, 1.0);
         if (pressed == nullptr) break;
-        MoveCut(pressed->cut, 3 * kCutStep);
+        MoveCut(pressed->cut, kLostSteps * kCutStep);
         Rest(*pressed, ended.wait_us);
         break;
       case Outcome::kMoot:
@@ -894,8 +900,8 @@
   std::map<std::uint64_t, TimeUs> unserved_;
   std::map<double, Fading> offered_;
   std::vector<Fading> quota_;
-  Fading lost_{kPressureTau}, stood_{kPressureTau};  // set-ups to all, lost at a processor or standing
-  double delay_ = 0.0;                               // smoothed set-up delay to all exchanges
+  Fading lost_{kPooledTau}, stood_{kPooledTau};  // set-ups to all, lost at a processor or standing
+  double delay_ = 0.0;                           // smoothed set-up delay to all exchanges
 };
 
 CallController::CallController(const Settings& settings, std::uint64_t seed, TimeUs now,
