--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -576,7 +576,7 @@
     if (call.out || call.stands || now_ < call.not_before || Own(e) || !MaySendTo(call, e)) return;
     Unhold(id, call);
     const TimeUs aim_at = call.arrived + Aim(call);
-    const TimeUs until = std::min(aim_at + (aim_at - call.arrived), call.deadline);
+    const TimeUs until = now_ < aim_at ? std::min(aim_at, call.deadline) : call.deadline;
     call.out = true;
     call.tried.insert(e.entry.exchange);
     ++call.attempts;
