--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -258,7 +258,8 @@
   // One health per exchange, from its symptoms: the share of set-ups to be kept from it.
   double CutFor(Exchange& e) {
     const double silence = AsDouble(OldestUnanswered(e)) / AsDouble(shortest_aim_);
-    return std::min(1.0, std::max({e.cut.At(now_), e.reported_cut.At(now_), e.allowed_cut.At(now_), silence > kPressed ? silence : 0.0}));
+    return std::min(1.0, std::max({e.cut.At(now_), e.reported_cut.At(now_), e.allowed_cut.At(now_),
+                                   1.0 - Warmth(e), silence > kPressed ? silence : 0.0}));
   }
 
   void MoveCut(Fading& cut, double step) {
@@ -365,7 +366,7 @@
     for (auto& [id, e] : exchanges_) {
       if (&e == destination || Own(e) || e.spare - call.offer.width < 1.0) continue;
       if (!MayUse(call, e) || !MaySendTo(call, e) || call.tried.count(id) > 0) continue;
-      if (meshed && (CutFor(e) > kCutStep || Warmth(e) < 1.0)) continue;
+      if (meshed && CutFor(e) > kCutStep) continue;
       candidates.emplace_back(meshed ? Chance(call, e, *destination) : 1.0, &e);
       best_chance = std::max(best_chance, candidates.back().first);
     }
