--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -40,8 +40,10 @@
 // An exchange whose allowed rate falls under this share of its usual one is pressed.
 // The usual one falls by a 64th of the gap with each report, rises at once.
 constexpr double kAllowedDip = 0.5, kUsualEase = 1.0 / 64.0;
-// No event for this long: the softswitch itself stood still, and answers wait to be read.
-constexpr TimeUs kStall = kSecond / 4;
+// No event for this long: the softswitch itself stood still, and answers wait to be read. Calls that are late
+// by then wait this much longer, about what the others take to set up, if another such stall would still
+// spare them.
+constexpr TimeUs kStall = kSecond / 4, kLatePause = kSecond;
 // An exchange that lost a set-up is given nothing for this long, twice as long after each further one in a
 // row. A timeout counts from this share of the aim; a delay under so many times the pressed one ends the row.
 constexpr TimeUs kFullBackOff = kSecond;
@@ -696,6 +698,9 @@
     call.density = Worth(call) / (call.offer.width * holding);
     if (!offer.in_transit) offered_.try_emplace(Worth(call), Fading(kRateTau)).first->second.Add(now_, 1.0);
     Call& kept = calls_.emplace(offer.call, call).first->second;
+    // After a stall the calls that are late already let those pass that can still be in time.
+    if (call.late && now_ == awake_since_ && now_ + kLatePause + stood_still_ < call.deadline)
+      return WakeAt(offer.call, now_ + kLatePause);
     Route(offer.call, kept);
   }
 
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -584,6 +584,23 @@
   b.Stands(out, 1, 1500 * kMs);
 }
 
+TEST(Failures, AfterAnOwnStallFreshCallsPassLateOnes) {
+  Bench b;
+  b.Do(CallOffered{.call = 899, .number_called = 6, .budget_us = 9000 * kMs, .destination = 2});
+  b.now += 1400 * kMs;
+  b.Do(CallOffered{.call = 900, .number_called = 7, .budget_us = 7600 * kMs, .destination = 1});
+  EXPECT_EQ(b.SentTo(), -1);
+  EXPECT_FALSE(b.Refused());
+  const auto* timer = b.First<SetTimer>();
+  ASSERT_NE(timer, nullptr);
+  const TimeUs due = b.now + timer->delay_us;
+  b.Do(CallOffered{.call = 901, .number_called = 8, .budget_us = 8700 * kMs, .destination = 1});
+  EXPECT_EQ(b.SentTo(), 1);
+  b.now = due;
+  b.Do(TimerDue{900});
+  EXPECT_EQ(b.SentTo(), 1);
+}
+
 TEST(Failures, ACallReadAfterAnOwnStallIsOld) {
   Bench b;
   b.Offer(2);
