--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -390,6 +390,14 @@
     return best;
   }
 
+  // A transit call goes on, while a circuit is free and no processor is pressed, or is turned back.
+  void RouteTransit(CallId id, Call& call, Exchange* onward) {
+    const bool open = call.attempts == 0 && onward != nullptr && onward->spare >= call.offer.width;
+    if (open && CutFor(*onward) <= kPressed && OwnCut() <= kPressed && TakeCold(*onward))
+      return SendTo(id, call, *onward);
+    Answer(id, call, false);
+  }
+
   // Sends the call on, holds it, or answers it: the ordinary path and the extensions around it.
   void Route(CallId id, Call& call) {
     if (call.out || call.stands) return;
@@ -405,14 +413,7 @@
       return Answer(id, call, call.attempts > 0);
     const bool direct_open =
         destination != nullptr && MayUse(call, *destination) && MaySendTo(call, *destination);
-    if (call.offer.in_transit) {
-      // It goes on, while a circuit is free and no processor is pressed, or is turned back.
-      if (call.attempts == 0 && direct_open && destination->spare >= call.offer.width &&
-          CutFor(*destination) <= kPressed && OwnCut() <= kPressed && TakeCold(*destination)) {
-        return SendTo(id, call, *destination);
-      }
-      return Answer(id, call, false);
-    }
+    if (call.offer.in_transit) return RouteTransit(id, call, direct_open ? destination : nullptr);
     if (!call.admitted) {
       if (!Admit(call, destination)) return Answer(id, call, false);
       call.admitted = true;
