--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -435,7 +435,11 @@
       }
     }
     if (call.planned && call.tandems > 0) return Answer(id, call, false);
-    // Nothing has room: held for a circuit while a set-up could still stand within the aim.
+    HoldOrRefuse(id, call, destination);
+  }
+
+  // Nothing has room: held for a circuit while a set-up could still stand within the aim.
+  void HoldOrRefuse(CallId id, Call& call, const Exchange* destination) {
     const double set_up = destination != nullptr ? ExpectedDelay(*destination) : 0.0;
     const double longest =
         std::min(kHoldShare * AsDouble(Aim(call)), AsDouble(Aim(call)) - kSetUpMargin * set_up);
