--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -363,6 +363,11 @@
     const bool meshed = settings_.shape == Shape::kMeshed && destination != nullptr;
     const bool overflow = meshed && !call.planned;
     if (overflow && (call.late || CutFor(*destination) > kCutStep || OwnCut() > kCutStep)) return nullptr;
+    if (meshed) {
+      const double stood = destination->as_destination.stood.At(now_) + 1.0;
+      const double back = destination->as_destination.back.At(now_) * (overflow ? kTurnBackWeight : 1.0);
+      if (random_.Unit() * (stood + back) >= stood) return nullptr;
+    }
     std::vector<std::pair<double, Exchange*>> candidates;
     double best_chance = 0.0;
     for (auto& [id, e] : exchanges_) {
@@ -372,11 +377,6 @@
       candidates.emplace_back(meshed ? Chance(call, e, *destination) : 1.0, &e);
       best_chance = std::max(best_chance, candidates.back().first);
     }
-    if (meshed) {
-      const double stood = destination->as_destination.stood.At(now_) + 1.0;
-      const double back = destination->as_destination.back.At(now_) * (overflow ? kTurnBackWeight : 1.0);
-      if (random_.Unit() * (stood + back) >= stood) return nullptr;
-    }
     Exchange* best = nullptr;
     std::tuple<double, double, double> best_rank;
     for (const auto& [chance, e] : candidates) {
@@ -639,8 +639,8 @@
       }
       return;
     }
-    for (auto& [id, e] : exchanges_) {
-      if (update.kind != DirectoryKind::kDelta) e.entry.status = ExchangeStatus::kGone;
+    if (update.kind != DirectoryKind::kDelta) {
+      for (auto& [id, e] : exchanges_) e.entry.status = ExchangeStatus::kGone;
     }
     for (const DirectoryEntry& entry : update.entries) {
       Exchange& e = exchanges_[entry.exchange];
@@ -732,16 +732,21 @@
       e->least_delay.Add(now_, AsDouble(stands.elapsed_us));
     }
     if (found == calls_.end()) return;
-    if (Exchange* to = direct ? nullptr : ByNumber(found->second.offer.destination)) {
-      for (Leg* leg : {&to->legs[e->entry.exchange], &to->as_destination, &e->as_tandem})
-        leg->stood.Add(now_, 1.0);
-    }
+    if (!direct) NoteLeg(found->second, *e, &Leg::stood);
     NoteNumber(found->second.offer.number_called, false);
     found->second.out = false;
     found->second.stands = true;
     RouteHeld();
   }
 
+  // What became of a call sent over `tandem`.
+  void NoteLeg(const Call& call, Exchange& tandem, Fading Leg::*what) {
+    Exchange* to = ByNumber(call.offer.destination);
+    if (to == nullptr) return;
+    for (Leg* leg : {&to->legs[tandem.entry.exchange], &to->as_destination, &tandem.as_tandem})
+      (leg->*what).Add(now_, 1.0);
+  }
+
   void NoteNumber(std::uint64_t number, bool busy) {
     if (number == 0) return;
     auto found = numbers_.find(number);
@@ -809,12 +814,7 @@
     Exchange* pressed = &e;
     // Callers of short patience end a set-up before it tells anything of the far end.
     const double weight = std::min(1.0, AsDouble(ended.elapsed_us) / AsDouble(shortest_aim_));
-    if (!direct && ended.outcome != Outcome::kMoot) {
-      if (Exchange* to = ByNumber(call->offer.destination)) {
-        for (Leg* leg : {&to->legs[e.entry.exchange], &to->as_destination, &e.as_tandem})
-          leg->back.Add(now_, 1.0);
-      }
-    }
+    if (!direct && ended.outcome != Outcome::kMoot) NoteLeg(*call, e, &Leg::back);
     switch (ended.outcome) {
       case Outcome::kTimeout:
         if (direct && AsDouble(ended.elapsed_us) > ExpectedDelay(e))
