--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -435,7 +435,7 @@
 // A third of the pairs have no group: their calls were thinned and held as if they overflowed one.
 TEST(Failures, APairWithoutAGroupGoesOverATandem) {
   Bench b;
-  b.Do(ReportHeard{.exchange = Bench::Id(1), .report = {0.0F, 0.0F, -1.0F, -1.0F}});
+  b.Circuits(1, 0.0F, 0.0F);
   b.Offer(1);
   EXPECT_GT(b.SentTo(), 1);
   // They raise no reserve: on the second leg the last circuit is still given to transit.
@@ -453,7 +453,7 @@
   b.Do(offer);
   ASSERT_TRUE(b.Refused());
   b.Status(1, ExchangeStatus::kReady);
-  b.Do(ReportHeard{.exchange = Bench::Id(1), .report = {0.0F, 0.0F, -1.0F, -1.0F}});
+  b.Circuits(1, 0.0F, 0.0F);
   b.now += 1400 * kMs;
   b.Circuits(2, 20.0F);
   b.now += 10 * kMs;  // else the call would count as read after an own stall
@@ -464,7 +464,7 @@
 
 TEST(Failures, AGroupTooNarrowForACallCountsAsNone) {
   Bench b;
-  b.Do(ReportHeard{.exchange = Bench::Id(1), .report = {3.0F, 3.0F, -1.0F, -1.0F}});
+  b.Circuits(1, 3.0F, 3.0F);
   b.Offer(1, 4.0);
   EXPECT_GT(b.SentTo(), 1);
 }
@@ -474,7 +474,7 @@
 TEST(Failures, TheSecondLegIsRemembered) {
   for (std::uint64_t seed = 1; seed < 20; ++seed) {
     Bench b(PlainSettings(), seed);
-    b.Do(ReportHeard{.exchange = Bench::Id(1), .report = {0.0F, 0.0F, -1.0F, -1.0F}});
+    b.Circuits(1, 0.0F, 0.0F);
     CallId call = 0;
     do {
       call = b.Offer(1);
@@ -503,7 +503,7 @@
   delta.entries.push_back({.exchange = Bench::Id(9), .number = 9});
   b.Do(delta);
   for (const int to : {1, 9}) {
-    b.Do(ReportHeard{.exchange = Bench::Id(to), .report = {0.0F, 0.0F, -1.0F, -1.0F}});
+    b.Circuits(to, 0.0F, 0.0F);
   }
   const auto over = [&b](int to, int tandem, bool stands) {
     b.Circuits(2, tandem == 2 ? 20.0F : 0.0F);
@@ -535,7 +535,7 @@
 // The centre's advice knows the second leg.
 TEST(Failures, AdviceCountsForAPairWithoutAGroup) {
   Bench b;
-  b.Do(ReportHeard{.exchange = Bench::Id(1), .report = {0.0F, 0.0F, -1.0F, -1.0F}});
+  b.Circuits(1, 0.0F, 0.0F);
   b.Circuits(2, 20.0F);
   b.Circuits(3, 10.0F);
   b.Do(CallOffered{.call = 900, .number_called = 7, .budget_us = 3000 * kMs, .destination = 1, .via = 3});
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -51,8 +51,8 @@
     actions.clear();
     controller_.Handle(now, event, &actions);
   }
-  void Circuits(int number, float spare) {
-    Do(ReportHeard{.exchange = Id(number), .report = {spare, 20.0F, -1.0F, -1.0F}});
+  void Circuits(int number, float spare, float total = 20.0F) {
+    Do(ReportHeard{.exchange = Id(number), .report = {spare, total, -1.0F, -1.0F}});
   }
   void Status(int number, ExchangeStatus status, TimeUs since = 0) {
     DirectoryUpdate delta{.kind = DirectoryKind::kDelta};
