--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -41,9 +41,8 @@
 // The usual one falls by a 64th of the gap with each report, rises at once.
 constexpr double kAllowedDip = 0.5, kUsualEase = 1.0 / 64.0;
 // No event for this long: the softswitch itself stood still, and answers wait to be read. Calls that are late
-// by then wait this much longer, about what the others take to set up, if another such stall would still
-// spare them.
-constexpr TimeUs kStall = kSecond / 4, kLatePause = kSecond;
+// by then are known by their age.
+constexpr TimeUs kStall = kSecond / 4;
 // An exchange that lost a set-up is given nothing for this long, twice as long after each further one in a
 // row. A timeout counts from this share of the aim; a delay under so many times the pressed one ends the row.
 constexpr TimeUs kFullBackOff = kSecond;
@@ -63,8 +62,11 @@
 constexpr std::size_t kMostHeld = 256, kMostNumbers = 64, kMostUnserved = 4096, kMostExchanges = 4096;
 // A share is not trusted before this many set-ups.
 constexpr double kFewSetUps = 2.0;
-// A turn-back weighs so many calls that stood in thinning overflow: where it stands it displaces two others.
-constexpr double kTurnBackWeight = 5.0;
+// Processors have room for more than first tries on their own groups while the set-up delay of all is under
+// so many times its usual one (which falls at once and rises by kUsualEase of the gap, as above reversed).
+constexpr double kRoomy = 1.5;
+// A late redial leaves this share of the direct group to calls that can still be in time.
+constexpr double kLateReserve = 0.25;
 // A cold exchange is sent at most this share of what would push it over.
 constexpr double kColdMargin = 2.0 / 3.0;
 // Weight of the newest delay in a smoothed one, of one exchange and of all.
@@ -154,7 +156,6 @@
   TimeUs last_send = 0;
   TimeUs lost_at = 0;  // a failed connect or a death noticed from here: its start, if it is back
   Fading sent{kRateTau};
-  Leg as_destination{kRateTau};    // over whatever tandem, to this destination
   Leg as_tandem;                   // over this tandem, wherever to
   std::map<ExchangeId, Leg> legs;  // to this destination, by tandem
   double cold_tokens = 1.0;
@@ -272,7 +273,9 @@
   void SmoothDelay(Exchange& e, double elapsed) {
     e.delay = e.heard_at == 0 ? elapsed : e.delay + kSmooth * (elapsed - e.delay);
     e.heard_at = now_;
-    delay_ += kSmoothPooled * (elapsed - delay_);
+    delay_ += (delay_ == 0.0 ? 1.0 : kSmoothPooled) * (elapsed - delay_);
+    const double risen = usual_delay_ + kUsualEase * (delay_ - usual_delay_);
+    usual_delay_ = usual_delay_ == 0.0 ? delay_ : std::min(delay_, risen);
   }
 
   // What a set-up to `e` will take: what was seen of it, and with age what was seen of all.
@@ -341,6 +344,12 @@
     return pools.empty() || std::find(pools.begin(), pools.end(), e.entry.number) != pools.end();
   }
 
+  bool MayBeTandem(const Call& call, Exchange& e) {
+    return call.tandems < 2 && !Own(e) && MayUse(call, e) && MaySendTo(call, e) &&
+           call.tried.count(e.entry.exchange) == 0 &&
+           (settings_.shape != Shape::kMeshed || CutFor(e) <= kCutStep);
+  }
+
   // The ranking ignores the second leg, which nobody tells: the chance that it lets a call through, from what
   // stood and what was turned back there from here; what was seen of the tandem with all destinations stands
   // in for a leg never tried, and the centre's advice counts as a call that stood.
@@ -355,25 +364,30 @@
     return rate(leg == destination.legs.end() ? Leg{} : leg->second, any, kLegPrior, advised ? 1.0 : 0.0);
   }
 
+  // Symptom: set-ups to all take longer than usual, or are lost: queues fill, which losses tell a set-up
+  // delay too late. Work beyond first tries on their own groups (overflow, late redials) is not taken on
+  // then, whatever fills the queues: a peak, slow processors, a storm of redials, a stall of this
+  // softswitch. May hurt where circuits are short and delays rise for another reason, such as a longer way.
+  bool HasRoom(Exchange& to) {
+    return CutFor(to) <= kCutStep && OwnCut() <= kCutStep && delay_ <= kRoomy * usual_delay_;
+  }
+
   // The design's ranking among the candidates: tandems with a circuit to spare after the call and a chance
-  // near the best one's. Calls that keep being turned back cost processors work for nothing: they are thinned
-  // to what went through lately, overflow more, as it displaces two others where it stands; and there is no
-  // overflow for a call that is late or to a pressed processor.
+  // near the best one's. Overflow needs processors with room and a call that is not late, and is thinned to
+  // the chance that one of two tandems lets it through, from the turn-backs to all destinations: to one of
+  // them a sender of a large network sends too seldom. A caller has one draw: a held call is routed anew at
+  // each event, and with a draw each time any thinning lets it through at last.
   Exchange* PickTandem(const Call& call, Exchange* destination) {
     const bool meshed = settings_.shape == Shape::kMeshed && destination != nullptr;
-    const bool overflow = meshed && !call.planned;
-    if (overflow && (call.late || CutFor(*destination) > kCutStep || OwnCut() > kCutStep)) return nullptr;
-    if (meshed) {
-      const double stood = destination->as_destination.stood.At(now_) + 1.0;
-      const double back = destination->as_destination.back.At(now_) * (overflow ? kTurnBackWeight : 1.0);
-      if (random_.Unit() * (stood + back) >= stood) return nullptr;
+    if (meshed && !call.planned) {
+      const double back = over_.back.At(now_);
+      const double turned = back / (back + over_.stood.At(now_) + 1.0);
+      if (call.late || call.draw < turned * turned || !HasRoom(*destination)) return nullptr;
     }
     std::vector<std::pair<double, Exchange*>> candidates;
     double best_chance = 0.0;
     for (auto& [id, e] : exchanges_) {
-      if (&e == destination || Own(e) || e.spare - call.offer.width < 1.0) continue;
-      if (!MayUse(call, e) || !MaySendTo(call, e) || call.tried.count(id) > 0) continue;
-      if (meshed && CutFor(e) > kCutStep) continue;
+      if (&e == destination || e.spare - call.offer.width < 1.0 || !MayBeTandem(call, e)) continue;
       candidates.emplace_back(meshed ? Chance(call, e, *destination) : 1.0, &e);
       best_chance = std::max(best_chance, candidates.back().first);
     }
@@ -401,11 +415,7 @@
   // Sends the call on, holds it, or answers it: the ordinary path and the extensions around it.
   void Route(CallId id, Call& call) {
     if (call.out || call.stands) return;
-    if (now_ < call.not_before) {
-      // A release wait that would outlast the caller is answered now: no call is lost.
-      if (call.not_before + kAnswerMargin >= call.deadline) return Answer(id, call, true);
-      return WakeAt(id, call.not_before);
-    }
+    if (call.hold_until > 0 && call.hold_until <= std::min(now_, call.not_before)) Unhold(id, call);
     Exchange* destination = ByNumber(call.offer.destination);
     const bool meshed = settings_.shape == Shape::kMeshed;
     if (meshed && (destination == nullptr || Own(*destination))) return Answer(id, call, false);
@@ -418,8 +428,13 @@
       if (!Admit(call, destination)) return Answer(id, call, false);
       call.admitted = true;
     }
-    if (meshed && !direct_open) return Answer(id, call, false);
-    if (direct_open && !call.planned && call.tried.count(destination->entry.exchange) == 0) {
+    if (meshed && !direct_open) return Answer(id, call, call.may_have_run);
+    const bool direct = direct_open && !call.planned && call.tried.count(destination->entry.exchange) == 0;
+    if (now_ < call.not_before) {
+      if (CanStillServe(call, destination, direct)) return Hold(id, call, call.not_before);
+      return Answer(id, call, true);
+    }
+    if (direct) {
       // To a pressed exchange one set-up at a time: a further one would only lengthen its queue.
       const bool busy = CutFor(*destination) > kPressed && !destination->unanswered.empty();
       const bool room = !busy && (destination->spare < 0.0 || destination->spare >= call.offer.width);
@@ -427,30 +442,40 @@
         return SendTo(id, call, *destination);
       if (room && Warmth(*destination) < 1.0) return Answer(id, call, false);
     }
-    if (call.tandems < 2) {
-      Exchange* tandem = PickTandem(call, destination);
-      if (tandem != nullptr && TakeCold(*tandem)) {
-        ++call.tandems;
-        return SendTo(id, call, *tandem);
-      }
+    Exchange* tandem = PickTandem(call, destination);
+    if (tandem != nullptr && TakeCold(*tandem)) {
+      ++call.tandems;
+      return SendTo(id, call, *tandem);
     }
     if (call.planned && call.tandems > 0) return Answer(id, call, false);
-    HoldOrRefuse(id, call, destination);
+    HoldOrRefuse(id, call, destination, direct);
+  }
+
+  // A call waits (for a circuit, a release, a trial) only while something can still serve it: the direct
+  // group, or a tandem or pool that is wide enough and may be sent to. Once that is gone it is answered.
+  bool CanStillServe(const Call& call, const Exchange* destination, bool direct) {
+    return direct || std::any_of(exchanges_.begin(), exchanges_.end(), [&](auto& x) {
+             return &x.second != destination && x.second.total > call.offer.width &&
+                    MayBeTandem(call, x.second);
+           });
+  }
+
+  void Hold(CallId id, Call& call, TimeUs until) {
+    if (call.hold_until > 0) return;
+    call.hold_until = until;
+    held_.insert({-call.density, id});
+    WakeAt(id, until);
   }
 
   // Nothing has room: held for a circuit while a set-up could still stand within the aim.
-  void HoldOrRefuse(CallId id, Call& call, const Exchange* destination) {
+  void HoldOrRefuse(CallId id, Call& call, const Exchange* destination, bool direct) {
     const double set_up = destination != nullptr ? ExpectedDelay(*destination) : 0.0;
     const double longest =
         std::min(kHoldShare * AsDouble(Aim(call)), AsDouble(Aim(call)) - kSetUpMargin * set_up);
     const TimeUs until = call.arrived + static_cast<TimeUs>(std::max(0.0, longest));
-    if (call.hold_until > 0 && now_ < call.hold_until) return;
-    if (call.hold_until == 0 && now_ < until && held_.size() < kMostHeld) {
-      call.hold_until = std::min(until, call.deadline - kAnswerMargin);
-      held_.insert({-call.density, id});
-      return WakeAt(id, call.hold_until);
-    }
-    Answer(id, call, false);
+    const bool waits = call.hold_until > 0 ? now_ < call.hold_until : held_.size() < kMostHeld;
+    if (!waits || now_ >= until || !CanStillServe(call, destination, direct)) return Answer(id, call, false);
+    Hold(id, call, std::min(until, call.deadline - kAnswerMargin));
   }
 
   // A freed circuit goes to the held call of most worth first; a narrower one of less worth does not pass it.
@@ -458,7 +483,8 @@
     for (const auto& [negative_density, id] : held_) {
       if (-negative_density <= call.density) return false;
       const auto found = calls_.find(id);
-      if (found != calls_.end() && found->second.offer.destination == e.entry.number) return true;
+      if (found == calls_.end() || now_ < found->second.not_before) continue;
+      if (found->second.offer.destination == e.entry.number) return true;
     }
     return false;
   }
@@ -480,7 +506,8 @@
   }
 
   bool LateAnyway(const Call& call) const {
-    return now_ + kAnswerMargin >= call.deadline || (call.attempts > 0 && now_ >= call.arrived + Aim(call));
+    const TimeUs at = std::max(now_, call.not_before);
+    return at + kAnswerMargin >= call.deadline || (call.attempts > 0 && at >= call.arrived + Aim(call));
   }
 
   // A call to a number whose last call from here was not served is that caller's redial: its aim runs from
@@ -512,6 +539,11 @@
   // Loss control (RFC 7339) by worth: of the calls offered lately the least worth go first.
   bool Admit(const Call& call, Exchange* destination) {
     if (NumberCrowded(call)) return false;
+    // A late redial earns a share of the worth, and its circuit is missed by calls that can be in time.
+    if (call.late && destination != nullptr &&
+        (!HasRoom(*destination) ||
+         (!call.planned && destination->spare - call.offer.width < kLateReserve * destination->total)))
+      return false;
     double all = 0.0, below = 0.0, equal = 0.0;
     const double worth = Worth(call);
     for (const auto& [w, offered] : offered_) {
@@ -703,9 +735,6 @@
     call.density = Worth(call) / (call.offer.width * holding);
     if (!offer.in_transit) offered_.try_emplace(Worth(call), Fading(kRateTau)).first->second.Add(now_, 1.0);
     Call& kept = calls_.emplace(offer.call, call).first->second;
-    // After a stall the calls that are late already let those pass that can still be in time.
-    if (call.late && now_ == awake_since_ && now_ + kLatePause + stood_still_ < call.deadline)
-      return WakeAt(offer.call, now_ + kLatePause);
     Route(offer.call, kept);
   }
 
@@ -743,7 +772,7 @@
   void NoteLeg(const Call& call, Exchange& tandem, Fading Leg::*what) {
     Exchange* to = ByNumber(call.offer.destination);
     if (to == nullptr) return;
-    for (Leg* leg : {&to->legs[tandem.entry.exchange], &to->as_destination, &tandem.as_tandem})
+    for (Leg* leg : {&to->legs[tandem.entry.exchange], &tandem.as_tandem, &over_})
       (leg->*what).Add(now_, 1.0);
   }
 
@@ -911,7 +940,8 @@
   std::map<double, Fading> offered_;
   std::vector<Fading> quota_;
   Fading lost_{kPooledTau}, stood_{kPooledTau};  // set-ups to all, lost at a processor or standing
-  double delay_ = 0.0;                           // smoothed set-up delay to all exchanges
+  Leg over_{kRateTau};                           // over any tandem, to any destination
+  double delay_ = 0.0, usual_delay_ = 0.0;       // smoothed set-up delay to all exchanges
 };
 
 CallController::CallController(const Settings& settings, std::uint64_t seed, TimeUs now,
