--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -65,7 +65,8 @@
 // Processors have room for more than first tries on their own groups while the set-up delay of all is under
 // so many times its usual one (which falls at once and rises by kUsualEase of the gap, as above reversed).
 constexpr double kRoomy = 1.5;
-// A late redial leaves this share of the direct group to calls that can still be in time.
+// A late redial leaves this share of a group to calls that can still be in time, and goes over a tandem only
+// while turn-backs are under this share of what stood so.
 constexpr double kLateReserve = 0.25;
 // A cold exchange is sent at most this share of what would push it over.
 constexpr double kColdMargin = 2.0 / 3.0;
@@ -387,7 +388,8 @@
     std::vector<std::pair<double, Exchange*>> candidates;
     double best_chance = 0.0;
     for (auto& [id, e] : exchanges_) {
-      if (&e == destination || e.spare - call.offer.width < 1.0 || !MayBeTandem(call, e)) continue;
+      const double kept = std::max(1.0, call.late ? kLateReserve * e.total : 0.0);
+      if (&e == destination || e.spare - call.offer.width < kept || !MayBeTandem(call, e)) continue;
       candidates.emplace_back(meshed ? Chance(call, e, *destination) : 1.0, &e);
       best_chance = std::max(best_chance, candidates.back().first);
     }
@@ -539,11 +541,7 @@
   // Loss control (RFC 7339) by worth: of the calls offered lately the least worth go first.
   bool Admit(const Call& call, Exchange* destination) {
     if (NumberCrowded(call)) return false;
-    // A late redial earns a share of the worth, and its circuit is missed by calls that can be in time.
-    if (call.late && destination != nullptr &&
-        (!HasRoom(*destination) ||
-         (!call.planned && destination->spare - call.offer.width < kLateReserve * destination->total)))
-      return false;
+    if (call.late && destination != nullptr && !LateMayPass(call, *destination)) return false;
     double all = 0.0, below = 0.0, equal = 0.0;
     const double worth = Worth(call);
     for (const auto& [w, offered] : offered_) {
@@ -562,6 +560,15 @@
            OldestUnanswered(*destination) < shortest_aim_ && OwnCut() < kPressed;
   }
 
+  // A late redial earns a share of the worth, and its circuits are missed by calls that can be in time: it
+  // leaves a part of the direct group, or goes over a tandem while few calls are turned back. May hurt where
+  // late calls are worth nearly as much.
+  bool LateMayPass(const Call& call, Exchange& to) {
+    if (!HasRoom(to)) return false;
+    if (call.planned) return over_.back.At(now_) <= kLateReserve * over_.stood.At(now_) + kLegPrior;
+    return to.spare - call.offer.width >= kLateReserve * to.total;
+  }
+
   // Symptom: that number. Its lines are busy most of the time, so trials are gapped.
   bool NumberCrowded(const Call& call) {
     const auto found = numbers_.find(call.offer.number_called);
@@ -641,11 +648,18 @@
     if (failed || !refusable) {
       actions_->push_back(Fail{id});
     } else {
-      actions_->push_back(Refuse{id, 0});
+      actions_->push_back(Refuse{id, PauseFor(call)});
     }
     Forget(id);
   }
 
+  // Where callers heed it, a call refused for want of room is told to stay away as long as they will.
+  TimeUs PauseFor(const Call& call) {
+    Exchange* to = ByNumber(call.offer.destination);
+    const bool asks = settings_.honours_pause && !call.offer.in_transit && to != nullptr && !HasRoom(*to);
+    return asks ? settings_.longest_pause_us : 0;
+  }
+
   void Unhold(CallId id, Call& call) {
     if (call.hold_until == 0) return;
     held_.erase({-call.density, id});
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -358,7 +358,11 @@
     b.Circuits(1, 0.0F);
     const CallId call = b.Offer(1);
     const int tandem = b.SentTo();
-    if (tandem > 1) b.Stands(call, tandem, 100 * kMs);
+    if (tandem > 1) {
+      b.Stands(call, tandem, 100 * kMs);
+    } else {
+      b.Do(CallerGone{call});  // held for a circuit until then
+    }
     return tandem > 1;
   };
   CallOffered offer{.call = 900, .number_called = 77, .budget_us = 3000 * kMs, .destination = 2};
@@ -471,6 +475,20 @@
   EXPECT_TRUE(b.Failed());
 }
 
+// In place of holding a call back: its caller is told when to come again, where callers heed that.
+TEST(AtOnce, ACallRefusedForWantOfRoomIsToldAPause) {
+  for (const bool honours : {false, true}) {
+    Settings s = PlainSettings();
+    s.honours_pause = honours;
+    s.longest_pause_us = 2000 * kMs;
+    Bench b(s);
+    const CallId call = b.Offer(1);
+    b.End(call, 1, Outcome::kFull, Cause::kProcessorFull);
+    ASSERT_TRUE(b.Refused());
+    EXPECT_EQ(b.First<Refuse>()->pause_us, honours ? 2000 * kMs : 0);
+  }
+}
+
 // No release wait either if the aim will have passed by its end.
 TEST(AtOnce, NoReleaseWaitPastTheAim) {
   Bench b;
