--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -326,22 +326,27 @@
 // Issue 11: a held call is routed anew at each event, and drew anew each time, until thinning let it through.
 TEST(Failures, AHeldCallIsThinnedByOneDraw) {
   Bench b;
-  int overflowed = 0;
+  int at_first = 0, held = 0, at_last = 0;
   for (int i = 0; i < 60; ++i) {
     b.Circuits(1, 0.0F);
     const CallId call = b.Offer(1);
-    bool sent = b.SentTo() > 1;
-    for (int event = 0; event < 40 && !sent; ++event) {
-      b.now += 5 * kMs;
-      b.Circuits(2, 20.0F);
-      sent = b.SentTo() > 1;
+    if (b.SentTo() > 1) {
+      ++at_first;
+    } else {
+      ++held;
+      for (int event = 0; event < 40 && b.SentTo() <= 1; ++event) {
+        b.now += 5 * kMs;
+        b.Circuits(2, 20.0F);
+      }
+      at_last += b.SentTo() > 1 ? 1 : 0;
     }
-    overflowed += sent ? 1 : 0;
     for (int attempt = 0; b.SentTo() > 1; ++attempt)
       b.End(call, b.SentTo(), Outcome::kFull, Cause::kTurnedBack, attempt);
+    b.Do(CallerGone{call});
   }
-  EXPECT_GT(overflowed, 0);
-  EXPECT_LT(overflowed, 30);
+  EXPECT_GT(at_first, 0);
+  EXPECT_GT(held, 30);
+  EXPECT_LT(at_last, held / 4);
 }
 
 // Issue 11: overflow and late redials went on while queues filled, until losses told, a set-up delay later.
@@ -389,6 +394,34 @@
   EXPECT_EQ(b.SentTo(), 2);
 }
 
+// Over a tandem no own group tells how scarce circuits are; turn-backs do.
+TEST(Failures, ALateRedialGoesOverATandemOnlyWhileFewAreTurnedBack) {
+  for (const bool turned_back : {false, true}) {
+    Bench b;
+    b.Circuits(1, 0.0F, 0.0F);
+    CallOffered offer{.call = 900, .number_called = 77, .budget_us = 3000 * kMs, .destination = 1};
+    b.Status(1, ExchangeStatus::kDraining);
+    b.Do(offer);
+    b.Status(1, ExchangeStatus::kReady);
+    for (int i = 0; i < 7; ++i) {
+      b.now += 200 * kMs;
+      const CallId call = b.Offer(1);
+      const int tandem = b.SentTo();
+      ASSERT_GT(tandem, 1);
+      if (turned_back && i % 2 == 0) {
+        b.End(call, tandem, Outcome::kFull, Cause::kTurnedBack);
+        if (b.SentTo() > 1) b.Stands(call, b.SentTo(), 100 * kMs, 1);
+      } else {
+        b.Stands(call, tandem, 100 * kMs);
+      }
+    }
+    offer.call = 901;
+    b.Do(offer);
+    EXPECT_EQ(b.SentTo() > 1, !turned_back);
+    EXPECT_EQ(b.Refused(), turned_back);
+  }
+}
+
 // Its circuit is missed by calls that can still be in time.
 TEST(Failures, ALateRedialLeavesAPartOfTheGroup) {
   for (const float spare : {6.0F, 5.0F}) {
@@ -489,6 +522,33 @@
   }
 }
 
+TEST(AtOnce, NoReleaseWaitWithoutAFurtherTandem) {
+  Bench b;
+  b.Circuits(1, 0.0F, 0.0F);
+  b.Status(3, ExchangeStatus::kGone);
+  const CallId call = b.Offer(1);
+  ASSERT_EQ(b.SentTo(), 2);
+  b.End(call, 2, Outcome::kReset, Cause::kNone, 0, {}, 100 * kMs);
+  EXPECT_TRUE(b.Failed());
+}
+
+// A call that awaits its release holds no circuit back from others.
+TEST(AtOnce, AReleaseWaitHoldsNobodyUp) {
+  Settings s = PlainSettings();
+  s.classes.push_back(s.classes[0]);
+  s.classes[1].worth = 3.0;
+  Bench b(s);
+  b.Circuits(1, 0.0F);
+  const CallId call = b.Offer(1, 1.0, 1);
+  const int tandem = b.SentTo();
+  ASSERT_GT(tandem, 1);
+  b.End(call, tandem, Outcome::kReset, Cause::kNone, 0, {}, 100 * kMs);
+  ASSERT_FALSE(b.Failed());
+  b.Circuits(1, 1.0F);
+  b.Offer(1);
+  EXPECT_EQ(b.SentTo(), 1);
+}
+
 // No release wait either if the aim will have passed by its end.
 TEST(AtOnce, NoReleaseWaitPastTheAim) {
   Bench b;
