--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -382,7 +382,7 @@
     const bool meshed = settings_.shape == Shape::kMeshed && destination != nullptr;
     if (meshed && !call.planned) {
       const double back = over_.back.At(now_);
-      const double turned = back / (back + over_.stood.At(now_) + 1.0);
+      const double turned = back / (back + over_.stood.At(now_) + kLegPrior);
       if (call.late || call.draw < turned * turned || !HasRoom(*destination)) return nullptr;
     }
     std::vector<std::pair<double, Exchange*>> candidates;
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -292,11 +292,15 @@
   EXPECT_TRUE(b.Refused());
 }
 
-TEST(Failures, AFreedCircuitGoesToTheHeldCallOfMostWorth) {
+Settings TwoWorths() {
   Settings s = PlainSettings();
   s.classes.push_back(s.classes[0]);
   s.classes[1].worth = 3.0;
-  Bench b(s);
+  return s;
+}
+
+TEST(Failures, AFreedCircuitGoesToTheHeldCallOfMostWorth) {
+  Bench b(TwoWorths());
   for (int i = 1; i < 4; ++i) b.Circuits(i, 0.0F);
   b.Offer(1, 1.0, 0);
   const CallId dear = b.Offer(1, 1.0, 1);
@@ -537,10 +541,7 @@
 
 // A call that awaits its release holds no circuit back from others.
 TEST(AtOnce, AReleaseWaitHoldsNobodyUp) {
-  Settings s = PlainSettings();
-  s.classes.push_back(s.classes[0]);
-  s.classes[1].worth = 3.0;
-  Bench b(s);
+  Bench b(TwoWorths());
   b.Circuits(1, 0.0F);
   const CallId call = b.Offer(1, 1.0, 1);
   const int tandem = b.SentTo();
