--- /dev/null
+++ b/src/config/json_settings.cpp
@@ -0,0 +1,68 @@
+#include "config/json_settings.h"
+
+#include <fstream>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace croftrun::config {
+
+std::string ToString(const std::vector<Mistake>& mistakes) {
+  std::string text;
+  for (const Mistake& mistake : mistakes)
+    text += (mistake.path.empty() ? std::string("/") : mistake.path) + ": " + mistake.text + "\n";
+  return text;
+}
+
+nlohmann::json ParseAgainst(std::string_view text, std::string_view schema_text, std::vector<Mistake>* mistakes) {
+  nlohmann::json value;
+  try {
+    value = nlohmann::json::parse(text);
+  } catch (const nlohmann::json::parse_error& error) {
+    mistakes->push_back({"", error.what()});
+    return value;
+  }
+  const nlohmann::json schema_json = nlohmann::json::parse(schema_text);
+  valijson::Schema schema;
+  valijson::SchemaParser(valijson::SchemaParser::kDraft7)
+      .populateSchema(valijson::adapters::NlohmannJsonAdapter(schema_json), schema);
+  valijson::ValidationResults results;
+  valijson::Validator validator;
+  if (validator.validate(schema, valijson::adapters::NlohmannJsonAdapter(value), &results)) return value;
+  valijson::ValidationResults::Error error;
+  while (results.popError(error)) {
+    // "Failed to validate against schema associated with property name" only repeats, for each level above, what
+    // the error of the level itself says.
+    if (error.description.find("Failed to validate against schema associated") != std::string::npos ||
+        error.description.find("Failed to validate item") != std::string::npos)
+      continue;
+    // The context is "<root>", "[name]", "[name]" ...
+    std::string path;
+    for (const std::string& term : error.context) {
+      if (term.size() > 2 && term.front() == '[') path += "/" + term.substr(1, term.size() - 2);
+    }
+    mistakes->push_back({path, error.description});
+  }
+  if (mistakes->empty()) mistakes->push_back({"", "does not fit the schema"});
+  return value;
+}
+
+std::string ReadFile(const std::string& path, std::size_t most_bytes, std::vector<Mistake>* mistakes) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    mistakes->push_back({"", "cannot read " + path});
+    return {};
+  }
+  std::string text(most_bytes + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  if (text.size() > most_bytes) {
+    mistakes->push_back({"", path + " is over " + std::to_string(most_bytes) + " bytes"});
+    text.clear();
+  }
+  return text;
+}
+
+}  // namespace croftrun::config
--- /dev/null
+++ b/src/core/call_core.cpp
@@ -0,0 +1,555 @@
+#include "core/call_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/number_plan.h"
+
+namespace croftrun::core {
+namespace {
+
+// Directory entries kept, gone ones included: a fleet of the largest size seen, many times replaced.
+constexpr std::size_t kMostDirectory = 4096;
+// Octets of a session description that are carried through.
+constexpr std::size_t kMostSession = 1024;
+
+struct Ended {
+  Outcome outcome;
+  Cause cause;
+};
+
+// What a release before the answer means to the module. `direct`: the attempt went to the destination itself.
+Ended Meaning(const ReleaseInfo& info, int sent_to, bool direct) {
+  switch (info.cause) {
+    case ReleaseCause::kUserBusy:
+      return {Outcome::kError, Cause::kLinesBusy};
+    case ReleaseCause::kOutOfOrder:
+      return {Outcome::kConnectFailed, Cause::kNone};
+    case ReleaseCause::kNoCircuit:
+      return {Outcome::kFull, direct ? Cause::kNoCircuit : Cause::kTurnedBack};
+    case ReleaseCause::kCongestion:
+      // Said by the exchange that the set-up was sent to, or by one behind it.
+      return {Outcome::kFull, info.at < 0 || info.at == sent_to ? Cause::kProcessorFull : Cause::kTurnedBackFull};
+    case ReleaseCause::kGlare:
+      return {Outcome::kMoot, Cause::kNoCircuit};
+    case ReleaseCause::kOwnOutOfOrder:
+      return {Outcome::kMoot, Cause::kProcessorFull};
+    case ReleaseCause::kTemporaryFailure:
+    case ReleaseCause::kNormal:
+      return {Outcome::kReset, Cause::kNone};
+    case ReleaseCause::kTimerExpiry:
+      return {Outcome::kTimeout, Cause::kNone};
+    case ReleaseCause::kNoAnswer:
+    case ReleaseCause::kUnallocated:
+      return {Outcome::kError, Cause::kNone};
+  }
+  return {Outcome::kError, Cause::kNone};
+}
+
+}  // namespace
+
+CallCore::CallCore(const CoreSettings& settings, Runtime* runtime, LogSink* log)
+    : settings_(settings), runtime_(runtime), log_(log) {
+  for (const GroupSettings& group : settings_.groups) {
+    groups_.emplace(group.number, CircuitGroup(group.circuits, own_number() < group.number));
+  }
+  module_ = std::make_unique<CallController>(settings_.module, settings_.seed, runtime_->Now(), &actions_);
+  for (const Action& action : std::exchange(actions_, {}))
+    std::visit([this](const auto& a) { Carry(a); }, action);
+}
+
+CallCore::~CallCore() {
+  for (const TimerId timer : module_timers_) runtime_->CancelTimer(timer);
+  for (auto& [id, call] : calls_) {
+    runtime_->CancelTimer(call.deadline);
+    if (call.attempt) runtime_->CancelTimer(call.attempt->timeout);
+  }
+}
+
+const CircuitGroup* CallCore::Group(int number) const {
+  const auto found = groups_.find(number);
+  return found == groups_.end() ? nullptr : &found->second;
+}
+
+CallCore::Call* CallCore::Find(CallId id) {
+  const auto found = calls_.find(id);
+  return found == calls_.end() ? nullptr : &found->second;
+}
+
+int CallCore::NumberOf(ExchangeId exchange) const {
+  const auto found = directory_.find(exchange);
+  return found == directory_.end() ? -1 : found->second.number;
+}
+
+// ---- the module ----
+
+// The module is never entered from within itself: events wait in order while its actions are carried out.
+void CallCore::Feed(Event event) {
+  events_.push_back(std::move(event));
+  Drain();
+}
+
+void CallCore::Drain() {
+  if (draining_) return;
+  draining_ = true;
+  std::vector<Action> actions;
+  while (!events_.empty()) {
+    const Event event = std::move(events_.front());
+    events_.pop_front();
+    actions.clear();
+    module_->Handle(runtime_->Now(), event, &actions);
+    for (const Action& action : actions) std::visit([this](const auto& a) { Carry(a); }, action);
+  }
+  draining_ = false;
+  while (!hang_ups_.empty()) {
+    const CallId id = hang_ups_.front();
+    hang_ups_.pop_front();
+    HangUp(id);
+  }
+}
+
+std::vector<float> CallCore::Figures(int number) const {
+  const CircuitGroup* group = Group(number);
+  if (group == nullptr) return {0.0F, 0.0F};
+  return {static_cast<float>(group->Count(CircuitState::kIdle)), static_cast<float>(group->InUse())};
+}
+
+void CallCore::TellSpare(int number) {
+  for (const auto& [id, entry] : directory_) {
+    if (entry.number == number && entry.status != ExchangeStatus::kGone)
+      Feed(ReportHeard{.exchange = id, .report = Figures(number)});
+  }
+}
+
+void CallCore::Carry(const Send& send) {
+  Call* call = Find(send.call);
+  if (call == nullptr || call->attempt || call->answered) return;  // the caller hung up meanwhile
+  const int number = NumberOf(send.exchange);
+  const int index = call->attempts++;
+  ++counters_.attempts;
+  call->attempt = Attempt{.index = index, .exchange = send.exchange, .sent_at = runtime_->Now()};
+  const auto group = groups_.find(number);
+  call->out = CircuitSet{number, {}, send.call};
+  if (group == groups_.end() || trunks_ == nullptr ||
+      !group->second.Seize(call->offer.width, send.call, &call->out.circuits)) {
+    ++counters_.moot;
+    return EndAttempt(send.call, *call, Outcome::kMoot, Cause::kNoCircuit, {}, false);
+  }
+  const TimeUs now = runtime_->Now();
+  const TimeUs end = call->taken_at + call->offer.patience_us - settings_.answer_margin_us;
+  const TimeUs left = end > now ? end - now : 0;
+  const TimeUs timeout = send.timeout_us == 0 ? left : std::min(send.timeout_us, left);
+  call->attempt->timeout = runtime_->StartTimer(
+      timeout, [this, id = send.call, index] { OnAttemptTimeout(id, index); });
+  const TrunkSetUp set_up{call->out, index, &call->offer, call->origin, timeout};
+  trunks_->SetUp(set_up);
+  TellSpare(number);
+}
+
+void CallCore::Carry(const Cancel& cancel) {
+  Call* call = Find(cancel.call);
+  if (call == nullptr || !call->attempt || call->attempt->index != cancel.attempt ||
+      call->state != State::kRouting)
+    return;
+  EndAttempt(cancel.call, *call, Outcome::kCancelled, Cause::kNone, {}, false);
+}
+
+void CallCore::Carry(const Probe& probe) {
+  if (trunks_ != nullptr) trunks_->Probe(NumberOf(probe.exchange));
+}
+
+void CallCore::Carry(const Refuse& refuse) {
+  if (Call* call = Find(refuse.call); call != nullptr && !call->attempt) {
+    const ReleaseInfo info = call->last_release;
+    GiveFinal(refuse.call, *call, {FinalKind::kRefused, refuse.pause_us, info.cause});
+  }
+}
+
+void CallCore::Carry(const Fail& fail) {
+  if (Call* call = Find(fail.call); call != nullptr && !call->attempt) {
+    const ReleaseCause cause = call->last_release.cause;
+    GiveFinal(fail.call, *call, {FinalKind::kFailed, 0, cause});
+  }
+}
+
+void CallCore::Carry(const SetTimer& timer) {
+  // The id is known only after the timer was started, and the timer never fires from within StartTimer.
+  auto id = std::make_shared<TimerId>(kNoTimer);
+  *id = runtime_->StartTimer(timer.delay_us, [this, id, token = timer.token] {
+    module_timers_.erase(*id);
+    Feed(TimerDue{token});
+  });
+  module_timers_.insert(*id);
+}
+
+// The roster is pushed to every softswitch, so there is nothing to ask for; see DirectoryUpdate.
+void CallCore::Carry(const FetchDirectory&) {}
+void CallCore::Carry(const Subscribe&) {}
+
+void CallCore::Carry(const Log& log) { log_->Write(LogLevel::kInfo, "module", 0, log.text); }
+
+// ---- fronts ----
+
+CallId CallCore::NewCall(const Offer& offer, Subscriber* subscriber, int origin) {
+  while (next_call_ == 0 || calls_.count(next_call_) > 0) ++next_call_;
+  const CallId id = next_call_++;
+  Call& call = calls_[id];
+  call.offer = offer;
+  call.subscriber = subscriber;
+  call.origin = origin;
+  call.taken_at = runtime_->Now();
+  return id;
+}
+
+CallId CallCore::Take(const Offer& offer, Subscriber* subscriber) {
+  ++counters_.offered;
+  const bool full = calls_.size() >= settings_.most_calls;
+  const CallId id = NewCall(offer, subscriber, own_number());
+  if (full || stopping_) {
+    // Overload and shut-down: refused before any work is spent on the call, and counted.
+    ++(full ? counters_.refused_full : counters_.refused_stopping);
+    GiveFinal(id, calls_[id], {FinalKind::kRefused, 0, ReleaseCause::kCongestion});
+    return id;
+  }
+  Begin(id);
+  return id;
+}
+
+bool CallCore::TakeIncoming(int number, const std::vector<CircuitNumber>& circuits, const Offer& offer,
+                            int origin) {
+  const auto group = groups_.find(number);
+  if (group == groups_.end() || circuits.empty()) return false;
+  const CallId id = NewCall(offer, nullptr, origin);
+  Call& call = calls_[id];
+  call.in = CircuitSet{number, {}, id};
+  for (const CircuitNumber circuit : circuits) {
+    if (!group->second.SeizedByFarEnd(circuit, id)) break;
+    call.in.circuits.push_back(circuit);
+  }
+  if (call.in.circuits.size() != circuits.size()) {
+    // All or nothing. What was taken here goes back as it was: the far end never had our word on it.
+    for (const CircuitNumber circuit : call.in.circuits) {
+      group->second.Release(circuit, id);
+      group->second.Confirm(circuit);
+    }
+    calls_.erase(id);
+    ++counters_.glare;
+    return false;
+  }
+  ++counters_.incoming;
+  TellSpare(number);
+  if (stopping_ || calls_.size() > settings_.most_calls) {
+    ++(stopping_ ? counters_.refused_stopping : counters_.refused_full);
+    if (Call* fresh = Find(id))
+      GiveFinal(id, *fresh, {FinalKind::kRefused, 0, ReleaseCause::kCongestion});
+    return true;
+  }
+  Begin(id);
+  return true;
+}
+
+void CallCore::Begin(CallId id) {
+  Call& call = calls_[id];
+  const TimeUs margin = std::min(settings_.answer_margin_us, call.offer.patience_us / 2);
+  const TimeUs budget = call.offer.patience_us - margin;
+  if (call.offer.destination == own_number()) {
+    ++counters_.terminating;
+    call.state = State::kRinging;
+    call.deadline = runtime_->StartTimer(budget, [this, id] { OnDeadline(id); });
+    const ReleaseCause cause =
+        terminator_ != nullptr ? terminator_->Ring(id, call.offer) : ReleaseCause::kUnallocated;
+    if (cause != ReleaseCause::kNormal) OnRingReleased(id, cause);
+    return;
+  }
+  // A safety net under the module's own timers: whatever happens, the caller is answered in time.
+  call.deadline = runtime_->StartTimer(budget + margin / 2, [this, id] { OnDeadline(id); });
+  call.module_knows = true;
+  CallOffered offered;
+  offered.call = id;
+  offered.call_class = call.offer.call_class;
+  offered.customer = call.offer.customer;
+  offered.number_called = NumberKey(call.offer.called);
+  offered.budget_us = budget;
+  offered.destination = call.offer.destination;
+  offered.width = static_cast<double>(call.offer.width);
+  offered.via = call.subscriber == nullptr ? call.origin : call.offer.advice;
+  offered.redialled = call.offer.redialled;
+  offered.in_transit = call.subscriber == nullptr;
+  Feed(offered);
+}
+
+void CallCore::OnDeadline(CallId id) {
+  Call* call = Find(id);
+  if (call == nullptr || call->answered) return;
+  call->deadline = kNoTimer;
+  if (call->state == State::kRinging) {
+    if (terminator_ != nullptr) terminator_->StopRinging(id, ReleaseCause::kTimerExpiry);
+    return OnRingReleased(id, ReleaseCause::kTimerExpiry);
+  }
+  ++counters_.overdue;
+  log_->Write(LogLevel::kError, "overdue", id, "no final answer from the module in time");
+  if (call->attempt) EndAttempt(id, *call, Outcome::kTimeout, Cause::kNone, {ReleaseCause::kTimerExpiry}, false);
+  if ((call = Find(id)) != nullptr && !call->answered) {
+    Feed(CallerGone{id});
+    if ((call = Find(id)) != nullptr && !call->answered)
+      GiveFinal(id, *call, {FinalKind::kFailed, 0, ReleaseCause::kTimerExpiry});
+  }
+}
+
+void CallCore::HangUp(CallId id) {
+  // While the module is at work it may just be sending this call: its attempt must get an end it hears of.
+  if (draining_) return hang_ups_.push_back(id);
+  Call* call = Find(id);
+  if (call == nullptr) return;
+  const bool stood = call->state == State::kStands;
+  if (stood) ++counters_.ended;
+  if (!call->answered) ++counters_.hung_up;
+  call->answered = true;  // nothing is told to the caller any more
+  call->subscriber = nullptr;
+  if (call->module_knows && !stood) Feed(CallerGone{id});
+  if ((call = Find(id)) == nullptr) return;
+  if (call->attempt) {
+    EndAttempt(id, *call, stood ? Outcome::kOk : Outcome::kCancelled, Cause::kNone, {}, true);
+  } else if (call->offer.destination == own_number() && terminator_ != nullptr) {
+    terminator_->StopRinging(id, ReleaseCause::kNormal);
+  }
+  Forget(id, {});
+}
+
+void CallCore::OnCallerSession(CallId id, std::string_view session) {
+  Call* call = Find(id);
+  if (call == nullptr || call->state != State::kStands || !call->attempt || trunks_ == nullptr) return;
+  trunks_->Connect(call->out, session);
+}
+
+void CallCore::OnRingAnswered(CallId id, std::string_view session) {
+  Call* call = Find(id);
+  if (call == nullptr || call->state != State::kRinging) return;
+  call->session.assign(session.substr(0, kMostSession));
+  call->state = State::kStands;
+  GiveFinal(id, *call, {FinalKind::kStands, 0, ReleaseCause::kNormal});
+}
+
+void CallCore::OnRingReleased(CallId id, ReleaseCause cause) {
+  Call* call = Find(id);
+  if (call == nullptr) return;
+  const ReleaseInfo info{cause, own_number()};
+  if (call->state == State::kRinging) {
+    call->last_release = info;
+    return GiveFinal(id, *call, {FinalKind::kFailed, 0, cause});
+  }
+  if (call->state != State::kStands) return;
+  ++counters_.ended;
+  if (call->subscriber != nullptr) call->subscriber->OnEnded(id, cause);
+  Forget(id, info);
+}
+
+// ---- trunks ----
+
+void CallCore::OnTrunkSession(CallId id, int index, std::string_view session) {
+  Call* call = Find(id);
+  if (call != nullptr && call->attempt && call->attempt->index == index)
+    call->session.assign(session.substr(0, kMostSession));
+}
+
+void CallCore::OnTrunkAnswered(CallId id, int index) {
+  Call* call = Find(id);
+  if (call == nullptr || !call->attempt || call->attempt->index != index || call->state != State::kRouting) {
+    ++counters_.stale_answers;  // an answer that crossed a hang-up, or came after the time-out
+    return;
+  }
+  runtime_->CancelTimer(std::exchange(call->attempt->timeout, kNoTimer));
+  call->state = State::kStands;
+  call->attempt->stood_at = runtime_->Now();
+  const CallStands stands{id, call->attempt->exchange, index, runtime_->Now() - call->attempt->sent_at};
+  GiveFinal(id, *call, {FinalKind::kStands, 0, ReleaseCause::kNormal});
+  Feed(stands);
+}
+
+void CallCore::OnTrunkReleased(CallId id, int index, const ReleaseInfo& info) {
+  Call* call = Find(id);
+  if (call == nullptr || !call->attempt || call->attempt->index != index) return;
+  if (call->state == State::kStands) {
+    const bool normal = info.cause == ReleaseCause::kNormal;
+    ++(normal ? counters_.ended : counters_.cut);
+    EndAttempt(id, *call, normal ? Outcome::kOk : Outcome::kReset, Cause::kNone, info, true);
+    if ((call = Find(id)) == nullptr) return;
+    if (call->subscriber != nullptr) call->subscriber->OnEnded(id, info.cause);
+    return Forget(id, info);
+  }
+  const int number = NumberOf(call->attempt->exchange);
+  const Ended ended = Meaning(info, number, number == call->offer.destination);
+  EndAttempt(id, *call, ended.outcome, ended.cause, info, false);
+}
+
+void CallCore::OnIncomingReleased(CallId id, ReleaseCause) {
+  // The far end has let go of the circuits already; for the call it is the caller's hang-up.
+  HangUp(id);
+}
+
+void CallCore::OnAttemptTimeout(CallId id, int index) {
+  Call* call = Find(id);
+  if (call == nullptr || !call->attempt || call->attempt->index != index || call->state != State::kRouting)
+    return;
+  call->attempt->timeout = kNoTimer;
+  ++counters_.timeouts;
+  EndAttempt(id, *call, Outcome::kTimeout, Cause::kNone, {ReleaseCause::kTimerExpiry}, false);
+}
+
+void CallCore::EndAttempt(CallId id, Call& call, Outcome outcome, Cause cause, const ReleaseInfo& info,
+                          bool terminal) {
+  const Attempt attempt = *std::exchange(call.attempt, std::nullopt);
+  runtime_->CancelTimer(attempt.timeout);
+  const TimeUs now = runtime_->Now();
+  const int number = NumberOf(attempt.exchange);
+  call.last_release = info;
+  if (!call.out.circuits.empty()) ReleaseSet(&call.out, {ReleaseCause::kNormal, own_number()});
+  const AttemptRecord record{id,
+                             attempt.index,
+                             number,
+                             number != call.offer.destination,
+                             outcome,
+                             cause,
+                             attempt.sent_at,
+                             attempt.stood_at,
+                             now,
+                             call.offer.width};
+  for (Observer* observer : observers_) observer->OnAttempt(record);
+  AttemptEnded ended;
+  ended.call = id;
+  ended.exchange = attempt.exchange;
+  ended.attempt = attempt.index;
+  ended.outcome = outcome;
+  ended.cause = cause;
+  ended.wait_us = info.wait_us;
+  ended.elapsed_us = now - attempt.sent_at;
+  ended.terminal = terminal;
+  ended.report = Figures(number);
+  ended.report.insert(ended.report.end(), info.load.begin(), info.load.end());
+  Feed(std::move(ended));
+}
+
+void CallCore::GiveFinal(CallId id, Call& call, const FinalAnswer& answer) {
+  if (call.answered) return;
+  call.answered = true;
+  call.answer = answer;
+  call.answered_at = runtime_->Now();
+  runtime_->CancelTimer(std::exchange(call.deadline, kNoTimer));
+  ++(answer.kind == FinalKind::kStands    ? counters_.stands
+     : answer.kind == FinalKind::kRefused ? counters_.refused
+                                          : counters_.failed);
+  if (answer.kind == FinalKind::kStands) {
+    if (call.subscriber != nullptr) {
+      FinalAnswer with_session = answer;
+      with_session.session = call.session;
+      call.subscriber->OnFinal(id, with_session);
+    } else if (trunks_ != nullptr) {
+      trunks_->Answer(call.in, call.session);
+    }
+    return;
+  }
+  // Towards an exchange that sent the call here, a refusal is a release with its cause: no circuit onward, or
+  // what the next processor said.
+  ReleaseInfo info = call.last_release;
+  if (info.cause == ReleaseCause::kNormal || info.cause == ReleaseCause::kTemporaryFailure ||
+      info.cause == ReleaseCause::kGlare) {
+    info.cause = answer.cause == ReleaseCause::kCongestion ? answer.cause : ReleaseCause::kNoCircuit;
+    info.at = own_number();
+  }
+  info.load.clear();
+  if (Subscriber* subscriber = call.subscriber) subscriber->OnFinal(id, answer);
+  Forget(id, info);
+}
+
+void CallCore::Forget(CallId id, const ReleaseInfo& info) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  Call call = std::move(found->second);
+  calls_.erase(found);
+  runtime_->CancelTimer(call.deadline);
+  if (!call.in.circuits.empty()) ReleaseSet(&call.in, info);
+  const CallRecord record{id,           &call.offer,   call.subscriber == nullptr && call.origin != own_number(),
+                          call.origin,  call.attempts, call.answer,
+                          call.taken_at, call.answered_at, runtime_->Now()};
+  for (Observer* observer : observers_) observer->OnCall(record);
+}
+
+void CallCore::ReleaseSet(CircuitSet* set, const ReleaseInfo& info) {
+  const CircuitSet released = std::exchange(*set, CircuitSet{});
+  const auto group = groups_.find(released.group);
+  if (group == groups_.end()) return;
+  for (const CircuitNumber circuit : released.circuits) group->second.Release(circuit, released.call);
+  if (trunks_ != nullptr) trunks_->Release(released, info);
+}
+
+void CallCore::OnCircuitFree(int number, CircuitNumber circuit) {
+  const auto group = groups_.find(number);
+  if (group != groups_.end() && group->second.Confirm(circuit)) TellSpare(number);
+}
+
+void CallCore::OnCircuitOutOfService(int number, CircuitNumber circuit) {
+  const auto group = groups_.find(number);
+  if (group == groups_.end() || circuit >= group->second.size()) return;
+  const CallId holder = group->second.TakeOutOfService(circuit);
+  TellSpare(number);
+  Call* call = Find(holder);
+  if (call == nullptr) return;
+  const ReleaseInfo cut{ReleaseCause::kTemporaryFailure, own_number()};
+  if (call->attempt && call->out.group == number) {
+    OnTrunkReleased(holder, call->attempt->index, cut);
+  } else {
+    HangUp(holder);  // the incoming side is gone
+  }
+}
+
+void CallCore::OnCircuitInService(int number, CircuitNumber circuit) {
+  const auto group = groups_.find(number);
+  if (group != groups_.end() && group->second.BringIntoService(circuit)) TellSpare(number);
+}
+
+void CallCore::OnProbed(int number, bool answered, TimeUs elapsed_us, const LoadReport& load) {
+  for (const auto& [id, entry] : directory_) {
+    if (entry.number != number || entry.status == ExchangeStatus::kGone) continue;
+    ReportHeard heard{id, answered ? Outcome::kOk : Outcome::kTimeout, std::max<TimeUs>(elapsed_us, 1),
+                      Figures(number)};
+    heard.report.insert(heard.report.end(), load.begin(), load.end());
+    return Feed(std::move(heard));
+  }
+}
+
+void CallCore::OnDirectory(const DirectoryUpdate& update) {
+  if (update.kind == DirectoryKind::kFull || update.kind == DirectoryKind::kCached) {
+    for (auto& [id, entry] : directory_) entry.status = ExchangeStatus::kGone;
+  }
+  for (const DirectoryEntry& entry : update.entries) directory_[entry.exchange] = entry;
+  if (directory_.size() > kMostDirectory) {
+    std::erase_if(directory_, [](const auto& x) { return x.second.status == ExchangeStatus::kGone; });
+  }
+  Feed(update);
+  for (const DirectoryEntry& entry : update.entries) {
+    if (entry.status != ExchangeStatus::kGone)
+      Feed(ReportHeard{.exchange = entry.exchange, .report = Figures(entry.number)});
+  }
+}
+
+void CallCore::EndAll(ReleaseCause cause) {
+  stopping_ = true;
+  std::vector<CallId> ids;
+  for (const auto& [id, call] : calls_) ids.push_back(id);
+  std::sort(ids.begin(), ids.end());  // the same order on every run
+  for (const CallId id : ids) {
+    Call* call = Find(id);
+    if (call == nullptr) continue;
+    if (!call->answered) {
+      if (call->module_knows) Feed(CallerGone{id});
+      if ((call = Find(id)) == nullptr) continue;
+      if (call->attempt) EndAttempt(id, *call, Outcome::kCancelled, Cause::kNone, {cause, own_number()}, true);
+      if ((call = Find(id)) != nullptr) GiveFinal(id, *call, {FinalKind::kFailed, 0, cause});
+      continue;
+    }
+    if (call->subscriber != nullptr) call->subscriber->OnEnded(id, cause);
+    HangUp(id);
+  }
+}
+
+}  // namespace croftrun::core
--- /dev/null
+++ b/src/core/call_core.h
@@ -0,0 +1,301 @@
+// The call core: calls, their attempts and the circuits they hold, between fronts, trunks and the module.
+//
+// It is front-neutral and free of sockets. A front offers calls and is told of each one's final answer, once; a
+// trunk driver carries out set-ups and releases and reports what the network says; the module (CallController)
+// decides. The core decides nothing about routes: it translates, keeps the circuits, and holds the module to its
+// word. One thread; every call in either direction may come from within a callback.
+//
+// States of a call                         left by
+//   kRouting   taken, no final answer        final answer, or the caller hangs up
+//   kRinging   for a line of this exchange   the line answers, is busy, or the time is up
+//   kStands    answered                      either side hangs up, or it is cut
+// A call is forgotten when it leaves the last one; its circuits then follow through kReleasing by themselves.
+#ifndef CROFTRUN_CORE_CALL_CORE_H_
+#define CROFTRUN_CORE_CALL_CORE_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/circuits.h"
+#include "core/runtime.h"
+#include "croftrun/call_controller.h"
+
+namespace croftrun::core {
+
+// Why a circuit or call was let go: the cause values of ITU-T Q.850 that this product tells apart.
+enum class ReleaseCause : std::uint8_t {
+  kNormal = 16,
+  kUserBusy = 17,
+  kNoAnswer = 19,
+  kOutOfOrder = 27,        // the far exchange is down or unreachable: the set-up never ran
+  kUnallocated = 1,
+  kNoCircuit = 34,         // no circuit onward
+  kOwnOutOfOrder = 38,     // the own exchange's processor is down: the set-up never left
+  kTemporaryFailure = 41,  // cut
+  kCongestion = 42,        // a processor was full
+  kGlare = 44,             // requested circuit not available: the far end seized it first
+  kTimerExpiry = 102,
+};
+
+// Load figures of a far processor, in the order of Settings::report_fields after spare and total; may be empty.
+using LoadReport = std::vector<float>;
+
+struct ReleaseInfo {
+  ReleaseCause cause = ReleaseCause::kNormal;
+  int at = -1;         // number of the exchange that gave the cause; -1 unknown
+  TimeUs wait_us = 0;  // stated by a full processor; 0: none
+  LoadReport load = {};
+};
+
+// One call as a front offers it.
+struct Offer {
+  std::string called;
+  std::string calling;  // the line or trunk it comes from; travels with the call
+  int call_class = 0;
+  int customer = 0;
+  int destination = -1;  // number of an exchange
+  std::size_t width = 1;
+  TimeUs patience_us = 0;  // until the caller gives up this try
+  bool redialled = false;
+  int advice = -1;  // the centre's tandem, by number
+};
+
+enum class FinalKind : std::uint8_t { kStands, kRefused, kFailed };
+struct FinalAnswer {
+  FinalKind kind = FinalKind::kFailed;
+  TimeUs pause_us = 0;  // the caller should stay away this long; 0: no indication
+  ReleaseCause cause = ReleaseCause::kNormal;
+  std::string_view session = {};  // media description of the other side; valid during the call
+};
+
+// The side of a call that a front owns. It outlives its calls; exactly one OnFinal comes for each call it offered
+// unless it hung up first, and after a kStands one OnEnded unless it hung up first.
+class Subscriber {
+ public:
+  virtual ~Subscriber() = default;
+  virtual void OnFinal(CallId call, const FinalAnswer& answer) = 0;
+  virtual void OnEnded(CallId call, ReleaseCause cause) = 0;
+};
+
+// Rings lines of this exchange. OnRingResult is owed for each Ring that was not stopped.
+class Terminator {
+ public:
+  virtual ~Terminator() = default;
+  // kNormal when the line rings; otherwise why it cannot.
+  virtual ReleaseCause Ring(CallId call, const Offer& offer) = 0;
+  virtual void StopRinging(CallId call, ReleaseCause cause) = 0;
+};
+
+// Circuits of one group held by one call.
+struct CircuitSet {
+  int group = -1;  // number of the exchange at the other end
+  std::vector<CircuitNumber> circuits;
+  CallId call = 0;
+};
+
+struct TrunkSetUp {
+  CircuitSet set;
+  int attempt = 0;
+  const Offer* offer = nullptr;  // valid during the call
+  int origin = -1;               // number of the exchange where the call began
+  TimeUs budget_us = 0;          // until this attempt is given up
+};
+
+class TrunkDriver {
+ public:
+  virtual ~TrunkDriver() = default;
+  virtual void SetUp(const TrunkSetUp& set_up) = 0;
+  // An incoming one stands. `session`: description of the far media, empty where none is known.
+  virtual void Answer(const CircuitSet& set, std::string_view session) = 0;
+  // The caller's media description, for the standing set-up of ours.
+  virtual void Connect(const CircuitSet& set, std::string_view session) = 0;
+  virtual void Release(const CircuitSet& set, const ReleaseInfo& info) = 0;  // either direction
+  virtual void Probe(int group) = 0;
+};
+
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
+class LogSink {
+ public:
+  virtual ~LogSink() = default;
+  // `call` 0: none. `detail` is free text.
+  virtual void Write(LogLevel level, std::string_view event, CallId call, std::string_view detail) = 0;
+};
+
+// What exporters are told; views are valid during the call.
+struct AttemptRecord {
+  CallId call = 0;
+  int attempt = 0;
+  int to = -1;
+  bool tandem = false;
+  Outcome outcome = Outcome::kOk;
+  Cause cause = Cause::kNone;
+  TimeUs sent_at = 0, stood_at = 0, ended_at = 0;  // stood_at 0: never
+  std::size_t width = 1;
+};
+struct CallRecord {
+  CallId call = 0;
+  const Offer* offer = nullptr;
+  bool in_transit = false;
+  int origin = -1;
+  int attempts = 0;
+  std::optional<FinalAnswer> answer;  // nothing: the caller hung up first
+  TimeUs taken_at = 0, answered_at = 0, ended_at = 0;
+};
+class Observer {
+ public:
+  virtual ~Observer() = default;
+  virtual void OnAttempt(const AttemptRecord& record) = 0;
+  virtual void OnCall(const CallRecord& record) = 0;
+};
+
+struct GroupSettings {
+  int number = -1;  // of the exchange at the other end
+  std::size_t circuits = 0;
+};
+
+struct CoreSettings {
+  Settings module;
+  std::vector<GroupSettings> groups;
+  std::size_t most_calls = 20'000;    // open at once, standing ones included
+  TimeUs answer_margin_us = 20'000;   // the final answer leaves this much before the caller's time is up
+  std::uint64_t seed = 1;
+};
+
+struct CoreCounters {
+  std::uint64_t offered = 0, incoming = 0, terminating = 0;
+  std::uint64_t stands = 0, refused = 0, failed = 0, hung_up = 0;
+  std::uint64_t attempts = 0, moot = 0, timeouts = 0, cut = 0, ended = 0;
+  std::uint64_t refused_full = 0, refused_stopping = 0, overdue = 0, glare = 0, stale_answers = 0;
+};
+
+class CallCore {
+ public:
+  CallCore(const CoreSettings& settings, Runtime* runtime, LogSink* log);
+  ~CallCore();
+
+  // Plugged in before the first event; none is owned.
+  void SetTrunks(TrunkDriver* trunks) { trunks_ = trunks; }
+  void SetTerminator(Terminator* terminator) { terminator_ = terminator; }
+  void AddObserver(Observer* observer) { observers_.push_back(observer); }
+
+  // ---- fronts ----
+  // Takes a call. Its answer may come from within this call. Returns its id, also when it is over by then.
+  CallId Take(const Offer& offer, Subscriber* subscriber);
+  void HangUp(CallId call);
+  // The media description of the caller's side, once it is connected.
+  void OnCallerSession(CallId call, std::string_view session);
+  // The line that rings for `call` answered; or the called side of a standing call hung up, is busy, or the like.
+  void OnRingAnswered(CallId call, std::string_view session);
+  void OnRingReleased(CallId call, ReleaseCause cause);
+
+  // ---- trunks ----
+  // The far end seized circuits of its group with us. False: not idle here (glare or stale), nothing was taken.
+  bool TakeIncoming(int group, const std::vector<CircuitNumber>& circuits, const Offer& offer, int origin);
+  // Events on a circuit that a set-up of ours, or an incoming call, holds.
+  void OnTrunkSession(CallId call, int attempt, std::string_view session);
+  void OnTrunkAnswered(CallId call, int attempt);
+  void OnTrunkReleased(CallId call, int attempt, const ReleaseInfo& info);
+  // The originating side of an incoming call let go.
+  void OnIncomingReleased(CallId call, ReleaseCause cause);
+  void OnCircuitFree(int group, CircuitNumber circuit);
+  void OnCircuitOutOfService(int group, CircuitNumber circuit);
+  void OnCircuitInService(int group, CircuitNumber circuit);
+  void OnProbed(int group, bool answered, TimeUs elapsed_us, const LoadReport& load);
+
+  // ---- roster ----
+  void OnDirectory(const DirectoryUpdate& update);
+
+  // From now on calls are refused at once; those taken go on.
+  void StopTaking() { stopping_ = true; }
+  // Ends what is left: calls without a final answer fail, standing ones are released.
+  void EndAll(ReleaseCause cause);
+
+  std::size_t open_calls() const { return calls_.size(); }
+  const CoreCounters& counters() const { return counters_; }
+  const CircuitGroup* Group(int number) const;
+  int own_number() const { return settings_.module.own_number; }
+
+ private:
+  enum class State : std::uint8_t { kRouting, kRinging, kStands };
+  // Lives until AttemptEnded was told to the module; then its circuits are on their own.
+  struct Attempt {
+    int index = 0;
+    ExchangeId exchange = 0;
+    TimeUs sent_at = 0, stood_at = 0;
+    TimerId timeout = kNoTimer;
+  };
+  struct Call {
+    Offer offer;
+    Subscriber* subscriber = nullptr;  // null: incoming over a trunk
+    State state = State::kRouting;
+    bool module_knows = false;
+    bool answered = false;
+    int origin = -1;
+    int attempts = 0;
+    TimeUs taken_at = 0, answered_at = 0;
+    std::optional<FinalAnswer> answer;
+    ReleaseInfo last_release;  // why the last attempt ended: told to who sent a transit call
+    std::string session;  // of the answering side
+    CircuitSet in, out;
+    std::optional<Attempt> attempt;
+    TimerId deadline = kNoTimer;
+  };
+
+  void Feed(Event event);
+  void Drain();
+  void Carry(const Send& send);
+  void Carry(const Cancel& cancel);
+  void Carry(const Probe& probe);
+  void Carry(const Refuse& refuse);
+  void Carry(const Fail& fail);
+  void Carry(const SetTimer& timer);
+  void Carry(const FetchDirectory&);
+  void Carry(const Subscribe&);
+  void Carry(const Log& log);
+
+  Call* Find(CallId id);
+  CallId NewCall(const Offer& offer, Subscriber* subscriber, int origin);
+  void Begin(CallId id);
+  void OnDeadline(CallId id);
+  void OnAttemptTimeout(CallId id, int attempt);
+  // Ends the attempt: lets the circuits go and tells the module and the observers.
+  void EndAttempt(CallId id, Call& call, Outcome outcome, Cause cause, const ReleaseInfo& info, bool terminal);
+  // The one place that gives a final answer to whoever offered the call.
+  void GiveFinal(CallId id, Call& call, const FinalAnswer& answer);
+  // Ends a call whose final answer was given or that was hung up: circuits, timers, records.
+  void Forget(CallId id, const ReleaseInfo& info);
+  void ReleaseSet(CircuitSet* set, const ReleaseInfo& info);
+  void TellSpare(int number);
+  std::vector<float> Figures(int number) const;
+  int NumberOf(ExchangeId exchange) const;
+
+  CoreSettings settings_;
+  Runtime* runtime_;
+  LogSink* log_;
+  TrunkDriver* trunks_ = nullptr;
+  Terminator* terminator_ = nullptr;
+  std::vector<Observer*> observers_;
+  std::map<int, CircuitGroup> groups_;  // by the number of the far exchange
+  std::unordered_map<CallId, Call> calls_;
+  std::map<ExchangeId, DirectoryEntry> directory_;
+  std::unordered_set<TimerId> module_timers_;
+  std::deque<Event> events_;
+  std::deque<CallId> hang_ups_;  // that came while the module was at work
+  std::vector<Action> actions_;
+  bool draining_ = false;
+  bool stopping_ = false;
+  CallId next_call_ = 1;
+  CoreCounters counters_;
+  std::unique_ptr<CallController> module_;
+};
+
+}  // namespace croftrun::core
+
+#endif  // CROFTRUN_CORE_CALL_CORE_H_
--- /dev/null
+++ b/src/core/runtime.h
@@ -0,0 +1,89 @@
+// The one seam between the product and the machine: clock, timers, datagrams and randomness.
+//
+// Everything but the programs' own start-up runs on a Runtime and on nothing else of the operating system, so the
+// same code runs on sockets (runtime/asio_runtime.h) and on virtual time. All calls to and from a Runtime happen on
+// one thread. Times are microseconds of a clock that only advances.
+#ifndef CROFTRUN_CORE_RUNTIME_H_
+#define CROFTRUN_CORE_RUNTIME_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "croftrun/call_controller.h"
+
+namespace croftrun::core {
+
+// An IPv4 address and port, in host order.
+struct Address {
+  std::uint32_t host = 0;
+  std::uint16_t port = 0;
+  friend auto operator<=>(const Address&, const Address&) = default;
+};
+
+// Receives what arrives at a port. Owned by whoever opened the port, and outlives it.
+class DatagramSink {
+ public:
+  virtual ~DatagramSink() = default;
+  virtual void OnDatagram(const Address& from, std::string_view bytes) = 0;
+};
+
+// A bound datagram port; closed when destroyed. Sending never blocks and never fails to the caller: what the
+// network cannot take is lost, as the network may lose anything (counted by the implementation).
+class DatagramPort {
+ public:
+  virtual ~DatagramPort() = default;
+  virtual void Send(const Address& to, std::string_view bytes) = 0;
+  virtual Address Local() const = 0;
+};
+
+using TimerId = std::uint64_t;
+inline constexpr TimerId kNoTimer = 0;
+
+class Runtime {
+ public:
+  virtual ~Runtime() = default;
+  virtual TimeUs Now() const = 0;
+  // Calls `due` once, not before `delay` microseconds from now and never from within this call.
+  virtual TimerId StartTimer(TimeUs delay, std::function<void()> due) = 0;
+  // Harmless for a timer that is over; after it, `due` is not called.
+  virtual void CancelTimer(TimerId timer) = 0;
+  // Throws std::system_error where the address cannot be bound.
+  virtual std::unique_ptr<DatagramPort> OpenPort(const Address& local, DatagramSink* sink) = 0;
+  virtual std::uint64_t Random() = 0;
+};
+
+// A timer that its owner holds: cancelled when replaced or destroyed.
+class Timer {
+ public:
+  explicit Timer(Runtime* runtime) : runtime_(runtime) {}
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+  ~Timer() { Stop(); }
+  void Start(TimeUs delay, std::function<void()> due) {
+    Stop();
+    id_ = runtime_->StartTimer(delay, [this, due = std::move(due)] {
+      id_ = kNoTimer;
+      due();
+    });
+  }
+  void Stop() {
+    if (id_ != kNoTimer) runtime_->CancelTimer(id_);
+    id_ = kNoTimer;
+  }
+  bool Running() const { return id_ != kNoTimer; }
+
+ private:
+  Runtime* runtime_;
+  TimerId id_ = kNoTimer;
+};
+
+// "127.0.0.1:2427"; false on anything else, with `*address` unchanged.
+bool ParseAddress(std::string_view text, Address* address);
+std::string ToString(const Address& address);
+
+}  // namespace croftrun::core
+
+#endif  // CROFTRUN_CORE_RUNTIME_H_
--- /dev/null
+++ b/src/edge/edge_node.cpp
@@ -0,0 +1,147 @@
+#include "edge/edge_node.h"
+
+#include <utility>
+
+#include "edge/wire_names.h"
+
+namespace croftrun::edge {
+namespace {
+
+constexpr TimeUs kStopPoll = 20'000;
+
+core::CoreSettings CoreSettingsOf(const EdgeSettings& settings, core::Runtime* runtime) {
+  core::CoreSettings core = settings.core;
+  core.seed = settings.seed ? *settings.seed : runtime->Random();
+  return core;
+}
+
+}  // namespace
+
+EdgeNode::EdgeNode(const EdgeSettings& settings, core::Runtime* runtime, core::LogSink* log)
+    : settings_(settings),
+      runtime_(runtime),
+      log_(log),
+      transactions_(runtime, settings.listen, settings.transactions,
+                    [this](auto command, const auto& from, const auto& message) { OnCommand(command, from, message); }),
+      core_(CoreSettingsOf(settings, runtime), runtime, log),
+      lines_(settings, runtime, &core_, &transactions_),
+      trunks_(settings, runtime, &core_, &transactions_),
+      stopping_(runtime) {
+  core_.SetTrunks(&trunks_);
+  core_.SetTerminator(&lines_);
+  if (settings_.roster) roster_ = std::make_unique<RosterClient>(*settings_.roster, runtime, &core_, log);
+  lines_.Start();
+  trunks_.Start();
+  log_->Write(core::LogLevel::kInfo, "started", 0, "exchange " + std::to_string(core_.own_number()));
+}
+
+void EdgeNode::OnCommand(mgcp::Transactions::CommandId command, const core::Address& from,
+                         const mgcp::Message& message) {
+  // Only the own gateway commands a call agent here.
+  if (from.host != settings_.gateway.host || !mgcp::EqualsIgnoringCase(message.endpoint.domain, settings_.domain))
+    return transactions_.Respond(command, mgcp::kUnknownEndpoint, {}, "not an endpoint of this call agent's gateway");
+  if (message.verb == mgcp::Verb::kRsip) {
+    transactions_.Respond(command, mgcp::kOk);
+    log_->Write(core::LogLevel::kWarning, "restart-in-progress", 0,
+                std::string(message.Get("RM")) + " " + std::string(message.endpoint.local));
+    lines_.OnRestart(message);
+    trunks_.OnRestart(message);
+    return;
+  }
+  if (message.verb != mgcp::Verb::kNtfy)
+    return transactions_.Respond(command, mgcp::kUnsupportedCommand, {}, "a call agent takes NTFY and RSIP");
+  if (message.endpoint.local.substr(0, wire_names::kLines.size()) == wire_names::kLines) {
+    lines_.OnNotify(command, message);
+  } else {
+    trunks_.OnNotify(command, message);
+  }
+}
+
+void EdgeNode::Stop(std::function<void()> done) {
+  core_.StopTaking();
+  log_->Write(core::LogLevel::kInfo, "stopping", 0, std::to_string(core_.open_calls()) + " calls up");
+  WaitForCalls(runtime_->Now() + settings_.shutdown_limit_us, std::move(done));
+}
+
+void EdgeNode::WaitForCalls(TimeUs until, std::function<void()> done) {
+  if (core_.open_calls() > 0 && runtime_->Now() >= until) core_.EndAll(core::ReleaseCause::kTemporaryFailure);
+  if (core_.open_calls() == 0) return done();
+  stopping_.Start(kStopPoll, [this, until, done = std::move(done)] { WaitForCalls(until, done); });
+}
+
+nlohmann::json EdgeNode::Metrics() const {
+  const core::CoreCounters& c = core_.counters();
+  const mgcp::TransactionCounters& t = transactions_.counters();
+  const TrunkGateway::Counters& k = trunks_.counters();
+  const LineFront::Counters& l = lines_.counters();
+  nlohmann::json metrics = {
+      {"calls",
+       {{"open", core_.open_calls()},
+        {"offered", c.offered},
+        {"incoming", c.incoming},
+        {"terminating", c.terminating},
+        {"stands", c.stands},
+        {"refused", c.refused},
+        {"failed", c.failed},
+        {"hung_up", c.hung_up},
+        {"ended", c.ended},
+        {"cut", c.cut},
+        {"attempts", c.attempts},
+        {"moot", c.moot},
+        {"timeouts", c.timeouts},
+        {"refused_full", c.refused_full},
+        {"refused_stopping", c.refused_stopping},
+        {"overdue", c.overdue},
+        {"glare", c.glare},
+        {"stale_answers", c.stale_answers}}},
+      {"transactions",
+       {{"pending", transactions_.pending()},
+        {"history", transactions_.history()},
+        {"sent", t.sent},
+        {"repeated", t.repeated},
+        {"answered", t.answered},
+        {"given_up", t.given_up},
+        {"received", t.received},
+        {"received_again", t.received_again},
+        {"malformed", t.malformed},
+        {"unknown_responses", t.unknown_responses},
+        {"refused_full", t.refused_full}}},
+      {"trunks",
+       {{"legs", trunks_.legs()},
+        {"releasing", trunks_.releasing()},
+        {"seized", k.seized},
+        {"released", k.released},
+        {"incoming", k.incoming},
+        {"refused_incoming", k.refused_incoming},
+        {"audits", k.audits},
+        {"cleared", k.cleared},
+        {"late_seizures", k.late_seizures},
+        {"stale_events", k.stale_events},
+        {"restarts", k.restarts},
+        {"out_of_service", k.out_of_service}}},
+      {"lines",
+       {{"dialled", l.dialled},
+        {"unallocated", l.unallocated},
+        {"rung", l.rung},
+        {"ignored_events", l.ignored_events},
+        {"restarts", l.restarts}}}};
+  for (const core::GroupSettings& group : settings_.core.groups) {
+    const core::CircuitGroup* circuits = core_.Group(group.number);
+    nlohmann::json states;
+    for (std::size_t i = 0; i < core::kCircuitStates; ++i) {
+      const auto state = static_cast<core::CircuitState>(i);
+      states[std::string(core::Name(state))] = circuits->Count(state);
+    }
+    metrics["groups"][std::to_string(group.number)] = states;
+  }
+  if (roster_) {
+    metrics["roster"] = {{"version", roster_->version()},
+                         {"updates", roster_->counters().updates},
+                         {"old", roster_->counters().old},
+                         {"gaps", roster_->counters().gaps},
+                         {"malformed", roster_->counters().malformed}};
+  }
+  return metrics;
+}
+
+}  // namespace croftrun::edge
--- /dev/null
+++ b/src/edge/edge_settings.cpp
@@ -0,0 +1,273 @@
+#include "edge/edge_settings.h"
+
+#include <map>
+
+#include "edge/edge_schema.inc"
+
+namespace croftrun::edge {
+namespace {
+
+using nlohmann::json;
+
+constexpr TimeUs kMs = 1000;
+
+const std::map<std::string, ReportField>& ReportFields() {
+  static const std::map<std::string, ReportField> kFields = {
+      {"busy", ReportField::kBusy},       {"pending", ReportField::kPending}, {"cpu_share", ReportField::kCpuShare},
+      {"wait_ms", ReportField::kWaitMs},  {"allowed", ReportField::kAllowed}, {"cut_by", ReportField::kCutBy}};
+  return kFields;
+}
+
+// Reads what the schema has checked, and collects what a schema cannot say.
+class Reader {
+ public:
+  explicit Reader(std::vector<config::Mistake>* mistakes) : mistakes_(mistakes) {}
+
+  EdgeSettings Read(const json& file) {
+    EdgeSettings s;
+    ReadAgent(file, &s);
+    ReadClasses(file, &s);
+    ReadCustomers(file, &s);
+    ReadGroups(file, &s);
+    ReadPlan(file, &s);
+    ReadNetwork(file.at("network"), &s.core.module);
+    if (file.contains("transactions")) ReadTransactions(file.at("transactions"), &s.transactions);
+    if (file.contains("log")) {
+      s.log_level = file.at("log").value("level", s.log_level);
+      s.log_file = file.at("log").value("file", s.log_file);
+    }
+    return s;
+  }
+
+ private:
+  void Mistake(std::string path, std::string text) { mistakes_->push_back({std::move(path), std::move(text)}); }
+
+  static void Time(const json& object, const char* key, TimeUs* out) {
+    if (object.contains(key)) *out = object.at(key).get<TimeUs>() * kMs;
+  }
+  template <typename T>
+  static void Value(const json& object, const char* key, T* out) {
+    if (object.contains(key)) *out = object.at(key).get<T>();
+  }
+  void Address(const json& object, const std::string& where, const char* key, core::Address* out) {
+    const auto text = object.at(key).get<std::string>();
+    if (!core::ParseAddress(text, out))
+      Mistake(where + "/" + key, "expected an IPv4 address and port such as 127.0.0.1:2727, found \"" + text + "\"");
+  }
+
+  void ReadAgent(const json& file, EdgeSettings* s) {
+    s->core.module.own_number = file.at("exchange").at("number").get<int>();
+    Value(file.at("exchange"), "zone", &s->core.module.own_zone);
+    const json& agent = file.at("agent");
+    Address(agent, "/agent", "listen", &s->listen);
+    Value(agent, "most_calls", &s->core.most_calls);
+    Time(agent, "answer_margin_ms", &s->core.answer_margin_us);
+    Time(agent, "shutdown_limit_ms", &s->shutdown_limit_us);
+    Time(agent, "audit_ms", &s->audit_us);
+    if (agent.contains("seed")) s->seed = agent.at("seed").get<std::uint64_t>();
+    Address(file.at("gateway"), "/gateway", "address", &s->gateway);
+    s->domain = file.at("gateway").at("domain").get<std::string>();
+    if (s->domain.find_first_of("@/ \t") != std::string::npos)
+      Mistake("/gateway/domain", "expected a domain name, found \"" + s->domain + "\"");
+    if (file.contains("lines")) {
+      const json& lines = file.at("lines");
+      Value(lines, "count", &s->lines.count);
+      Value(lines, "number_prefix", &s->lines.number_prefix);
+      Value(lines, "number_digits", &s->lines.number_digits);
+      Value(lines, "digit_map", &s->lines.digit_map);
+      if (!mgcp::DigitMap::Parse(s->lines.digit_map))
+        Mistake("/lines/digit_map", "expected a digit map as in RFC 3435 2.1.5, found \"" + s->lines.digit_map + "\"");
+    }
+    if (file.contains("roster")) {
+      RosterSettings roster;
+      Address(file.at("roster"), "/roster", "server", &roster.server);
+      Address(file.at("roster"), "/roster", "listen", &roster.listen);
+      Time(file.at("roster"), "ask_ms", &roster.ask_us);
+      s->roster = roster;
+    }
+  }
+
+  void ReadClasses(const json& file, EdgeSettings* s) {
+    std::size_t index = 0;
+    for (const json& entry : file.at("classes")) {
+      const std::string path = "/classes/" + std::to_string(index);
+      CallClass c;
+      c.name = entry.at("name").get<std::string>();
+      if (!classes_.emplace(c.name, static_cast<int>(index)).second)
+        Mistake(path + "/name", "class \"" + c.name + "\" is there already");
+      Time(entry, "aim_ms", &c.aim_us);
+      Time(entry, "give_up_ms", &c.deadline_us);
+      Value(entry, "worth", &c.worth);
+      Value(entry, "late_worth", &c.late_worth);
+      Value(entry, "width", &c.width);
+      Time(entry, "holding_ms", &c.holding_us);
+      const std::string repeat = entry.value("repeat", "idempotent");
+      c.repeat = repeat == "deduplicated"   ? Repeat::kDeduplicated
+                 : repeat == "at-most-once" ? Repeat::kAtMostOnce
+                                            : Repeat::kIdempotent;
+      if (c.aim_us > c.deadline_us)
+        Mistake(path + "/aim_ms", "expected at most give_up_ms, found more");
+      s->class_names.push_back(c.name);
+      s->core.module.classes.push_back(c);
+      ++index;
+    }
+  }
+
+  void ReadCustomers(const json& file, EdgeSettings* s) {
+    Value(file, "over_quota_worth", &s->core.module.over_quota_worth);
+    if (!file.contains("customers")) return;
+    std::size_t index = 0;
+    for (const json& entry : file.at("customers")) {
+      Customer customer;
+      customer.name = entry.at("name").get<std::string>();
+      Value(entry, "quota_per_s", &customer.quota_per_s);
+      if (!customers_.emplace(customer.name, static_cast<int>(index)).second)
+        Mistake("/customers/" + std::to_string(index) + "/name", "customer \"" + customer.name + "\" is there already");
+      s->core.module.customers.push_back(customer);
+      ++index;
+    }
+  }
+
+  void ReadGroups(const json& file, EdgeSettings* s) {
+    std::map<int, std::size_t> seen;
+    std::size_t index = 0;
+    for (const json& entry : file.at("groups")) {
+      const std::string path = "/groups/" + std::to_string(index);
+      core::GroupSettings group;
+      group.number = entry.at("exchange").get<int>();
+      group.circuits = entry.at("circuits").get<std::size_t>();
+      if (group.number == s->core.module.own_number)
+        Mistake(path + "/exchange", "expected another exchange, found this one");
+      if (!seen.emplace(group.number, index).second)
+        Mistake(path + "/exchange", "exchange " + std::to_string(group.number) + " has a group already");
+      s->core.groups.push_back(group);
+      ++index;
+    }
+  }
+
+  void ReadPlan(const json& file, EdgeSettings* s) {
+    std::size_t index = 0;
+    for (const json& entry : file.at("plan")) {
+      const std::string path = "/plan/" + std::to_string(index++);
+      core::NumberMeaning meaning;
+      meaning.destination = entry.at("exchange").get<int>();
+      meaning.call_class = Look(classes_, entry, "class", path);
+      if (entry.contains("customer")) meaning.customer = Look(customers_, entry, "customer", path);
+      const auto prefix = entry.at("prefix").get<std::string>();
+      if (!s->plan.Add(prefix, meaning)) Mistake(path + "/prefix", "prefix " + prefix + " is there already");
+    }
+  }
+
+  int Look(const std::map<std::string, int>& names, const json& entry, const char* key, const std::string& path) {
+    const auto name = entry.at(key).get<std::string>();
+    const auto found = names.find(name);
+    if (found != names.end()) return found->second;
+    std::string known;
+    for (const auto& [other, number] : names) known += (known.empty() ? "" : ", ") + other;
+    Mistake(path + "/" + key, "expected one of " + known + ", found \"" + name + "\"");
+    return 0;
+  }
+
+  static void ReadNetwork(const json& network, Settings* m) {
+    Value(network, "senders", &m->senders);
+    Time(network, "release_ms", &m->release_us);
+    Time(network, "repeat_ms", &m->repeat_us);
+    Time(network, "drain_grace_ms", &m->drain_grace_us);
+    Value(network, "cold_from", &m->cold_from);
+    Time(network, "warm_up_ms", &m->warm_up_us);
+    Value(network, "fall_multiple", &m->fall_multiple);
+    Time(network, "fall_ms", &m->fall_us);
+    Value(network, "most_attempts", &m->most_attempts);
+    Value(network, "may_cancel", &m->may_cancel);
+    Value(network, "may_probe", &m->may_probe);
+    Value(network, "honours_pause", &m->honours_pause);
+    Time(network, "longest_pause_ms", &m->longest_pause_us);
+    Value(network, "marks_redials", &m->marks_redials);
+    Value(network, "tells_wait", &m->tells_wait);
+    m->report_fields = {ReportField::kSpare, ReportField::kTotal};
+    if (network.contains("reports")) {
+      for (const json& name : network.at("reports"))
+        m->report_fields.push_back(ReportFields().at(name.get<std::string>()));
+    }
+  }
+
+  static void ReadTransactions(const json& entry, mgcp::TransactionSettings* t) {
+    Time(entry, "first_timeout_ms", &t->first_timeout_us);
+    Time(entry, "longest_timeout_ms", &t->longest_timeout_us);
+    Time(entry, "give_up_ms", &t->give_up_us);
+    Time(entry, "history_ms", &t->history_us);
+    Value(entry, "most_pending", &t->most_pending);
+    Value(entry, "most_history", &t->most_history);
+  }
+
+  std::vector<config::Mistake>* mistakes_;
+  std::map<std::string, int> classes_, customers_;
+};
+
+}  // namespace
+
+std::string_view EdgeSchema() { return kEdgeSchema; }
+
+EdgeSettings ParseEdgeSettings(std::string_view text, std::vector<config::Mistake>* mistakes) {
+  const json file = config::ParseAgainst(text, EdgeSchema(), mistakes);
+  if (!mistakes->empty()) return {};
+  return Reader(mistakes).Read(file);
+}
+
+json ShowEdgeSettings(const EdgeSettings& s) {
+  const Settings& m = s.core.module;
+  json shown;
+  shown["exchange"] = {{"number", m.own_number}, {"zone", m.own_zone}};
+  shown["agent"] = {{"listen", core::ToString(s.listen)},
+                    {"most_calls", s.core.most_calls},
+                    {"answer_margin_ms", s.core.answer_margin_us / kMs},
+                    {"shutdown_limit_ms", s.shutdown_limit_us / kMs},
+                    {"audit_ms", s.audit_us / kMs}};
+  shown["gateway"] = {{"address", core::ToString(s.gateway)}, {"domain", s.domain}};
+  shown["lines"] = {{"count", s.lines.count},
+                    {"number_prefix", s.lines.number_prefix},
+                    {"number_digits", s.lines.number_digits},
+                    {"digit_map", s.lines.digit_map}};
+  shown["groups"] = json::array();
+  for (const auto& group : s.core.groups)
+    shown["groups"].push_back({{"exchange", group.number}, {"circuits", group.circuits}});
+  for (const CallClass& c : m.classes) {
+    shown["classes"].push_back({{"name", c.name},
+                                {"aim_ms", c.aim_us / kMs},
+                                {"give_up_ms", c.deadline_us / kMs},
+                                {"worth", c.worth},
+                                {"late_worth", c.late_worth},
+                                {"width", c.width},
+                                {"holding_ms", c.holding_us / kMs}});
+  }
+  shown["customers"] = json::array();
+  for (const Customer& c : m.customers)
+    shown["customers"].push_back({{"name", c.name}, {"quota_per_s", c.quota_per_s}});
+  shown["over_quota_worth"] = m.over_quota_worth;
+  shown["plan_prefixes"] = s.plan.size();
+  shown["network"] = {{"senders", m.senders},
+                      {"release_ms", m.release_us / kMs},
+                      {"repeat_ms", m.repeat_us / kMs},
+                      {"drain_grace_ms", m.drain_grace_us / kMs},
+                      {"cold_from", m.cold_from},
+                      {"warm_up_ms", m.warm_up_us / kMs},
+                      {"fall_multiple", m.fall_multiple},
+                      {"fall_ms", m.fall_us / kMs},
+                      {"most_attempts", m.most_attempts},
+                      {"may_cancel", m.may_cancel},
+                      {"may_probe", m.may_probe},
+                      {"honours_pause", m.honours_pause},
+                      {"longest_pause_ms", m.longest_pause_us / kMs},
+                      {"marks_redials", m.marks_redials},
+                      {"tells_wait", m.tells_wait}};
+  shown["transactions"] = {{"first_timeout_ms", s.transactions.first_timeout_us / kMs},
+                           {"longest_timeout_ms", s.transactions.longest_timeout_us / kMs},
+                           {"give_up_ms", s.transactions.give_up_us / kMs},
+                           {"history_ms", s.transactions.history_us / kMs},
+                           {"most_pending", s.transactions.most_pending},
+                           {"most_history", s.transactions.most_history}};
+  shown["log"] = {{"level", s.log_level}, {"file", s.log_file}};
+  return shown;
+}
+
+}  // namespace croftrun::edge
--- /dev/null
+++ b/src/edge/edge_settings.h
@@ -0,0 +1,57 @@
+// The settings of croftrun-edge: schemas/edge.schema.json as a structure.
+#ifndef CROFTRUN_EDGE_EDGE_SETTINGS_H_
+#define CROFTRUN_EDGE_EDGE_SETTINGS_H_
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/json_settings.h"
+#include "core/call_core.h"
+#include "core/number_plan.h"
+#include "mgcp/transactions.h"
+
+namespace croftrun::edge {
+
+struct LineSettings {
+  int count = 0;
+  std::string number_prefix;
+  int number_digits = 4;
+  std::string digit_map = "x.T";
+};
+
+struct RosterSettings {
+  core::Address server;
+  core::Address listen;
+  TimeUs ask_us = 1'000'000;
+};
+
+struct EdgeSettings {
+  core::CoreSettings core;
+  core::Address listen;
+  core::Address gateway;
+  std::string domain;
+  LineSettings lines;
+  std::vector<std::string> class_names;
+  core::NumberPlan plan;
+  std::optional<RosterSettings> roster;
+  mgcp::TransactionSettings transactions;
+  TimeUs shutdown_limit_us = 30'000'000;
+  TimeUs audit_us = 2'000'000;
+  std::optional<std::uint64_t> seed;
+  std::string log_level = "info";
+  std::string log_file;
+};
+
+// The schema's text, as published.
+std::string_view EdgeSchema();
+// Appends every mistake found, each with its path; the result is only of use where there was none.
+EdgeSettings ParseEdgeSettings(std::string_view text, std::vector<config::Mistake>* mistakes);
+// The settings in force, defaults filled in, as JSON.
+nlohmann::json ShowEdgeSettings(const EdgeSettings& settings);
+
+}  // namespace croftrun::edge
+
+#endif  // CROFTRUN_EDGE_EDGE_SETTINGS_H_
--- /dev/null
+++ b/src/edge/line_front.cpp
@@ -0,0 +1,314 @@
+#include "edge/line_front.h"
+
+#include <array>
+#include <utility>
+
+#include "edge/wire_names.h"
+
+namespace croftrun::edge {
+namespace {
+
+using mgcp::Answered;
+using mgcp::Verb;
+using mgcp::Writer;
+
+// The arming of all lines is asked again after this while the gateway does not answer.
+constexpr TimeUs kArmAgain = 2'000'000;
+
+std::string Hex(std::uint64_t value) {
+  std::array<char, 16> digits;
+  const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(), value, 16);
+  return error == std::errc() ? std::string(digits.data(), end) : std::string("0");
+}
+
+}  // namespace
+
+std::string CallParameter(int own_number, CallId call) {
+  return Hex(static_cast<std::uint64_t>(own_number)) + "F" + Hex(call);
+}
+
+LineFront::LineFront(const EdgeSettings& settings, core::Runtime* runtime, core::CallCore* core,
+                     mgcp::Transactions* transactions)
+    : settings_(settings),
+      runtime_(runtime),
+      core_(core),
+      transactions_(transactions),
+      lines_(static_cast<std::size_t>(settings.lines.count) + 1),
+      retry_(runtime) {}
+
+void LineFront::Start() {
+  if (settings_.lines.count > 0) ArmAll();
+}
+
+void LineFront::ArmAll() {
+  const std::string all = std::string(wire_names::kLines) + "*@" + settings_.domain;
+  transactions_->Send(settings_.gateway, {Verb::kDlcx, all, "", {}});
+  transactions_->Send(settings_.gateway, {Verb::kRqnt, all, RequestIdle(), [this](const Answered& answered) {
+                                            if (answered.ok()) return;
+                                            retry_.Start(kArmAgain, [this] {
+                                              // Lines with calls by now keep what is asked of them.
+                                              if (line_of_call_.empty()) return ArmAll();
+                                              ArmIdle(std::string(wire_names::kLines) + "*");
+                                            });
+                                          }});
+}
+
+void LineFront::ArmIdle(std::string_view pattern) {
+  const mgcp::Transactions::Cork cork(transactions_);
+  for (std::size_t i = 1; i < lines_.size(); ++i) {
+    if (lines_[i].state != State::kIdle) continue;
+    if (mgcp::EndpointMatches(pattern, std::string(wire_names::kLines) + std::to_string(i)))
+      Send(static_cast<int>(i), Verb::kRqnt, RequestIdle());
+  }
+}
+
+std::string LineFront::NextRequest() {
+  std::string body;
+  Writer(&body).Line("X", Hex(next_request_++));
+  return body;
+}
+
+// Off hook: dial tone and digits by the map, all told in one notification (RFC 3435 3.2.2.17, embedded request).
+std::string LineFront::RequestIdle() {
+  std::string body = NextRequest();
+  Writer(&body).Line("R", "L/hd(E(R(D/[0-9*#](D),L/hu(N)),D((" + settings_.lines.digit_map + ")),S(L/dl)))");
+  return body;
+}
+
+std::string LineFront::RequestOnHook() {
+  std::string body = NextRequest();
+  Writer(&body).Line("R", "L/hu(N)");
+  return body;
+}
+
+void LineFront::Send(int number, Verb verb, std::string body, mgcp::Transactions::OnAnswer on_answer) {
+  transactions_->Send(settings_.gateway, {verb, wire_names::Line(number, settings_.domain), std::move(body),
+                                          std::move(on_answer)});
+}
+
+int LineFront::LineOf(CallId call) const {
+  const auto found = line_of_call_.find(call);
+  return found == line_of_call_.end() ? dialling_ : found->second;
+}
+
+void LineFront::OnNotify(mgcp::Transactions::CommandId command, const mgcp::Message& message) {
+  const auto number = wire_names::ParseLine(message.endpoint.local);
+  if (!number || *number < 1 || *number > settings_.lines.count) {
+    transactions_->Respond(command, mgcp::kUnknownEndpoint, {}, "no such line");
+    return;
+  }
+  const auto events = mgcp::ParseEventList(message.Get("O"));
+  if (!events || message.Find("O") == nullptr) {
+    transactions_->Respond(command, mgcp::kProtocolError, {}, "expected observed events in O:");
+    return;
+  }
+  transactions_->Respond(command, mgcp::kOk);
+  Line& line = lines_[static_cast<std::size_t>(*number)];
+  std::string digits;
+  for (const mgcp::EventRef& event : *events) {
+    if (mgcp::EqualsIgnoringCase(event.package, "D") && event.name.size() == 1 && digits.size() < core::kMostDigits) {
+      digits += event.name;
+    } else if (mgcp::EqualsIgnoringCase(event.name, "hu")) {
+      digits.clear();
+      OnHook(*number, line);
+    } else if (mgcp::EqualsIgnoringCase(event.name, "hd")) {
+      if (line.state != State::kRinging) continue;
+      line.state = State::kTalking;
+      std::string body;
+      Writer(&body).Line("C", CallParameter(core_->own_number(), line.call)).Line("M", "sendrecv");
+      Send(*number, Verb::kMdcx, body + RequestOnHook());
+      core_->OnRingAnswered(line.call, message.session);
+    } else {
+      ++counters_.ignored_events;
+    }
+  }
+  // Digits of a line that has a call already are a doubled or overtaken notification.
+  if (!digits.empty() && line.state == State::kIdle) Dial(*number, line, digits, message);
+}
+
+void LineFront::Dial(int number, Line& line, const std::string& digits, const mgcp::Message& message) {
+  ++counters_.dialled;
+  const auto meaning = settings_.plan.Find(digits);
+  if (!meaning) {
+    ++counters_.unallocated;
+    return Tone(number, line, "L/ro", "failed", 0);
+  }
+  const CallClass& call_class = settings_.core.module.classes[static_cast<std::size_t>(meaning->call_class)];
+  core::Offer offer;
+  offer.called = digits;
+  offer.calling = std::string(wire_names::kLines) + std::to_string(number);
+  offer.call_class = meaning->call_class;
+  offer.customer = meaning->customer;
+  offer.destination = meaning->destination;
+  offer.width = static_cast<std::size_t>(call_class.width);
+  offer.patience_us = call_class.deadline_us;
+  if (const auto patience = wire_names::Number<std::uint32_t>(message.Get(wire_names::kPatience)))
+    offer.patience_us = TimeUs{*patience} * 1000;
+  line.state = State::kCalling;
+  line.called = false;
+  dialling_ = number;
+  const CallId call = core_->Take(offer, this);
+  dialling_ = 0;
+  // Answered from within, the line has moved on already.
+  if (line.state == State::kCalling || line.state == State::kTalking) {
+    line.call = call;
+    line_of_call_[call] = number;
+  }
+}
+
+void LineFront::OnFinal(CallId call, const core::FinalAnswer& answer) {
+  const int number = LineOf(call);
+  if (number == 0) return;
+  Line& line = lines_[static_cast<std::size_t>(number)];
+  if (answer.kind != core::FinalKind::kStands) {
+    Unbind(line);
+    line.state = State::kTone;
+    const bool refused = answer.kind == core::FinalKind::kRefused;
+    const bool busy = answer.cause == core::ReleaseCause::kUserBusy;
+    return Tone(number, line, refused ? "G/cg" : busy ? "L/bz" : "L/ro", refused ? "refused" : "failed",
+                answer.pause_us);
+  }
+  line.state = State::kTalking;
+  line.connected = true;
+  std::string body;
+  Writer(&body).Line("C", CallParameter(core_->own_number(), call)).Line("L", "p:20, a:PCMU").Line("M", "sendrecv");
+  body += RequestOnHook();
+  Writer(&body).Session(answer.session);
+  Send(number, Verb::kCrcx, std::move(body), [this, call](const Answered& answered) {
+    if (answered.ok()) return core_->OnCallerSession(call, answered.message->session);
+    // On hook by now, or the line is gone: there is nobody to talk to.
+    const int at = LineOf(call);
+    if (at == 0) return;
+    OnHook(at, lines_[static_cast<std::size_t>(at)]);
+  });
+}
+
+void LineFront::OnEnded(CallId call, core::ReleaseCause cause) {
+  const int number = LineOf(call);
+  if (number == 0) return;
+  Line& line = lines_[static_cast<std::size_t>(number)];
+  Unbind(line);
+  line.state = State::kTone;
+  Disconnect(number, line, false, cause == core::ReleaseCause::kNormal ? "" : "L/ro");
+}
+
+void LineFront::Tone(int number, Line& line, std::string_view signal, std::string_view answer, TimeUs pause_us) {
+  line.state = State::kTone;
+  std::string body = RequestOnHook();
+  Writer writer(&body);
+  writer.Line("S", signal).Line(wire_names::kAnswer, answer);
+  if (pause_us > 0) writer.Line(wire_names::kPause, std::to_string(pause_us / 1000));
+  Send(number, Verb::kRqnt, std::move(body), [this, number](const Answered& answered) {
+    // 402: on hook already; its notification may have been overtaken or lost.
+    Line& at = lines_[static_cast<std::size_t>(number)];
+    if (answered.code() == mgcp::kAlreadyOnHook && at.state == State::kTone) OnHook(number, at);
+  });
+}
+
+void LineFront::Disconnect(int number, Line& line, bool rearm, std::string_view signal) {
+  std::string body;
+  if (line.connected) {
+    line.connected = false;
+    body = rearm ? RequestIdle() : RequestOnHook();
+    if (!signal.empty()) Writer(&body).Line("S", signal);
+    return Send(number, Verb::kDlcx, std::move(body));
+  }
+  if (rearm) Send(number, Verb::kRqnt, RequestIdle());
+}
+
+void LineFront::Unbind(Line& line) {
+  line_of_call_.erase(line.call);
+  line.call = 0;
+}
+
+void LineFront::OnHook(int number, Line& line) {
+  if (line.state == State::kIdle) return;
+  const CallId call = line.call;
+  const State state = std::exchange(line.state, State::kIdle);
+  Unbind(line);
+  if (call != 0 && (state == State::kCalling || state == State::kTalking)) {
+    if (line.called) {
+      core_->OnRingReleased(call, core::ReleaseCause::kNormal);
+    } else {
+      core_->HangUp(call);
+    }
+  }
+  Disconnect(number, line, true, "");
+}
+
+core::ReleaseCause LineFront::Ring(CallId call, const core::Offer& offer) {
+  const LineSettings& lines = settings_.lines;
+  const std::string_view called = offer.called;
+  const auto digits = static_cast<std::size_t>(lines.number_digits);
+  if (called.size() < digits || !called.substr(0, called.size() - digits).ends_with(lines.number_prefix))
+    return core::ReleaseCause::kUnallocated;
+  const auto number = wire_names::Number<int>(called.substr(called.size() - digits));
+  if (!number || *number < 1 || *number > lines.count) return core::ReleaseCause::kUnallocated;
+  Line& line = lines_[static_cast<std::size_t>(*number)];
+  if (line.state != State::kIdle) return core::ReleaseCause::kUserBusy;
+  ++counters_.rung;
+  line = Line{State::kRinging, true, call, true};
+  line_of_call_[call] = *number;
+  std::string body;
+  Writer writer(&body);
+  writer.Line("C", CallParameter(core_->own_number(), call)).Line("L", "p:20, a:PCMU").Line("M", "recvonly");
+  body += NextRequest();
+  writer.Line("R", "L/hd(N)").Line("S", "L/rg");
+  Send(*number, Verb::kCrcx, std::move(body), [this, call](const Answered& answered) {
+    if (answered.ok() || answered.ending == mgcp::Ending::kNoAnswer) return;
+    // 401: it went off hook in the same moment to dial; busy to the caller. Else the line is out of order.
+    const int at = LineOf(call);
+    if (at == 0) return;
+    Line& rung = lines_[static_cast<std::size_t>(at)];
+    Unbind(rung);
+    rung.state = State::kIdle;
+    rung.connected = false;
+    core_->OnRingReleased(call, answered.code() == mgcp::kAlreadyOffHook ? core::ReleaseCause::kUserBusy
+                                                                          : core::ReleaseCause::kNoAnswer);
+  });
+  return core::ReleaseCause::kNormal;
+}
+
+void LineFront::StopRinging(CallId call, core::ReleaseCause) {
+  const int number = LineOf(call);
+  if (number == 0) return;
+  Line& line = lines_[static_cast<std::size_t>(number)];
+  const bool ringing = line.state == State::kRinging;
+  Unbind(line);
+  line.state = ringing ? State::kIdle : State::kTone;
+  Disconnect(number, line, ringing, "");
+}
+
+void LineFront::OnRestart(const mgcp::Message& message) {
+  ++counters_.restarts;
+  const auto method = message.Get("RM");
+  if (mgcp::EqualsIgnoringCase(method, "graceful") || mgcp::EqualsIgnoringCase(method, "cancel-graceful")) return;
+  if (!mgcp::EqualsIgnoringCase(method, "disconnected")) {
+    for (std::size_t i = 1; i < lines_.size(); ++i) {
+      if (!mgcp::EndpointMatches(message.endpoint.local, std::string(wire_names::kLines) + std::to_string(i)))
+        continue;
+      lines_[i].connected = false;  // the gateway has forgotten it
+      if (lines_[i].state != State::kIdle) OnHook(static_cast<int>(i), lines_[i]);
+    }
+  }
+  if (!mgcp::EqualsIgnoringCase(method, "forced")) ArmIdle(message.endpoint.local);
+  if (mgcp::EqualsIgnoringCase(method, "disconnected")) AuditCalls(message.endpoint.local);
+}
+
+// What happened while the gateway was cut off was not told: lines with a call are asked whether they are on hook.
+void LineFront::AuditCalls(std::string_view pattern) {
+  const mgcp::Transactions::Cork cork(transactions_);
+  for (std::size_t i = 1; i < lines_.size(); ++i) {
+    if (lines_[i].state == State::kIdle) continue;
+    if (!mgcp::EndpointMatches(pattern, std::string(wire_names::kLines) + std::to_string(i))) continue;
+    const int number = static_cast<int>(i);
+    Send(number, Verb::kAuep, "F: I, ES\r\n", [this, number, call = lines_[i].call](const Answered& answered) {
+      Line& line = lines_[static_cast<std::size_t>(number)];
+      const bool same = line.state != State::kIdle && line.call == call;
+      if (!same || !answered.ok() || line.state == State::kRinging) return;
+      if (mgcp::EqualsIgnoringCase(answered.message->Get("ES"), "L/hu")) OnHook(number, line);
+    });
+  }
+}
+
+}  // namespace croftrun::edge
--- /dev/null
+++ b/src/edge/line_front.h
@@ -0,0 +1,86 @@
+// The MGCP front for lines: off hook, digits, final signal, on hook; and ringing a line of this exchange.
+//
+//   state       the line                                        leaves it by
+//   kIdle       is on hook and armed for off-hook and digits    dialled, or rung
+//   kCalling    has a call without a final answer               final answer, or on hook
+//   kTalking    has a standing call                             either side hangs up, or it is cut
+//   kTone       hears why there is no call any more             on hook
+//   kRinging    is rung                                         off hook, or the caller gives up
+#ifndef CROFTRUN_EDGE_LINE_FRONT_H_
+#define CROFTRUN_EDGE_LINE_FRONT_H_
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/call_core.h"
+#include "edge/edge_settings.h"
+#include "mgcp/transactions.h"
+
+namespace croftrun::edge {
+
+class LineFront final : public core::Subscriber, public core::Terminator {
+ public:
+  struct Counters {
+    std::uint64_t dialled = 0, unallocated = 0, rung = 0, ignored_events = 0, restarts = 0;
+  };
+
+  LineFront(const EdgeSettings& settings, core::Runtime* runtime, core::CallCore* core,
+            mgcp::Transactions* transactions);
+
+  // Clears what a former life left and arms all lines; repeated until the gateway answers.
+  void Start();
+  void OnNotify(mgcp::Transactions::CommandId command, const mgcp::Message& message);
+  // A restart in progress of lines matching the endpoint of the message.
+  void OnRestart(const mgcp::Message& message);
+
+  void OnFinal(CallId call, const core::FinalAnswer& answer) override;
+  void OnEnded(CallId call, core::ReleaseCause cause) override;
+  core::ReleaseCause Ring(CallId call, const core::Offer& offer) override;
+  void StopRinging(CallId call, core::ReleaseCause cause) override;
+
+  const Counters& counters() const { return counters_; }
+
+ private:
+  enum class State : std::uint8_t { kIdle, kCalling, kTalking, kTone, kRinging };
+  struct Line {
+    State state = State::kIdle;
+    bool called = false;  // it was rung, not dialled
+    CallId call = 0;
+    bool connected = false;
+  };
+
+  void ArmAll();
+  void ArmIdle(std::string_view pattern);
+  void AuditCalls(std::string_view pattern);
+  void OnHook(int number, Line& line);
+  void Dial(int number, Line& line, const std::string& digits, const mgcp::Message& message);
+  void Tone(int number, Line& line, std::string_view signal, std::string_view answer, TimeUs pause_us);
+  void Disconnect(int number, Line& line, bool rearm, std::string_view signal);
+  void Unbind(Line& line);
+  void Send(int number, mgcp::Verb verb, std::string body, mgcp::Transactions::OnAnswer on_answer = {});
+  std::string RequestIdle();
+  std::string RequestOnHook();
+  std::string NextRequest();
+  int LineOf(CallId call) const;
+
+  const EdgeSettings& settings_;
+  core::Runtime* runtime_;
+  core::CallCore* core_;
+  mgcp::Transactions* transactions_;
+  std::vector<Line> lines_;  // by endpoint number, from 1; [0] unused
+  std::unordered_map<CallId, int> line_of_call_;
+  // Set while a line's call is being taken: its final answer can come before its id is known.
+  int dialling_ = 0;
+  std::uint32_t next_request_ = 1;
+  core::Timer retry_;
+  Counters counters_;
+};
+
+// The `C:` parameter of a call: unique over edges by the exchange's number.
+std::string CallParameter(int own_number, CallId call);
+
+}  // namespace croftrun::edge
+
+#endif  // CROFTRUN_EDGE_LINE_FRONT_H_
--- /dev/null
+++ b/src/lab/gateway.cpp
@@ -0,0 +1,396 @@
+#include "lab/gateway.h"
+
+#include <utility>
+
+#include "edge/wire_names.h"
+#include "lab/numbering.h"
+
+namespace croftrun::lab {
+namespace {
+
+using mgcp::Verb;
+using mgcp::Writer;
+
+// The signal of that name among those of an `S:` line.
+const mgcp::EventRef* FindEvent(const std::optional<std::vector<mgcp::EventRef>>& events, std::string_view package,
+                                std::string_view name) {
+  if (!events) return nullptr;
+  for (const mgcp::EventRef& event : *events) {
+    if (mgcp::EqualsIgnoringCase(event.package, package) && mgcp::EqualsIgnoringCase(event.name, name)) return &event;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+Gateway::Gateway(const GatewaySettings& settings, core::Runtime* runtime, Network* network, OnHeard on_heard)
+    : settings_(settings),
+      runtime_(runtime),
+      network_(network),
+      on_heard_(std::move(on_heard)),
+      lines_(static_cast<std::size_t>(settings.lines) + 1),
+      transactions_(runtime, settings.address, settings.transactions,
+                    [this](auto id, const auto&, const auto& message) { OnCommand(id, message); }) {
+  network_->SetUser(settings_.number, this);
+}
+
+std::string Gateway::NewConnection() {
+  std::string hex(8, '0');
+  std::uint32_t value = next_connection_++;
+  for (std::size_t i = 8; i-- > 0; value >>= 4U) hex[i] = "0123456789ABCDEF"[value & 15U];
+  return hex;
+}
+
+// ---- people ----
+
+bool Gateway::LineIdle(int number) const {
+  const Line& line = lines_[static_cast<std::size_t>(number)];
+  return !line.in_use && !line.off_hook && !line.ringing && line.connection.empty();
+}
+
+bool Gateway::Dial(int number, const std::string& digits, TimeUs patience_us) {
+  Line& line = lines_[static_cast<std::size_t>(number)];
+  if (!LineIdle(number)) return false;
+  line.in_use = true;
+  line.off_hook = true;
+  line.to_dial = digits;
+  line.patience_us = patience_us;
+  line.use = next_use_++;
+  TryDial(number, line);
+  return true;
+}
+
+void Gateway::TryDial(int number, Line& line) {
+  if (line.to_dial.empty() || !line.wants_off_hook || !line.digit_map) return;
+  // Digits are collected until the map is complete, or the person stops dialling.
+  const std::string digits = std::exchange(line.to_dial, {});
+  if (line.digit_map->Check(digits, true) == mgcp::DigitMap::Match::kNo) return;
+  line.wants_off_hook = false;
+  std::string events = "L/hd";
+  for (const char digit : digits) events += std::string(", D/") + digit;
+  std::string patience;
+  Writer(&patience).Line(wire_names::kPatience, std::to_string(line.patience_us / 1000));
+  NotifyLine(number, line, events, patience);
+}
+
+void Gateway::HangUp(int number) {
+  Line& line = lines_[static_cast<std::size_t>(number)];
+  if (!line.off_hook) return;
+  line.off_hook = false;
+  line.in_use = false;
+  line.to_dial.clear();
+  line.wants_on_hook = false;
+  NotifyLine(number, line, "L/hu");
+}
+
+void Gateway::Notify(std::string endpoint, std::string body) {
+  if (faults_.deaf) return;
+  auto& waiting = notifications_[endpoint];
+  waiting.push_back(std::move(body));
+  if (waiting.size() > 1) return;
+  SendFirst(endpoint);
+}
+
+void Gateway::SendFirst(const std::string& endpoint) {
+  transactions_.Send(settings_.agent, {Verb::kNtfy, endpoint, notifications_[endpoint].front(),
+                                       [this, endpoint](const mgcp::Answered&) {
+                                         auto& waiting = notifications_[endpoint];
+                                         waiting.pop_front();
+                                         if (!waiting.empty()) return SendFirst(endpoint);
+                                         notifications_.erase(endpoint);
+                                       }});
+}
+
+void Gateway::NotifyLine(int number, const Line& line, std::string_view events, std::string_view more) {
+  std::string body;
+  Writer(&body).Line("X", line.request.empty() ? "0" : line.request).Line("O", events);
+  Notify(wire_names::Line(number, settings_.domain), body + std::string(more));
+}
+
+void Gateway::NotifyCircuit(const CircuitId& circuit, std::string_view event, std::string more) {
+  const Trunk& trunk = trunks_[circuit];
+  std::string body;
+  Writer(&body).Line("X", trunk.request.empty() ? "0" : trunk.request).Line("O", event);
+  Notify(wire_names::Circuit(circuit.far, circuit.circuit, settings_.domain), body + more);
+}
+
+// ---- commands ----
+
+void Gateway::OnCommand(mgcp::Transactions::CommandId id, const mgcp::Message& message) {
+  if (faults_.deaf) return;
+  if (faults_.error_code != 0) return transactions_.Respond(id, faults_.error_code, {}, "as told");
+  if (!mgcp::EqualsIgnoringCase(message.endpoint.domain, settings_.domain))
+    return transactions_.Respond(id, mgcp::kUnknownEndpoint);
+  const std::string_view local = message.endpoint.local;
+  if (local.substr(0, wire_names::kFar.size()) == wire_names::kFar) {
+    const auto far = wire_names::Number<int>(local.substr(wire_names::kFar.size()));
+    if (message.verb != Verb::kAuep || !far || *far < 0 || *far >= static_cast<int>(network_->size()))
+      return transactions_.Respond(id, mgcp::kUnknownEndpoint);
+    return network_->Probe(settings_.number, *far, [this, alive = alive_, id](const std::vector<double>& load) {
+      if (!*alive) return;
+      std::string list, body;
+      for (const double figure : load) list += (list.empty() ? "" : ",") + std::to_string(figure);
+      Writer(&body).Line(wire_names::kLoad, list);
+      transactions_.Respond(id, mgcp::kOk, body);
+    });
+  }
+  if (const auto circuit = wire_names::ParseCircuit(local)) {
+    if (circuit->circuit >= network_->Circuits(settings_.number, circuit->group))
+      return transactions_.Respond(id, mgcp::kUnknownEndpoint);
+    return OnCircuitCommand(id, message, {circuit->group, circuit->circuit});
+  }
+  if (const auto line = wire_names::ParseLine(local); line && *line >= 1 && *line <= settings_.lines)
+    return OnLineCommand(id, message, *line);
+  if (local == std::string(wire_names::kLines) + "*" && (message.verb == Verb::kRqnt || message.verb == Verb::kDlcx)) {
+    for (std::size_t i = 1; i < lines_.size(); ++i) {
+      if (message.verb == Verb::kDlcx) {
+        lines_[i].connection.clear();
+      } else {
+        ApplyRequest(message, lines_[i]);
+        TryDial(static_cast<int>(i), lines_[i]);
+      }
+    }
+    return transactions_.Respond(id, message.verb == Verb::kDlcx ? mgcp::kDeleted : mgcp::kOk);
+  }
+  transactions_.Respond(id, mgcp::kUnknownEndpoint, {}, "no such endpoint");
+}
+
+void Gateway::ApplyRequest(const mgcp::Message& message, Line& line) {
+  if (const mgcp::Parameter* request = message.Find("X")) line.request = request->value;
+  const mgcp::Parameter* wanted = message.Find("R");
+  if (wanted == nullptr) return;
+  line.wants_off_hook = line.wants_on_hook = false;
+  const auto events = mgcp::ParseEventList(wanted->value);
+  if (!events) return;
+  for (const mgcp::EventRef& event : *events) {
+    if (mgcp::EqualsIgnoringCase(event.name, "hu")) line.wants_on_hook = true;
+    if (!mgcp::EqualsIgnoringCase(event.name, "hd")) continue;
+    line.wants_off_hook = true;
+    // L/hd(E(R(...),D((map)),S(...))): what is asked once the line is off hook.
+    const auto embedded = mgcp::Argument(event.parameters, "E");
+    line.digit_map = mgcp::DigitMap::Parse(mgcp::Argument(embedded, "D"));
+  }
+}
+
+void Gateway::ApplySignals(const mgcp::Message& message, int number, Line& line) {
+  const auto signals = mgcp::ParseEventList(message.Get("S"));
+  if (!signals || !line.in_use) return;
+  const bool refused = message.Get(wire_names::kAnswer) == "refused";
+  for (const mgcp::EventRef& signal : *signals) {
+    const bool tone = mgcp::EqualsIgnoringCase(signal.name, "cg") || mgcp::EqualsIgnoringCase(signal.name, "ro") ||
+                      mgcp::EqualsIgnoringCase(signal.name, "bz");
+    if (!tone || message.Find(wire_names::kAnswer) == nullptr) continue;
+    const auto pause = wire_names::Number<std::uint32_t>(message.Get(wire_names::kPause)).value_or(0);
+    const bool busy = mgcp::EqualsIgnoringCase(signal.name, "bz");
+    on_heard_(number, refused ? Heard::kRefused : busy ? Heard::kBusy : Heard::kFailed, TimeUs{pause} * 1000);
+    return;
+  }
+}
+
+void Gateway::OnLineCommand(mgcp::Transactions::CommandId id, const mgcp::Message& message, int number) {
+  Line& line = lines_[static_cast<std::size_t>(number)];
+  const auto signals = mgcp::ParseEventList(message.Get("S"));
+  std::string body;
+  switch (message.verb) {
+    case Verb::kCrcx: {
+      const bool ring = FindEvent(signals, "L", "rg") != nullptr;
+      if (ring && line.off_hook) return transactions_.Respond(id, mgcp::kAlreadyOffHook, {}, "phone off hook");
+      if (!ring && !line.off_hook) return transactions_.Respond(id, mgcp::kAlreadyOnHook, {}, "phone on hook");
+      ApplyRequest(message, line);
+      line.connection = NewConnection();
+      Writer(&body).Line("I", line.connection).Session(SessionFor(settings_.address, line.connection));
+      transactions_.Respond(id, mgcp::kOk, body);
+      if (!ring) {
+        if (line.in_use) on_heard_(number, Heard::kAnswered, 0);
+        return;
+      }
+      line.ringing = true;
+      line.use = next_use_++;
+      runtime_->StartTimer(settings_.ring_us, [this, alive = alive_, number, use = line.use] {
+        if (!*alive) return;
+        Line& rung = lines_[static_cast<std::size_t>(number)];
+        if (rung.use != use || !rung.ringing) return;
+        rung.ringing = false;
+        rung.off_hook = true;
+        NotifyLine(number, rung, "L/hd");
+      });
+      return;
+    }
+    case Verb::kMdcx:
+    case Verb::kRqnt: {
+      // A tone for a phone that is on hook: nobody would hear it.
+      if (message.verb == Verb::kRqnt && message.Find(wire_names::kAnswer) != nullptr && !line.off_hook)
+        return transactions_.Respond(id, mgcp::kAlreadyOnHook, {}, "phone on hook");
+      ApplyRequest(message, line);
+      transactions_.Respond(id, mgcp::kOk);
+      ApplySignals(message, number, line);
+      return TryDial(number, line);
+    }
+    case Verb::kDlcx: {
+      ApplyRequest(message, line);
+      const bool had = !std::exchange(line.connection, {}).empty();
+      Writer(&body).Line("P", "PS=0, OS=0, PR=0, OR=0, PL=0, JI=0, LA=0");
+      transactions_.Respond(id, mgcp::kDeleted, body);
+      line.ringing = false;
+      if (had && line.off_hook) {
+        // The far side hung up: so does the person, a caller through the laboratory, a called one by itself.
+        if (line.in_use) {
+          on_heard_(number, Heard::kEnded, 0);
+        } else {
+          HangUp(number);
+        }
+      }
+      return TryDial(number, line);
+    }
+    case Verb::kAuep:
+      Writer(&body).Line("I", line.connection).Line("ES", line.off_hook ? "L/hd" : "L/hu");
+      return transactions_.Respond(id, mgcp::kOk, body);
+    default:
+      return transactions_.Respond(id, mgcp::kUnsupportedCommand);
+  }
+}
+
+std::string Gateway::CircuitState(const CircuitId& circuit) const {
+  std::string body;
+  Writer(&body).Line(wire_names::kState, network_->State(settings_.number, circuit));
+  return body;
+}
+
+void Gateway::OnCircuitCommand(mgcp::Transactions::CommandId id, const mgcp::Message& message,
+                               const CircuitId& circuit) {
+  Trunk& trunk = trunks_[circuit];
+  const auto signals = mgcp::ParseEventList(message.Get("S"));
+  std::string body;
+  switch (message.verb) {
+    case Verb::kCrcx: {
+      if (const auto* sup = FindEvent(signals, "MS", "sup")) return SeizeFor(id, message, circuit, sup->parameters);
+      const bool answers = FindEvent(signals, "MS", "ans") != nullptr;
+      const bool idle = network_->Idle(settings_.number, circuit);
+      if (answers ? idle : !idle) return transactions_.Respond(id, mgcp::kGlare, CircuitState(circuit), "in use");
+      trunk.request = message.Get("X");
+      trunk.call = message.Get("C");
+      trunk.connection = NewConnection();
+      Writer(&body).Line("I", trunk.connection).Session(SessionFor(settings_.address, trunk.connection));
+      transactions_.Respond(id, mgcp::kOk, body);
+      if (answers) network_->Answer(settings_.number, circuit);
+      return;
+    }
+    case Verb::kMdcx:
+    case Verb::kRqnt:
+      if (const auto* request = message.Find("X")) trunk.request = request->value;
+      return transactions_.Respond(id, mgcp::kOk, CircuitState(circuit));
+    case Verb::kDlcx: {
+      const auto* rel = FindEvent(signals, "MS", "rel");
+      ReleaseNews news;
+      if (rel != nullptr) news.cause = wire_names::Number<int>(rel->parameters).value_or(41);
+      news.at = wire_names::Number<int>(message.Get(wire_names::kAt)).value_or(settings_.number);
+      news.wait_us = TimeUs{wire_names::Number<std::uint32_t>(message.Get(wire_names::kWait)).value_or(0)} * 1000;
+      if (const auto* request = message.Find("X")) trunk.request = request->value;
+      trunk.connection.clear();
+      trunk.call.clear();
+      network_->Release(settings_.number, circuit, news);
+      body = CircuitState(circuit);
+      Writer(&body).Line("P", "PS=0, OS=0, PR=0, OR=0, PL=0, JI=0, LA=0");
+      return transactions_.Respond(id, mgcp::kDeleted, body);
+    }
+    case Verb::kAuep:
+      body = CircuitState(circuit);
+      Writer(&body).Line("I", trunk.connection);
+      return transactions_.Respond(id, mgcp::kOk, body);
+    default:
+      return transactions_.Respond(id, mgcp::kUnsupportedCommand);
+  }
+}
+
+void Gateway::SeizeFor(mgcp::Transactions::CommandId id, const mgcp::Message& message, const CircuitId& circuit,
+                       std::string_view sup) {
+  if (!network_->At(settings_.number).alive)
+    return transactions_.Respond(id, mgcp::kNoResourcesNow, CircuitState(circuit), "own processor out of service");
+  SetUpInfo info;
+  info.called = mgcp::Argument(sup, "addr");
+  info.calling = mgcp::Argument(sup, "id");
+  info.call_class = message.Get(wire_names::kClass);
+  info.origin = wire_names::Number<int>(message.Get(wire_names::kOrigin)).value_or(-1);
+  info.patience_us = TimeUs{wire_names::Number<std::uint32_t>(message.Get(wire_names::kPatience)).value_or(0)} * 1000;
+  info.destination = ExchangeOf(info.called);
+  if (const auto others = mgcp::SplitTopLevel(message.Get(wire_names::kCircuitList))) {
+    for (const std::string_view other : *others) {
+      if (const auto number = wire_names::Number<unsigned>(other)) info.others.push_back(*number);
+    }
+  }
+  Trunk& trunk = trunks_[circuit];
+  const bool silent = faults_.silent_after_ack;
+  if (!network_->Idle(settings_.number, circuit) || (!silent && !network_->Seize(settings_.number, circuit, info)))
+    return transactions_.Respond(id, mgcp::kGlare, CircuitState(circuit), "in use");
+  trunk.request = message.Get("X");
+  trunk.call = message.Get("C");
+  trunk.connection = NewConnection();
+  std::string body;
+  Writer(&body).Line("I", trunk.connection).Session(SessionFor(settings_.address, trunk.connection));
+  transactions_.Respond(id, mgcp::kOk, body);
+}
+
+void Gateway::Restart(std::string_view method, std::string_view endpoints) {
+  const bool gone = method != "graceful" && method != "disconnected";
+  for (std::size_t i = 1; gone && i < lines_.size(); ++i) {
+    if (!mgcp::EndpointMatches(endpoints, std::string(wire_names::kLines) + std::to_string(i))) continue;
+    Line& line = lines_[i];
+    const bool heard = line.in_use && line.off_hook;
+    line.connection.clear();
+    line.ringing = false;
+    line.wants_off_hook = line.wants_on_hook = false;
+    line.off_hook = false;
+    if (std::exchange(line.in_use, false) && heard) on_heard_(static_cast<int>(i), Heard::kEnded, 0);
+  }
+  for (auto& [circuit, trunk] : trunks_) {
+    if (!gone) break;
+    const std::string name = wire_names::Circuit(circuit.far, circuit.circuit, settings_.domain);
+    if (!mgcp::EndpointMatches(endpoints, std::string_view(name).substr(0, name.rfind('@')))) continue;
+    trunk = {};
+    network_->Release(settings_.number, circuit, {41, settings_.number, 0, {}});
+  }
+  std::string body;
+  Writer(&body).Line("RM", method);
+  transactions_.Send(settings_.agent, {Verb::kRsip, std::string(endpoints) + "@" + settings_.domain, body, {}});
+}
+
+// ---- circuits ----
+
+void Gateway::OnSeizure(const CircuitId& circuit, const SetUpInfo& info) {
+  std::string more;
+  Writer writer(&more);
+  writer.Line(wire_names::kOrigin, std::to_string(info.origin)).Line(wire_names::kClass, info.call_class);
+  writer.Line(wire_names::kPatience, std::to_string(info.patience_us / 1000));
+  std::string others;
+  for (const unsigned other : info.others) others += (others.empty() ? "" : ",") + std::to_string(other);
+  if (!others.empty()) writer.Line(wire_names::kCircuitList, others);
+  trunks_[circuit].request.clear();
+  NotifyCircuit(circuit, "MS/sup(addr(" + info.called + "),id(" + info.calling + "))", more);
+}
+
+void Gateway::OnAnswer(const CircuitId& circuit) {
+  if (faults_.notify_late_us == 0) return NotifyCircuit(circuit, "MS/ans");
+  // The request id is the one of now: what comes late must be seen to be of an attempt long over.
+  const std::string request = trunks_[circuit].request;
+  runtime_->StartTimer(faults_.notify_late_us, [this, alive = alive_, circuit, request] {
+    if (!*alive) return;
+    std::string body;
+    Writer(&body).Line("X", request).Line("O", "MS/ans");
+    Notify(wire_names::Circuit(circuit.far, circuit.circuit, settings_.domain), body);
+  });
+}
+
+void Gateway::OnRelease(const CircuitId& circuit, const ReleaseNews& news) {
+  std::string more;
+  Writer writer(&more);
+  if (news.at >= 0) writer.Line(wire_names::kAt, std::to_string(news.at));
+  if (news.wait_us > 0) writer.Line(wire_names::kWait, std::to_string(news.wait_us / 1000));
+  std::string list;
+  for (const double figure : news.load) list += (list.empty() ? "" : ",") + std::to_string(figure);
+  if (!list.empty()) writer.Line(wire_names::kLoad, list);
+  NotifyCircuit(circuit, "MS/rel(" + std::to_string(news.cause) + ")", more);
+}
+
+void Gateway::OnReleaseComplete(const CircuitId& circuit) { NotifyCircuit(circuit, "MS/rlc"); }
+
+}  // namespace croftrun::lab
--- /dev/null
+++ b/src/lab/scenario.h
@@ -0,0 +1,82 @@
+// A day of the laboratory, as schemas/scenario.schema.json has it.
+#ifndef CROFTRUN_LAB_SCENARIO_H_
+#define CROFTRUN_LAB_SCENARIO_H_
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "config/json_settings.h"
+#include "lab/network.h"
+
+namespace croftrun::lab {
+
+struct Fault {
+  TimeUs at_us = 0;
+  TimeUs for_us = 0;  // 0: to the end
+  std::string kind;
+  std::vector<int> exchanges;
+  double size = 0.0;
+  int zone = 0;
+  int lines = 4;
+  double loss = 0.0, doubled = 0.0, late = 0.0;
+  TimeUs late_us = 0;
+  std::string method = "restart";
+  std::string endpoints = "*";
+};
+
+struct TrafficClass {
+  std::string name;
+  double share = 1.0;
+  TimeUs aim_us = 1'500'000, give_up_us = 9'000'000;
+  double worth = 1.0, late_worth = 0.0;
+  int width = 1;
+  TimeUs holding_us = 10'000'000;
+};
+
+struct Scenario {
+  std::string name = "day";
+  std::uint64_t seed = 1;
+  TimeUs length_us = 10'000'000;
+  TimeUs settle_us = 10'000'000;
+  int exchanges = 2, edges = 1, zones = 1;
+  unsigned circuits = 30;
+  std::vector<std::pair<int, int>> unlinked;
+  int lines = 200;
+  TimeUs near_us = 200, far_us = 8'000;
+  TimeUs roster_lag_us = 1'000'000;
+  int octet = 10;
+  std::size_t most_calls = 20'000;
+  ProcessorSettings processor;
+  TimeUs release_us = 300'000, drain_grace_us = 500'000;
+  int most_attempts = 4;
+  bool may_probe = false, honours_pause = false;
+  TimeUs longest_pause_us = 2'000'000;
+  double calls_per_s = 10.0;
+  std::vector<TrafficClass> classes;
+  std::pair<double, double> try_share = {0.34, 0.4};
+  int redials = 2;
+  std::pair<TimeUs, TimeUs> redial_us = {200'000, 800'000};
+  double early_hang_up = 0.0;
+  std::vector<Fault> faults;
+};
+
+std::string_view ScenarioSchema();
+Scenario ParseScenario(std::string_view text, std::vector<config::Mistake>* mistakes);
+
+core::Address EdgeAddress(const Scenario& scenario, int number);
+core::Address GatewayAddress(const Scenario& scenario, int number);
+core::Address RosterAddress(const Scenario& scenario);
+std::string DomainOf(int number);
+// The settings of the edge of exchange `number`, as JSON.
+std::string EdgeSettingsFor(const Scenario& scenario, int number, const std::string& log_file);
+
+// A day file of the users' bench as a scenario for one machine; a converted figure keeps its meaning, not its size:
+// at most `most_edges` exchanges and `most_calls_per_s`. What has no counterpart here is listed in `*left_out`.
+std::string ConvertDay(std::string_view day_json, int most_edges, double most_calls_per_s,
+                       std::vector<std::string>* left_out, std::vector<config::Mistake>* mistakes);
+
+}  // namespace croftrun::lab
+
+#endif  // CROFTRUN_LAB_SCENARIO_H_
--- /dev/null
+++ b/src/mgcp/transactions.cpp
@@ -0,0 +1,289 @@
+#include "mgcp/transactions.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace croftrun::mgcp {
+namespace {
+
+// Gains of the smoothed round trip and its deviation (RFC 3435 3.5.3 refers to TCP's: 1/8 and 1/4).
+constexpr double kMeanGain = 0.125, kDeviationGain = 0.25;
+// Acknowledgements carried in one command; more wait for the next.
+constexpr std::size_t kMostAcknowledged = 24;
+// A datagram of piggybacked commands is closed at this size, so that it crosses any link whole.
+constexpr std::size_t kPiggybackBytes = 1400;
+
+}  // namespace
+
+Transactions::Transactions(core::Runtime* runtime, const Address& local, const TransactionSettings& settings,
+                           OnCommand on_command)
+    : runtime_(runtime),
+      settings_(settings),
+      on_command_(std::move(on_command)),
+      // A restarted agent must not reuse the ids of its former life within T-HIST (RFC 3435 3.2.1.2).
+      next_transaction_(static_cast<std::uint32_t>(runtime->Random() % kLargestTransaction) + 1),
+      port_(runtime->OpenPort(local, this)) {}
+
+Transactions::~Transactions() {
+  for (auto& [id, pending] : pending_) runtime_->CancelTimer(pending.timer);
+}
+
+Transactions::Peer& Transactions::PeerAt(const Address& address) {
+  const auto found = peers_.find(address);
+  if (found != peers_.end()) return found->second;
+  // Estimates are only a help: beyond the bound all are learnt anew.
+  if (peers_.size() >= settings_.most_peers) peers_.clear();
+  return peers_[address];
+}
+
+TimeUs Transactions::TimeoutFor(const Address& to) const {
+  const auto found = peers_.find(to);
+  if (found == peers_.end() || found->second.mean_us <= 0.0) return settings_.first_timeout_us;
+  const double timeout = found->second.mean_us + 4.0 * found->second.deviation_us;
+  return std::clamp(static_cast<TimeUs>(timeout), settings_.least_timeout_us, settings_.longest_timeout_us);
+}
+
+void Transactions::Out(const Address& to, std::string_view text) {
+  if (corks_ == 0) return port_->Send(to, text);
+  for (auto& [peer, datagram] : gathered_) {
+    if (peer != to) continue;
+    if (datagram.size() + text.size() <= kPiggybackBytes) {
+      Writer(&datagram).Dot();
+      datagram += text;
+    } else {
+      port_->Send(to, datagram);
+      datagram = text;
+    }
+    return;
+  }
+  gathered_.emplace_back(to, text);
+}
+
+void Transactions::Flush() {
+  for (const auto& [peer, datagram] : gathered_) port_->Send(peer, datagram);
+  gathered_.clear();
+}
+
+std::uint32_t Transactions::Send(const Address& to, Outgoing command) {
+  if (pending_.size() >= settings_.most_pending) {
+    ++counters_.refused_full;
+    if (command.on_answer) command.on_answer({Ending::kTooMany, nullptr, to});
+    return 0;
+  }
+  do {
+    next_transaction_ = next_transaction_ % kLargestTransaction + 1;
+  } while (pending_.count(next_transaction_) > 0);
+  const std::uint32_t transaction = next_transaction_;
+
+  Pending pending;
+  pending.to = to;
+  pending.on_answer = std::move(command.on_answer);
+  pending.first_sent = runtime_->Now();
+  pending.timeout = TimeoutFor(to);
+  Writer writer(&pending.text);
+  writer.Command(command.verb, transaction, command.endpoint);
+  // What the peer has answered may be forgotten there (RFC 3435 3.2.2.16).
+  auto& acknowledge = PeerAt(to).to_acknowledge;
+  if (!acknowledge.empty()) {
+    const std::size_t count = std::min(acknowledge.size(), kMostAcknowledged);
+    std::string list;
+    for (std::size_t i = 0; i < count; ++i) {
+      if (!list.empty()) list += ',';
+      list += std::to_string(acknowledge[i]);
+    }
+    acknowledge.erase(acknowledge.begin(), acknowledge.begin() + static_cast<std::ptrdiff_t>(count));
+    writer.Line("K", list);
+  }
+  pending.text += command.body;
+  ++counters_.sent;
+  Arm(transaction, pending);
+  Out(to, pending.text);
+  pending_.emplace(transaction, std::move(pending));
+  return transaction;
+}
+
+void Transactions::StopRepeating(std::uint32_t transaction) {
+  const auto found = pending_.find(transaction);
+  if (found != pending_.end()) found->second.quiet = true;
+}
+
+void Transactions::Arm(std::uint32_t transaction, Pending& pending) {
+  // A tenth of chance keeps many senders from repeating in step.
+  const double spread = 1.0 + 0.1 * static_cast<double>(runtime_->Random() % 1000) / 1000.0;
+  const auto wait = static_cast<TimeUs>(static_cast<double>(pending.timeout) * spread);
+  pending.timer = runtime_->StartTimer(wait, [this, transaction] { Repeat(transaction); });
+}
+
+void Transactions::Repeat(std::uint32_t transaction) {
+  const auto found = pending_.find(transaction);
+  if (found == pending_.end()) return;
+  Pending& pending = found->second;
+  pending.timer = core::kNoTimer;
+  if (runtime_->Now() - pending.first_sent >= settings_.give_up_us) {
+    ++counters_.given_up;
+    return Finish(transaction, Ending::kNoAnswer, nullptr);
+  }
+  pending.timeout = std::min(pending.timeout * 2, settings_.longest_timeout_us);
+  if (!pending.quiet) {
+    pending.repeated = true;
+    ++counters_.repeated;
+    Out(pending.to, pending.text);
+  }
+  Arm(transaction, pending);
+}
+
+void Transactions::Finish(std::uint32_t transaction, Ending ending, const Message* message) {
+  const auto found = pending_.find(transaction);
+  if (found == pending_.end()) return;
+  runtime_->CancelTimer(found->second.timer);
+  const OnAnswer on_answer = std::move(found->second.on_answer);
+  const Address peer = found->second.to;
+  pending_.erase(found);  // before the callback: it may send, and may be the last use of this transaction
+  if (on_answer) on_answer({ending, message, peer});
+}
+
+void Transactions::OnDatagram(const Address& from, std::string_view bytes) {
+  const Cork cork(this);
+  for (const ParsedMessage& parsed : ParseDatagram(bytes)) {
+    if (const auto* error = std::get_if<ParseError>(&parsed)) {
+      OnMalformed(from, *error);
+    } else if (const auto& message = std::get<Message>(parsed); message.is_command) {
+      OnRequest(from, message);
+    } else {
+      OnResponse(from, message);
+    }
+  }
+}
+
+void Transactions::OnMalformed(const Address& from, const ParseError& error) {
+  ++counters_.malformed;
+  if (!error.was_command || !error.transaction) return;  // nobody to answer; an answer to an answer never ends
+  std::string text;
+  Writer(&text).Response(error.code, *error.transaction, error.Text());
+  Out(from, text);
+}
+
+void Transactions::OnResponse(const Address& from, const Message& message) {
+  if (message.code < 100) return;  // 000: an acknowledgement; the answer it names is forgotten by its age
+  const auto found = pending_.find(message.transaction);
+  // An answer from elsewhere is none: a gateway answers from the address it was asked at.
+  if (found == pending_.end() || found->second.to.host != from.host) {
+    ++counters_.unknown_responses;
+    return;
+  }
+  Pending& pending = found->second;
+  if (message.code < 200) {
+    pending.provisional = true;
+    pending.timeout = settings_.longest_timeout_us;
+    runtime_->CancelTimer(pending.timer);
+    Arm(message.transaction, pending);
+    return;
+  }
+  ++counters_.answered;
+  Peer& peer = PeerAt(pending.to);
+  // Karn: a repeated command's answer does not tell which copy it answers.
+  if (!pending.repeated && !pending.provisional) {
+    const auto sample = static_cast<double>(runtime_->Now() - pending.first_sent);
+    if (peer.mean_us <= 0.0) {
+      peer.mean_us = std::max(1.0, sample);
+      peer.deviation_us = sample / 2.0;
+    } else {
+      peer.deviation_us += kDeviationGain * (std::fabs(sample - peer.mean_us) - peer.deviation_us);
+      peer.mean_us += kMeanGain * (sample - peer.mean_us);
+    }
+  }
+  if (pending.provisional && message.Find("K") != nullptr) {
+    // The peer asks for the third leg of the handshake (RFC 3435 3.5.6).
+    std::string text;
+    Writer(&text).Response(kAckOfResponse, message.transaction);
+    Out(from, text);
+  } else if (peer.to_acknowledge.size() < 4 * kMostAcknowledged) {
+    peer.to_acknowledge.push_back(message.transaction);
+  }
+  Finish(message.transaction, Ending::kAnswered, &message);
+}
+
+void Transactions::OnRequest(const Address& from, const Message& message) {
+  const Key key{from, message.transaction};
+  ForgetOld();
+  if (const Parameter* acknowledged = message.Find("K")) ForgetAcknowledged(from, acknowledged->value);
+  if (const auto found = history_.find(key); found != history_.end()) {
+    ++counters_.received_again;
+    // Confirmed by the sender, so this copy was long on its way: dropped, and above all not carried out again.
+    if (found->second.confirmed) return;
+    if (!found->second.answer.empty()) {
+      Out(from, found->second.answer);
+    } else {
+      RespondProvisionally(found->second.id);
+    }
+    return;
+  }
+  if (history_.size() >= settings_.most_history) {
+    // Without a place to remember the answer, the command could be carried out twice: it is not carried out at all.
+    ++counters_.refused_full;
+    std::string text;
+    Writer(&text).Response(kOverload, message.transaction, "too many transactions");
+    Out(from, text);
+    return;
+  }
+  ++counters_.received;
+  const CommandId id = next_command_++;
+  history_[key].id = id;
+  open_.emplace(id, key);
+  on_command_(id, from, message);
+}
+
+void Transactions::Respond(CommandId command, int code, std::string_view body, std::string_view comment) {
+  const auto open = open_.find(command);
+  if (open == open_.end()) return;
+  const Key key = open->second;
+  open_.erase(open);
+  Received& received = history_[key];
+  Writer(&received.answer).Response(code, key.second, comment);
+  if (received.provisional) Writer(&received.answer).Line("K", "");
+  received.answer += body;
+  history_order_.push_back({runtime_->Now(), key, command});
+  Out(key.first, received.answer);
+}
+
+void Transactions::RespondProvisionally(CommandId command) {
+  const auto open = open_.find(command);
+  if (open == open_.end()) return;
+  history_[open->second].provisional = true;
+  std::string text;
+  Writer(&text).Response(kProvisional, open->second.second);
+  Out(open->second.first, text);
+}
+
+void Transactions::ForgetAcknowledged(const Address& from, std::string_view ranges) {
+  const auto items = SplitTopLevel(ranges);
+  if (!items) return;
+  for (const std::string_view item : *items) {
+    std::uint32_t first = 0;
+    const auto [end, error] = std::from_chars(item.data(), item.data() + item.size(), first);
+    if (error != std::errc()) continue;
+    std::uint32_t last = first;
+    if (end != item.data() + item.size() && *end == '-') std::from_chars(end + 1, item.data() + item.size(), last);
+    // A range is walked no further than answers could be remembered.
+    for (std::uint32_t id = first; id <= last && id - first < 1024; ++id) {
+      const auto found = history_.find({from, id});
+      if (found == history_.end() || found->second.answer.empty()) continue;
+      // The answer is not needed any more; that the command was carried out is, until its last copy has died.
+      found->second.confirmed = true;
+      std::string().swap(found->second.answer);
+    }
+  }
+}
+
+void Transactions::ForgetOld() {
+  const TimeUs now = runtime_->Now();
+  while (!history_order_.empty() && now - history_order_.front().answered_at > settings_.history_us) {
+    const Aged& oldest = history_order_.front();
+    const auto found = history_.find(oldest.key);
+    if (found != history_.end() && found->second.id == oldest.id) history_.erase(found);
+    history_order_.pop_front();
+  }
+}
+
+}  // namespace croftrun::mgcp
--- /dev/null
+++ b/src/runtime/asio_runtime.h
@@ -0,0 +1,59 @@
+// The Runtime on real sockets: Boost.Asio with C++20 coroutines.
+//
+// One io_context, one thread. Each port has one coroutine that receives, the timers have one that waits; each is
+// owned by its object and ends with it.
+#ifndef CROFTRUN_RUNTIME_ASIO_RUNTIME_H_
+#define CROFTRUN_RUNTIME_ASIO_RUNTIME_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+#include "core/runtime.h"
+
+namespace croftrun::runtime {
+
+struct PortCounters {
+  std::uint64_t received = 0, sent = 0, lost = 0;  // lost: the socket would not take it
+};
+
+class AsioRuntime final : public core::Runtime {
+ public:
+  AsioRuntime();
+  ~AsioRuntime() override;
+
+  TimeUs Now() const override;
+  core::TimerId StartTimer(TimeUs delay, std::function<void()> due) override;
+  void CancelTimer(core::TimerId timer) override;
+  std::unique_ptr<core::DatagramPort> OpenPort(const core::Address& local, core::DatagramSink* sink) override;
+  std::uint64_t Random() override { return random_(); }
+
+  // Runs until Stop; may be run again after it.
+  void Run();
+  void Stop() { context_.stop(); }
+  boost::asio::io_context& context() { return context_; }
+  const PortCounters& counters() const { return *counters_; }
+
+ private:
+  struct Waiting;
+  void Rearm();
+
+  boost::asio::io_context context_{1};
+  std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
+  std::map<std::pair<TimeUs, core::TimerId>, std::function<void()>> timers_;
+  std::unordered_map<core::TimerId, TimeUs> due_at_;
+  core::TimerId next_timer_ = 1;
+  std::shared_ptr<Waiting> waiting_;
+  std::mt19937_64 random_{std::random_device{}()};
+  std::shared_ptr<PortCounters> counters_ = std::make_shared<PortCounters>();
+};
+
+}  // namespace croftrun::runtime
+
+#endif  // CROFTRUN_RUNTIME_ASIO_RUNTIME_H_
--- /dev/null
+++ b/src/sim/virtual_runtime.h
@@ -0,0 +1,51 @@
+// Package sim: the Runtime on virtual time. Same seed, same run: nothing here reads a clock or a socket.
+//
+// Ports are delivered to by address after a fixed latency; whatever else a network does to datagrams is added by
+// whoever wraps this runtime.
+#ifndef CROFTRUN_SIM_VIRTUAL_RUNTIME_H_
+#define CROFTRUN_SIM_VIRTUAL_RUNTIME_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "core/runtime.h"
+
+namespace croftrun::sim {
+
+class VirtualRuntime final : public core::Runtime {
+ public:
+  explicit VirtualRuntime(std::uint64_t seed, TimeUs latency_us = 100) : random_(seed), latency_us_(latency_us) {}
+  ~VirtualRuntime() override;
+
+  TimeUs Now() const override { return now_; }
+  core::TimerId StartTimer(TimeUs delay, std::function<void()> due) override;
+  void CancelTimer(core::TimerId timer) override;
+  std::unique_ptr<core::DatagramPort> OpenPort(const core::Address& local, core::DatagramSink* sink) override;
+  std::uint64_t Random() override { return random_(); }
+
+  // Runs what falls due up to `until`, which becomes the present.
+  void RunUntil(TimeUs until);
+  void RunFor(TimeUs span) { RunUntil(now_ + span); }
+  // Runs the next thing due; false if there is none.
+  bool Step();
+  std::size_t timers() const { return timers_.size(); }
+
+ private:
+  class Port;
+  TimeUs now_ = 1'000'000;
+  std::map<std::pair<TimeUs, core::TimerId>, std::function<void()>> timers_;
+  std::unordered_map<core::TimerId, TimeUs> due_at_;
+  core::TimerId next_timer_ = 1;
+  std::map<core::Address, Port*> ports_;
+  std::mt19937_64 random_;
+  TimeUs latency_us_;
+};
+
+}  // namespace croftrun::sim
+
+#endif  // CROFTRUN_SIM_VIRTUAL_RUNTIME_H_
--- /dev/null
+++ b/tests/day_test.cpp
@@ -0,0 +1,126 @@
+// Whole days on virtual time: real edge code against the laboratory, the rules read off the traffic.
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "day_fixture.h"
+
+namespace croftrun {
+namespace {
+
+using nlohmann::json;
+
+json Base() {
+  return json::parse(R"({
+    "seed": 7, "length_ms": 10000, "settle_ms": 15000,
+    "fleet": {"exchanges": 4, "edges": 1, "zones": 2, "circuits": 20, "lines": 200, "far_us": 10000, "near_us": 1000,
+              "roster_lag_ms": 500},
+    "processor": {"set_up_us": 8000, "follow_us": 2000, "reject_us": 1000, "longest_wait_ms": 2000,
+                  "cold_from": 0.36, "warm_up_ms": 10000, "fall_multiple": 3, "fall_ms": 1000},
+    "rules": {"release_ms": 300, "drain_grace_ms": 500},
+    "traffic": {"calls_per_s": 10, "redials": 2,
+      "classes": [{"name": "slot-check", "share": 0.78, "aim_ms": 1500, "give_up_ms": 9000, "worth": 1,
+                   "late_worth": 0.1, "holding_ms": 3000},
+                  {"name": "slot-hold", "share": 0.22, "aim_ms": 1500, "give_up_ms": 9000, "worth": 2,
+                   "late_worth": 0.25, "holding_ms": 4000}]}})");
+}
+
+json With(json day, std::initializer_list<json> faults) {
+  for (const json& fault : faults) day["faults"].push_back(fault);
+  return day;
+}
+
+// What every day must show, whatever happened on it.
+void ExpectSound(PlayedDay& day) {
+  EXPECT_TRUE(day.rules.Kept()) << day.rules.Summary();
+  EXPECT_GT(day.rules.Finding(lab::Rule::kOneAnswer).checked, 20U);
+  EXPECT_EQ(day.report.fell_over, 0U);
+  for (int i = 0; i < day.scenario.edges; ++i) EXPECT_EQ(day.edges.At(i).core().counters().overdue, 0U);
+}
+
+// All quiet at the end: no call up, every circuit free again at the edge and in the network.
+void ExpectAllFree(PlayedDay& day) {
+  for (int i = 0; i < day.scenario.edges; ++i) {
+    EXPECT_EQ(day.edges.At(i).core().open_calls(), 0U) << "edge " << i;
+    EXPECT_EQ(day.edges.At(i).trunks().legs(), 0U) << "edge " << i;
+    for (int far = 0; far < day.scenario.exchanges; ++far) {
+      const core::CircuitGroup* group = day.edges.At(i).core().Group(far);
+      if (group == nullptr) continue;
+      EXPECT_EQ(group->Count(core::CircuitState::kIdle), group->size()) << "edge " << i << ", group to " << far;
+      for (unsigned circuit = 0; circuit < group->size(); ++circuit)
+        EXPECT_TRUE(day.day.network().Idle(i, {far, circuit})) << "exchange " << i << " to " << far << "/" << circuit;
+    }
+  }
+}
+
+TEST(Day, OnAQuietDayEveryCallStands) {
+  PlayedDay day(Base().dump());
+  day.Play();
+  ExpectSound(day);
+  ExpectAllFree(day);
+  EXPECT_GT(day.Offered(), 60U);
+  EXPECT_EQ(day.Answered(), day.Offered());
+  EXPECT_GT(day.report.service, 0.99);
+}
+
+TEST(Day, InAMeshOfThreeEdgesCallsStandAlsoInTransit) {
+  json day = Base();
+  day["fleet"]["exchanges"] = 3;
+  day["fleet"]["edges"] = 3;
+  day["fleet"]["unlinked"] = {{0, 2}};  // its calls can only go through exchange 1
+  day["traffic"]["calls_per_s"] = 9;
+  PlayedDay played(day.dump());
+  played.Play();
+  ExpectSound(played);
+  ExpectAllFree(played);
+  EXPECT_GT(played.rules.transit_taken(), 20U);
+  EXPECT_GT(played.report.service, 0.95);
+}
+
+// The kinds of trouble a bad day brings, each alone; rules and circuits must hold through all of them.
+struct Trouble {
+  const char* name;
+  json fault;
+};
+class DayWithTrouble : public testing::TestWithParam<Trouble> {};
+
+TEST_P(DayWithTrouble, KeepsTheRulesAndLosesNoCircuit) {
+  json day = With(Base(), {GetParam().fault});
+  day["fleet"]["exchanges"] = 3;
+  day["fleet"]["edges"] = 3;
+  day["fleet"]["circuits"] = 12;
+  day["traffic"]["calls_per_s"] = 24;
+  day["traffic"]["early_hang_up"] = 0.1;
+  PlayedDay played(day.dump());
+  played.Play();
+  ExpectSound(played);
+  ExpectAllFree(played);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, DayWithTrouble,
+    testing::Values(
+        Trouble{"Crash", {{"at_ms", 3000}, {"for_ms", 3000}, {"kind", "crash"}, {"exchanges", {1}}}},
+        Trouble{"Hang", {{"at_ms", 3000}, {"for_ms", 3000}, {"kind", "hang"}, {"exchanges", {1}}}},
+        Trouble{"Slow", {{"at_ms", 2000}, {"for_ms", 5000}, {"kind", "slow"}, {"size", 8}, {"exchanges", {1, 2}}}},
+        Trouble{"Pauses", {{"at_ms", 2000}, {"for_ms", 5000}, {"kind", "pause"}, {"size", 500}, {"exchanges", {0, 1}}}},
+        Trouble{"Drain", {{"at_ms", 3000}, {"for_ms", 3000}, {"kind", "drain"}, {"exchanges", {2}}}},
+        Trouble{"Replacement", {{"at_ms", 2000}, {"for_ms", 9000}, {"kind", "replace"}, {"exchanges", {0, 1, 2}}}},
+        Trouble{"LateRoster", {{"at_ms", 1000}, {"for_ms", 6000}, {"kind", "roster-late"}, {"size", 5000}}},
+        Trouble{"CircuitsLost", {{"at_ms", 3000}, {"for_ms", 4000}, {"kind", "circuits-lost"}, {"zone", 0}, {"size", 0.4}}},
+        Trouble{"HotCaller", {{"at_ms", 2000}, {"for_ms", 5000}, {"kind", "hot-caller"}, {"size", 3}, {"exchanges", {0}}}},
+        Trouble{"UnitRestart", {{"at_ms", 3000}, {"for_ms", 1500}, {"kind", "unit-restart"}, {"exchanges", {0, 1}}}},
+        Trouble{"EdgeKilled", {{"at_ms", 3000}, {"for_ms", 1000}, {"kind", "edge-kill"}, {"exchanges", {1}}}},
+        Trouble{"PathLoss", {{"at_ms", 1000}, {"for_ms", 8000}, {"kind", "path"}, {"loss", 0.1}}},
+        Trouble{"PathDoubled", {{"at_ms", 1000}, {"for_ms", 8000}, {"kind", "path"}, {"doubled", 0.5}}},
+        Trouble{"PathOvertaking", {{"at_ms", 1000}, {"for_ms", 8000}, {"kind", "path"}, {"late", 0.3}, {"late_ms", 80}}},
+        Trouble{"GatewaySilent", {{"at_ms", 3000}, {"for_ms", 3000}, {"kind", "gateway-silent"}, {"exchanges", {0}}}},
+        Trouble{"GatewayLate", {{"at_ms", 3000}, {"for_ms", 3000}, {"kind", "gateway-late"}, {"size", 4000}, {"exchanges", {0}}}},
+        Trouble{"GatewayErrors", {{"at_ms", 3000}, {"for_ms", 2000}, {"kind", "gateway-error"}, {"size", 502}, {"exchanges", {0}}}},
+        Trouble{"GatewayDeaf", {{"at_ms", 3000}, {"for_ms", 2000}, {"kind", "gateway-deaf"}, {"exchanges", {0}}}},
+        Trouble{"RestartStorm", {{"at_ms", 3000}, {"for_ms", 1000}, {"kind", "restart-storm"}, {"size", 20}, {"exchanges", {0}}}},
+        Trouble{"GatewayRestart", {{"at_ms", 3000}, {"kind", "gateway-restart"}, {"exchanges", {1}}}}),
+    [](const auto& trouble) { return std::string(trouble.param.name); });
+
+}  // namespace
+}  // namespace croftrun
