--- /dev/null
+++ b/src/cli/commands.cpp
@@ -0,0 +1,215 @@
+#include "cli/commands.h"
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+
+#include "edge/edge_settings.h"
+#include "lab/day.h"
+#include "lab/edge_processes.h"
+#include "lab/rules.h"
+#include "runtime/asio_runtime.h"
+
+namespace croftrun::cli {
+namespace {
+
+constexpr std::size_t kMostBytes = 64U << 20U;
+
+bool Fine(const std::vector<config::Mistake>& mistakes, const std::string& file) {
+  if (mistakes.empty()) return true;
+  std::cerr << file << ":\n" << config::ToString(mistakes);
+  return false;
+}
+
+nlohmann::json RulesJson(const lab::RuleChecker& rules) {
+  nlohmann::json json = {{"kept", rules.Kept()},
+                         {"calls_taken", rules.calls_taken()},
+                         {"transit_taken", rules.transit_taken()},
+                         {"fell_over", rules.fell_over()}};
+  for (std::size_t i = 0; i < lab::kRules; ++i) {
+    const auto rule = static_cast<lab::Rule>(i);
+    const lab::RuleFinding& finding = rules.Finding(rule);
+    json["rules"].push_back({{"rule", lab::Name(rule)},
+                             {"checked", finding.checked},
+                             {"broken", finding.broken},
+                             {"examples", finding.examples}});
+  }
+  return json;
+}
+
+nlohmann::json ReportJson(const lab::Scenario& scenario, const lab::DayReport& report) {
+  nlohmann::json json = {{"service", report.service},
+                         {"datagrams", report.datagrams},
+                         {"fell_over", report.fell_over},
+                         {"still_up", report.still_up},
+                         {"no_line", report.no_line}};
+  for (std::size_t i = 0; i < report.classes.size(); ++i) {
+    const lab::ClassOutcome& o = report.classes[i];
+    json["classes"].push_back({{"name", scenario.classes[i].name},
+                               {"offered", o.offered},
+                               {"tries", o.tries},
+                               {"in_time", o.in_time},
+                               {"late", o.late},
+                               {"refused", o.refused},
+                               {"failed", o.failed},
+                               {"hung_up", o.hung_up},
+                               {"unanswered", o.unanswered},
+                               {"cut", o.cut}});
+  }
+  const auto& delays = report.set_up_delays;
+  if (!delays.empty()) {
+    json["set_up_ms"] = {{"median", static_cast<double>(delays[delays.size() / 2]) / 1000.0},
+                         {"p99", static_cast<double>(delays[delays.size() * 99 / 100]) / 1000.0},
+                         {"most", static_cast<double>(delays.back()) / 1000.0}};
+  }
+  return json;
+}
+
+void PrintReport(const lab::Scenario& scenario, const lab::DayReport& report) {
+  std::printf("%-16s %8s %8s %8s %8s %8s %8s %8s %10s %6s\n", "class", "offered", "tries", "in time", "late",
+              "refused", "failed", "hung up", "unanswered", "cut");
+  for (std::size_t i = 0; i < report.classes.size(); ++i) {
+    const lab::ClassOutcome& o = report.classes[i];
+    const auto n = [](std::uint64_t value) { return static_cast<unsigned long long>(value); };
+    std::printf("%-16s %8llu %8llu %8llu %8llu %8llu %8llu %8llu %10llu %6llu\n", scenario.classes[i].name.c_str(),
+                n(o.offered), n(o.tries), n(o.in_time), n(o.late), n(o.refused), n(o.failed), n(o.hung_up),
+                n(o.unanswered), n(o.cut));
+  }
+  const auto& delays = report.set_up_delays;
+  if (!delays.empty())
+    std::printf("set-up delay: median %.1f ms, p99 %.1f ms\n", static_cast<double>(delays[delays.size() / 2]) / 1000.0,
+                static_cast<double>(delays[delays.size() * 99 / 100]) / 1000.0);
+  std::printf("service (worth in time and not cut, over worth offered): %.3f\n", report.service);
+}
+
+}  // namespace
+
+int RunDay(const LabRun& options) {
+  std::vector<config::Mistake> mistakes;
+  const std::string text = config::ReadFile(options.scenario, kMostBytes, &mistakes);
+  lab::Scenario scenario;
+  if (mistakes.empty()) scenario = lab::ParseScenario(text, &mistakes);
+  if (!Fine(mistakes, options.scenario)) return kBadInput;
+  std::filesystem::create_directories(options.folder);
+
+  runtime::AsioRuntime runtime;
+  lab::Trace trace(&runtime);
+  trace.WriteTo(options.folder + "/trace.jsonl");
+  if (options.capture) trace.CaptureTo(options.folder + "/capture.pcap");
+  lab::RuleChecker rules;
+  trace.SetSink([&](const lab::TraceRecord& record) { rules.Take(record); });
+  lab::EdgeProcesses edges(options.edge_program, options.folder);
+  lab::Day day(scenario, &runtime, &trace, &edges, options.folder);
+  const bool progress = !options.quiet && ::isatty(STDERR_FILENO) == 1;
+  core::Timer tick(&runtime);
+  const std::function<void()> show = [&] {
+    std::fprintf(stderr, "\r%s: %3.0f%%", scenario.name.c_str(), 100.0 * day.Progress());
+    tick.Start(500'000, show);
+  };
+  if (progress) show();
+  day.Begin([&] { runtime.Stop(); });
+  runtime.Run();
+  tick.Stop();
+  if (progress) std::fprintf(stderr, "\r%s: done \n", scenario.name.c_str());
+  rules.Finish();
+  const lab::DayReport report = day.Report();
+  const bool clean = edges.StopAll(5'000);
+
+  if (options.json) {
+    nlohmann::json json = {{"report", ReportJson(scenario, report)}, {"verdict", RulesJson(rules)},
+                           {"edges_exited_clean", clean}};
+    std::cout << json.dump(1) << "\n";
+  } else {
+    std::printf("%s: %d edges, %d exchanges, %.1f calls/s for %.0f s, %llu datagrams, %llu calls in transit\n",
+                scenario.name.c_str(), scenario.edges, scenario.exchanges, scenario.calls_per_s,
+                static_cast<double>(scenario.length_us) / 1e6, static_cast<unsigned long long>(report.datagrams),
+                static_cast<unsigned long long>(rules.transit_taken()));
+    std::printf("%s", rules.Summary().c_str());
+    PrintReport(scenario, report);
+    std::printf("edges stopped in order: %s\n", clean ? "yes" : "NO");
+    std::printf("trace, settings, logs and metrics in %s\n", options.folder.c_str());
+  }
+  return rules.Kept() && clean && report.fell_over == 0 ? kDone : kVerdictAgainst;
+}
+
+int CheckRules(const std::string& path, bool json) {
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << "cannot read " << path << "\n";
+    return kBadInput;
+  }
+  lab::RuleChecker rules;
+  std::string line;
+  for (std::size_t number = 1; std::getline(file, line); ++number) {
+    lab::TraceRecord record;
+    std::string error;
+    if (!lab::FromLine(line, &record, &error)) {
+      std::cerr << path << ":" << number << ": " << error << "\n";
+      return kBadInput;
+    }
+    rules.Take(record);
+  }
+  rules.Finish();
+  if (rules.edges() == 0) {
+    std::cerr << path << ": names no edge (a record of the fact \"day\" is missing), so nothing can be checked\n";
+    return kBadInput;
+  }
+  if (json) {
+    std::cout << RulesJson(rules).dump(1) << "\n";
+  } else {
+    std::cout << rules.Summary();
+  }
+  return rules.Kept() ? kDone : kVerdictAgainst;
+}
+
+int CheckConfig(const std::string& path, bool json) {
+  std::vector<config::Mistake> mistakes;
+  const std::string text = config::ReadFile(path, kMostBytes, &mistakes);
+  if (mistakes.empty()) edge::ParseEdgeSettings(text, &mistakes);
+  if (json) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& mistake : mistakes) list.push_back({{"path", mistake.path}, {"text", mistake.text}});
+    std::cout << nlohmann::json{{"file", path}, {"mistakes", list}}.dump(1) << "\n";
+  } else if (mistakes.empty()) {
+    std::cout << path << ": fine\n";
+  } else {
+    Fine(mistakes, path);
+  }
+  return mistakes.empty() ? kDone : kBadInput;
+}
+
+int ShowConfig(const std::string& path) {
+  std::vector<config::Mistake> mistakes;
+  const std::string text = config::ReadFile(path, kMostBytes, &mistakes);
+  edge::EdgeSettings settings;
+  if (mistakes.empty()) settings = edge::ParseEdgeSettings(text, &mistakes);
+  if (!Fine(mistakes, path)) return kBadInput;
+  std::cout << edge::ShowEdgeSettings(settings).dump(1) << "\n";
+  return kDone;
+}
+
+int ConvertDayFile(const std::string& path, const std::string& out, int most_edges, double most_calls_per_s) {
+  std::vector<config::Mistake> mistakes;
+  const std::string text = config::ReadFile(path, kMostBytes, &mistakes);
+  std::vector<std::string> left_out;
+  std::string scenario;
+  if (mistakes.empty()) scenario = lab::ConvertDay(text, most_edges, most_calls_per_s, &left_out, &mistakes);
+  if (mistakes.empty()) lab::ParseScenario(scenario, &mistakes);
+  if (!Fine(mistakes, path)) return kBadInput;
+  for (const std::string& what : left_out) std::cerr << "left out, without a counterpart here: " << what << "\n";
+  if (out.empty()) {
+    std::cout << scenario << "\n";
+    return kDone;
+  }
+  std::ofstream file(out);
+  file << scenario << "\n";
+  if (file.good()) return kDone;
+  std::cerr << "cannot write " << out << "\n";
+  return kCannotRun;
+}
+
+}  // namespace croftrun::cli
--- /dev/null
+++ b/src/cli/commands.h
@@ -0,0 +1,41 @@
+// The sub-commands of croftrun. Each returns the program's exit code.
+#ifndef CROFTRUN_CLI_COMMANDS_H_
+#define CROFTRUN_CLI_COMMANDS_H_
+
+#include <string>
+
+namespace croftrun::cli {
+
+enum ExitCode {
+  kDone = 0,
+  kVerdictAgainst = 1,  // it ran, and what it found is not good: a rule broken, an edge that died
+  kUsage = 2,
+  kBadInput = 3,  // a file that cannot be read or does not fit its schema
+  kCannotRun = 4,
+};
+
+struct LabRun {
+  std::string scenario, edge_program, folder;
+  bool capture = false, json = false, quiet = false;
+};
+int RunDay(const LabRun& options);
+
+struct LoadRun {
+  std::string edge_program, folder;
+  double calls_per_s = 1000.0;
+  int seconds = 5;
+  int hold_ms = 200;
+  int lines = 0;  // 0: what the rate needs
+  int edge_cpu = -1, own_cpu = -1;
+  bool json = false, echo = true;
+};
+int RunLoad(const LoadRun& options);
+
+int CheckRules(const std::string& trace, bool json);
+int CheckConfig(const std::string& file, bool json);
+int ShowConfig(const std::string& file);
+int ConvertDayFile(const std::string& day, const std::string& out, int most_edges, double most_calls_per_s);
+
+}  // namespace croftrun::cli
+
+#endif  // CROFTRUN_CLI_COMMANDS_H_
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,83 @@
+// croftrun: one command line for what surrounds the edge: the laboratory, the rules, settings and day files.
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <iostream>
+
+#include "cli/commands.h"
+
+int main(int argc, char** argv) {
+  using namespace croftrun::cli;
+  CLI::App app("croftrun: laboratory, rules and settings of the softswitch");
+  app.require_subcommand(1);
+  app.footer("Exit codes: 0 done, 1 the verdict is against it, 2 usage, 3 a file at fault, 4 could not run.");
+  bool json = false;
+  const std::string beside = (std::filesystem::path(argv[0]).parent_path() / "croftrun-edge").string();
+  int code = kDone;
+
+  CLI::App* lab = app.add_subcommand("lab", "Stand-ins on loopback addresses: days and load");
+  lab->require_subcommand(1);
+  LabRun run;
+  run.edge_program = beside;
+  run.folder = "lab-out";
+  CLI::App* run_command = lab->add_subcommand("run", "Plays a scenario against real edges and gives a verdict");
+  run_command->add_option("scenario", run.scenario, "JSON (schemas/scenario.schema.json)")->required();
+  run_command->add_option("--edge", run.edge_program, "The croftrun-edge to start")->capture_default_str();
+  run_command->add_option("--folder", run.folder, "For trace, settings, logs and metrics")->capture_default_str();
+  run_command->add_flag("--capture", run.capture, "Also write capture.pcap");
+  run_command->add_flag("--json", run.json, "The report as JSON");
+  run_command->add_flag("--quiet", run.quiet, "No progress");
+  run_command->callback([&] { code = RunDay(run); });
+
+  LoadRun load;
+  load.edge_program = beside;
+  load.folder = "lab-load";
+  CLI::App* load_command = lab->add_subcommand("load", "Loads one edge with calls and measures it beside a raw echo");
+  load_command->add_option("--edge", load.edge_program, "The croftrun-edge to start")->capture_default_str();
+  load_command->add_option("--folder", load.folder, "For settings and metrics")->capture_default_str();
+  load_command->add_option("--rate", load.calls_per_s, "Calls a second")->capture_default_str();
+  load_command->add_option("--seconds", load.seconds, "For so long, 300 at most")->check(CLI::Range(1, 300))->capture_default_str();
+  load_command->add_option("--hold-ms", load.hold_ms, "A call that stands is held so long")->capture_default_str();
+  load_command->add_option("--lines", load.lines, "Lines; 0: what the rate needs")->capture_default_str();
+  load_command->add_option("--edge-cpu", load.edge_cpu, "Ask for this processor for the edge")->capture_default_str();
+  load_command->add_option("--own-cpu", load.own_cpu, "Ask for this processor for the load")->capture_default_str();
+  load_command->add_flag("!--no-echo", load.echo, "Leave the raw echo out");
+  load_command->add_flag("--json", load.json, "The figures as JSON");
+  load_command->callback([&] { code = RunLoad(load); });
+
+  std::string path, out;
+  CLI::App* rules = app.add_subcommand("rules", "Verifies the five rules from a trace alone");
+  rules->add_option("trace", path, "JSON lines")->required();
+  rules->add_flag("--json", json, "The findings as JSON");
+  rules->callback([&] { code = CheckRules(path, json); });
+
+  CLI::App* config = app.add_subcommand("config", "Settings of an edge");
+  config->require_subcommand(1);
+  CLI::App* check = config->add_subcommand("check", "Tells every mistake of a settings file");
+  check->add_option("file", path)->required();
+  check->add_flag("--json", json, "The mistakes as JSON");
+  check->callback([&] { code = CheckConfig(path, json); });
+  CLI::App* show = config->add_subcommand("show", "Shows the settings in force, defaults filled in");
+  show->add_option("file", path)->required();
+  show->callback([&] { code = ShowConfig(path); });
+
+  int most_edges = 3;
+  double most_calls = 40.0;
+  CLI::App* day = app.add_subcommand("day", "Day files of the bench");
+  day->require_subcommand(1);
+  CLI::App* convert = day->add_subcommand("convert", "Makes a scenario of a day file, scaled to one machine");
+  convert->add_option("day", path, "JSON, as drawn by the bench")->required();
+  convert->add_option("-o,--out", out, "The scenario; left out: standard output");
+  convert->add_option("--edges", most_edges, "Exchanges at most")->check(CLI::Range(2, 64))->capture_default_str();
+  convert->add_option("--rate", most_calls, "Calls a second at most")->capture_default_str();
+  convert->callback([&] { code = ConvertDayFile(path, out, most_edges, most_calls); });
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kDone : kUsage;
+  } catch (const std::exception& error) {
+    std::cerr << "croftrun: " << error.what() << "\n";
+    return kCannotRun;
+  }
+  return code;
+}
