--- a/src/edge/trunk_gateway.cpp
+++ b/src/edge/trunk_gateway.cpp
@@ -99,6 +99,7 @@
     leg.call = set_up.set.call;
     leg.attempt = set_up.attempt;
     leg.request = next_request_++;
+    leg.first = KeyOf(set_up.set.group, set_up.set.circuits.front());
     ++counters_.seized;
     std::string body;
     Writer writer(&body);
@@ -132,22 +133,35 @@
     ++counters_.late_seizures;
     return Clear(key, std::string(answered.message->Get("I")), false, {ReleaseCause::kTimerExpiry});
   }
-  found->second.seizure = 0;
+  Leg& leg = found->second;
+  leg.seizure = 0;
   if (answered.ok()) {
-    found->second.connection = answered.message->Get("I");
+    leg.connection = answered.message->Get("I");
+    if (leg.first != key) return;
     core_->OnTrunkSession(call, attempt, answered.message->session);
+    if (leg.part_refused) core_->OnTrunkReleased(call, attempt, {ReleaseCause::kTemporaryFailure, core_->own_number()});
     return;
   }
   // Not answered within T-MAX: the attempt's own time-out is shorter and decides.
   if (answered.ending == mgcp::Ending::kNoAnswer) return;
-  // Whatever the gateway says against it, this set-up never left: the module hears that the own processor is down,
-  // or of a circuit that was not free.
   const int code = answered.code();
-  found->second.refused = true;
-  found->second.idle = answered.message != nullptr && answered.message->Get(wire_names::kState) == "idle";
-  const bool own_down = code == mgcp::kNoResourcesNow;
-  core_->OnTrunkReleased(call, attempt,
-                         {own_down ? ReleaseCause::kOwnOutOfOrder : ReleaseCause::kGlare, core_->own_number()});
+  leg.refused = true;
+  leg.idle = answered.message != nullptr && answered.message->Get(wire_names::kState) == "idle";
+  if (leg.first != key) {
+    // One circuit of a wide call. Whether the call is out is told by the answer to the one with the address: until
+    // that is here, sending it again could put it out twice; if it is out, its release has to be awaited.
+    const auto first = legs_.find(leg.first);
+    if (first == legs_.end()) return;
+    first->second.part_refused = true;
+    if (first->second.seizure == 0 && !first->second.refused)
+      core_->OnTrunkReleased(call, attempt, {ReleaseCause::kTemporaryFailure, core_->own_number()});
+  } else {
+    // Whatever the gateway says against it, this set-up never left: the module hears that the own processor is down,
+    // or of a circuit that was not free.
+    const bool own_down = code == mgcp::kNoResourcesNow;
+    core_->OnTrunkReleased(call, attempt,
+                           {own_down ? ReleaseCause::kOwnOutOfOrder : ReleaseCause::kGlare, core_->own_number()});
+  }
   if (code == mgcp::kUnknownEndpoint || code == mgcp::kEndpointNotReady || code == mgcp::kEndpointRestarting)
     TakeOut(key);
 }
@@ -238,13 +252,19 @@
     offer.patience_us = TimeUs{*patience} * 1000;
   // The legs stand before the core takes the call: it may answer or refuse at once. Their call is known with it.
   for (const core::CircuitNumber circuit : circuits) {
-    const Key at = KeyOf(GroupOf(key), circuit);
-    if (legs_.count(at) > 0) {
-      // We hold it: the gateway has settled any glare before it told us, so what we know is old. Ours goes on
-      // until its own release is told; the newcomer is asked to try elsewhere.
-      ++counters_.refused_incoming;
+    const auto held = legs_.find(KeyOf(GroupOf(key), circuit));
+    if (held == legs_.end()) continue;
+    if (held->second.attempt < 0) {
+      ++counters_.refused_incoming;  // told of it before
       return;
     }
+    // The gateway tells of a seizure only once it holds: ours was refused there, though the word of it is still on
+    // its way or lost. One that it had acknowledged may have gone out: its release is awaited.
+    const bool acknowledged = held->second.seizure == 0;
+    held->second.refused = true;
+    const Leg lost = held->second;
+    core_->OnTrunkReleased(lost.call, lost.attempt,
+                           {acknowledged ? ReleaseCause::kTemporaryFailure : ReleaseCause::kGlare, core_->own_number()});
   }
   for (const core::CircuitNumber circuit : circuits) {
     const Key at = KeyOf(GroupOf(key), circuit);
@@ -357,7 +377,8 @@
   Send(key, Verb::kDlcx, std::move(body), [this, key, request = state.request](const Answered& answered) {
     const auto release = releases_.find(key);
     if (release == releases_.end() || release->second.request != request) return;
-    if (answered.message == nullptr) return;  // the sweep asks again
+    // Not answered, or answered with an error: nothing was deleted, and the sweep asks again.
+    if (!answered.ok() && answered.code() != mgcp::kUnknownConnection && answered.code() != mgcp::kUnknownCall) return;
     const auto says = answered.message->Get(wire_names::kState);
     if (says == "idle" || (says.empty() && release->second.far_released)) Free(key);
   });
--- a/src/edge/trunk_gateway.h
+++ b/src/edge/trunk_gateway.h
@@ -61,6 +61,8 @@
     std::string connection;
     std::uint32_t request = 0;  // the X: under which its events come
     std::uint32_t seizure = 0;  // transaction of the CRCX while unanswered
+    Key first = 0;              // of a set-up: the circuit that carries the address
+    bool part_refused = false;  // on the first: another circuit of this wide call was refused
   };
   struct ReleaseState {
     TimeUs since = 0;
--- a/src/lab/rules.h
+++ b/src/lab/rules.h
@@ -57,9 +57,9 @@
     TimeUs over_at = 0;  // the caller hung up; 0: not yet
   };
   struct Attempt {
-    std::string circuit;
+    std::string circuit;  // the one with the address
     TimeUs sent_at = 0;
-    bool out = false, answered = false;
+    bool out = false, acknowledged = false, answered = false;
   };
   // All about one caller's present call at one edge.
   struct CallerState {
