--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -122,6 +122,7 @@
       {"lines",
        {{"dialled", l.dialled},
         {"unallocated", l.unallocated},
+        {"stale_digits", l.stale_digits},
         {"rung", l.rung},
         {"ignored_events", l.ignored_events},
         {"restarts", l.restarts}}}};
--- a/src/edge/line_front.cpp
+++ b/src/edge/line_front.cpp
@@ -1,5 +1,6 @@
 #include "edge/line_front.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -43,7 +44,9 @@
 void LineFront::ArmAll() {
   const std::string all = std::string(wire_names::kLines) + "*@" + settings_.domain;
   transactions_->Send(settings_.gateway, {Verb::kDlcx, all, "", {}});
-  transactions_->Send(settings_.gateway, {Verb::kRqnt, all, RequestIdle(), [this](const Answered& answered) {
+  const std::uint32_t request = next_request_++;
+  for (Line& line : lines_) Armed(line, request);
+  transactions_->Send(settings_.gateway, {Verb::kRqnt, all, IdleRequest(request), [this](const Answered& answered) {
                                             if (answered.ok()) return;
                                             retry_.Start(kArmAgain, [this] {
                                               // Lines with calls by now keep what is asked of them.
@@ -58,7 +61,7 @@
   for (std::size_t i = 1; i < lines_.size(); ++i) {
     if (lines_[i].state != State::kIdle) continue;
     if (mgcp::EndpointMatches(pattern, std::string(wire_names::kLines) + std::to_string(i)))
-      Send(static_cast<int>(i), Verb::kRqnt, RequestIdle());
+      Send(static_cast<int>(i), Verb::kRqnt, RequestIdle(lines_[i]));
   }
 }
 
@@ -69,12 +72,25 @@
 }
 
 // Off hook: dial tone and digits by the map, all told in one notification (RFC 3435 3.2.2.17, embedded request).
-std::string LineFront::RequestIdle() {
-  std::string body = NextRequest();
-  Writer(&body).Line("R", "L/hd(E(R(D/[0-9*#](D),L/hu(N)),D((" + settings_.lines.digit_map + ")),S(L/dl)))");
+std::string LineFront::IdleRequest(std::uint32_t request) const {
+  std::string body;
+  Writer(&body)
+      .Line("X", Hex(request))
+      .Line("R", "L/hd(E(R(D/[0-9*#](D),L/hu(N)),D((" + settings_.lines.digit_map + ")),S(L/dl)))");
   return body;
 }
 
+void LineFront::Armed(Line& line, std::uint32_t request) {
+  line.armed_before = line.armed;
+  line.armed = request;
+}
+
+std::string LineFront::RequestIdle(Line& line) {
+  const std::uint32_t request = next_request_++;
+  Armed(line, request);
+  return IdleRequest(request);
+}
+
 std::string LineFront::RequestOnHook() {
   std::string body = NextRequest();
   Writer(&body).Line("R", "L/hu(N)");
@@ -102,8 +118,16 @@
     transactions_->Respond(command, mgcp::kProtocolError, {}, "expected observed events in O:");
     return;
   }
-  transactions_->Respond(command, mgcp::kOk);
   Line& line = lines_[static_cast<std::size_t>(*number)];
+  const bool dials = std::any_of(events->begin(), events->end(),
+                                 [](const auto& event) { return mgcp::EqualsIgnoringCase(event.package, "D"); });
+  const auto request = message.Get("X");
+  if (dials && line.armed != 0 && request != Hex(line.armed) && request != Hex(line.armed_before)) {
+    ++counters_.stale_digits;
+    transactions_->Respond(command, mgcp::kTransientError, {}, "digits under a request that is not in force");
+    return;
+  }
+  transactions_->Respond(command, mgcp::kOk);
   std::string digits;
   for (const mgcp::EventRef& event : *events) {
     if (mgcp::EqualsIgnoringCase(event.package, "D") && event.name.size() == 1 && digits.size() < core::kMostDigits) {
@@ -122,8 +146,10 @@
       ++counters_.ignored_events;
     }
   }
-  // Digits of a line that has a call already are a doubled or overtaken notification.
-  if (!digits.empty() && line.state == State::kIdle) Dial(*number, line, digits, message);
+  if (digits.empty()) return;
+  // Dialling proves that the line was on hook, whatever became of the word of it.
+  if (line.state != State::kIdle) OnHook(*number, line);
+  Dial(*number, line, digits, message);
 }
 
 void LineFront::Dial(int number, Line& line, const std::string& digits, const mgcp::Message& message) {
@@ -209,11 +235,11 @@
   std::string body;
   if (line.connected) {
     line.connected = false;
-    body = rearm ? RequestIdle() : RequestOnHook();
+    body = rearm ? RequestIdle(line) : RequestOnHook();
     if (!signal.empty()) Writer(&body).Line("S", signal);
     return Send(number, Verb::kDlcx, std::move(body));
   }
-  if (rearm) Send(number, Verb::kRqnt, RequestIdle());
+  if (rearm) Send(number, Verb::kRqnt, RequestIdle(line));
 }
 
 void LineFront::Unbind(Line& line) {
--- a/src/edge/line_front.h
+++ b/src/edge/line_front.h
@@ -23,7 +23,7 @@
 class LineFront final : public core::Subscriber, public core::Terminator {
  public:
   struct Counters {
-    std::uint64_t dialled = 0, unallocated = 0, rung = 0, ignored_events = 0, restarts = 0;
+    std::uint64_t dialled = 0, unallocated = 0, stale_digits = 0, rung = 0, ignored_events = 0, restarts = 0;
   };
 
   LineFront(const EdgeSettings& settings, core::Runtime* runtime, core::CallCore* core,
@@ -49,6 +49,9 @@
     bool called = false;  // it was rung, not dialled
     CallId call = 0;
     bool connected = false;
+    // The requests under which it may dial: the last one given in this life of the edge, and the one before, whose
+    // notification may have crossed it. Digits under another are of a former life, repeated ever since.
+    std::uint32_t armed = 0, armed_before = 0;
   };
 
   void ArmAll();
@@ -60,7 +63,10 @@
   void Disconnect(int number, Line& line, bool rearm, std::string_view signal);
   void Unbind(Line& line);
   void Send(int number, mgcp::Verb verb, std::string body, mgcp::Transactions::OnAnswer on_answer = {});
-  std::string RequestIdle();
+  // Arms the line; `body` gets the request.
+  std::string RequestIdle(Line& line);
+  std::string IdleRequest(std::uint32_t request) const;
+  static void Armed(Line& line, std::uint32_t request);
   std::string RequestOnHook();
   std::string NextRequest();
   int LineOf(CallId call) const;
--- a/src/edge/trunk_gateway.cpp
+++ b/src/edge/trunk_gateway.cpp
@@ -82,6 +82,23 @@
   sweep_.Start(settings_.audit_us, [this] { Sweep(); });
 }
 
+// A seizure under a request that is not in force is of an earlier use of the circuit, repeated since, perhaps for a
+// former life of this edge; one on a circuit that carries an incoming call already was told before.
+bool TrunkGateway::IsStale(Key key, std::uint32_t request, const mgcp::Message& message) const {
+  const auto armed = armed_.find(key);
+  if (armed != armed_.end() && armed->second != request) return true;
+  const auto incoming = [this](Key at) {
+    const auto held = legs_.find(at);
+    return held != legs_.end() && held->second.attempt < 0;
+  };
+  if (incoming(key)) return true;
+  const auto others = mgcp::SplitTopLevel(message.Get(wire_names::kCircuitList));
+  return others && std::any_of(others->begin(), others->end(), [&](const std::string_view other) {
+           const auto circuit = wire_names::Number<std::uint16_t>(other);
+           return circuit && incoming(KeyOf(GroupOf(key), *circuit));
+         });
+}
+
 // ---- set-ups of ours ----
 
 void TrunkGateway::SetUp(const core::TrunkSetUp& set_up) {
@@ -193,8 +210,15 @@
     transactions_->Respond(command, mgcp::kProtocolError, {}, "expected observed events in O:");
     return;
   }
-  transactions_->Respond(command, mgcp::kOk);
   const auto request = wire_names::Number<std::uint32_t>(message.Get("X")).value_or(0);
+  const bool seizure = std::any_of(events->begin(), events->end(),
+                                   [](const auto& event) { return mgcp::EqualsIgnoringCase(event.name, "sup"); });
+  if (seizure && IsStale(key, request, message)) {
+    ++counters_.stale_events;
+    transactions_->Respond(command, mgcp::kTransientError, {}, "a seizure told before, or long over");
+    return Audit(key);
+  }
+  transactions_->Respond(command, mgcp::kOk);
   for (const mgcp::EventRef& event : *events) {
     const auto leg = legs_.find(key);
     const auto release = releases_.find(key);
@@ -254,10 +278,6 @@
   for (const core::CircuitNumber circuit : circuits) {
     const auto held = legs_.find(KeyOf(GroupOf(key), circuit));
     if (held == legs_.end()) continue;
-    if (held->second.attempt < 0) {
-      ++counters_.refused_incoming;  // told of it before
-      return;
-    }
     // The gateway tells of a seizure only once it holds: ours was refused there, though the word of it is still on
     // its way or lost. One that it had acknowledged may have gone out: its release is awaited.
     const bool acknowledged = held->second.seizure == 0;
@@ -301,10 +321,12 @@
     return;
   }
   // Of an earlier use of the circuit, perhaps before this edge was restarted. What is on it now may be another call,
-  // so nothing is cleared on this word: the circuit is looked at. An incoming call has no request of ours (0) until
-  // it is answered.
-  const bool incoming = found != legs_.end() && found->second.attempt < 0;
-  if (found == legs_.end() || (request != found->second.request && !(incoming && request == 0))) {
+  // so nothing is cleared on this word: the circuit is looked at. An incoming call is under the request that its
+  // seizure was told by, until it is answered.
+  const auto armed = armed_.find(key);
+  const bool incoming = found != legs_.end() && found->second.attempt < 0 &&
+                        (armed == armed_.end() || request == armed->second);
+  if (found == legs_.end() || (request != found->second.request && !incoming)) {
     ++counters_.stale_events;
     return Audit(key);
   }
@@ -367,6 +389,7 @@
 void TrunkGateway::Clear(Key key, const std::string& connection, bool far_released, const ReleaseInfo& info) {
   ReleaseState& state = releases_[key];
   state = {runtime_->Now(), next_request_++, far_released};
+  armed_[key] = state.request;
   std::string body;
   Writer writer(&body);
   if (!connection.empty()) writer.Line("I", connection);
--- a/src/edge/trunk_gateway.h
+++ b/src/edge/trunk_gateway.h
@@ -73,6 +73,7 @@
   std::string Name(Key key) const;
   std::uint32_t Send(Key key, mgcp::Verb verb, std::string body, mgcp::Transactions::OnAnswer on_answer);
   void OnSeized(Key key, CallId call, int attempt, const mgcp::Answered& answered);
+  bool IsStale(Key key, std::uint32_t request, const mgcp::Message& message) const;
   void OnIncoming(Key key, const mgcp::EventRef& sup, const mgcp::Message& message);
   void OnReleased(Key key, std::uint32_t request, const mgcp::EventRef& rel, const mgcp::Message& message);
   // The far end let go of a circuit in use.
@@ -96,6 +97,7 @@
   std::unordered_set<Key> out_of_service_, known_;
   std::deque<Key> to_audit_;
   std::unordered_set<Key> auditing_;  // in to_audit_ or asked
+  std::unordered_map<Key, std::uint32_t> armed_;  // the request under which a seizure is told, given in this life
   std::unordered_map<Key, TimeUs> seen_seized_;  // by the far end, without a call here: since when
   std::size_t audits_out_ = 0;
   std::uint32_t next_request_ = 1;
--- a/src/lab/gateway.cpp
+++ b/src/lab/gateway.cpp
@@ -285,7 +285,7 @@
       if (rel != nullptr) news.cause = wire_names::Number<int>(rel->parameters).value_or(41);
       news.at = wire_names::Number<int>(message.Get(wire_names::kAt)).value_or(settings_.number);
       news.wait_us = TimeUs{wire_names::Number<std::uint32_t>(message.Get(wire_names::kWait)).value_or(0)} * 1000;
-      if (const auto* request = message.Find("X")) trunk.request = request->value;
+      if (const auto* request = message.Find("X")) trunk.request = trunk.armed = request->value;
       trunk.connection.clear();
       trunk.call.clear();
       network_->Release(settings_.number, circuit, news);
@@ -364,7 +364,7 @@
   std::string others;
   for (const unsigned other : info.others) others += (others.empty() ? "" : ",") + std::to_string(other);
   if (!others.empty()) writer.Line(wire_names::kCircuitList, others);
-  trunks_[circuit].request.clear();
+  trunks_[circuit].request = trunks_[circuit].armed;
   NotifyCircuit(circuit, "MS/sup(addr(" + info.called + "),id(" + info.calling + "))", more);
 }
 
--- a/src/lab/gateway.h
+++ b/src/lab/gateway.h
@@ -73,6 +73,7 @@
   };
   struct Trunk {
     std::string request, connection;
+    std::string armed;  // the request under which a seizure is told
     std::string call;
   };
 
--- a/src/lab/rules.cpp
+++ b/src/lab/rules.cpp
@@ -208,6 +208,9 @@
                                   [](const auto& event) { return mgcp::EqualsIgnoringCase(event.package, "D"); });
   const TimeUs patience = PatienceOf(message);
   if (line && digits) {
+    // Nobody dials without having hung up: the word of it may have been lost.
+    if (const auto owed = edge.owed.find(endpoint); owed != edge.owed.end() && owed->second.over_at == 0)
+      owed->second.over_at = at;
     edge.dialled[message.transaction] = {at + patience, endpoint};
     ++edge.callers["own " + endpoint].epoch;
     return;
