Load tool beside a raw echo; datagrams in batches; refused at once when the process falls behind

Change: croftrun lab load; the sockets' runtime reads and sends in batches (recvmmsg, sendmmsg) and keeps a bounded queue of its own with the age of what waits; core/overload refuses a share of new calls while a standing wait lasts.

--- a/src/cli/load.cpp
+++ b/src/cli/load.cpp
@@ -1,5 +1,224 @@
+// croftrun lab load: one edge under load, beside the raw echo of the same machine in the same run.
+#include <sched.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
 #include "cli/commands.h"
+#include "lab/edge_processes.h"
+#include "lab/load_line.h"
+#include "lab/numbering.h"
 
 namespace croftrun::cli {
-int RunLoad(const LoadRun&) { return kCannotRun; }
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+void Pin(pid_t process, int cpu) {
+  if (cpu < 0) return;
+  cpu_set_t set;
+  CPU_ZERO(&set);
+  CPU_SET(static_cast<std::size_t>(cpu), &set);
+  if (::sched_setaffinity(process, sizeof(set), &set) != 0)
+    std::fprintf(stderr, "processor %d was not granted\n", cpu);
+}
+
+// Seconds of processor time a process has used, and its resident memory in bytes.
+struct Usage {
+  double cpu_s = 0.0;
+  double resident = 0.0;
+};
+Usage UsageOf(pid_t process) {
+  Usage usage;
+  std::ifstream stat("/proc/" + std::to_string(process) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(stat)), std::istreambuf_iterator<char>());
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string skip;
+  for (int i = 0; i < 11; ++i) fields >> skip;
+  double user = 0.0, system = 0.0;
+  fields >> user >> system;
+  usage.cpu_s = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  std::ifstream statm("/proc/" + std::to_string(process) + "/statm");
+  double total = 0.0, resident = 0.0;
+  statm >> total >> resident;
+  usage.resident = resident * static_cast<double>(::sysconf(_SC_PAGESIZE));
+  return usage;
+}
+
+asio::awaitable<void> Echo(udp::socket socket) {
+  std::array<char, 2048> buffer;
+  udp::endpoint from;
+  while (true) {
+    const std::size_t size = co_await socket.async_receive_from(asio::buffer(buffer), from, asio::use_awaitable);
+    co_await socket.async_send_to(asio::buffer(buffer, size), from, asio::use_awaitable);
+  }
+}
+
+struct EchoFigures {
+  double datagrams_per_s = 0.0;      // in and out
+  double datagrams_per_cpu_s = 0.0;  // of the echo's processor time
+};
+
+// The limit: what Boost.Asio itself does with datagrams of a call's size, one socket, one thread.
+EchoFigures MeasureEcho(const core::Address& at, int cpu) {
+  const udp::endpoint where{asio::ip::address_v4(at.host), at.port};
+  const pid_t child = ::fork();
+  if (child == 0) {
+    Pin(0, cpu);
+    asio::io_context context{1};
+    asio::co_spawn(context, Echo(udp::socket(context, where)), asio::detached);
+    context.run_for(std::chrono::seconds(10));
+    ::_exit(0);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  asio::io_context context{1};
+  udp::socket socket(context, udp::endpoint{asio::ip::address_v4(at.host), 0});
+  socket.non_blocking(true);
+  std::array<char, 300> datagram{};
+  std::array<char, 2048> buffer;
+  boost::system::error_code error;
+  const double cpu_before = UsageOf(child).cpu_s;
+  const auto start = std::chrono::steady_clock::now();
+  std::uint64_t received = 0;
+  int out = 0;
+  auto last = start;
+  while (true) {
+    const auto now = std::chrono::steady_clock::now();
+    if (now - start > std::chrono::seconds(2)) break;
+    if (now - last > std::chrono::milliseconds(50)) out = 0;  // lost
+    while (out < 128) {
+      socket.send_to(asio::buffer(datagram), where, 0, error);
+      ++out;
+    }
+    udp::endpoint from;
+    while (socket.receive_from(asio::buffer(buffer), from, 0, error) > 0 && !error) {
+      ++received;
+      --out;
+      last = now;
+    }
+  }
+  const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+  const double used = UsageOf(child).cpu_s - cpu_before;
+  ::kill(child, SIGKILL);
+  ::waitpid(child, nullptr, 0);
+  return {2.0 * static_cast<double>(received) / seconds, used > 0.0 ? 2.0 * static_cast<double>(received) / used : 0.0};
+}
+
+double At(std::vector<double>& values, double share) {
+  if (values.empty()) return 0.0;
+  std::sort(values.begin(), values.end());
+  return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+}
+
+std::string EdgeSettings(const lab::LoadSettings& load, std::size_t circuits) {
+  nlohmann::json json = {
+      {"exchange", {{"number", 0}}},
+      {"agent",
+       {{"listen", core::ToString(load.edge)}, {"most_calls", 200'000}, {"answer_margin_ms", 50}, {"seed", 1}}},
+      {"gateway", {{"address", core::ToString(load.gateway)}, {"domain", load.domain}}},
+      {"lines", {{"count", load.lines}, {"number_prefix", ""}, {"digit_map", "xxxxxxxxx"}}},
+      {"groups", {{{"exchange", 1}, {"circuits", circuits}}}},
+      {"classes", {{{"name", "load"}, {"aim_ms", 1500}, {"give_up_ms", load.patience_us / 1000}, {"holding_ms", load.hold_us / 1000}}}},
+      {"plan", {{{"prefix", lab::Prefix(0, 0, 1)}, {"exchange", 1}, {"class", "load"}}}},
+      {"roster", {{"server", core::ToString(load.roster)}, {"listen", core::ToString(load.edge_roster)}}},
+      {"network", {{"release_ms", 300}, {"drain_grace_ms", 500}, {"most_attempts", 4}, {"may_cancel", true}}},
+      {"log", {{"level", "warning"}}}};
+  return json.dump(1);
+}
+
+}  // namespace
+
+int RunLoad(const LoadRun& options) {
+  std::filesystem::create_directories(options.folder);
+  const auto loopback = [](std::uint32_t last, std::uint16_t port) {
+    return core::Address{127U << 24U | 30U << 16U | last, port};
+  };
+  lab::LoadSettings load;
+  load.gateway = loopback(2, 2427);
+  load.edge = loopback(1, 2727);
+  load.roster = loopback(3, 4000);
+  load.edge_roster = loopback(1, 2728);
+  load.calls_per_s = options.calls_per_s;
+  load.hold_us = static_cast<TimeUs>(options.hold_ms) * 1000;
+  load.length_us = static_cast<TimeUs>(options.seconds) * 1'000'000;
+  const double busy = options.calls_per_s * (options.hold_ms / 1000.0 + 0.5);
+  load.lines = options.lines > 0 ? options.lines : std::clamp(static_cast<int>(busy * 1.3) + 100, 100, 100'000);
+  const auto circuits = static_cast<std::size_t>(std::min(65'000, load.lines));
+
+  EchoFigures echo;
+  if (options.echo) echo = MeasureEcho(loopback(9, 7007), options.edge_cpu);
+
+  Pin(0, options.own_cpu);
+  lab::LoadLine line(load);
+  lab::EdgeProcesses edges(options.edge_program, options.folder);
+  edges.Start(0, EdgeSettings(load, circuits));
+  const pid_t edge = edges.Process(0);
+  Pin(edge, options.edge_cpu);
+  if (!line.WaitForEdge(20'000'000)) {
+    std::cerr << "the edge did not speak\n";
+    return kCannotRun;
+  }
+  struct Peak {
+    pid_t edge;
+    Usage usage;
+  } peak{edge, {}};
+  const Usage before = UsageOf(edge);
+  lab::LoadFigures f = line.Run([](void* p) { static_cast<Peak*>(p)->usage = UsageOf(static_cast<Peak*>(p)->edge); }, &peak);
+  const bool clean = edges.StopAll(10'000);
+
+  const double cpu = peak.usage.cpu_s - before.cpu_s;
+  const double done = static_cast<double>(f.answered + f.refused + f.failed);
+  const double datagrams = static_cast<double>(f.datagrams_in + f.datagrams_out);
+  const double per_call = done > 0.0 ? datagrams / done : 0.0;
+  const double calls_per_cpu_s = cpu > 0.0 ? done / cpu : 0.0;
+  const double bytes = f.most_up > 0 ? (peak.usage.resident - before.resident) / static_cast<double>(f.most_up) : 0.0;
+  nlohmann::json json = {
+      {"asked_calls_per_s", options.calls_per_s},
+      {"offered", f.offered},
+      {"answered", f.answered},
+      {"refused", f.refused},
+      {"failed", f.failed},
+      {"unanswered", f.unanswered},
+      {"late", f.late},
+      {"no_line", f.no_line},
+      {"repeats", f.repeats},
+      {"calls_per_s", done / std::max(0.001, f.seconds)},
+      {"edge_cpu_share", cpu / std::max(0.001, f.seconds)},
+      {"calls_per_cpu_s", calls_per_cpu_s},
+      {"datagrams_per_call", per_call},
+      {"datagrams_per_cpu_s", calls_per_cpu_s * per_call},
+      {"echo_datagrams_per_s", echo.datagrams_per_s},
+      {"echo_datagrams_per_cpu_s", echo.datagrams_per_cpu_s},
+      {"share_of_echo", echo.datagrams_per_cpu_s > 0.0 ? calls_per_cpu_s * per_call / echo.datagrams_per_cpu_s : 0.0},
+      {"added_ms", {{"median", At(f.added_us, 0.5) / 1000.0}, {"p99", At(f.added_us, 0.99) / 1000.0}}},
+      {"answer_ms", {{"median", At(f.answer_us, 0.5) / 1000.0}, {"p99", At(f.answer_us, 0.99) / 1000.0}}},
+      {"most_up", f.most_up},
+      {"bytes_per_call_up", bytes},
+      {"edge_exited_clean", clean}};
+  if (options.json) {
+    std::cout << json.dump(1) << "\n";
+  } else {
+    for (const auto& [key, value] : json.items()) std::printf("%-28s %s\n", key.c_str(), value.dump().c_str());
+  }
+  return f.unanswered == 0 && f.late == 0 && clean ? kDone : kVerdictAgainst;
+}
+
 }  // namespace croftrun::cli
--- a/src/core/call_core.cpp
+++ b/src/core/call_core.cpp
@@ -49,7 +49,7 @@
 }  // namespace
 
 CallCore::CallCore(const CoreSettings& settings, Runtime* runtime, LogSink* log)
-    : settings_(settings), runtime_(runtime), log_(log) {
+    : settings_(settings), runtime_(runtime), log_(log), gate_(settings.overload), chance_(settings.seed | 1U) {
   for (const GroupSettings& group : settings_.groups) {
     groups_.emplace(group.number, CircuitGroup(group.circuits, own_number() < group.number));
   }
@@ -201,13 +201,30 @@
   return id;
 }
 
+bool CallCore::RefusedAtOnce() {
+  gate_.Note(runtime_->Now(), runtime_->Backlog());
+  if (stopping_) {
+    ++counters_.refused_stopping;
+    return true;
+  }
+  if (calls_.size() >= settings_.most_calls) {
+    ++counters_.refused_full;
+    return true;
+  }
+  // xorshift64: the draws need to be even, not more.
+  chance_ ^= chance_ << 13U;
+  chance_ ^= chance_ >> 7U;
+  chance_ ^= chance_ << 17U;
+  if (!gate_.Refuses(static_cast<double>(chance_ >> 11U) * 0x1.0p-53)) return false;
+  ++counters_.refused_overload;
+  return true;
+}
+
 CallId CallCore::Take(const Offer& offer, Subscriber* subscriber) {
   ++counters_.offered;
-  const bool full = calls_.size() >= settings_.most_calls;
+  const bool refused = RefusedAtOnce();
   const CallId id = NewCall(offer, subscriber, own_number());
-  if (full || stopping_) {
-    // Overload and shut-down: refused before any work is spent on the call, and counted.
-    ++(full ? counters_.refused_full : counters_.refused_stopping);
+  if (refused) {
     GiveFinal(id, calls_[id], {FinalKind::kRefused, 0, ReleaseCause::kCongestion});
     return id;
   }
@@ -219,6 +236,7 @@
                             int origin) {
   const auto group = groups_.find(number);
   if (group == groups_.end() || circuits.empty()) return false;
+  const bool refused = RefusedAtOnce();
   const CallId id = NewCall(offer, nullptr, origin);
   Call& call = calls_[id];
   call.in = CircuitSet{number, {}, id};
@@ -238,10 +256,8 @@
   }
   ++counters_.incoming;
   TellSpare(number);
-  if (stopping_ || calls_.size() > settings_.most_calls) {
-    ++(stopping_ ? counters_.refused_stopping : counters_.refused_full);
-    if (Call* fresh = Find(id))
-      GiveFinal(id, *fresh, {FinalKind::kRefused, 0, ReleaseCause::kCongestion});
+  if (refused) {
+    if (Call* fresh = Find(id)) GiveFinal(id, *fresh, {FinalKind::kRefused, 0, ReleaseCause::kCongestion});
     return true;
   }
   Begin(id);
--- a/src/core/call_core.h
+++ b/src/core/call_core.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "core/circuits.h"
+#include "core/overload.h"
 #include "core/runtime.h"
 #include "croftrun/call_controller.h"
 
@@ -165,6 +166,7 @@
   std::vector<GroupSettings> groups;
   std::size_t most_calls = 20'000;    // open at once, standing ones included
   TimeUs answer_margin_us = 20'000;   // the final answer leaves this much before the caller's time is up
+  OverloadSettings overload;
   std::uint64_t seed = 1;
 };
 
@@ -172,7 +174,7 @@
   std::uint64_t offered = 0, incoming = 0, terminating = 0;
   std::uint64_t stands = 0, refused = 0, failed = 0, hung_up = 0;
   std::uint64_t attempts = 0, moot = 0, timeouts = 0, cut = 0, ended = 0;
-  std::uint64_t refused_full = 0, refused_stopping = 0, overdue = 0, glare = 0, stale_answers = 0;
+  std::uint64_t refused_full = 0, refused_stopping = 0, refused_overload = 0, overdue = 0, glare = 0, stale_answers = 0;
 };
 
 class CallCore {
@@ -261,6 +263,8 @@
   void Carry(const Log& log);
 
   Call* Find(CallId id);
+  // Why a new call is refused before any work is spent on it; false: it is not.
+  bool RefusedAtOnce();
   CallId NewCall(const Offer& offer, Subscriber* subscriber, int origin);
   void Begin(CallId id);
   void OnDeadline(CallId id);
@@ -289,6 +293,8 @@
   std::deque<Event> events_;
   std::deque<CallId> hang_ups_;  // that came while the module was at work
   std::vector<Action> actions_;
+  OverloadGate gate_;
+  std::uint64_t chance_;  // state of the gate's own draws
   bool draining_ = false;
   bool stopping_ = false;
   CallId next_call_ = 1;
--- a/src/core/runtime.h
+++ b/src/core/runtime.h
@@ -53,6 +53,8 @@
   // Throws std::system_error where the address cannot be bound.
   virtual std::unique_ptr<DatagramPort> OpenPort(const Address& local, DatagramSink* sink) = 0;
   virtual std::uint64_t Random() = 0;
+  // How long what is being worked on now has waited since it reached this process: the measure of own overload.
+  virtual TimeUs Backlog() const { return 0; }
 };
 
 // A timer that its owner holds: cancelled when replaced or destroyed.
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -91,6 +91,7 @@
         {"timeouts", c.timeouts},
         {"refused_full", c.refused_full},
         {"refused_stopping", c.refused_stopping},
+        {"refused_overload", c.refused_overload},
         {"overdue", c.overdue},
         {"glare", c.glare},
         {"stale_answers", c.stale_answers}}},
--- a/src/lab/gateway.cpp
+++ b/src/lab/gateway.cpp
@@ -93,7 +93,8 @@
 
 void Gateway::SendFirst(const std::string& endpoint) {
   transactions_.Send(settings_.agent, {Verb::kNtfy, endpoint, notifications_[endpoint].front(),
-                                       [this, endpoint](const mgcp::Answered&) {
+                                       [this, endpoint](const mgcp::Answered& answered) {
+                                         if (answered.code() >= 400) OnRejected(endpoint);
                                          auto& waiting = notifications_[endpoint];
                                          waiting.pop_front();
                                          if (!waiting.empty()) return SendFirst(endpoint);
@@ -101,6 +102,14 @@
                                        }});
 }
 
+// The agent would not have a notification: who dialled hears so from the gateway itself.
+void Gateway::OnRejected(const std::string& endpoint) {
+  const auto number = wire_names::ParseLine(std::string_view(endpoint).substr(0, endpoint.rfind('@')));
+  if (!number) return;
+  const Line& line = lines_[static_cast<std::size_t>(*number)];
+  if (line.in_use && line.connection.empty()) on_heard_(*number, Heard::kFailed, 0);
+}
+
 void Gateway::NotifyLine(int number, const Line& line, std::string_view events, std::string_view more) {
   std::string body;
   Writer(&body).Line("X", line.request.empty() ? "0" : line.request).Line("O", events);
--- a/src/runtime/asio_runtime.h
+++ b/src/runtime/asio_runtime.h
@@ -20,9 +20,14 @@
 namespace croftrun::runtime {
 
 struct PortCounters {
-  std::uint64_t received = 0, sent = 0, lost = 0;  // lost: the socket would not take it
+  std::uint64_t received = 0, sent = 0;
+  std::uint64_t lost = 0;     // the socket would not take it
+  std::uint64_t dropped = 0;  // arrived while the queue of the process was full
 };
 
+// State that ports and their coroutines share with the runtime.
+struct Turn;
+
 class AsioRuntime final : public core::Runtime {
  public:
   AsioRuntime();
@@ -33,12 +38,13 @@
   void CancelTimer(core::TimerId timer) override;
   std::unique_ptr<core::DatagramPort> OpenPort(const core::Address& local, core::DatagramSink* sink) override;
   std::uint64_t Random() override { return random_(); }
+  TimeUs Backlog() const override;
 
   // Runs until Stop; may be run again after it.
   void Run();
   void Stop() { context_.stop(); }
   boost::asio::io_context& context() { return context_; }
-  const PortCounters& counters() const { return *counters_; }
+  const PortCounters& counters() const;
 
  private:
   struct Waiting;
@@ -51,7 +57,7 @@
   core::TimerId next_timer_ = 1;
   std::shared_ptr<Waiting> waiting_;
   std::mt19937_64 random_{std::random_device{}()};
-  std::shared_ptr<PortCounters> counters_ = std::make_shared<PortCounters>();
+  std::shared_ptr<Turn> turn_;
 };
 
 }  // namespace croftrun::runtime
