--- a/src/edge/line_front.cpp
+++ b/src/edge/line_front.cpp
@@ -50,7 +50,7 @@
                                             if (answered.ok()) return;
                                             retry_.Start(kArmAgain, [this] {
                                               // Lines with calls by now keep what is asked of them.
-                                              if (line_of_call_.empty()) return ArmAll();
+                                              if (calling_.empty() && rung_.empty()) return ArmAll();
                                               ArmIdle(std::string(wire_names::kLines) + "*");
                                             });
                                           }});
@@ -102,9 +102,14 @@
                                           std::move(on_answer)});
 }
 
-int LineFront::LineOf(CallId call) const {
-  const auto found = line_of_call_.find(call);
-  return found == line_of_call_.end() ? dialling_ : found->second;
+int LineFront::CallingLine(CallId call) const {
+  const auto found = calling_.find(call);
+  return found == calling_.end() ? dialling_ : found->second;
+}
+
+int LineFront::RungLine(CallId call) const {
+  const auto found = rung_.find(call);
+  return found == rung_.end() ? 0 : found->second;
 }
 
 void LineFront::OnNotify(mgcp::Transactions::CommandId command, const mgcp::Message& message) {
@@ -178,12 +183,12 @@
   // Answered from within, the line has moved on already.
   if (line.state == State::kCalling || line.state == State::kTalking) {
     line.call = call;
-    line_of_call_[call] = number;
+    calling_[call] = number;
   }
 }
 
 void LineFront::OnFinal(CallId call, const core::FinalAnswer& answer) {
-  const int number = LineOf(call);
+  const int number = CallingLine(call);
   if (number == 0) return;
   Line& line = lines_[static_cast<std::size_t>(number)];
   if (answer.kind != core::FinalKind::kStands) {
@@ -203,14 +208,14 @@
   Send(number, Verb::kCrcx, std::move(body), [this, call](const Answered& answered) {
     if (answered.ok()) return core_->OnCallerSession(call, answered.message->session);
     // On hook by now, or the line is gone: there is nobody to talk to.
-    const int at = LineOf(call);
+    const int at = CallingLine(call);
     if (at == 0) return;
     OnHook(at, lines_[static_cast<std::size_t>(at)]);
   });
 }
 
 void LineFront::OnEnded(CallId call, core::ReleaseCause cause) {
-  const int number = LineOf(call);
+  const int number = CallingLine(call);
   if (number == 0) return;
   Line& line = lines_[static_cast<std::size_t>(number)];
   Unbind(line);
@@ -243,7 +248,7 @@
 }
 
 void LineFront::Unbind(Line& line) {
-  line_of_call_.erase(line.call);
+  (line.called ? rung_ : calling_).erase(line.call);
   line.call = 0;
 }
 
@@ -252,9 +257,10 @@
   const CallId call = line.call;
   const State state = std::exchange(line.state, State::kIdle);
   Unbind(line);
-  if (call != 0 && (state == State::kCalling || state == State::kTalking)) {
+  if (call != 0 && state != State::kTone) {
     if (line.called) {
-      core_->OnRingReleased(call, core::ReleaseCause::kNormal);
+      core_->OnRingReleased(call, state == State::kRinging ? core::ReleaseCause::kTemporaryFailure
+                                                           : core::ReleaseCause::kNormal);
     } else {
       core_->HangUp(call);
     }
@@ -274,7 +280,7 @@
   if (line.state != State::kIdle) return core::ReleaseCause::kUserBusy;
   ++counters_.rung;
   line = Line{State::kRinging, true, call, true};
-  line_of_call_[call] = *number;
+  rung_[call] = *number;
   std::string body;
   Writer writer(&body);
   writer.Line("C", CallParameter(core_->own_number(), call)).Line("L", "p:20, a:PCMU").Line("M", "recvonly");
@@ -283,7 +289,7 @@
   Send(*number, Verb::kCrcx, std::move(body), [this, call](const Answered& answered) {
     if (answered.ok() || answered.ending == mgcp::Ending::kNoAnswer) return;
     // 401: it went off hook in the same moment to dial; busy to the caller. Else the line is out of order.
-    const int at = LineOf(call);
+    const int at = RungLine(call);
     if (at == 0) return;
     Line& rung = lines_[static_cast<std::size_t>(at)];
     Unbind(rung);
@@ -296,7 +302,7 @@
 }
 
 void LineFront::StopRinging(CallId call, core::ReleaseCause) {
-  const int number = LineOf(call);
+  const int number = RungLine(call);
   if (number == 0) return;
   Line& line = lines_[static_cast<std::size_t>(number)];
   const bool ringing = line.state == State::kRinging;
--- a/src/edge/line_front.h
+++ b/src/edge/line_front.h
@@ -69,14 +69,16 @@
   static void Armed(Line& line, std::uint32_t request);
   std::string RequestOnHook();
   std::string NextRequest();
-  int LineOf(CallId call) const;
+  // The line that dialled, or is rung for, a call; 0: none. A call inside the exchange has both.
+  int CallingLine(CallId call) const;
+  int RungLine(CallId call) const;
 
   const EdgeSettings& settings_;
   core::Runtime* runtime_;
   core::CallCore* core_;
   mgcp::Transactions* transactions_;
   std::vector<Line> lines_;  // by endpoint number, from 1; [0] unused
-  std::unordered_map<CallId, int> line_of_call_;
+  std::unordered_map<CallId, int> calling_, rung_;
   // Set while a line's call is being taken: its final answer can come before its id is known.
   int dialling_ = 0;
   std::uint32_t next_request_ = 1;
--- a/src/edge/roster_client.cpp
+++ b/src/edge/roster_client.cpp
@@ -9,14 +9,20 @@
   const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
   if (!json.is_object()) return std::nullopt;
   core::RosterUpdate update;
+  // The library would read a negative number as a very large one.
+  const auto whole = [](const nlohmann::json& object, const char* key) {
+    const nlohmann::json& value = object.at(key);
+    if (!value.is_number_unsigned()) throw nlohmann::json::other_error::create(0, "a whole number", nullptr);
+    return value.get<std::uint64_t>();
+  };
   try {
-    update.version = json.at("version").get<std::uint64_t>();
-    if (json.contains("base")) update.base = json.at("base").get<std::uint64_t>();
+    update.version = whole(json, "version");
+    if (json.contains("base")) update.base = whole(json, "base");
     for (const auto& item : json.at("entries")) {
       core::RosterEntry entry;
-      entry.exchange = item.at("exchange").get<std::uint32_t>();
-      entry.number = item.at("number").get<std::uint16_t>();
-      entry.zone = item.at("zone").get<std::uint8_t>();
+      entry.exchange = static_cast<std::uint32_t>(whole(item, "exchange"));
+      entry.number = static_cast<std::uint16_t>(whole(item, "number"));
+      entry.zone = static_cast<std::uint8_t>(whole(item, "zone"));
       const auto status = item.at("status").get<std::string>();
       if (status != "ready" && status != "draining" && status != "gone") return std::nullopt;
       entry.status = status == "ready"      ? ExchangeStatus::kReady
--- /dev/null
+++ b/tests/hard_cases_test.cpp
@@ -0,0 +1,404 @@
+// The hard cases of the path, each caused octet by octet by a scripted gateway on virtual time.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "day_fixture.h"
+
+namespace croftrun {
+namespace {
+
+constexpr TimeUs kMs = 1000;
+const core::Address kEdge{0x7f000001, 2727}, kGateway{0x7f000002, 2427}, kRoster{0x7f000003, 4000};
+
+// Answers every command with success unless told otherwise, keeps all it heard, and says what the test says.
+class ScriptedGateway final : public core::DatagramSink {
+ public:
+  explicit ScriptedGateway(sim::VirtualRuntime* runtime) : port_(runtime->OpenPort(kGateway, this)) {}
+  void OnDatagram(const core::Address&, std::string_view bytes) override {
+    kept_.emplace_back(bytes);
+    for (const auto& parsed : mgcp::ParseDatagram(kept_.back())) {
+      const auto* m = std::get_if<mgcp::Message>(&parsed);
+      if (m == nullptr) continue;
+      if (!m->is_command) {
+        responses.push_back(*m);
+        continue;
+      }
+      commands.push_back(*m);
+      if (deaf) continue;
+      std::string body;
+      int code = m->verb == mgcp::Verb::kDlcx ? 250 : 200;
+      if (m->verb == mgcp::Verb::kCrcx) body = "I: " + std::to_string(++connections_) + "\r\n";
+      if (m->verb == mgcp::Verb::kCrcx && refuse_crcx != 0) code = refuse_crcx, body = "X-State: " + refuse_state + "\r\n";
+      if (m->verb == mgcp::Verb::kAuep) body = "X-State: " + audit_state + "\r\n";
+      if (m->verb == mgcp::Verb::kDlcx && m->endpoint.local.substr(0, 3) == "ds/") body = "X-State: " + release_state + "\r\n";
+      Say(std::to_string(code) + " " + std::to_string(m->transaction) + "\r\n" + body);
+    }
+  }
+  void Say(const std::string& text) { port_->Send(kEdge, text); }
+  void Notify(const std::string& endpoint, const std::string& request, const std::string& events, const std::string& more = "") {
+    Say("NTFY " + std::to_string(++transactions_) + " " + endpoint + "@gw MGCP 1.0\r\nX: " + request + "\r\nO: " + events + "\r\n" + more);
+  }
+  // The request in force on an endpoint (or on all lines).
+  std::string Request(const std::string& endpoint) const {
+    for (auto m = commands.rbegin(); m != commands.rend(); ++m) {
+      if ((m->endpoint.local == endpoint || m->endpoint.local == "aaln/*") && m->Find("X") != nullptr)
+        return std::string(m->Get("X"));
+    }
+    return "0";
+  }
+  // An endpoint, or all below a term that ends with a slash.
+  static bool Within(const mgcp::Message& m, std::string_view part) {
+    return part.ends_with('/') ? m.endpoint.local.starts_with(part) : m.endpoint.local == part;
+  }
+  std::size_t Count(mgcp::Verb verb, std::string_view endpoint_part, std::string_view line = "", std::string_view value = "") const {
+    return static_cast<std::size_t>(std::count_if(commands.begin(), commands.end(), [&](const mgcp::Message& m) {
+      return m.verb == verb && Within(m, endpoint_part) &&
+             (line.empty() || (m.Find(line) != nullptr && m.Get(line).find(value) != std::string_view::npos));
+    }));
+  }
+  const mgcp::Message* Last(mgcp::Verb verb, std::string_view endpoint_part) const {
+    for (auto m = commands.rbegin(); m != commands.rend(); ++m) {
+      if (m->verb == verb && Within(*m, endpoint_part)) return &*m;
+    }
+    return nullptr;
+  }
+
+  bool deaf = false;
+  int refuse_crcx = 0;
+  std::string refuse_state = "seized-in", audit_state = "idle", release_state = "idle";
+  std::vector<mgcp::Message> commands, responses;
+
+ private:
+  std::deque<std::string> kept_;  // the messages are views into these
+  int connections_ = 0, transactions_ = 0;
+  std::unique_ptr<core::DatagramPort> port_;
+};
+
+class RosterPort final : public core::DatagramSink {
+ public:
+  explicit RosterPort(sim::VirtualRuntime* runtime) : port_(runtime->OpenPort(kRoster, this)) {}
+  void OnDatagram(const core::Address& from, std::string_view ask) override {
+    to_ = from;
+    if (ask.find("\"have\":0") != std::string_view::npos) List("ready");
+  }
+  void List(const std::string& of_exchange_1) {
+    port_->Send(to_, R"({"version":)" + std::to_string(++version_) +
+                         R"(,"entries":[{"exchange":100,"number":0,"zone":0,"status":"ready"},)"
+                         R"({"exchange":101,"number":1,"zone":0,"status":")" + of_exchange_1 + R"("},)"
+                         R"({"exchange":102,"number":2,"zone":0,"status":"ready"}]})");
+  }
+
+ private:
+  core::Address to_;
+  int version_ = 0;
+  std::unique_ptr<core::DatagramPort> port_;
+};
+
+class HardCase : public testing::Test {
+ protected:
+  explicit HardCase(int lines = 20, int circuits = 2) {
+    std::vector<config::Mistake> mistakes;
+    settings = edge::ParseEdgeSettings(R"({
+      "exchange": {"number": 0}, "agent": {"listen": "127.0.0.1:2727", "answer_margin_ms": 20, "shutdown_limit_ms": 3000, "seed": 1},
+      "gateway": {"address": "127.0.0.2:2427", "domain": "gw"},
+      "lines": {"count": )" + std::to_string(lines) + R"(, "number_prefix": "", "digit_map": "xxxxxxxxx"},
+      "groups": [{"exchange": 1, "circuits": )" + std::to_string(circuits) + R"(}, {"exchange": 2, "circuits": )" + std::to_string(circuits) + R"(}],
+      "classes": [{"name": "slot-check", "aim_ms": 1500, "give_up_ms": 9000},
+                  {"name": "slot-hold", "aim_ms": 1500, "give_up_ms": 9000, "worth": 2, "width": 2}],
+      "plan": [{"prefix": "11001", "exchange": 1, "class": "slot-check"}, {"prefix": "21001", "exchange": 1, "class": "slot-hold"},
+               {"prefix": "11000", "exchange": 0, "class": "slot-check"}, {"prefix": "11002", "exchange": 2, "class": "slot-check"}],
+      "roster": {"server": "127.0.0.3:4000", "listen": "127.0.0.1:2728"},
+      "network": {"senders": 2, "release_ms": 300, "drain_grace_ms": 500, "most_attempts": 4, "may_cancel": true},
+      "transactions": {"give_up_ms": 8000}})",
+                                       &mistakes);
+    EXPECT_TRUE(mistakes.empty()) << config::ToString(mistakes);
+    StartEdge();
+  }
+  void StartEdge() {
+    node.reset();
+    node = std::make_unique<edge::EdgeNode>(settings, &runtime, &log);
+    runtime.RunFor(100 * kMs);
+  }
+  void Dial(int line, const std::string& digits = "110010007", int patience_ms = 3000) {
+    const std::string endpoint = "aaln/" + std::to_string(line);
+    std::string events = "L/hd";
+    for (const char digit : digits) events += std::string(", D/") + digit;
+    gateway.Notify(endpoint, gateway.Request(endpoint), events, "X-Patience: " + std::to_string(patience_ms) + "\r\n");
+    runtime.RunFor(kMs);
+  }
+  void HangUp(int line) {
+    gateway.Notify("aaln/" + std::to_string(line), "0", "L/hu");
+    runtime.RunFor(kMs);
+  }
+  // The circuit of the last set-up, as an endpoint.
+  std::string LastSeized() const { return std::string(gateway.Last(mgcp::Verb::kCrcx, "ds/")->endpoint.local); }
+  void OnCircuit(const std::string& circuit, const std::string& event) {
+    gateway.Notify(circuit, std::string(gateway.Last(mgcp::Verb::kCrcx, circuit)->Get("X")), event);
+    runtime.RunFor(kMs);
+  }
+  std::size_t SetUps() const { return gateway.Count(mgcp::Verb::kCrcx, "ds/", "S", "MS/sup"); }
+  std::size_t Stands(int line) const { return gateway.Count(mgcp::Verb::kCrcx, "aaln/" + std::to_string(line)); }
+  std::size_t Answers(int line, std::string_view kind = "") const {
+    return gateway.Count(mgcp::Verb::kRqnt, "aaln/" + std::to_string(line), "X-Answer", kind);
+  }
+  std::size_t Idle(int group) const { return node->core().Group(group)->Count(core::CircuitState::kIdle); }
+
+  sim::VirtualRuntime runtime{11};
+  QuietLog log;
+  ScriptedGateway gateway{&runtime};
+  RosterPort roster{&runtime};
+  edge::EdgeSettings settings;
+  std::unique_ptr<edge::EdgeNode> node;
+};
+
+TEST_F(HardCase, OneCallGoesTheWholePathAndItsCircuitIsFreeAgain) {
+  Dial(1);
+  ASSERT_EQ(SetUps(), 1U);
+  const std::string circuit = LastSeized();
+  EXPECT_EQ(gateway.Last(mgcp::Verb::kCrcx, "ds/")->Get("S"), "MS/sup(addr(110010007),id(aaln/1))");
+  EXPECT_EQ(Idle(1), 1U);
+  OnCircuit(circuit, "MS/ans");
+  EXPECT_EQ(Stands(1), 1U);
+  HangUp(1);
+  EXPECT_EQ(gateway.Count(mgcp::Verb::kDlcx, circuit), 1U);
+  EXPECT_EQ(Idle(1), 2U);
+  EXPECT_EQ(node->core().open_calls(), 0U);
+}
+
+TEST_F(HardCase, AGatewayThatAcknowledgesAndFallsSilentCostsOneFailureInTime) {
+  Dial(1);
+  runtime.RunFor(3'000 * kMs);
+  EXPECT_EQ(Answers(1), 1U);  // one final answer, whatever it is, and no second attempt out meanwhile
+  EXPECT_EQ(gateway.Count(mgcp::Verb::kDlcx, LastSeized()), 1U);
+  EXPECT_EQ(node->core().counters().overdue, 0U);
+  runtime.RunFor(5'000 * kMs);
+  EXPECT_EQ(Answers(1), 1U);
+}
+
+TEST_F(HardCase, AnAnswerThatCrossesTheHangUpAnswersNobody) {
+  Dial(1);
+  const std::string circuit = LastSeized();
+  gateway.Notify("aaln/1", "0", "L/hu");
+  gateway.Notify(circuit, std::string(gateway.Last(mgcp::Verb::kCrcx, circuit)->Get("X")), "MS/ans");
+  runtime.RunFor(10 * kMs);
+  EXPECT_EQ(Stands(1), 0U);
+  EXPECT_EQ(Answers(1), 0U);
+  EXPECT_EQ(gateway.Count(mgcp::Verb::kDlcx, circuit), 1U);
+  EXPECT_EQ(Idle(1), 2U);
+}
+
+TEST_F(HardCase, AnAnswerAfterTheTimeOutOrDuringTheReleaseWaitChangesNothing) {
+  Dial(1);
+  const std::string circuit = LastSeized();
+  gateway.release_state = "releasing";
+  runtime.RunFor(1'600 * kMs);  // past the aim: the attempt timed out
+  ASSERT_EQ(gateway.Count(mgcp::Verb::kDlcx, circuit), 1U);
+  OnCircuit(circuit, "MS/ans");
+  runtime.RunFor(200 * kMs);
+  EXPECT_EQ(Stands(1), 0U);
+  EXPECT_EQ(Answers(1), 1U);
+  EXPECT_EQ(node->core().counters().stands, 0U);
+}
+
+TEST_F(HardCase, ALostResponseToCrcxIsCuredByRepeatingTheSameOctets) {
+  gateway.deaf = true;
+  Dial(1);
+  runtime.RunFor(300 * kMs);
+  const std::size_t copies = SetUps();
+  EXPECT_GE(copies, 2U);
+  gateway.deaf = false;
+  runtime.RunFor(800 * kMs);
+  EXPECT_EQ(node->core().counters().attempts, 1U);
+  OnCircuit(LastSeized(), "MS/ans");
+  EXPECT_GE(Stands(1), 1U);
+}
+
+TEST_F(HardCase, DoubledAndOvertakenNotificationsTakeACallOnce) {
+  const std::string dial = "NTFY 900 aaln/1@gw MGCP 1.0\r\nX: " + gateway.Request("aaln/1") +
+                           "\r\nO: L/hd, D/1, D/1, D/0, D/0, D/1, D/0, D/0, D/0, D/7\r\nX-Patience: 3000\r\n";
+  gateway.Say(dial);
+  gateway.Say(dial);
+  runtime.RunFor(10 * kMs);
+  EXPECT_EQ(node->core().counters().offered, 1U);
+  HangUp(1);
+  // The on-hook overtook nothing: digits under the old request are those of the call that is over.
+  gateway.Notify("aaln/1", "77", "L/hd, D/1, D/1, D/0, D/0, D/1, D/0, D/0, D/0, D/7");
+  runtime.RunFor(10 * kMs);
+  EXPECT_EQ(node->core().counters().offered, 1U);
+  EXPECT_EQ(gateway.responses.back().code, 400);
+}
+
+TEST_F(HardCase, AResponseToAnUnknownTransactionIsCountedOnly) {
+  gateway.Say("200 4711\r\nI: 9\r\n");
+  runtime.RunFor(kMs);
+  EXPECT_EQ(node->transactions().counters().unknown_responses, 1U);
+}
+
+TEST_F(HardCase, ARungPhoneThatIsOffHookIsBusyToItsCaller) {
+  gateway.refuse_crcx = 401;
+  Dial(1, "110000002");
+  EXPECT_EQ(gateway.Count(mgcp::Verb::kCrcx, "aaln/2", "S", "L/rg"), 1U);
+  EXPECT_EQ(Answers(1, "failed"), 1U);
+  EXPECT_EQ(gateway.Last(mgcp::Verb::kRqnt, "aaln/1")->Get("S"), "L/bz");
+}
+
+TEST_F(HardCase, ALineOfThisExchangeIsRungAndAnswers) {
+  Dial(1, "110000002");
+  ASSERT_EQ(gateway.Count(mgcp::Verb::kCrcx, "aaln/2", "S", "L/rg"), 1U);
+  gateway.Notify("aaln/2", gateway.Request("aaln/2"), "L/hd");
+  runtime.RunFor(kMs);
+  EXPECT_EQ(Stands(1), 1U);
+  HangUp(2);
+  EXPECT_EQ(node->core().open_calls(), 0U);
+}
+
+TEST_F(HardCase, ACircuitOutOfServiceIsLeftAndComesBackByAudit) {
+  gateway.refuse_crcx = 501;
+  gateway.refuse_state = "";
+  Dial(1);
+  runtime.RunFor(10 * kMs);
+  EXPECT_GE(node->core().Group(1)->Count(core::CircuitState::kOutOfService), 1U);
+  gateway.refuse_crcx = 0;
+  runtime.RunFor(15'000 * kMs);
+  EXPECT_EQ(Idle(1), 2U);
+  EXPECT_LE(Answers(1), 1U);
+}
+
+TEST_F(HardCase, ACircuitThatTheGatewayHoldsTakenIsNotReleasedByUs) {
+  gateway.refuse_crcx = 540;
+  gateway.audit_state = "seized-in";
+  Dial(1);
+  runtime.RunFor(500 * kMs);
+  // Its seizure belongs to the far end: nothing of ours may delete it.
+  EXPECT_EQ(gateway.Count(mgcp::Verb::kDlcx, "ds/"), 0U);
+  EXPECT_EQ(Idle(1), 1U);
+  EXPECT_EQ(node->core().Group(1)->Count(core::CircuitState::kReleasing), 1U);
+  runtime.RunFor(20'000 * kMs);  // nothing came of it for several looks: then it is cleared
+  EXPECT_GE(gateway.Count(mgcp::Verb::kDlcx, "ds/"), 1U);
+  EXPECT_EQ(Idle(1), 2U);
+}
+
+TEST_F(HardCase, AKilledEdgeClearsWhatItLeftAndOldAnswersHarmNothing) {
+  Dial(1);
+  const std::string circuit = LastSeized();
+  const std::string request(gateway.Last(mgcp::Verb::kCrcx, circuit)->Get("X"));
+  gateway.audit_state = "seized";
+  gateway.commands.clear();
+  StartEdge();
+  EXPECT_EQ(gateway.Count(mgcp::Verb::kDlcx, "ds/"), 4U);  // every circuit was found busy and cleared
+  EXPECT_EQ(Idle(1), 2U);
+  gateway.Notify(circuit, request, "MS/ans");
+  gateway.Notify(circuit, request, "MS/rel(16)");
+  gateway.audit_state = "idle";
+  runtime.RunFor(10 * kMs);
+  EXPECT_EQ(node->core().open_calls(), 0U);
+  EXPECT_EQ(node->trunks().counters().stale_events, 2U);
+  Dial(1);
+  EXPECT_EQ(SetUps(), 1U);
+}
+
+TEST_F(HardCase, ADrainToldInTheInstantOfATimeOutGetsNothingNew) {
+  Dial(1);
+  const std::size_t before = SetUps();
+  runtime.RunFor(1'400 * kMs);
+  roster.List("draining");
+  runtime.RunFor(200 * kMs);  // the attempt times out within a few microseconds of the news
+  runtime.RunFor(3'000 * kMs);
+  EXPECT_EQ(gateway.Count(mgcp::Verb::kCrcx, "ds/1/", "S", "MS/sup"), before);
+  EXPECT_EQ(Answers(1), 1U);
+  Dial(2);
+  runtime.RunFor(3'000 * kMs);
+  EXPECT_EQ(gateway.Count(mgcp::Verb::kCrcx, "ds/1/", "S", "MS/sup"), before);
+  EXPECT_EQ(Answers(2), 1U);
+}
+
+TEST_F(HardCase, StoppingTakesNoMoreAndFinishesWhatIsUp) {
+  Dial(1);
+  OnCircuit(LastSeized(), "MS/ans");
+  bool done = false;
+  node->Stop([&] { done = true; });
+  Dial(2);
+  EXPECT_EQ(Answers(2, "refused"), 1U);
+  EXPECT_FALSE(done);
+  HangUp(1);
+  runtime.RunFor(100 * kMs);
+  EXPECT_TRUE(done);
+}
+
+TEST_F(HardCase, StoppingEndsWhatIsUpAtItsLimit) {
+  Dial(1);
+  OnCircuit(LastSeized(), "MS/ans");
+  Dial(2);
+  bool done = false;
+  node->Stop([&] { done = true; });
+  runtime.RunFor(3'100 * kMs);
+  EXPECT_TRUE(done);
+  EXPECT_EQ(gateway.Count(mgcp::Verb::kDlcx, "aaln/1"), 1U);
+  EXPECT_EQ(Answers(2), 1U);
+  EXPECT_EQ(node->core().open_calls(), 0U);
+}
+
+TEST_F(HardCase, TheOverdueNetIsNeverNeededButHolds) {
+  // Whatever the module does, a caller is answered before giving up; here the gateway refuses all seizures at once.
+  gateway.refuse_crcx = 540;
+  for (int line = 1; line <= 10; ++line) Dial(line);
+  runtime.RunFor(3'000 * kMs);
+  for (int line = 1; line <= 10; ++line) EXPECT_EQ(Answers(line), 1U) << line;
+  EXPECT_EQ(node->core().counters().overdue, 0U);
+}
+
+TEST_F(HardCase, MalformedDatagramsOfEveryKindLeaveTheEdgeWell) {
+  const std::string good = "NTFY 5 aaln/1@gw MGCP 1.0\r\nX: 1\r\nO: L/hd, D/1\r\n";
+  for (std::size_t size = 0; size < good.size(); ++size) gateway.Say(good.substr(0, size));
+  for (const char* text :
+       {"NTFY 600001 aaln/1@gw MGCP 1.0\r\n", "NTFY 600002 aaln/1@gw MGCP 1.0\r\nO: L/hd(\r\n", "NTFY 600003 aaln/9999@gw MGCP 1.0\r\nO: L/hd\r\n",
+        "NTFY 600004 ds/1/99@gw MGCP 1.0\r\nO: MS/sup(addr(1),id(2))\r\n", "NTFY 600005 ds/x/0@gw MGCP 1.0\r\nO: MS/ans\r\n",
+        "NTFY 600006 ds/1/0@gw MGCP 1.0\r\nO: MS/sup\r\n", "CRCX 600007 aaln/1@gw MGCP 1.0\r\n", "NTFY 600008 aaln/1@elsewhere MGCP 1.0\r\nO: L/hd\r\n",
+        "NTFY 600009 ds/1/0@gw MGCP 1.0\r\nO: MS/rel(xyz)\r\n", "NTFY 600010 ds/1/0@gw MGCP 1.0\r\nO: MS/sup(addr(110020001),id(a))\r\nX-Circuits: 9,70000,x\r\n"})
+    gateway.Say(text);
+  runtime.RunFor(100 * kMs);
+  EXPECT_EQ(node->core().open_calls(), 0U);
+  const auto code = [this](std::uint32_t transaction) {
+    for (const auto& r : gateway.responses) {
+      if (r.transaction == transaction) return r.code;
+    }
+    return 0;
+  };
+  EXPECT_EQ(code(600001), 510);
+  EXPECT_EQ(code(600002), 510);
+  EXPECT_EQ(code(600003), 500);
+  EXPECT_EQ(code(600004), 500);
+  EXPECT_EQ(code(600005), 500);
+  EXPECT_EQ(code(600007), 504);
+  EXPECT_EQ(code(600008), 500);
+  runtime.RunFor(10'000 * kMs);
+  Dial(3);
+  EXPECT_EQ(SetUps(), 1U);
+}
+
+class FiveThousand : public HardCase {
+ protected:
+  FiveThousand() : HardCase(6000, 3000) { runtime.RunFor(2'000 * kMs); }
+};
+
+TEST_F(FiveThousand, CallsHeldAtOnceAllEndOnceAndFreeTheirCircuits) {
+  for (int line = 1; line <= 5000; ++line) {
+    Dial(line, line % 2 == 0 ? "110010007" : "110020007");
+    OnCircuit(LastSeized(), "MS/ans");
+  }
+  EXPECT_EQ(node->core().open_calls(), 5000U);
+  for (int line = 1; line <= 5000; ++line) {
+    HangUp(line);
+  }
+  runtime.RunFor(1'000 * kMs);
+  EXPECT_EQ(node->core().counters().stands, 5000U);
+  EXPECT_EQ(node->core().open_calls(), 0U);
+  EXPECT_EQ(Idle(1) + Idle(2), 6000U);
+}
+
+}  // namespace
+}  // namespace croftrun
