--- a/src/cli/load.cpp
+++ b/src/cli/load.cpp
@@ -132,7 +132,7 @@
   nlohmann::json json = {
       {"exchange", {{"number", 0}}},
       {"agent",
-       {{"listen", core::ToString(load.edge)}, {"most_calls", 200'000}, {"answer_margin_ms", 50}, {"seed", 1}}},
+       {{"listen", core::ToString(load.edge)}, {"most_calls", 200'000}, {"answer_margin_ms", 50}, {"shutdown_limit_ms", 3000}, {"seed", 1}}},
       {"gateway", {{"address", core::ToString(load.gateway)}, {"domain", load.domain}}},
       {"lines", {{"count", load.lines}, {"number_prefix", ""}, {"digit_map", "xxxxxxxxx"}}},
       {"groups", {{{"exchange", 1}, {"circuits", circuits}}}},
@@ -200,6 +200,7 @@
       {"late", f.late},
       {"no_line", f.no_line},
       {"repeats", f.repeats},
+      {"rejected", f.rejected},
       {"calls_per_s", done / std::max(0.001, f.seconds)},
       {"edge_cpu_share", cpu / std::max(0.001, f.seconds)},
       {"calls_per_cpu_s", calls_per_cpu_s},
--- a/src/lab/load_line.cpp
+++ b/src/lab/load_line.cpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstring>
 #include <system_error>
+#include <utility>
 
 #include "edge/wire_names.h"
 
@@ -159,14 +160,20 @@
 }
 
 std::string LoadLine::Notify(std::string_view endpoint, std::string_view request, std::string_view events) {
-  return "NTFY " + std::to_string(next_transaction_++) + " " + std::string(endpoint) + " MGCP 1.0\r\nX: " +
-         std::string(request) + "\r\nO: " + std::string(events) + "\r\n";
+  std::string command = "NTFY " + std::to_string(next_transaction_++) + " " + std::string(endpoint) + " MGCP 1.0\r\n";
+  if (!to_confirm_.empty()) command += "K: " + std::exchange(to_confirm_, {}) + "\r\n";
+  return command + "X: " + std::string(request) + "\r\nO: " + std::string(events) + "\r\n";
 }
 
 void LoadLine::OnMessage(std::string_view message, std::string* reply) {
   std::string_view rest = message;
   const auto verb = Word(&rest);
-  if (verb.empty() || (verb[0] >= '0' && verb[0] <= '9')) return;
+  if (verb.empty()) return;
+  if (verb[0] >= '0' && verb[0] <= '9') {
+    figures_.rejected += verb[0] >= '4' ? 1 : 0;
+    if (to_confirm_.size() < 400) to_confirm_.append(to_confirm_.empty() ? "" : ",").append(Word(&rest));
+    return;
+  }
   const auto transaction = Word(&rest);
   const auto endpoint = Word(&rest);
   const auto local = endpoint.substr(0, endpoint.rfind('@'));
--- a/src/lab/load_line.h
+++ b/src/lab/load_line.h
@@ -27,6 +27,7 @@
 struct LoadFigures {
   std::uint64_t offered = 0, answered = 0, refused = 0, failed = 0, unanswered = 0, late = 0, no_line = 0;
   std::uint64_t datagrams_in = 0, datagrams_out = 0, repeats = 0;
+  std::uint64_t rejected = 0;  // notifications that the edge answered with an error
   std::uint64_t most_up = 0;  // calls that stood at once
   double seconds = 0.0;
   // Time the edge added to an answered call, microseconds: digits to seizure and answer to final signal.
@@ -80,6 +81,7 @@
   std::deque<std::pair<TimeUs, int>> to_hang_up_;
   std::deque<std::pair<TimeUs, int>> to_check_;  // dialled: given up or repeated
   std::vector<std::string> out_;
+  std::string to_confirm_;  // answered transactions, for the next K: line
   std::vector<char> buffers_;
   std::uint32_t next_transaction_ = 1, next_connection_ = 1;
   std::uint64_t up_ = 0;
--- a/src/mgcp/transactions.cpp
+++ b/src/mgcp/transactions.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <iterator>
 
 namespace croftrun::mgcp {
 namespace {
@@ -211,8 +212,6 @@
   if (const Parameter* acknowledged = message.Find("K")) ForgetAcknowledged(from, acknowledged->value);
   if (const auto found = history_.find(key); found != history_.end()) {
     ++counters_.received_again;
-    // Confirmed by the sender, so this copy was long on its way: dropped, and above all not carried out again.
-    if (found->second.confirmed) return;
     if (!found->second.answer.empty()) {
       Out(from, found->second.answer);
     } else {
@@ -220,6 +219,11 @@
     }
     return;
   }
+  if (IsConfirmed(from, message.transaction)) {
+    // Confirmed by the sender, so this copy was long on its way: dropped, and above all not carried out again.
+    ++counters_.received_again;
+    return;
+  }
   if (history_.size() >= settings_.most_history) {
     // Without a place to remember the answer, the command could be carried out twice: it is not carried out at all.
     ++counters_.refused_full;
@@ -271,19 +275,52 @@
     for (std::uint32_t id = first; id <= last && id - first < 1024; ++id) {
       const auto found = history_.find({from, id});
       if (found == history_.end() || found->second.answer.empty()) continue;
-      // The answer is not needed any more; that the command was carried out is, until its last copy has died.
-      found->second.confirmed = true;
-      std::string().swap(found->second.answer);
+      if (confirmed_ranges_ >= settings_.most_history) continue;  // kept whole until its time
+      history_.erase(found);
+      Confirm(from, id);
     }
   }
 }
 
+bool Transactions::IsConfirmed(const Address& peer, std::uint32_t id) const {
+  for (const auto* generation : {&confirmed_, &confirmed_before_}) {
+    const auto ranges = generation->find(peer);
+    if (ranges == generation->end()) continue;
+    const auto after = ranges->second.upper_bound(id);
+    if (after != ranges->second.begin() && std::prev(after)->second >= id) return true;
+  }
+  return false;
+}
+
+void Transactions::Confirm(const Address& peer, std::uint32_t id) {
+  Ranges& ranges = confirmed_[peer];
+  const auto after = ranges.upper_bound(id);
+  const bool joins_next = after != ranges.end() && after->first == id + 1;
+  const auto before = after == ranges.begin() ? ranges.end() : std::prev(after);
+  if (before != ranges.end() && before->second + 1 == id) {
+    before->second = joins_next ? after->second : id;
+    if (joins_next) ranges.erase(after), --confirmed_ranges_;
+    return;
+  }
+  const std::uint32_t last = joins_next ? after->second : id;
+  if (joins_next) ranges.erase(after), --confirmed_ranges_;
+  ranges[id] = last;
+  ++confirmed_ranges_;
+}
+
 void Transactions::ForgetOld() {
   const TimeUs now = runtime_->Now();
-  while (!history_order_.empty() && now - history_order_.front().answered_at > settings_.history_us) {
+  if (now - generation_began_ > settings_.history_us) {
+    generation_began_ = now;
+    confirmed_before_ = std::exchange(confirmed_, {});
+    confirmed_ranges_ = 0;
+  }
+  while (!history_order_.empty()) {
     const Aged& oldest = history_order_.front();
     const auto found = history_.find(oldest.key);
-    if (found != history_.end() && found->second.id == oldest.id) history_.erase(found);
+    const bool there = found != history_.end() && found->second.id == oldest.id;
+    if (there && now - oldest.answered_at <= settings_.history_us) break;
+    if (there) history_.erase(found);
     history_order_.pop_front();
   }
 }
--- a/src/mgcp/transactions.h
+++ b/src/mgcp/transactions.h
@@ -131,11 +131,16 @@
   // One command received.
   struct Received {
     CommandId id = 0;
-    std::string answer;  // empty while not answered, and again once confirmed
+    std::string answer;  // empty while not answered
     bool provisional = false;
-    bool confirmed = false;
   };
 
+  // Ids whose answers the sender has confirmed: the answer is not needed any more, but that the command was carried
+  // out is, until its last copy has died. Ids of a peer mostly follow each other, so ranges hold a great many.
+  using Ranges = std::map<std::uint32_t, std::uint32_t>;  // first to last
+  bool IsConfirmed(const Address& peer, std::uint32_t id) const;
+  void Confirm(const Address& peer, std::uint32_t id);
+
   Peer& PeerAt(const Address& address);
   TimeUs TimeoutFor(const Address& to) const;
   void Arm(std::uint32_t transaction, Pending& pending);
@@ -165,6 +170,10 @@
     CommandId id = 0;  // a later command may have the same key
   };
   std::deque<Aged> history_order_;  // by the time of the answer
+  // Two generations, each for T-HIST: what is in neither is older than its last copy.
+  std::map<Address, Ranges> confirmed_, confirmed_before_;
+  std::size_t confirmed_ranges_ = 0;
+  TimeUs generation_began_ = 0;
   int corks_ = 0;
   std::vector<std::pair<Address, std::string>> gathered_;  // by peer; a handful at most
   TransactionCounters counters_;
--- a/tests/transactions_test.cpp
+++ b/tests/transactions_test.cpp
@@ -72,6 +72,27 @@
   EXPECT_EQ(wire.heard.size(), 2U);  // dropped in silence
 }
 
+TEST_F(TransactionsTest, ConfirmedCommandsTakeNoRoomAndAreStillNotCarriedOutAgain) {
+  TransactionSettings settings;
+  settings.most_history = 4;
+  Open(settings);
+  for (int i = 1; i <= 200; ++i) {
+    wire.Say("NTFY " + std::to_string(i) + " aaln/1@gw MGCP 1.0\r\nK: " + std::to_string(i - 1) + "\r\nO: L/hu\r\n");
+    runtime.RunFor(kMs);
+  }
+  EXPECT_EQ(commands.size(), 200U);
+  EXPECT_LE(layer->history(), 2U);
+  for (const int late : {1, 57, 198}) wire.Say("NTFY " + std::to_string(late) + " aaln/1@gw MGCP 1.0\r\nO: L/hu\r\n");
+  runtime.RunFor(10 * kMs);
+  EXPECT_EQ(commands.size(), 200U);
+  runtime.RunFor(70'000 * kMs);  // twice T-HIST: the sender may use the ids again
+  wire.Say("NTFY 57 aaln/1@gw MGCP 1.0\r\nO: L/hu\r\n");
+  runtime.RunFor(10 * kMs);
+  wire.Say("NTFY 58 aaln/1@gw MGCP 1.0\r\nO: L/hu\r\n");
+  runtime.RunFor(10 * kMs);
+  EXPECT_GE(commands.size(), 201U);
+}
+
 TEST_F(TransactionsTest, ACommandThatTakesLongIsAnsweredProvisionallyAndAsksForTheHandshake) {
   answer_at_once = false;
   wire.Say("NTFY 9 aaln/1@gw MGCP 1.0\r\nO: L/hu\r\n");
