A drain is kept whatever the incarnation; the roster stand-in tells changes in order

Change: versions alone say which word is the last; a start is never taken from an older incarnation.

--- a/src/core/roster.cpp
+++ b/src/core/roster.cpp
@@ -15,8 +15,8 @@
   for (const RosterEntry& entry : update.entries) {
     const auto found = known_.find(entry.exchange);
     const bool fresh = found == known_.end() || entry.incarnation > found->second.incarnation;
-    // An incarnation older than one seen is a message that was overtaken; its state is not believed.
-    if (!fresh && entry.incarnation < found->second.incarnation) continue;
+    // An incarnation older than one seen is odd, but versions say which word is the last, and a drain must be kept
+    // whoever erred: its state is believed, its start is not.
     if (fresh) {
       Known known{entry.incarnation, 0};
       if (entry.incarnation > 0) known.since_us = now > entry.age_us ? now - entry.age_us : 1;
--- a/src/lab/roster_server.cpp
+++ b/src/lab/roster_server.cpp
@@ -1,5 +1,6 @@
 #include "lab/roster_server.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace croftrun::lab {
@@ -12,7 +13,10 @@
 }
 
 void RosterServer::Change(const RosterLine& line) {
-  runtime_->StartTimer(lag_us_, [this, alive = alive_, line] {
+  // Late, but in order: a shorter lag does not let a later change overtake an earlier one.
+  const TimeUs now = runtime_->Now();
+  last_due_ = std::max(last_due_, now + lag_us_);
+  runtime_->StartTimer(last_due_ - now, [this, alive = alive_, line] {
     if (*alive) Publish(line);
   });
 }
--- a/src/lab/roster_server.h
+++ b/src/lab/roster_server.h
@@ -42,6 +42,7 @@
 
   core::Runtime* runtime_;
   TimeUs lag_us_;
+  TimeUs last_due_ = 0;
   std::uint64_t version_ = 1;
   std::map<std::uint32_t, RosterLine> lines_;
   std::map<core::Address, std::uint64_t> subscribers_;  // with the version each said it has
