Rules that classify calls: a typed language with a cost bound known at load, in the edge with reload

Need: staff write which calls are of which class without changing the program. Beside it: confirmed transaction ids are forgotten after a long silence (a test failed on it).

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -124,6 +124,7 @@
        {{"dialled", l.dialled},
         {"unallocated", l.unallocated},
         {"stale_digits", l.stale_digits},
+        {"refused_by_rule", l.refused_by_rule},
         {"rung", l.rung},
         {"ignored_events", l.ignored_events},
         {"restarts", l.restarts}}}};
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -24,6 +24,8 @@
 
   // Takes no more calls; `done` comes when none is left, or when the limit has passed and what was left was ended.
   void Stop(std::function<void()> done);
+  // New rules, whole, from the next call on.
+  void SetClassifier(std::shared_ptr<const Classifier> classifier) { lines_.SetClassifier(std::move(classifier)); }
   // Every counter, by part.
   nlohmann::json Metrics() const;
 
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -30,6 +30,7 @@
     ReadCustomers(file, &s);
     ReadGroups(file, &s);
     ReadPlan(file, &s);
+    ReadRules(file, &s);
     ReadNetwork(file.at("network"), &s.core.module);
     if (file.contains("transactions")) ReadTransactions(file.at("transactions"), &s.transactions);
     if (file.contains("log")) {
@@ -158,6 +159,18 @@
     }
   }
 
+  void ReadRules(const json& file, EdgeSettings* s) {
+    if (!file.contains("rules")) return;
+    std::string text;
+    for (const json& line : file.at("rules")) text += line.get<std::string>() + "\n";
+    std::vector<std::string> customers;
+    for (const Customer& customer : s->core.module.customers) customers.push_back(customer.name);
+    std::vector<expr::Mistake> faults;
+    s->classifier = Classifier::Make(text, s->class_names, customers, &faults);
+    for (const expr::Mistake& fault : faults)
+      Mistake("/rules/" + std::to_string(fault.line - 1), "column " + std::to_string(fault.column) + ": " + fault.text + "\n" + fault.shown);
+  }
+
   int Look(const std::map<std::string, int>& names, const json& entry, const char* key, const std::string& path) {
     const auto name = entry.at(key).get<std::string>();
     const auto found = names.find(name);
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -2,6 +2,7 @@
 #ifndef CROFTRUN_EDGE_EDGE_SETTINGS_H_
 #define CROFTRUN_EDGE_EDGE_SETTINGS_H_
 
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -11,6 +12,7 @@
 #include "config/json_settings.h"
 #include "core/call_core.h"
 #include "core/number_plan.h"
+#include "edge/classifier.h"
 #include "mgcp/transactions.h"
 
 namespace croftrun::edge {
@@ -36,6 +38,7 @@
   LineSettings lines;
   std::vector<std::string> class_names;
   core::NumberPlan plan;
+  std::shared_ptr<const Classifier> classifier;  // null: no rules
   std::optional<RosterSettings> roster;
   mgcp::TransactionSettings transactions;
   TimeUs shutdown_limit_us = 30'000'000;
--- a/src/edge/line_front.cpp
+++ b/src/edge/line_front.cpp
@@ -35,6 +35,7 @@
       core_(core),
       transactions_(transactions),
       lines_(static_cast<std::size_t>(settings.lines.count) + 1),
+      classifier_(settings.classifier),
       retry_(runtime) {}
 
 void LineFront::Start() {
@@ -164,17 +165,28 @@
     ++counters_.unallocated;
     return Tone(number, line, "L/ro", "failed", 0);
   }
-  const CallClass& call_class = settings_.core.module.classes[static_cast<std::size_t>(meaning->call_class)];
+  const std::vector<CallClass>& classes = settings_.core.module.classes;
   core::Offer offer;
   offer.called = digits;
   offer.calling = std::string(wire_names::kLines) + std::to_string(number);
   offer.call_class = meaning->call_class;
   offer.customer = meaning->customer;
   offer.destination = meaning->destination;
-  offer.width = static_cast<std::size_t>(call_class.width);
-  offer.patience_us = call_class.deadline_us;
-  if (const auto patience = wire_names::Number<std::uint32_t>(message.Get(wire_names::kPatience)))
-    offer.patience_us = TimeUs{*patience} * 1000;
+  const auto patience = wire_names::Number<std::uint32_t>(message.Get(wire_names::kPatience));
+  const auto take_class = [&] {
+    const CallClass& call_class = classes[static_cast<std::size_t>(offer.call_class)];
+    offer.width = static_cast<std::size_t>(call_class.width);
+    offer.patience_us = patience ? TimeUs{*patience} * 1000 : call_class.deadline_us;
+  };
+  take_class();
+  if (classifier_ != nullptr) {
+    const Classifier::Verdict verdict = classifier_->Apply(&offer, number);
+    if (verdict.refuse) {
+      ++counters_.refused_by_rule;
+      return Tone(number, line, "G/cg", "refused", verdict.pause_us);
+    }
+    if (verdict.rule != nullptr) take_class();  // width and patience follow the class
+  }
   line.state = State::kCalling;
   line.called = false;
   dialling_ = number;
--- a/src/edge/line_front.h
+++ b/src/edge/line_front.h
@@ -23,7 +23,7 @@
 class LineFront final : public core::Subscriber, public core::Terminator {
  public:
   struct Counters {
-    std::uint64_t dialled = 0, unallocated = 0, stale_digits = 0, rung = 0, ignored_events = 0, restarts = 0;
+    std::uint64_t dialled = 0, unallocated = 0, stale_digits = 0, refused_by_rule = 0, rung = 0, ignored_events = 0, restarts = 0;
   };
 
   LineFront(const EdgeSettings& settings, core::Runtime* runtime, core::CallCore* core,
@@ -34,6 +34,8 @@
   void OnNotify(mgcp::Transactions::CommandId command, const mgcp::Message& message);
   // A restart in progress of lines matching the endpoint of the message.
   void OnRestart(const mgcp::Message& message);
+  // From the next call on; null: no rules.
+  void SetClassifier(std::shared_ptr<const Classifier> classifier) { classifier_ = std::move(classifier); }
 
   void OnFinal(CallId call, const core::FinalAnswer& answer) override;
   void OnEnded(CallId call, core::ReleaseCause cause) override;
@@ -81,6 +83,7 @@
   std::unordered_map<CallId, int> calling_, rung_;
   // Set while a line's call is being taken: its final answer can come before its id is known.
   int dialling_ = 0;
+  std::shared_ptr<const Classifier> classifier_;
   std::uint32_t next_request_ = 1;
   core::Timer retry_;
   Counters counters_;
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -47,6 +47,26 @@
     tell.async_wait(on_tell);
   };
   tell.async_wait(on_tell);
+  // The rules alone are read again; a file at fault leaves those in force.
+  boost::asio::signal_set reload(runtime.context(), SIGHUP);
+  std::function<void(const boost::system::error_code&, int)> on_reload = [&](const auto& error, int) {
+    if (error) return;
+    std::vector<config::Mistake> faults;
+    const std::string again = config::ReadFile(path, kMostSettingsBytes, &faults);
+    edge::EdgeSettings fresh;
+    if (faults.empty()) fresh = edge::ParseEdgeSettings(again, &faults);
+    if (faults.empty() && fresh.class_names != settings.class_names)
+      faults.push_back({"/classes", "expected the classes in force, found others; restart the edge to change them"});
+    if (faults.empty()) {
+      node.SetClassifier(fresh.classifier);
+      const std::size_t rules = fresh.classifier == nullptr ? 0 : fresh.classifier->rules().rules.size();
+      log.Write(core::LogLevel::kInfo, "rules-reloaded", 0, std::to_string(rules) + " rules");
+    } else {
+      log.Write(core::LogLevel::kError, "rules-kept", 0, config::ToString(faults));
+    }
+    reload.async_wait(on_reload);
+  };
+  reload.async_wait(on_reload);
   std::cerr << "croftrun-edge: exchange " << settings.core.module.own_number << " listens on "
             << core::ToString(node.transactions().Local()) << "\n";
   runtime.Run();
--- a/src/mgcp/transactions.cpp
+++ b/src/mgcp/transactions.cpp
@@ -311,8 +311,11 @@
 void Transactions::ForgetOld() {
   const TimeUs now = runtime_->Now();
   if (now - generation_began_ > settings_.history_us) {
+    // After a long silence both generations are over age.
+    const bool both = now - generation_began_ > 2 * settings_.history_us;
     generation_began_ = now;
     confirmed_before_ = std::exchange(confirmed_, {});
+    if (both) confirmed_before_.clear();
     confirmed_ranges_ = 0;
   }
   while (!history_order_.empty()) {
--- a/tests/hard_cases_test.cpp
+++ b/tests/hard_cases_test.cpp
@@ -380,6 +380,28 @@
   EXPECT_EQ(SetUps(), 1U);
 }
 
+TEST_F(HardCase, RulesClassifyACallBeforeTheModuleSeesItAndAreSwappedWhole) {
+  std::vector<expr::Mistake> mistakes;
+  const auto make = [&](const char* text) {
+    auto classifier = edge::Classifier::Make(text, settings.class_names, {}, &mistakes);
+    EXPECT_TRUE(classifier) << expr::ToString(mistakes);
+    node->SetClassifier(classifier);
+  };
+  make("rule crews when has(line) and line in 1 .. 3 and class == slot-check then class = slot-hold;"
+       "rule flood when has(line) and line in [4] then refuse pause 2s;");
+  Dial(1);
+  EXPECT_EQ(gateway.Last(mgcp::Verb::kCrcx, "ds/")->Get("X-Class"), "slot-hold");
+  EXPECT_EQ(gateway.Count(mgcp::Verb::kCrcx, "ds/"), 2U);  // that class is two circuits wide
+  HangUp(1);
+  Dial(4);
+  EXPECT_EQ(Answers(4, "refused"), 1U);
+  EXPECT_EQ(gateway.Last(mgcp::Verb::kRqnt, "aaln/4")->Get("X-Pause"), "2000");
+  make("rule none when false then redial;");
+  Dial(2);
+  EXPECT_EQ(gateway.Last(mgcp::Verb::kCrcx, "ds/")->Get("X-Class"), "slot-check");
+  EXPECT_FALSE(edge::Classifier::Make("rule x when line > 5 then refuse;", settings.class_names, {}, &mistakes));
+}
+
 class FiveThousand : public HardCase {
  protected:
   FiveThousand() : HardCase(6000, 3000) { runtime.RunFor(2'000 * kMs); }
--- a/tests/transactions_test.cpp
+++ b/tests/transactions_test.cpp
@@ -88,9 +88,7 @@
   runtime.RunFor(70'000 * kMs);  // twice T-HIST: the sender may use the ids again
   wire.Say("NTFY 57 aaln/1@gw MGCP 1.0\r\nO: L/hu\r\n");
   runtime.RunFor(10 * kMs);
-  wire.Say("NTFY 58 aaln/1@gw MGCP 1.0\r\nO: L/hu\r\n");
-  runtime.RunFor(10 * kMs);
-  EXPECT_GE(commands.size(), 201U);
+  EXPECT_EQ(commands.size(), 201U);
 }
 
 TEST_F(TransactionsTest, ACommandThatTakesLongIsAnsweredProvisionallyAndAsksForTheHandshake) {
