--- a/src/config/json_settings.cpp
+++ b/src/config/json_settings.cpp
@@ -20,7 +20,7 @@
   nlohmann::json value;
   try {
     value = nlohmann::json::parse(text);
-  } catch (const nlohmann::json::parse_error& error) {
+  } catch (const nlohmann::json::exception& error) {  // also what is no parse error: a number out of range
     mistakes->push_back({"", error.what()});
     return value;
   }
--- a/src/edge/trunk_gateway.cpp
+++ b/src/edge/trunk_gateway.cpp
@@ -444,6 +444,11 @@
 }
 
 void TrunkGateway::OnAudited(Key key, const Answered& answered) {
+  if (answered.message != nullptr) {
+    doubtful_.erase(key);
+  } else if (legs_.count(key) > 0) {
+    doubtful_.insert(key);  // taken into use while the look was on its way
+  }
   if (const auto leg = legs_.find(key); leg != legs_.end()) {
     // In use: only a release that was not told matters. An idle circuit under a set-up still on its way is none.
     if (!answered.ok()) return;
@@ -489,6 +494,8 @@
   for (const auto& [key, release] : releases_) {
     if (now - release.since >= settings_.audit_us) due.push_back(key);
   }
+  // A look that was not answered is taken again: the release of such a call may have been told to nobody.
+  due.insert(due.end(), doubtful_.begin(), doubtful_.end());
   if (++sweeps_ % kOutOfServiceSweeps == 0) due.insert(due.end(), out_of_service_.begin(), out_of_service_.end());
   for (const core::GroupSettings& group : settings_.core.groups) {
     const core::CircuitGroup* circuits = core_->Group(group.number);
@@ -520,6 +527,7 @@
       // Calls in progress go on; nothing new.
       if (legs_.count(key) == 0) TakeOut(key);
     } else if (mgcp::EqualsIgnoringCase(method, "disconnected") || cancelled) {
+      if (legs_.count(key) > 0) doubtful_.insert(key);
       Audit(key);
     } else {
       // restart, forced: what was on it is cut.
--- a/src/edge/trunk_gateway.h
+++ b/src/edge/trunk_gateway.h
@@ -96,6 +96,7 @@
   std::unordered_map<Key, ReleaseState> releases_;
   std::unordered_set<Key> out_of_service_, known_;
   std::deque<Key> to_audit_;
+  std::unordered_set<Key> doubtful_;  // in use when the gateway was cut off, and not looked at since
   std::unordered_set<Key> auditing_;  // in to_audit_ or asked
   std::unordered_map<Key, std::uint32_t> armed_;  // the request under which a seizure is told, given in this life
   std::unordered_map<Key, TimeUs> seen_seized_;  // by the far end, without a call here: since when
--- a/tests/core_parts_test.cpp
+++ b/tests/core_parts_test.cpp
@@ -235,6 +235,10 @@
   mistakes.clear();
   edge::ParseEdgeSettings("{", &mistakes);
   EXPECT_EQ(mistakes.size(), 1U);
+  mistakes.clear();
+  edge::ParseEdgeSettings(R"({"exchange": 5E5555})", &mistakes);  // found by the fuzzer: no double holds it
+  EXPECT_EQ(mistakes.size(), 1U);
+  EXPECT_FALSE(edge::ParseRosterUpdate(R"({"version": 5E5555, "entries": []})"));
 }
 
 }  // namespace
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -1,7 +1,9 @@
 // Whole days on virtual time: real edge code against the laboratory, the rules read off the traffic.
 #include <gtest/gtest.h>
 
+#include <fstream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "day_fixture.h"
 
@@ -77,6 +79,18 @@
   EXPECT_GT(played.report.service, 0.95);
 }
 
+// Found among random days: a call was taken from a notification repeated since before the edge's restart, and its release
+// had been told while the gateway was cut off. Only a look that is repeated until it is answered finds it.
+TEST(Day, ACallWhoseReleaseWasToldToNobodyIsFoundByLookingAgain) {
+  std::ifstream file(CROFTRUN_TEST_DATA "/cut-off-gateway.json");
+  std::stringstream text;
+  text << file.rdbuf();
+  PlayedDay played(text.str());
+  played.Play();
+  ExpectSound(played);
+  ExpectAllFree(played);
+}
+
 // The kinds of trouble a bad day brings, each alone; rules and circuits must hold through all of them.
 struct Trouble {
   const char* name;
