--- a/src/core/call_core.cpp
+++ b/src/core/call_core.cpp
@@ -266,6 +266,8 @@
 
 void CallCore::Begin(CallId id) {
   Call& call = calls_[id];
+  if (log_->Wants(LogLevel::kDebug))
+    log_->Write(LogLevel::kDebug, "taken", id, call.offer.calling + " to " + call.offer.called);
   const TimeUs margin = std::min(settings_.answer_margin_us, call.offer.patience_us / 2);
   const TimeUs budget = call.offer.patience_us - margin;
   if (call.offer.destination == own_number()) {
@@ -431,6 +433,10 @@
                              now,
                              call.offer.width};
   for (Observer* observer : observers_) observer->OnAttempt(record);
+  if (log_->Wants(LogLevel::kDebug))
+    log_->Write(LogLevel::kDebug, "attempt-ended", id,
+                "attempt " + std::to_string(attempt.index) + " to exchange " + std::to_string(number) + ", cause " +
+                    std::to_string(static_cast<int>(info.cause)));
   AttemptEnded ended;
   ended.call = id;
   ended.exchange = attempt.exchange;
@@ -454,6 +460,10 @@
   ++(answer.kind == FinalKind::kStands    ? counters_.stands
      : answer.kind == FinalKind::kRefused ? counters_.refused
                                           : counters_.failed);
+  if (log_->Wants(LogLevel::kDebug)) {
+    constexpr std::string_view kKinds[] = {"stands", "refused", "failed"};
+    log_->Write(LogLevel::kDebug, "final", id, kKinds[static_cast<std::size_t>(answer.kind)]);
+  }
   if (answer.kind == FinalKind::kStands) {
     if (call.subscriber != nullptr) {
       FinalAnswer with_session = answer;
--- a/src/core/call_core.h
+++ b/src/core/call_core.h
@@ -127,6 +127,8 @@
   virtual ~LogSink() = default;
   // `call` 0: none. `detail` is free text.
   virtual void Write(LogLevel level, std::string_view event, CallId call, std::string_view detail) = 0;
+  // Whether it would be kept: asked before a line for each call is put together.
+  virtual bool Wants(LogLevel) const { return true; }
 };
 
 // What exporters are told; views are valid during the call.
--- a/src/edge/json_log.cpp
+++ b/src/edge/json_log.cpp
@@ -23,10 +23,20 @@
 
 JsonLog::~JsonLog() { logger_->flush(); }
 
-void JsonLog::Write(core::LogLevel level, std::string_view event, CallId call, std::string_view detail) {
+namespace {
+
+spdlog::level::level_enum LevelOf(core::LogLevel level) {
   constexpr spdlog::level::level_enum kLevels[] = {spdlog::level::debug, spdlog::level::info, spdlog::level::warn,
                                                    spdlog::level::err};
-  const auto at = kLevels[static_cast<std::size_t>(level)];
+  return kLevels[static_cast<std::size_t>(level)];
+}
+
+}  // namespace
+
+bool JsonLog::Wants(core::LogLevel level) const { return logger_->should_log(LevelOf(level)); }
+
+void JsonLog::Write(core::LogLevel level, std::string_view event, CallId call, std::string_view detail) {
+  const auto at = LevelOf(level);
   if (!logger_->should_log(at)) return;
   const auto quoted = [](std::string_view text) {
     return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/src/edge/json_log.h
+++ b/src/edge/json_log.h
@@ -18,6 +18,7 @@
   // `file` empty: standard error. Throws std::runtime_error where the file cannot be opened.
   JsonLog(const std::string& level, const std::string& file, int exchange);
   ~JsonLog() override;
+  bool Wants(core::LogLevel level) const override;
   void Write(core::LogLevel level, std::string_view event, CallId call, std::string_view detail) override;
 
  private:
