--- a/src/runtime/asio_runtime.cpp
+++ b/src/runtime/asio_runtime.cpp
@@ -31,7 +31,7 @@
 constexpr std::size_t kSystemBatch = 32;   // datagrams of one system call
 constexpr std::size_t kWorkBatch = 64;     // worked on before the socket is emptied again and timers get their turn
 constexpr std::size_t kLargest = 4096;     // octets of a datagram that is not cut (RFC 3435 3.5.4 asks for 4,000)
-constexpr std::size_t kMostQueued = 32 << 20;// octets waiting in the process; what comes beyond is dropped, counted
+constexpr std::size_t kMostQueued = 32 << 20;  // octets waiting in the process; what comes beyond is dropped, counted
 
 udp::endpoint EndpointOf(const core::Address& address) {
   return {asio::ip::address_v4(address.host), address.port};
