Read once more: one pair of JSON readers for both settings, members that nothing read taken out

Cause: the edge's settings and the laboratory's scenario each had their own readers of keys and times; the network's chance, a table of give-up times, a wish for on-hook and a call name were kept and never read; a report cast const away. Change: config/json_settings.h has the readers; the dead members are gone; Network::At has its const twin.

--- a/src/config/json_settings.h
+++ b/src/config/json_settings.h
@@ -2,6 +2,7 @@
 #ifndef CROFTRUN_CONFIG_JSON_SETTINGS_H_
 #define CROFTRUN_CONFIG_JSON_SETTINGS_H_
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -23,6 +24,16 @@
 // The file's text; appends a mistake if it cannot be read or is over `most_bytes`.
 std::string ReadFile(const std::string& path, std::size_t most_bytes, std::vector<Mistake>* mistakes);
 
+// A key of a checked object into `*out`, which keeps its default where the key is absent.
+template <typename T>
+void Value(const nlohmann::json& object, const char* key, T* out) {
+  if (object.contains(key)) *out = object.at(key).get<T>();
+}
+// The same for a time: milliseconds in the file, microseconds in the program.
+inline void Time(const nlohmann::json& object, const char* key, std::uint64_t* out_us) {
+  if (object.contains(key)) *out_us = object.at(key).get<std::uint64_t>() * 1000;
+}
+
 }  // namespace croftrun::config
 
 #endif  // CROFTRUN_CONFIG_JSON_SETTINGS_H_
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -7,6 +7,8 @@
 namespace croftrun::edge {
 namespace {
 
+using config::Time;
+using config::Value;
 using nlohmann::json;
 
 constexpr TimeUs kMs = 1000;
@@ -43,13 +45,6 @@
  private:
   void Mistake(std::string path, std::string text) { mistakes_->push_back({std::move(path), std::move(text)}); }
 
-  static void Time(const json& object, const char* key, TimeUs* out) {
-    if (object.contains(key)) *out = object.at(key).get<TimeUs>() * kMs;
-  }
-  template <typename T>
-  static void Value(const json& object, const char* key, T* out) {
-    if (object.contains(key)) *out = object.at(key).get<T>();
-  }
   void Address(const json& object, const std::string& where, const char* key, core::Address* out) {
     const auto text = object.at(key).get<std::string>();
     if (!core::ParseAddress(text, out))
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -32,7 +32,7 @@
       log_folder_(std::move(log_folder)),
       random_(scenario.seed),
       path_(runtime, trace, scenario.seed + 1),
-      network_(runtime, trace, NetworkSettingsOf(scenario), scenario.seed + 2),
+      network_(runtime, trace, NetworkSettingsOf(scenario)),
       roster_(&path_, RosterAddress(scenario), scenario.roster_lag_us),
       free_lines_(static_cast<std::size_t>(scenario.edges)) {
   report_.classes.resize(scenario_.classes.size());
@@ -427,7 +427,7 @@
   report.datagrams = trace_->datagrams();
   std::sort(report.set_up_delays.begin(), report.set_up_delays.end());
   for (int i = 0; i < scenario_.exchanges; ++i)
-    report.fell_over += const_cast<Day*>(this)->network_.At(i).fell_over ? 1 : 0;
+    report.fell_over += network_.At(i).fell_over ? 1 : 0;
   return report;
 }
 
--- a/src/lab/gateway.cpp
+++ b/src/lab/gateway.cpp
@@ -79,7 +79,6 @@
   line.off_hook = false;
   line.in_use = false;
   line.to_dial.clear();
-  line.wants_on_hook = false;
   NotifyLine(number, line, "L/hu");
 }
 
@@ -168,11 +167,10 @@
   if (const mgcp::Parameter* request = message.Find("X")) line.request = request->value;
   const mgcp::Parameter* wanted = message.Find("R");
   if (wanted == nullptr) return;
-  line.wants_off_hook = line.wants_on_hook = false;
+  line.wants_off_hook = false;
   const auto events = mgcp::ParseEventList(wanted->value);
   if (!events) return;
   for (const mgcp::EventRef& event : *events) {
-    if (mgcp::EqualsIgnoringCase(event.name, "hu")) line.wants_on_hook = true;
     if (!mgcp::EqualsIgnoringCase(event.name, "hd")) continue;
     line.wants_off_hook = true;
     // L/hd(E(R(...),D((map)),S(...))): what is asked once the line is off hook.
@@ -277,7 +275,6 @@
       const bool idle = network_->Idle(settings_.number, circuit);
       if (answers ? idle : !idle) return transactions_.Respond(id, mgcp::kGlare, CircuitState(circuit), "in use");
       trunk.request = message.Get("X");
-      trunk.call = message.Get("C");
       trunk.connection = NewConnection();
       Writer(&body).Line("I", trunk.connection).Session(SessionFor(settings_.address, trunk.connection));
       transactions_.Respond(id, mgcp::kOk, body);
@@ -296,7 +293,6 @@
       news.wait_us = TimeUs{wire_names::Number<std::uint32_t>(message.Get(wire_names::kWait)).value_or(0)} * 1000;
       if (const auto* request = message.Find("X")) trunk.request = trunk.armed = request->value;
       trunk.connection.clear();
-      trunk.call.clear();
       network_->Release(settings_.number, circuit, news);
       body = CircuitState(circuit);
       Writer(&body).Line("P", "PS=0, OS=0, PR=0, OR=0, PL=0, JI=0, LA=0");
@@ -332,7 +328,6 @@
   if (!network_->Idle(settings_.number, circuit) || (!silent && !network_->Seize(settings_.number, circuit, info)))
     return transactions_.Respond(id, mgcp::kGlare, CircuitState(circuit), "in use");
   trunk.request = message.Get("X");
-  trunk.call = message.Get("C");
   trunk.connection = NewConnection();
   std::string body;
   Writer(&body).Line("I", trunk.connection).Session(SessionFor(settings_.address, trunk.connection));
@@ -347,7 +342,7 @@
     const bool heard = line.in_use && line.off_hook;
     line.connection.clear();
     line.ringing = false;
-    line.wants_off_hook = line.wants_on_hook = false;
+    line.wants_off_hook = false;
     line.off_hook = false;
     if (std::exchange(line.in_use, false) && heard) on_heard_(static_cast<int>(i), Heard::kEnded, 0);
   }
--- a/src/lab/gateway.h
+++ b/src/lab/gateway.h
@@ -63,7 +63,7 @@
     bool off_hook = false;
     bool in_use = false;        // by a caller of the laboratory, from dialling to on hook
     std::string request;        // X: in force
-    bool wants_off_hook = false, wants_on_hook = false;
+    bool wants_off_hook = false;
     std::optional<mgcp::DigitMap> digit_map;
     std::string connection;
     std::string to_dial;        // waits to be armed
@@ -74,7 +74,6 @@
   struct Trunk {
     std::string request, connection;
     std::string armed;  // the request under which a seizure is told
-    std::string call;
   };
 
   void OnCommand(mgcp::Transactions::CommandId id, const mgcp::Message& message);
--- a/src/lab/network.cpp
+++ b/src/lab/network.cpp
@@ -5,8 +5,8 @@
 
 namespace croftrun::lab {
 
-Network::Network(core::Runtime* runtime, Trace* trace, const NetworkSettings& settings, std::uint64_t seed)
-    : runtime_(runtime), trace_(trace), settings_(settings), random_(seed) {
+Network::Network(core::Runtime* runtime, Trace* trace, const NetworkSettings& settings)
+    : runtime_(runtime), trace_(trace), settings_(settings) {
   for (std::size_t i = 0; i < settings_.zones.size(); ++i) {
     ExchangeState exchange;
     exchange.number = static_cast<int>(i);
@@ -24,8 +24,7 @@
 }
 
 TimeUs Network::Way(int a, int b) const {
-  const auto zone = [this](int n) { return exchanges_[static_cast<std::size_t>(n)].zone; };
-  return zone(a) == zone(b) ? settings_.near_us : settings_.far_us;
+  return At(a).zone == At(b).zone ? settings_.near_us : settings_.far_us;
 }
 
 void Network::AddGroup(int a, int b, unsigned circuits) {
--- a/src/lab/network.h
+++ b/src/lab/network.h
@@ -11,7 +11,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -93,12 +92,12 @@
 
 class Network {
  public:
-  Network(core::Runtime* runtime, Trace* trace, const NetworkSettings& settings, std::uint64_t seed);
+  Network(core::Runtime* runtime, Trace* trace, const NetworkSettings& settings);
   ~Network();
 
   std::size_t size() const { return exchanges_.size(); }
   ExchangeState& At(int number) { return exchanges_[static_cast<std::size_t>(number)]; }
-  const ProcessorSettings& processor() const { return settings_.processor; }
+  const ExchangeState& At(int number) const { return exchanges_[static_cast<std::size_t>(number)]; }
   void SetUser(int number, CircuitUser* user) { At(number).user = user; }
   void AddGroup(int a, int b, unsigned circuits);
   unsigned Circuits(int a, int b) const;
@@ -162,7 +161,6 @@
   core::Runtime* runtime_;
   Trace* trace_;
   NetworkSettings settings_;
-  std::mt19937_64 random_;
   std::vector<ExchangeState> exchanges_;
   std::map<Pair, std::vector<Circuit>> groups_;
   std::uint64_t next_seizure_ = 1;
--- a/src/lab/rules.cpp
+++ b/src/lab/rules.cpp
@@ -121,8 +121,6 @@
     core::ParseAddress(f.value("roster", ""), &roster_);
     release_us_ = f.value("release_ms", TimeUs{0}) * 1000;
     grace_us_ = f.value("drain_grace_ms", TimeUs{0}) * 1000;
-    for (const auto& c : f.value("classes", nlohmann::json::array()))
-      give_up_[c.value("name", "")] = c.value("give_up_ms", TimeUs{0}) * 1000;
     for (const auto& e : f.value("edges", nlohmann::json::array())) {
       Edge edge;
       edge.number = e.value("exchange", -1);
--- a/src/lab/rules.h
+++ b/src/lab/rules.h
@@ -114,7 +114,6 @@
   std::map<int, Cold> cold_;
   core::Address roster_;
   TimeUs release_us_ = 0, grace_us_ = 0, last_ = 0;
-  std::map<std::string, TimeUs> give_up_;  // by class
   std::uint64_t taken_ = 0, transit_ = 0, fell_over_ = 0;
 };
 
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -10,18 +10,12 @@
 namespace croftrun::lab {
 namespace {
 
+using config::Time;
+using config::Value;
 using nlohmann::json;
 
 constexpr TimeUs kMs = 1000;
 
-void Time(const json& object, const char* key, TimeUs* out) {
-  if (object.contains(key)) *out = object.at(key).get<TimeUs>() * kMs;
-}
-template <typename T>
-void Value(const json& object, const char* key, T* out) {
-  if (object.contains(key)) *out = object.at(key).get<T>();
-}
-
 void ReadFleet(const json& fleet, Scenario* s) {
   Value(fleet, "exchanges", &s->exchanges);
   Value(fleet, "edges", &s->edges);
