Refuse in the answer under own overload; no repeats of what waits in the own queue; RSIP withdrawals kept

At twice saturation 1 or 2 of some 110,000 tries heard nothing: a refusal cost six datagrams, the edge repeated commands whose answers lay in its own queue, and a caller's time ran from when the digits were looked at. Now the refusal is the answer to the notification (409 with X-Answer), time-outs wait for the own queue, the time runs from the arrival, and the share refused grows by three steps a span at most.

RSIP graceful put a circuit in use back to idle at its call's end; now it leaves service, and graceful and forced hold until the gateway's word, whatever audits find.

--- a/src/core/call_core.cpp
+++ b/src/core/call_core.cpp
@@ -228,6 +228,7 @@
     GiveFinal(id, calls_[id], {FinalKind::kRefused, 0, ReleaseCause::kCongestion});
     return id;
   }
+  if (subscriber != nullptr) subscriber->OnTaken(id);
   Begin(id);
   return id;
 }
--- a/src/core/call_core.h
+++ b/src/core/call_core.h
@@ -81,6 +81,8 @@
 class Subscriber {
  public:
   virtual ~Subscriber() = default;
+  // The call was let in; nothing of it is out yet. Not called for one that is refused at once (OnFinal comes alone).
+  virtual void OnTaken(CallId) {}
   virtual void OnFinal(CallId call, const FinalAnswer& answer) = 0;
   virtual void OnEnded(CallId call, ReleaseCause cause) = 0;
 };
@@ -222,6 +224,8 @@
   void EndAll(ReleaseCause cause);
 
   std::size_t open_calls() const { return calls_.size(); }
+  // This process has fallen behind and refuses a share of new calls at once.
+  bool Overloaded() const { return gate_.share() > 0.0; }
   const CoreCounters& counters() const { return counters_; }
   const CircuitGroup* Group(int number) const;
   int own_number() const { return settings_.module.own_number; }
--- a/src/core/overload.cpp
+++ b/src/core/overload.cpp
@@ -7,7 +7,7 @@
 
 // The share refused grows by this for each span of overload, more the longer the wait is; it shrinks by a tenth for
 // each span without. Down slower than up: the queue that built up has to be worked off as well.
-constexpr double kStep = 0.05, kMostSteps = 10.0, kEase = 0.9;
+constexpr double kStep = 0.05, kMostSteps = 3.0, kEase = 0.9;
 constexpr double kMost = 0.98;  // some calls always get in, so that the end of it is seen
 constexpr double kNone = 0.01;  // below, nothing is refused
 
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -106,7 +106,8 @@
         {"received_again", t.received_again},
         {"malformed", t.malformed},
         {"unknown_responses", t.unknown_responses},
-        {"refused_full", t.refused_full}}},
+        {"refused_full", t.refused_full},
+        {"postponed", t.postponed}}},
       {"trunks",
        {{"legs", trunks_.legs()},
         {"releasing", trunks_.releasing()},
@@ -125,6 +126,7 @@
         {"unallocated", l.unallocated},
         {"stale_digits", l.stale_digits},
         {"refused_by_rule", l.refused_by_rule},
+        {"refused_in_answer", l.refused_in_answer},
         {"rung", l.rung},
         {"ignored_events", l.ignored_events},
         {"restarts", l.restarts}}}};
--- a/src/edge/line_front.cpp
+++ b/src/edge/line_front.cpp
@@ -77,7 +77,9 @@
   std::string body;
   Writer(&body)
       .Line("X", Hex(request))
-      .Line("R", "L/hd(E(R(D/[0-9*#](D),L/hu(N)),D((" + settings_.lines.digit_map + ")),S(L/dl)))");
+      .Line("R", "L/hd(E(R(D/[0-9*#](D),L/hu(N)),D((" + settings_.lines.digit_map + ")),S(L/dl)))")
+      // On hook is told as well after digits that were answered with an error and no new request (RFC 3435 4.4.1).
+      .Line("Q", "loop");
   return body;
 }
 
@@ -133,7 +135,8 @@
     transactions_->Respond(command, mgcp::kTransientError, {}, "digits under a request that is not in force");
     return;
   }
-  transactions_->Respond(command, mgcp::kOk);
+  unanswered_ = command;
+  if (!dials) Acknowledge();
   std::string digits;
   for (const mgcp::EventRef& event : *events) {
     if (mgcp::EqualsIgnoringCase(event.package, "D") && event.name.size() == 1 && digits.size() < core::kMostDigits) {
@@ -152,10 +155,28 @@
       ++counters_.ignored_events;
     }
   }
-  if (digits.empty()) return;
+  if (digits.empty()) return Acknowledge();
   // Dialling proves that the line was on hook, whatever became of the word of it.
   if (line.state != State::kIdle) OnHook(*number, line);
   Dial(*number, line, digits, message);
+  Acknowledge();
+}
+
+void LineFront::Acknowledge() {
+  if (!unanswered_) return;
+  transactions_->Respond(*unanswered_, mgcp::kOk);
+  unanswered_.reset();
+}
+
+void LineFront::RefuseInAnswer(Line& line, TimeUs pause_us) {
+  ++counters_.refused_in_answer;
+  line.state = State::kTone;
+  std::string body;
+  Writer writer(&body);
+  writer.Line(wire_names::kAnswer, "refused");
+  if (pause_us > 0) writer.Line(wire_names::kPause, std::to_string(pause_us / 1000));
+  transactions_->Respond(*unanswered_, mgcp::kOverload, body, "overload");
+  unanswered_.reset();
 }
 
 void LineFront::Dial(int number, Line& line, const std::string& digits, const mgcp::Message& message) {
@@ -163,6 +184,7 @@
   const auto meaning = settings_.plan.Find(digits);
   if (!meaning) {
     ++counters_.unallocated;
+    Acknowledge();
     return Tone(number, line, "L/ro", "failed", 0);
   }
   const std::vector<CallClass>& classes = settings_.core.module.classes;
@@ -173,20 +195,25 @@
   offer.customer = meaning->customer;
   offer.destination = meaning->destination;
   const auto patience = wire_names::Number<std::uint32_t>(message.Get(wire_names::kPatience));
+  const TimeUs waited = runtime_->Backlog();
   const auto take_class = [&] {
     const CallClass& call_class = classes[static_cast<std::size_t>(offer.call_class)];
     offer.width = static_cast<std::size_t>(call_class.width);
     offer.patience_us = patience ? TimeUs{*patience} * 1000 : call_class.deadline_us;
+    // It runs from the digits' arrival, not from when they are looked at.
+    offer.patience_us -= std::min(offer.patience_us, waited);
   };
   take_class();
   if (classifier_ != nullptr) {
     const Classifier::Verdict verdict = classifier_->Apply(&offer, number);
     if (verdict.refuse) {
       ++counters_.refused_by_rule;
+      Acknowledge();
       return Tone(number, line, "G/cg", "refused", verdict.pause_us);
     }
     if (verdict.rule != nullptr) take_class();  // width and patience follow the class
   }
+  if (offer.patience_us == 0) return RefuseInAnswer(line, 0);  // whoever dialled has given up
   line.state = State::kCalling;
   line.called = false;
   dialling_ = number;
@@ -199,6 +226,8 @@
   }
 }
 
+void LineFront::OnTaken(CallId) { Acknowledge(); }
+
 void LineFront::OnFinal(CallId call, const core::FinalAnswer& answer) {
   const int number = CallingLine(call);
   if (number == 0) return;
@@ -207,6 +236,7 @@
     Unbind(line);
     line.state = State::kTone;
     const bool refused = answer.kind == core::FinalKind::kRefused;
+    if (refused && unanswered_ && core_->Overloaded()) return RefuseInAnswer(line, answer.pause_us);
     const bool busy = answer.cause == core::ReleaseCause::kUserBusy;
     return Tone(number, line, refused ? "G/cg" : busy ? "L/bz" : "L/ro", refused ? "refused" : "failed",
                 answer.pause_us);
--- a/src/edge/line_front.h
+++ b/src/edge/line_front.h
@@ -9,6 +9,7 @@
 #ifndef CROFTRUN_EDGE_LINE_FRONT_H_
 #define CROFTRUN_EDGE_LINE_FRONT_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -23,7 +24,8 @@
 class LineFront final : public core::Subscriber, public core::Terminator {
  public:
   struct Counters {
-    std::uint64_t dialled = 0, unallocated = 0, stale_digits = 0, refused_by_rule = 0, rung = 0, ignored_events = 0, restarts = 0;
+    std::uint64_t dialled = 0, unallocated = 0, stale_digits = 0, refused_by_rule = 0, refused_in_answer = 0;
+    std::uint64_t rung = 0, ignored_events = 0, restarts = 0;
   };
 
   LineFront(const EdgeSettings& settings, core::Runtime* runtime, core::CallCore* core,
@@ -37,6 +39,7 @@
   // From the next call on; null: no rules.
   void SetClassifier(std::shared_ptr<const Classifier> classifier) { classifier_ = std::move(classifier); }
 
+  void OnTaken(CallId call) override;
   void OnFinal(CallId call, const core::FinalAnswer& answer) override;
   void OnEnded(CallId call, core::ReleaseCause cause) override;
   core::ReleaseCause Ring(CallId call, const core::Offer& offer) override;
@@ -60,6 +63,11 @@
   void ArmIdle(std::string_view pattern);
   void AuditCalls(std::string_view pattern);
   void OnHook(int number, Line& line);
+  // Acknowledges the notification being worked on, once.
+  void Acknowledge();
+  // Refuses in the answer to the notification itself: no tone is asked for and none is acknowledged, so that a refusal
+  // costs least when there are most of them.
+  void RefuseInAnswer(Line& line, TimeUs pause_us);
   void Dial(int number, Line& line, const std::string& digits, const mgcp::Message& message);
   void Tone(int number, Line& line, std::string_view signal, std::string_view answer, TimeUs pause_us);
   void Disconnect(int number, Line& line, bool rearm, std::string_view signal);
@@ -83,6 +91,8 @@
   std::unordered_map<CallId, int> calling_, rung_;
   // Set while a line's call is being taken: its final answer can come before its id is known.
   int dialling_ = 0;
+  // The notification being worked on, until it is answered.
+  std::optional<mgcp::Transactions::CommandId> unanswered_;
   std::shared_ptr<const Classifier> classifier_;
   std::uint32_t next_request_ = 1;
   core::Timer retry_;
--- a/src/edge/trunk_gateway.cpp
+++ b/src/edge/trunk_gateway.cpp
@@ -274,6 +274,7 @@
   offer.patience_us = call_class.deadline_us;
   if (const auto patience = wire_names::Number<std::uint32_t>(message.Get(wire_names::kPatience)))
     offer.patience_us = TimeUs{*patience} * 1000;
+  offer.patience_us -= std::min(offer.patience_us, runtime_->Backlog());  // it runs from the arrival
   // The legs stand before the core takes the call: it may answer or refuse at once. Their call is known with it.
   for (const core::CircuitNumber circuit : circuits) {
     const auto held = legs_.find(KeyOf(GroupOf(key), circuit));
@@ -409,6 +410,7 @@
 
 void TrunkGateway::Free(Key key) {
   releases_.erase(key);
+  if (withdrawn_.count(key) > 0) return TakeOut(key);
   core_->OnCircuitFree(GroupOf(key), CircuitOf(key));
 }
 
@@ -434,7 +436,7 @@
     to_audit_.pop_front();
     ++audits_out_;
     ++counters_.audits;
-    Send(key, Verb::kAuep, "F: I, ES\r\n", [this, key](const Answered& answered) {
+    Send(key, Verb::kAuep, "F: I, ES, RM\r\n", [this, key](const Answered& answered) {
       --audits_out_;
       auditing_.erase(key);
       OnAudited(key, answered);
@@ -467,7 +469,11 @@
   const bool idle = says.empty() ? connection.empty() : says == "idle";
   if (says != "seized-in") seen_seized_.erase(key);
   if (idle) {
-    if (out_of_service_.erase(key) > 0) {
+    // An audit that says so explicitly counts as the gateway's word: the RSIP may have been told to a former life.
+    if (mgcp::EqualsIgnoringCase(answered.message->Get("RM"), "restart")) withdrawn_.erase(key);
+    if (withdrawn_.count(key) > 0) {
+      if (out_of_service_.count(key) == 0) TakeOut(key);
+    } else if (out_of_service_.erase(key) > 0) {
       core_->OnCircuitInService(GroupOf(key), CircuitOf(key));
     } else {
       Free(key);
@@ -524,15 +530,22 @@
   const bool cancelled = mgcp::EqualsIgnoringCase(method, "cancel-graceful");
   for (const Key key : named) {
     if (mgcp::EqualsIgnoringCase(method, "graceful")) {
-      // Calls in progress go on; nothing new.
-      if (legs_.count(key) == 0) TakeOut(key);
+      // Calls in progress go on; nothing new. What is in use, or not yet given back, leaves when it is free.
+      withdrawn_.insert(key);
+      if (legs_.count(key) == 0 && releases_.count(key) == 0) TakeOut(key);
     } else if (mgcp::EqualsIgnoringCase(method, "disconnected") || cancelled) {
+      withdrawn_.erase(key);
       if (legs_.count(key) > 0) doubtful_.insert(key);
       Audit(key);
     } else {
       // restart, forced: what was on it is cut.
       TakeOut(key);
-      if (!mgcp::EqualsIgnoringCase(method, "forced")) Audit(key);
+      if (mgcp::EqualsIgnoringCase(method, "forced")) {
+        withdrawn_.insert(key);
+      } else {
+        withdrawn_.erase(key);
+        Audit(key);
+      }
     }
   }
 }
--- a/src/edge/trunk_gateway.h
+++ b/src/edge/trunk_gateway.h
@@ -95,6 +95,9 @@
   std::unordered_map<Key, Leg> legs_;
   std::unordered_map<Key, ReleaseState> releases_;
   std::unordered_set<Key> out_of_service_, known_;
+  // The gateway announced that it takes these out of service (RSIP graceful or forced): no audit brings them back, only
+  // its word. One that is in use stays so until its call ends.
+  std::unordered_set<Key> withdrawn_;
   std::deque<Key> to_audit_;
   std::unordered_set<Key> doubtful_;  // in use when the gateway was cut off, and not looked at since
   std::unordered_set<Key> auditing_;  // in to_audit_ or asked
--- a/src/lab/gateway.h
+++ b/src/lab/gateway.h
@@ -87,7 +87,7 @@
   // One notification of an endpoint is out at a time (RFC 3435 4.4.1): they arrive in the order of the events.
   void Notify(std::string endpoint, std::string body);
   void SendFirst(const std::string& endpoint);
-  void OnRejected(const std::string& endpoint);
+  void OnRejected(const std::string& endpoint, const mgcp::Message* answer);
   void NotifyLine(int number, const Line& line, std::string_view events, std::string_view more = {});
   void NotifyCircuit(const CircuitId& circuit, std::string_view event, std::string more = {});
   std::string CircuitState(const CircuitId& circuit) const;
--- a/src/mgcp/transactions.cpp
+++ b/src/mgcp/transactions.cpp
@@ -113,7 +113,10 @@
 void Transactions::Arm(std::uint32_t transaction, Pending& pending) {
   // A tenth of chance keeps many senders from repeating in step.
   const double spread = 1.0 + 0.1 * static_cast<double>(runtime_->Random() % 1000) / 1000.0;
-  const auto wait = static_cast<TimeUs>(static_cast<double>(pending.timeout) * spread);
+  // The answer may be in the own queue already; what that takes is no loss on the way. Without this an agent that has
+  // fallen behind repeats its commands, has each answered again, and falls further behind.
+  pending.allowed = runtime_->Backlog();
+  const auto wait = static_cast<TimeUs>(static_cast<double>(pending.timeout) * spread) + pending.allowed;
   pending.timer = runtime_->StartTimer(wait, [this, transaction] { Repeat(transaction); });
 }
 
@@ -126,6 +129,10 @@
     ++counters_.given_up;
     return Finish(transaction, Ending::kNoAnswer, nullptr);
   }
+  if (runtime_->Backlog() > pending.allowed + pending.timeout / 2) {  // the queue grew since
+    ++counters_.postponed;
+    return Arm(transaction, pending);
+  }
   pending.timeout = std::min(pending.timeout * 2, settings_.longest_timeout_us);
   if (!pending.quiet) {
     pending.repeated = true;
--- a/src/mgcp/transactions.h
+++ b/src/mgcp/transactions.h
@@ -48,6 +48,7 @@
 struct TransactionCounters {
   std::uint64_t sent = 0, repeated = 0, answered = 0, given_up = 0;
   std::uint64_t received = 0, received_again = 0, malformed = 0, unknown_responses = 0, refused_full = 0;
+    std::uint64_t postponed = 0;  // repeats put off, as the own queue was long
 };
 
 class Transactions : public core::DatagramSink {
@@ -109,6 +110,7 @@
     OnAnswer on_answer;
     TimeUs first_sent = 0;
     TimeUs timeout = 0;
+    TimeUs allowed = 0;  // for the own queue, in the timer that runs
     core::TimerId timer = core::kNoTimer;
     bool repeated = false;
     bool provisional = false;
--- a/src/runtime/asio_runtime.cpp
+++ b/src/runtime/asio_runtime.cpp
@@ -177,6 +177,7 @@
       state->sink->OnDatagram(item.from, item.bytes);
     }
     turn->present = 0;
+    if (state->queue.empty()) turn->backlog = 0;
     turn->End();
   }
 }
--- a/src/sim/virtual_runtime.h
+++ b/src/sim/virtual_runtime.h
@@ -22,6 +22,9 @@
   explicit VirtualRuntime(std::uint64_t seed, TimeUs latency_us = 100) : random_(seed), latency_us_(latency_us) {}
   ~VirtualRuntime() override;
 
+  TimeUs Backlog() const override { return backlog_us_; }
+  // What work is said to have waited before it is looked at: the test's to choose, as nothing waits here.
+  void SetBacklog(TimeUs backlog_us) { backlog_us_ = backlog_us; }
   TimeUs Now() const override { return now_; }
   core::TimerId StartTimer(TimeUs delay, std::function<void()> due) override;
   void CancelTimer(core::TimerId timer) override;
@@ -38,6 +41,7 @@
  private:
   class Port;
   TimeUs now_ = 1'000'000;
+  TimeUs backlog_us_ = 0;
   std::map<std::pair<TimeUs, core::TimerId>, std::function<void()>> timers_;
   std::unordered_map<core::TimerId, TimeUs> due_at_;
   core::TimerId next_timer_ = 1;
--- a/tests/hard_cases_test.cpp
+++ b/tests/hard_cases_test.cpp
@@ -402,6 +402,98 @@
   EXPECT_FALSE(edge::Classifier::Make("rule x when line > 5 then refuse;", settings.class_names, {}, &mistakes));
 }
 
+TEST_F(HardCase, ACircuitInUseLeavesServiceWhenItsCallEndsAfterAGracefulRestart) {
+  Dial(1);
+  const std::string circuit = LastSeized();
+  OnCircuit(circuit, "MS/ans");
+  gateway.Say("RSIP 700001 ds/1/*@gw MGCP 1.0\r\nRM: graceful\r\nRD: 60\r\n");
+  runtime.RunFor(10 * kMs);
+  const core::CircuitGroup* group = node->core().Group(1);
+  EXPECT_EQ(group->Count(core::CircuitState::kOutOfService), 1U);  // the idle one, at once
+  EXPECT_EQ(group->Count(core::CircuitState::kSeizedOut), 1U);     // the call goes on
+  Dial(2);
+  EXPECT_EQ(SetUps(), 2U);
+  EXPECT_EQ(LastSeized().substr(0, 5), "ds/2/");  // nothing new on the group that leaves: by way of a tandem
+  HangUp(1);
+  EXPECT_EQ(group->Count(core::CircuitState::kOutOfService), 2U);
+  EXPECT_EQ(Idle(1), 0U);
+  runtime.RunFor(60'000 * kMs);  // the sweeps find them idle, and leave them out
+  EXPECT_EQ(group->Count(core::CircuitState::kOutOfService), 2U);
+  gateway.Say("RSIP 700002 ds/1/*@gw MGCP 1.0\r\nRM: restart\r\n");
+  runtime.RunFor(100 * kMs);
+  EXPECT_EQ(Idle(1), 2U);
+}
+
+TEST_F(HardCase, ACancelledGracefulRestartBringsBackWhatHadLeft) {
+  gateway.Say("RSIP 700001 ds/1/*@gw MGCP 1.0\r\nRM: graceful\r\n");
+  runtime.RunFor(10 * kMs);
+  EXPECT_EQ(Idle(1), 0U);
+  gateway.Say("RSIP 700002 ds/1/*@gw MGCP 1.0\r\nRM: cancel-graceful\r\n");
+  runtime.RunFor(100 * kMs);
+  EXPECT_EQ(Idle(1), 2U);
+}
+
+TEST_F(HardCase, AForcedRestartCutsTheCallAndItsCircuitStaysOutUntilTheGatewaySaysSo) {
+  Dial(1);
+  OnCircuit(LastSeized(), "MS/ans");
+  ASSERT_EQ(Stands(1), 1U);
+  gateway.Say("RSIP 700001 ds/1/*@gw MGCP 1.0\r\nRM: forced\r\n");
+  runtime.RunFor(10 * kMs);
+  EXPECT_EQ(gateway.Count(mgcp::Verb::kDlcx, "aaln/1"), 1U);  // the caller hears of it
+  EXPECT_EQ(node->core().open_calls(), 0U);
+  const core::CircuitGroup* group = node->core().Group(1);
+  runtime.RunFor(60'000 * kMs);
+  EXPECT_EQ(group->Count(core::CircuitState::kOutOfService), 2U);
+  gateway.Say("RSIP 700002 ds/1/0@gw MGCP 1.0\r\nRM: restart\r\n");
+  runtime.RunFor(100 * kMs);
+  EXPECT_EQ(Idle(1), 1U);
+}
+
+TEST_F(HardCase, UnderOwnOverloadARefusalIsTheAnswerToTheNotification) {
+  runtime.SetBacklog(500 * kMs);
+  for (int line = 1; line <= 18; ++line) {
+    Dial(line);
+    runtime.RunFor(60 * kMs);
+  }
+  runtime.SetBacklog(0);
+  std::size_t in_answer = 0;
+  for (const auto& response : gateway.responses) {
+    if (response.Get("X-Answer") != "refused") continue;
+    EXPECT_EQ(response.code, mgcp::kOverload);
+    ++in_answer;
+  }
+  EXPECT_GT(in_answer, 5U);
+  std::size_t heard = in_answer;
+  for (int line = 1; line <= 18; ++line) heard += Answers(line) + Stands(line);
+  const std::size_t open = node->core().open_calls();
+  EXPECT_EQ(heard + open, 18U);  // no second word to those who were refused
+  // Back on hook, a refused line may dial again, and is heard once the overload is over.
+  for (int line = 1; line <= 18; ++line) HangUp(line);
+  runtime.RunFor(2'000 * kMs);
+  const std::size_t before = SetUps();
+  Dial(18);
+  EXPECT_EQ(SetUps(), before + 1);
+}
+
+TEST_F(HardCase, TheCallersTimeRunsFromTheArrivalOfTheDigitsNotFromWhenTheyAreLookedAt) {
+  runtime.SetBacklog(2'000 * kMs);
+  Dial(1);
+  runtime.SetBacklog(0);
+  ASSERT_EQ(SetUps(), 1U);
+  EXPECT_LE(std::stoi(std::string(gateway.Last(mgcp::Verb::kCrcx, "ds/")->Get("X-Patience"))), 1000);
+  runtime.RunFor(1'000 * kMs);
+  EXPECT_EQ(Answers(1), 1U);
+}
+
+TEST_F(HardCase, DigitsLookedAtAfterTheCallersTimeAreAnsweredAtOnceAndNotCarriedOut) {
+  runtime.SetBacklog(4'000 * kMs);
+  Dial(1);
+  runtime.SetBacklog(0);
+  EXPECT_EQ(SetUps(), 0U);
+  EXPECT_EQ(gateway.responses.back().Get("X-Answer"), "refused");
+  EXPECT_EQ(node->core().open_calls(), 0U);
+}
+
 class FiveThousand : public HardCase {
  protected:
   FiveThousand() : HardCase(6000, 3000) { runtime.RunFor(2'000 * kMs); }
--- a/tests/transactions_test.cpp
+++ b/tests/transactions_test.cpp
@@ -62,6 +62,23 @@
   EXPECT_EQ(layer->counters().received_again, 2U);
 }
 
+TEST_F(TransactionsTest, WhatMayWaitInTheOwnQueueIsNotRepeatedYet) {
+  runtime.SetBacklog(1'000 * kMs);
+  Send();
+  runtime.RunFor(900 * kMs);
+  EXPECT_EQ(wire.heard.size(), 1U);  // its time-out is 200 ms, but the answer may be a second deep in the queue
+  runtime.SetBacklog(2'000 * kMs);   // which grows while the timer runs
+  runtime.RunFor(900 * kMs);
+  EXPECT_EQ(wire.heard.size(), 1U);
+  EXPECT_EQ(layer->counters().postponed, 1U);
+  runtime.SetBacklog(0);
+  runtime.RunFor(3'000 * kMs);
+  EXPECT_GE(wire.heard.size(), 2U);  // lost after all
+  runtime.RunFor(30'000 * kMs);
+  ASSERT_EQ(endings.size(), 1U);
+  EXPECT_EQ(endings[0], Ending::kNoAnswer);
+}
+
 TEST_F(TransactionsTest, AConfirmedCommandIsNeverCarriedOutAgain) {
   wire.Say("NTFY 9 aaln/1@gw MGCP 1.0\r\nO: L/hu\r\n");
   runtime.RunFor(kMs);
