--- a/src/expr/compile.cpp
+++ b/src/expr/compile.cpp
@@ -1,886 +1,720 @@
-// Text to program: lexer, parser, type checker, generator. Each stage goes on after a mistake where it can, so that all
-// mistakes of a file are told at once.
-#include <re2/re2.h>
-
+// Rule files and single expressions: text to rules. Each stage goes on after a mistake where it can, so that all mistakes
+// of a file are told at once.
 #include <algorithm>
-#include <charconv>
 #include <limits>
 #include <set>
 #include <utility>
 
+#include "expr/check.h"
 #include "expr/expr.h"
+#include "expr/generate.h"
+#include "expr/lex.h"
+#include "expr/tree.h"
 
 namespace croftrun::expr {
 namespace {
 
-enum class Kind : std::uint8_t { kEnd, kName, kInt, kDuration, kText, kSymbol };
+constexpr std::size_t kDefaultKeys = 65'536;
+// Lists and ranges of so many values at most are taken apart for the index.
+constexpr std::size_t kMostIndexed = 128;
+constexpr std::size_t kMostTagsOfRule = 8;
 
-struct Token {
-  Kind kind = Kind::kEnd;
-  std::string_view text;    // as written
-  std::string value;        // of a text, without quotes and escapes
-  std::int64_t number = 0;  // of an int; microseconds of a duration
-  std::size_t at = 0;       // offset in the source
-};
+bool IsText(Type type) { return type == Type::kString || type == Type::kE164; }
+bool IsInput(const Node& node) { return node.shape == Shape::kName && !node.constant; }
 
-std::string_view NameOf(Type type) {
-  switch (type) {
-    case Type::kBool:
-      return "a condition";
-    case Type::kInt:
-      return "a whole number";
-    case Type::kString:
-      return "a text";
-    case Type::kDuration:
-      return "a duration";
-    case Type::kEnum:
-      return "a word of an enumeration";
-  }
-  return "?";
+bool SizeFits(std::string_view text, const Limits& limits, Reporter* reporter) {
+  if (text.size() <= limits.most_octets) return true;
+  reporter->Say(0, "expected at most " + std::to_string(limits.most_octets) + " octets, found " + std::to_string(text.size()));
+  return false;
 }
 
-// Collects mistakes with their place in the source.
-class Reporter {
- public:
-  Reporter(std::string_view source, const Limits& limits, std::vector<Mistake>* mistakes)
-      : source_(source), limits_(limits), mistakes_(mistakes) {}
-
-  void Say(std::size_t at, std::string text) {
-    ++count_;
-    if (mistakes_->size() >= limits_.most_mistakes) return;
-    at = std::min(at, source_.size());
-    Mistake mistake;
-    mistake.line = 1 + static_cast<std::size_t>(std::count(source_.begin(), source_.begin() + static_cast<std::ptrdiff_t>(at), '\n'));
-    const std::size_t begin = at == 0 ? 0 : source_.rfind('\n', at - 1) + 1;  // npos + 1 is 0
-    mistake.column = at - begin + 1;
-    mistake.text = std::move(text);
-    // A window of the line around the place: a line may be megabytes long.
-    const std::size_t from = mistake.column > 60 ? at - 60 : begin;
-    std::string_view line = source_.substr(from, 120);
-    line = line.substr(0, line.find('\n'));
-    for (const char c : line) mistake.shown += c >= ' ' && c <= '~' ? c : '?';
-    mistake.shown += "\n" + std::string(at - from, ' ') + "^";
-    mistakes_->push_back(std::move(mistake));
-  }
-  std::size_t count() const { return count_; }
-
- private:
-  std::string_view source_;
-  const Limits& limits_;
-  std::vector<Mistake>* mistakes_;
-  std::size_t count_ = 0;
-};
+// ---- what the index and the report can tell from a condition ----
 
-std::size_t Distance(std::string_view a, std::string_view b) {
-  std::vector<std::size_t> row(b.size() + 1);
-  for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
-  for (std::size_t i = 1; i <= a.size(); ++i) {
-    std::size_t diagonal = std::exchange(row[0], i);
-    for (std::size_t j = 1; j <= b.size(); ++j)
-      diagonal = std::exchange(row[j], std::min({row[j] + 1, row[j - 1] + 1, diagonal + (a[i - 1] == b[j - 1] ? 0 : 1)}));
-  }
-  return row[b.size()];
-}
+using Key = RuleIndex::Key;
 
-// ", did you mean ...?" where some known name is near; else the names.
-template <typename Names>
-std::string Suggest(std::string_view name, const Names& names) {
-  std::string best, all;
-  std::size_t least = 3;
-  for (const std::string& known : names) {
-    if (const std::size_t d = Distance(name.substr(0, 40), known); d < least) least = d, best = known;
-    if (all.size() < 120) all += (all.empty() ? "" : ", ") + known;
-  }
-  return best.empty() ? "; known are " + all : "; did you mean '" + best + "'?";
+std::optional<Key> KeyOf(const Node& input, const Node& constant, Key::Kind text_kind) {
+  if (!IsInput(input) || !constant.constant || input.type == Type::kAddress) return std::nullopt;
+  if (IsText(input.type)) return Key{input.attribute, text_kind, 0, constant.token.value};
+  return Key{input.attribute, Key::Kind::kNumber, constant.number, {}};
 }
 
-// ---- lexer ----
-
-bool IsDigit(char c) { return c >= '0' && c <= '9'; }
-bool IsNameStart(char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '_'; }
-
-std::vector<Token> Lex(std::string_view source, const Limits& limits, Reporter* reporter) {
-  std::vector<Token> tokens;
-  std::size_t at = 0;
-  while (at < source.size()) {
-    const char c = source[at];
-    if (c == ' ' || c == '\t' || c == '\r' || c == '\n') {
-      ++at;
-      continue;
-    }
-    if (c == '#') {
-      at = std::min(source.size(), source.find('\n', at));
-      continue;
-    }
-    if (tokens.size() >= limits.most_tokens) {
-      reporter->Say(at, "expected at most " + std::to_string(limits.most_tokens) + " words and signs, found more");
-      break;
-    }
-    Token token;
-    token.at = at;
-    std::size_t end = at + 1;
-    if (IsNameStart(c)) {
-      // Words of enumerations may hold dashes: slot-check. A minus sign therefore needs a space before it.
-      while (end < source.size() && (IsNameStart(source[end]) || IsDigit(source[end]) ||
-                                     (source[end] == '-' && end + 1 < source.size() && IsNameStart(source[end + 1]))))
-        ++end;
-      token.kind = Kind::kName;
-    } else if (IsDigit(c)) {
-      while (end < source.size() && IsDigit(source[end])) ++end;
-      token.kind = Kind::kInt;
-      const auto [stop, error] = std::from_chars(source.data() + at, source.data() + end, token.number);
-      if (error != std::errc()) reporter->Say(at, "expected a whole number up to 9223372036854775807, found a larger one");
-      const std::size_t digits = end;
-      while (end < source.size() && IsNameStart(source[end])) ++end;
-      if (end > digits) {
-        const auto unit = source.substr(digits, end - digits);
-        const std::int64_t scale = unit == "ms" ? 1'000 : unit == "s" ? 1'000'000 : unit == "min" ? 60'000'000 : unit == "h" ? 3'600'000'000 : 0;
-        token.kind = Kind::kDuration;
-        if (scale == 0) reporter->Say(digits, "expected a unit (ms, s, min, h), found '" + std::string(unit.substr(0, 20)) + "'");
-        if (__builtin_mul_overflow(token.number, scale, &token.number)) reporter->Say(at, "expected a duration that can be counted in microseconds, found a longer one");
-      }
-    } else if (c == '"') {
-      token.kind = Kind::kText;
-      bool closed = false;
-      for (; end < source.size() && source[end] != '\n'; ++end) {
-        if (source[end] == '"') {
-          closed = true;
-          ++end;
-          break;
-        }
-        if (source[end] == '\\' && end + 1 < source.size()) ++end;
-        token.value += source[end];
-      }
-      if (!closed) reporter->Say(at, "expected a text that ends on its line with \", found none");
-    } else {
-      token.kind = Kind::kSymbol;
-      const auto two = source.substr(at, 2);
-      if (two == "==" || two == "!=" || two == "<=" || two == ">=" || two == "..") {
-        end = at + 2;
-      } else if (std::string_view("()[],;<>+-*/%=").find(c) == std::string_view::npos) {
-        reporter->Say(at, "expected a word, number, text or sign, found a character that is none");
-        at = end;
-        continue;
+std::vector<RuleIndex::Option> Options(const Node& node) {
+  std::vector<RuleIndex::Option> options;
+  if (node.shape == Shape::kBinary) {
+    const Node& left = *node.parts[0];
+    const Node& right = *node.parts[1];
+    if (node.sign == "==") {
+      auto key = KeyOf(left, right, Key::Kind::kText);
+      if (!key) key = KeyOf(right, left, Key::Kind::kText);
+      if (key) options.push_back({*key});
+    } else if (node.sign == "starts_with") {
+      if (const auto key = KeyOf(left, right, Key::Kind::kPrefix)) options.push_back({*key});
+    } else if (node.sign == "and" || node.sign == "or") {
+      auto of_left = Options(left), of_right = Options(right);
+      if (node.sign == "and") {
+        options = std::move(of_left);
+        options.insert(options.end(), std::make_move_iterator(of_right.begin()), std::make_move_iterator(of_right.end()));
+      } else if (!of_left.empty() && !of_right.empty()) {
+        const auto fewer = [](const auto& a, const auto& b) { return a.size() < b.size(); };
+        RuleIndex::Option either = *std::min_element(of_left.begin(), of_left.end(), fewer);
+        const auto& other = *std::min_element(of_right.begin(), of_right.end(), fewer);
+        either.insert(either.end(), other.begin(), other.end());
+        if (either.size() <= kMostIndexed) options.push_back(std::move(either));
       }
     }
-    token.text = source.substr(at, end - at);
-    tokens.push_back(std::move(token));
-    at = end;
-  }
-  Token last;
-  last.at = source.size();
-  tokens.push_back(last);
-  return tokens;
+  } else if (node.shape == Shape::kIn && node.parts.size() <= kMostIndexed + 1) {
+    RuleIndex::Option option;
+    for (std::size_t i = 1; i < node.parts.size(); ++i) {
+      const auto key = KeyOf(*node.parts[0], *node.parts[i], Key::Kind::kText);
+      if (!key) return options;
+      option.push_back(*key);
+    }
+    options.push_back(std::move(option));
+  } else if (node.shape == Shape::kRange && IsInput(*node.parts[0]) && node.parts[0]->type == Type::kInt) {
+    const Node& low = *node.parts[1];
+    const Node& high = *node.parts[2];
+    const bool small = low.constant && high.constant && high.number >= low.number &&
+                       static_cast<std::uint64_t>(high.number) - static_cast<std::uint64_t>(low.number) < kMostIndexed;
+    if (!small) return options;
+    RuleIndex::Option option;
+    for (std::int64_t n = low.number;; ++n) {
+      option.push_back({node.parts[0]->attribute, Key::Kind::kNumber, n, {}});
+      if (n == high.number) break;
+    }
+    options.push_back(std::move(option));
+  }
+  return options;
 }
 
-// ---- tree ----
-
-enum class Shape : std::uint8_t { kConstant, kName, kUnary, kBinary, kIn, kRange, kMatches, kHas, kOr, kIf, kLength };
-
-struct Node {
-  Shape shape = Shape::kConstant;
-  std::size_t at = 0;
-  std::string_view sign;  // of unary and binary
-  Token token;            // of constants and names
-  std::vector<std::unique_ptr<Node>> parts;
-  // Set by the checker.
-  Type type = Type::kBool;
-  std::string enumeration;
-  std::size_t attribute = 0;
-  std::size_t longest = 0;  // octets of a text
-  bool constant = false;
-  std::int64_t number = 0;  // of a constant
-};
-using Tree = std::unique_ptr<Node>;
+void AddConstraints(const Node& node, std::vector<Constraint>* constraints) {
+  if (node.shape == Shape::kBinary && node.sign == "and") {
+    AddConstraints(*node.parts[0], constraints);
+    AddConstraints(*node.parts[1], constraints);
+    return;
+  }
+  Constraint c;
+  c.id = node.id;
+  using Of = Constraint::Kind;
+  if (node.constant) {
+    if (node.number != 0) return;  // always holds
+    c.kind = Of::kNever;
+  } else if (node.shape == Shape::kBinary && (node.sign == "==" || node.sign == "starts_with")) {
+    const bool turned = !IsInput(*node.parts[0]);
+    const auto key = KeyOf(*node.parts[turned ? 1 : 0], *node.parts[turned ? 0 : 1], Key::Kind::kText);
+    if (key && !(turned && node.sign == "starts_with")) {
+      c.input = key->input;
+      c.kind = node.sign == "starts_with" ? Of::kPrefix : key->kind == Key::Kind::kText ? Of::kTexts : Of::kNumbers;
+      if (c.kind == Of::kNumbers) c.numbers = {key->number};
+      if (c.kind != Of::kNumbers) c.texts = {key->text};
+    }
+  } else if (node.shape == Shape::kIn && IsInput(*node.parts[0]) && node.parts[0]->type != Type::kAddress) {
+    c.input = node.parts[0]->attribute;
+    c.kind = IsText(node.parts[0]->type) ? Of::kTexts : Of::kNumbers;
+    for (std::size_t i = 1; i < node.parts.size(); ++i) {
+      if (c.kind == Of::kTexts) c.texts.push_back(node.parts[i]->token.value);
+      if (c.kind == Of::kNumbers) c.numbers.push_back(node.parts[i]->number);
+    }
+    std::sort(c.texts.begin(), c.texts.end());
+    std::sort(c.numbers.begin(), c.numbers.end());
+  } else if (node.shape == Shape::kRange && IsInput(*node.parts[0]) && node.parts[0]->type != Type::kDouble) {
+    const Node& low = *node.parts[1];
+    const Node& high = *node.parts[2];
+    const bool wraps = node.parts[0]->type == Type::kTime && low.number > high.number;
+    if (low.constant && high.constant && !wraps) {
+      c.input = node.parts[0]->attribute;
+      c.kind = low.number > high.number ? Of::kNever : Of::kRange;
+      c.numbers = {low.number, high.number};
+    }
+  } else if (node.shape == Shape::kBinary && (node.sign[0] == '<' || node.sign[0] == '>')) {
+    const bool turned = !IsInput(*node.parts[0]);
+    const Node& input = *node.parts[turned ? 1 : 0];
+    const Node& bound = *node.parts[turned ? 0 : 1];
+    if (IsInput(input) && bound.constant && !IsText(input.type) && input.type != Type::kDouble) {
+      constexpr auto kLeast = std::numeric_limits<std::int64_t>::min(), kMost = std::numeric_limits<std::int64_t>::max();
+      const bool below = (node.sign[0] == '<') != turned;
+      const bool strict = node.sign.size() == 1;
+      c.input = input.attribute;
+      c.kind = strict && bound.number == (below ? kLeast : kMost) ? Of::kNever : Of::kRange;
+      const std::int64_t edge = c.kind == Of::kNever || !strict ? bound.number : below ? bound.number - 1 : bound.number + 1;
+      c.numbers = below ? std::vector<std::int64_t>{kLeast, edge} : std::vector<std::int64_t>{edge, kMost};
+    }
+  }
+  constraints->push_back(std::move(c));
+}
 
-const std::set<std::string_view> kKeywords = {"and", "or",  "not",  "in",   "has",    "if",     "then", "else",   "true",
-                                              "false", "when", "rule", "default", "matches", "contains", "starts_with", "ends_with"};
+// ---- the file ----
 
-// Recursive descent with one token of look-ahead; the depth is bounded, so hostile nesting ends in a mistake.
-class Parser {
+class FileReader {
  public:
-  Parser(std::vector<Token> tokens, const Limits& limits, Reporter* reporter)
-      : tokens_(std::move(tokens)), limits_(limits), reporter_(reporter) {}
-
-  const Token& Next() const { return tokens_[at_]; }
-  bool Is(std::string_view text) const { return Next().kind != Kind::kText && Next().text == text; }
-  bool Take(std::string_view text) {
-    if (!Is(text)) return false;
-    ++at_;
-    return true;
-  }
-  Token TakeAny() { return tokens_[at_ + 1 < tokens_.size() ? at_++ : at_]; }
-  bool Expect(std::string_view text) {
-    if (Take(text)) return true;
-    Wrong("'" + std::string(text) + "'");
-    return false;
-  }
-  void Wrong(const std::string& expected) {
-    const Token& found = Next();
-    reporter_->Say(found.at, "expected " + expected + ", found " +
-                                 (found.kind == Kind::kEnd ? std::string("the end") : "'" + std::string(found.text.substr(0, 40)) + "'"));
-  }
-  bool AtEnd() const { return Next().kind == Kind::kEnd; }
-  // After a mistake: to the next rule.
-  void SkipRule() {
-    while (!AtEnd() && !Take(";")) ++at_;
-  }
+  FileReader(std::string_view text, Parser* parser, Scope* scope, const Limits& limits, Reporter* reporter, RuleSet* set)
+      : text_(text), parser_(*parser), scope_(*scope), limits_(limits), reporter_(*reporter), set_(*set) {}
 
-  Tree Expression() {
-    if (++depth_ > limits_.deepest) {
-      if (!too_deep_) reporter_->Say(Next().at, "expected at most " + std::to_string(limits_.deepest) + " levels, found deeper nesting");
-      too_deep_ = true;
-      --depth_;
-      return nullptr;
+  void Read() {
+    while (!parser_.AtEnd()) {
+      const std::size_t before = reporter_.count();
+      const std::size_t from = parser_.Next().at;
+      const bool whole = Item();
+      if (!whole && reporter_.count() == before) parser_.Wrong("the rest of the item");
+      if (!whole) Skip(from);
     }
-    Tree tree = Chain({"or"}, [this] { return Chain({"and"}, [this] { return Not(); }); });
-    --depth_;
-    return tree;
+    if (set_.rules.size() > limits_.most_rules)
+      reporter_.Say(0, "expected at most " + std::to_string(limits_.most_rules) + " rules, found " + std::to_string(set_.rules.size()));
+    CheckExamples();
+    Make();
   }
 
  private:
-  template <typename Below>
-  Tree Chain(std::initializer_list<std::string_view> signs, Below below) {
-    Tree left = below();
-    while (left != nullptr) {
-      const auto sign = std::find_if(signs.begin(), signs.end(), [this](auto s) { return Is(s); });
-      if (sign == signs.end()) break;
-      left = Binary(std::move(left), below);
-    }
-    return left;
+  struct Effect {
+    std::size_t rule = 0;
+    Tree key;
+  };
+
+  // After a mistake: to the next item, which may be where the parser stands.
+  void Skip(std::size_t from) {
+    if (parser_.Next().at > from && (parser_.Is("rule") || parser_.Is("table") || parser_.Is("let") || parser_.Is("fn") ||
+                                     parser_.Is("counter") || parser_.Is("example")))
+      return;
+    parser_.SkipItem();
+  }
+
+  // False: it broke off, or something of it is at fault and what stands there is not its end.
+  bool Item() {
+    if (parser_.Is("rule")) return ReadRule();
+    if (parser_.Is("table")) return ReadTable();
+    if (parser_.Take("let")) return ReadDefinition(false);
+    if (parser_.Take("fn")) return ReadDefinition(true);
+    if (parser_.Take("counter")) return ReadCounter();
+    if (parser_.Take("example")) return ReadExample();
+    if (parser_.Take("list")) return ReadList();
+    if (parser_.Take("map")) return ReadMap();
+    if (parser_.Take("zone")) return ReadZone();
+    if (parser_.Take("match")) {
+      set_.all = parser_.Is("all");
+      if (!parser_.Take("all") && !parser_.Take("first")) {
+        parser_.Wrong("'first' or 'all'");
+        return false;
+      }
+      return parser_.Expect(";");
+    }
+    parser_.Wrong("'rule', 'table', 'let', 'fn', 'list', 'map', 'counter', 'example', 'zone' or 'match'");
+    return false;
   }
-  template <typename Below>
-  Tree Binary(Tree left, Below below) {
-    auto node = std::make_unique<Node>();
-    node->shape = Shape::kBinary;
-    const Token sign = TakeAny();
-    node->at = sign.at;
-    node->sign = sign.text;
-    node->parts.push_back(std::move(left));
-    node->parts.push_back(below());
-    return node->parts[1] == nullptr ? nullptr : std::move(node);
+
+  std::size_t LineAt(std::size_t at) {
+    // Items come in the order of the text: counted on from the last one.
+    line_ += static_cast<std::size_t>(std::count(text_.begin() + static_cast<std::ptrdiff_t>(counted_), text_.begin() + static_cast<std::ptrdiff_t>(at), '\n'));
+    counted_ = at;
+    return line_;
   }
-  Tree Unary(Tree (Parser::*below)()) {
-    auto node = std::make_unique<Node>();
-    node->shape = Shape::kUnary;
-    const Token sign = TakeAny();
-    node->at = sign.at;
-    node->sign = sign.text;
-    if (++depth_ > limits_.deepest) {
-      if (!too_deep_) reporter_->Say(sign.at, "expected at most " + std::to_string(limits_.deepest) + " levels, found deeper nesting");
-      too_deep_ = true;
-      --depth_;
-      return nullptr;
-    }
-    node->parts.push_back((this->*below)());
-    --depth_;
-    return node->parts[0] == nullptr ? nullptr : std::move(node);
+
+  bool ReadRule() {
+    Rule rule;
+    rule.line = LineAt(parser_.Next().at);
+    parser_.Expect("rule");
+    if (parser_.Next().kind == Kind::kName && !parser_.Is("when")) rule.name = parser_.TakeAny().text;
+    if (!parser_.Expect("when")) return false;
+    const std::size_t from = parser_.Next().at;
+    Tree condition = parser_.Expression();
+    const bool fine = condition != nullptr && Checker(&scope_, limits_, &reporter_).Check(*condition, Type::kBool);
+    if (condition == nullptr) return false;
+    rule.text = text_.substr(from, parser_.Behind() - from);
+    if (!parser_.Expect("then")) return false;
+    const std::size_t number = set_.rules.size();
+    if (!Effects(&rule.effects, number) || !parser_.Expect(";")) return false;
+    Keep(std::move(rule), fine ? std::move(condition) : nullptr);
+    return true;
   }
-  Tree Not() { return Is("not") ? Unary(&Parser::Not) : Comparison(); }
-
-  Tree Comparison() {
-    Tree left = Sum();
-    if (left == nullptr) return nullptr;
-    for (const std::string_view sign : {"==", "!=", "<", "<=", ">", ">=", "starts_with", "ends_with", "contains"}) {
-      if (Is(sign)) return Binary(std::move(left), [this] { return Sum(); });
-    }
-    if (Is("matches")) {
-      Tree node = Around(Shape::kMatches, std::move(left));
-      if (Next().kind != Kind::kText) {
-        Wrong("a regular expression as a text");
-        return nullptr;
+
+  void Keep(Rule rule, Tree condition) {
+    set_.rules.push_back(std::move(rule));
+    conditions_.push_back(std::move(condition));
+  }
+
+  // table NAME when OPERAND SIGN, ... { row CELL, ... => EFFECTS; ... }
+  bool ReadTable() {
+    const std::size_t table_line = LineAt(parser_.Next().at);
+    parser_.Expect("table");
+    Token name;
+    if (!parser_.ExpectName(&name, "the name of the table") || !parser_.Expect("when")) return false;
+    struct Column {
+      Tree operand;
+      std::string_view sign;
+      std::size_t at = 0;
+    };
+    std::vector<Column> columns;
+    do {
+      Column column;
+      column.operand = parser_.Operand();
+      if (column.operand == nullptr) return false;
+      column.at = parser_.Next().at;
+      static constexpr std::string_view kSigns[] = {"==", "!=", "<", "<=", ">", ">=", "starts_with", "ends_with", "contains", "matches", "in"};
+      const auto sign = std::find_if(std::begin(kSigns), std::end(kSigns), [&](auto s) { return parser_.Is(s); });
+      if (sign == std::end(kSigns)) {
+        parser_.Wrong("a sign that the column compares by");
+        return false;
       }
-      node->token = TakeAny();
-      return node;
-    }
-    if (Is("in")) {
-      Tree node = Around(Shape::kIn, std::move(left));
-      if (!Take("[")) {
-        Tree low = Sum();
-        if (low == nullptr || !Expect("..")) return nullptr;
-        Tree high = Sum();
-        if (high == nullptr) return nullptr;
-        node->shape = Shape::kRange;
-        node->parts.push_back(std::move(low));
-        node->parts.push_back(std::move(high));
-        return node;
+      column.sign = *sign;
+      parser_.TakeAny();
+      columns.push_back(std::move(column));
+    } while (parser_.Take(","));
+    if (!parser_.Expect("{")) return false;
+    std::size_t row = 0;
+    while (!parser_.Take("}")) {
+      if (parser_.AtEnd()) {
+        parser_.Wrong("'row' or '}'");
+        return false;
+      }
+      Rule rule;
+      rule.name = std::string(name.text) + "." + std::to_string(++row);
+      rule.line = std::max(table_line, LineAt(parser_.Next().at));
+      const std::size_t from = parser_.Next().at;
+      Tree condition;
+      bool read = parser_.Expect("row");
+      for (std::size_t i = 0; read && i < columns.size(); ++i) {
+        if (i > 0 && !(read = parser_.Expect(","))) break;
+        if (parser_.Take("*")) continue;
+        Tree test = Cell(*columns[i].operand, columns[i].sign, columns[i].at);
+        read = test != nullptr;
+        if (read) condition = condition == nullptr ? std::move(test) : And(std::move(condition), std::move(test));
       }
-      while (!Is("]")) {
-        if (node->parts.size() > limits_.longest_list) {
-          reporter_->Say(Next().at, "expected at most " + std::to_string(limits_.longest_list) + " items, found more");
-          return nullptr;
-        }
-        Tree item = Sign();
-        if (item == nullptr) return nullptr;
-        node->parts.push_back(std::move(item));
-        if (!Take(",")) break;
+      if (read) {
+        rule.text = std::string(text_.substr(from, parser_.Behind() - from));
+        if (condition == nullptr) condition = Truth();
+        const bool fine = Checker(&scope_, limits_, &reporter_).Check(*condition, Type::kBool);
+        read = parser_.Expect("=>") && Effects(&rule.effects, set_.rules.size()) && parser_.Expect(";");
+        if (read) Keep(std::move(rule), fine ? std::move(condition) : nullptr);
       }
-      return Expect("]") ? std::move(node) : nullptr;
+      if (!read) parser_.SkipItem();
     }
-    return left;
-  }
-  // A node made of the present sign and what stands before it.
-  Tree Around(Shape shape, Tree left) {
-    auto node = std::make_unique<Node>();
-    node->shape = shape;
-    node->at = TakeAny().at;
-    node->parts.push_back(std::move(left));
-    return node;
-  }
-  Tree Sum() {
-    return Chain({"+", "-"}, [this] { return Chain({"*", "/", "%"}, [this] { return Sign(); }); });
-  }
-  Tree Sign() { return Is("-") ? Unary(&Parser::Sign) : Default(); }
-  Tree Default() {
-    Tree left = Primary();
-    if (left == nullptr || !Is("default")) return left;
-    Tree node = Around(Shape::kOr, std::move(left));
-    node->parts.push_back(Sign());
-    return node->parts[1] == nullptr ? nullptr : std::move(node);
+    return true;
   }
 
-  Tree Primary() {
+  Tree Cell(const Node& operand, std::string_view sign, std::size_t at) {
     auto node = std::make_unique<Node>();
-    node->at = Next().at;
-    if (Take("(")) {
-      Tree inner = Expression();
-      return inner != nullptr && Expect(")") ? std::move(inner) : nullptr;
-    }
-    if (Take("if")) {
-      node->shape = Shape::kIf;
-      for (const std::string_view word : {"then", "else", ""}) {
-        node->parts.push_back(Expression());
-        if (node->parts.back() == nullptr || (!word.empty() && !Expect(word))) return nullptr;
-      }
+    if (sign == "in") {
+      node = parser_.InOperand();
+      if (node == nullptr) return nullptr;
+      node->parts[0] = Clone(operand);
       return node;
     }
-    if (Is("has") || Is("length")) {
-      node->shape = Take("has") ? Shape::kHas : (TakeAny(), Shape::kLength);
-      if (!Expect("(")) return nullptr;
-      if (node->shape == Shape::kLength) {
-        node->parts.push_back(Expression());
-        if (node->parts[0] == nullptr) return nullptr;
-      } else if (Next().kind != Kind::kName) {
-        Wrong("the name of an attribute");
+    if (sign == "matches") {
+      node->shape = Shape::kMatches;
+      node->at = at;
+      node->parts.push_back(Clone(operand));
+      if (parser_.Next().kind != Kind::kText) {
+        parser_.Wrong("a regular expression as a text");
         return nullptr;
-      } else {
-        node->token = TakeAny();
       }
-      return Expect(")") ? std::move(node) : nullptr;
-    }
-    const bool word = Next().kind == Kind::kName;
-    const bool truth = Is("true") || Is("false");
-    if (Next().kind == Kind::kEnd || Next().kind == Kind::kSymbol || (word && !truth && kKeywords.count(Next().text) > 0)) {
-      Wrong("a value");
-      return nullptr;
+      node->token = parser_.TakeAny();
+      return node;
     }
-    node->shape = word && !truth ? Shape::kName : Shape::kConstant;
-    node->token = TakeAny();
-    return node;
+    node->shape = Shape::kBinary;
+    node->sign = sign;
+    node->at = parser_.Next().at;
+    node->parts.push_back(Clone(operand));
+    node->parts.push_back(parser_.Sign());
+    return node->parts[1] == nullptr ? nullptr : std::move(node);
   }
 
-  std::vector<Token> tokens_;
-  const Limits& limits_;
-  Reporter* reporter_;
-  std::size_t at_ = 0, depth_ = 0;
-  bool too_deep_ = false;
-};
-
-// ---- checker ----
-
-class Checker {
- public:
-  Checker(const Schema& schema, Reporter* reporter) : schema_(schema), reporter_(reporter) {}
-
-  // Names, types, and that an attribute which may be absent is used only where it is known to be there.
-  // `expected`: nothing where any type will do.
-  bool Check(Node& node, std::optional<Type> expected) {
-    const std::size_t before = reporter_->count();
-    const bool fine = Visit(node, nullptr, {});
-    if (fine && expected && node.type != *expected) Mismatch(node, *expected);
-    return fine && reporter_->count() == before;
+  static Tree And(Tree left, Tree right) {
+    auto node = std::make_unique<Node>();
+    node->shape = Shape::kBinary;
+    node->sign = "and";
+    node->at = right->at;
+    node->parts.push_back(std::move(left));
+    node->parts.push_back(std::move(right));
+    return node;
   }
 
- private:
-  using Present = std::set<std::size_t>;  // attributes known to be there
-
-  void Mismatch(const Node& node, Type expected) {
-    reporter_->Say(node.at, "expected " + std::string(NameOf(expected)) + ", found " + std::string(NameOf(node.type)));
+  static Tree Truth() {
+    auto node = std::make_unique<Node>();
+    node->token.kind = Kind::kName;
+    node->token.text = "true";
+    return node;
   }
 
-  // Which attributes are there if `node` is true.
-  void Holds(const Node& node, Present* present) const {
-    if (node.shape == Shape::kHas) present->insert(node.attribute);
-    if (node.shape == Shape::kBinary && node.sign == "and") {
-      for (const Tree& part : node.parts) Holds(*part, present);
+  // let NAME = EXPRESSION; fn NAME(PARAMETER, ...) = EXPRESSION;
+  bool ReadDefinition(bool with_parameters) {
+    Token name;
+    if (!parser_.ExpectName(&name, "a name to define") || !Fresh(name)) return false;
+    Scope::Function function;
+    if (with_parameters) {
+      if (!parser_.Expect("(")) return false;
+      do {
+        Token parameter;
+        if (!parser_.ExpectName(&parameter, "the name of a parameter")) return false;
+        function.parameters.emplace_back(parameter.text);
+      } while (parser_.Take(","));
+      if (!parser_.Expect(")")) return false;
+    }
+    if (!parser_.Expect("=")) return false;
+    function.body = parser_.Expression();
+    if (function.body == nullptr || !Checker(&scope_, limits_, &reporter_).Close(*function.body, function.parameters)) return false;
+    // A let without faults has a type by itself; a function's follows from what it is called with. A word of an
+    // enumeration alone is understood where it is used.
+    if (!with_parameters && function.body->shape != Shape::kName && function.body->shape != Shape::kIf) {
+      Tree copy = Clone(*function.body);
+      Checker(&scope_, limits_, &reporter_).Check(*copy, std::nullopt);
+    }
+    scope_.functions[std::string(name.text)] = std::move(function);
+    return parser_.Expect(";");
+  }
+
+  // A name that means nothing yet.
+  bool Fresh(const Token& name) {
+    const std::string text(name.text);
+    const bool taken = scope_.functions.count(text) + scope_.lists.count(text) + scope_.maps.count(text) > 0 || text == "weekday" ||
+                       text == "time" || text == "date" ||
+                       std::any_of(scope_.inputs.begin(), scope_.inputs.end(), [&](const Attribute& a) { return a.name == text; });
+    if (taken) reporter_.Say(name.at, "expected a name that means nothing yet, found '" + text.substr(0, 40) + "'");
+    return !taken;
+  }
+
+  bool ReadList() {
+    Token name;
+    if (!parser_.ExpectName(&name, "the name of the list") || !Fresh(name) || !parser_.Expect("=")) return false;
+    if (!parser_.Is("[")) {
+      parser_.Wrong("'['");
+      return false;
     }
-  }
-
-  // `peer`: what it is compared with, by which a word of an enumeration is understood. False: a mistake was told.
-  bool Visit(Node& node, const Node* peer, const Present& present) {
-    switch (node.shape) {
-      case Shape::kConstant:
-        node.constant = true;
-        node.number = node.token.number;
-        node.type = node.token.kind == Kind::kText       ? Type::kString
-                    : node.token.kind == Kind::kInt      ? Type::kInt
-                    : node.token.kind == Kind::kDuration ? Type::kDuration
-                                                         : Type::kBool;
-        if (node.type == Type::kBool) node.number = node.token.text == "true" ? 1 : 0;
-        node.longest = node.token.value.size();
-        return true;
-      case Shape::kName:
-        return VisitName(node, peer, present, false);
-      case Shape::kHas: {
-        node.type = Type::kBool;
-        Node inner;
-        inner.at = node.token.at;
-        inner.token = node.token;
-        if (!VisitName(inner, nullptr, present, true)) return false;
-        node.attribute = inner.attribute;
-        return true;
+    Tree list = parser_.InOperand();
+    if (list == nullptr) return false;
+    scope_.lists[std::string(name.text)] = std::move(list);
+    return parser_.Expect(";");
+  }
+
+  // map NAME by ATTRIBUTE default CONSTANT { KEY -> CONSTANT, ... };
+  bool ReadMap() {
+    Token name;
+    if (!parser_.ExpectName(&name, "the name of the map") || !Fresh(name) || !parser_.Expect("by")) return false;
+    Token by;
+    if (!parser_.ExpectName(&by, "the attribute it is looked up by")) return false;
+    Node key;
+    key.shape = Shape::kName;
+    key.at = by.at;
+    key.token = by;
+    const auto attribute = std::find_if(scope_.inputs.begin(), scope_.inputs.end(), [&](const Attribute& a) { return a.name == by.text; });
+    if (attribute == scope_.inputs.end() || attribute->type == Type::kAddress) {
+      reporter_.Say(by.at, "expected an attribute to look up by, found '" + std::string(by.text.substr(0, 40)) + "'");
+      return false;
+    }
+    key.type = attribute->type;
+    key.enumeration = attribute->enumeration;
+    if (!parser_.Expect("default")) return false;
+    Checker checker(&scope_, limits_, &reporter_);
+    Tree otherwise = parser_.Sign();
+    if (otherwise == nullptr || !checker.Check(*otherwise, std::nullopt) || !checker.CheckConstant(*otherwise, *otherwise)) return false;
+    auto values = std::make_shared<ConstantMap>();
+    Scope::Map map;
+    map.number = scope_.map_values.size();
+    map.key = key.type;
+    map.key_enumeration = key.enumeration;
+    map.value = otherwise->type;
+    const auto value_of = [&](const Node& constant) {
+      map.longest = std::max(map.longest, constant.longest);
+      if (!IsText(constant.type)) return Value{constant.number, {}, true};
+      values->owned.push_back(std::make_shared<std::string>(constant.token.value));
+      return Value{0, *values->owned.back(), true};
+    };
+    values->otherwise = value_of(*otherwise);
+    if (!parser_.Expect("{")) return false;
+    std::set<std::pair<std::int64_t, std::string>> seen;
+    while (!parser_.Is("}")) {
+      Tree one = parser_.Sign();
+      if (one == nullptr || !parser_.Expect("->")) return false;
+      Tree value = parser_.Sign();
+      if (value == nullptr) return false;
+      if (!checker.CheckConstant(*one, key) || !checker.CheckConstant(*value, *otherwise)) return false;
+      const std::string text = IsText(key.type) ? one->token.value : std::string();
+      if (!seen.emplace(IsText(key.type) ? 0 : one->number, text).second) {
+        reporter_.Say(one->at, "expected each key once, found it again");
+        return false;
       }
-      case Shape::kLength:
-        node.type = Type::kInt;
-        return Visit(*node.parts[0], nullptr, present) && Want(*node.parts[0], Type::kString);
-      case Shape::kUnary:
-        if (!Visit(*node.parts[0], nullptr, present)) return false;
-        node.type = node.sign == "not" ? Type::kBool : node.parts[0]->type;
-        node.constant = node.sign == "-" && node.parts[0]->constant;
-        node.number = -node.parts[0]->number;  // of a constant: never the least, which no text spells
-        if (node.sign == "not") return Want(*node.parts[0], Type::kBool);
-        return node.type == Type::kDuration || Want(*node.parts[0], Type::kInt);
-      case Shape::kBinary:
-        return VisitBinary(node, present);
-      case Shape::kOr: {
-        Node& value = *node.parts[0];
-        if (value.shape != Shape::kName) {
-          reporter_->Say(value.at, "expected an attribute before 'default', found something else");
-          return false;
-        }
-        if (!VisitName(value, nullptr, present, true) || !Visit(*node.parts[1], &value, present)) return false;
-        Same(node, value, *node.parts[1]);
-        return Want(*node.parts[1], value.type);
+      if (seen.size() > limits_.longest_list) {
+        reporter_.Say(one->at, "expected at most " + std::to_string(limits_.longest_list) + " entries, found more");
+        return false;
       }
-      case Shape::kIf: {
-        if (!Visit(*node.parts[0], nullptr, present) || !Want(*node.parts[0], Type::kBool)) return false;
-        Present with = present;
-        Holds(*node.parts[0], &with);
-        if (!Visit(*node.parts[1], nullptr, with) || !Visit(*node.parts[2], node.parts[1].get(), present)) return false;
-        Same(node, *node.parts[1], *node.parts[2]);
-        return Want(*node.parts[2], node.parts[1]->type);
+      if (IsText(key.type)) {
+        values->texts.emplace_back(text, value_of(*value));
+      } else {
+        values->numbers.emplace_back(one->number, value_of(*value));
       }
-      case Shape::kMatches:
-        node.type = Type::kBool;
-        return Visit(*node.parts[0], nullptr, present) && Want(*node.parts[0], Type::kString);
-      case Shape::kRange:
-      case Shape::kIn:
-        return VisitIn(node, present);
+      if (!parser_.Take(",")) break;
     }
-    return false;
+    const auto by_key = [](const auto& a, const auto& b) { return a.first < b.first; };
+    std::sort(values->numbers.begin(), values->numbers.end(), by_key);
+    std::sort(values->texts.begin(), values->texts.end(), by_key);
+    scope_.map_values.push_back(std::move(values));
+    scope_.maps[std::string(name.text)] = map;
+    return parser_.Expect("}") && parser_.Expect(";");
   }
 
-  static void Same(Node& node, const Node& a, const Node& b) {
-    node.type = a.type;
-    node.enumeration = a.enumeration;
-    node.longest = std::max(a.longest, b.longest);
+  bool ReadZone() {
+    if (parser_.Next().kind != Kind::kText) {
+      parser_.Wrong("the name of a time zone as a text");
+      return false;
+    }
+    const Token zone = parser_.TakeAny();
+    if (!IsZone(zone.value)) {
+      reporter_.Say(zone.at, "expected the name of a time zone as \"Europe/Vienna\", found \"" + zone.value.substr(0, 40) + "\"");
+    } else {
+      scope_.zone = zone.value;
+    }
+    return parser_.Expect(";");
   }
 
-  bool Want(const Node& node, Type type) {
-    if (node.type == type) return true;
-    Mismatch(node, type);
-    return false;
+  std::optional<Program> Part(Type* type) {
+    Tree tree = parser_.Expression();
+    if (tree == nullptr || !Checker(&scope_, limits_, &reporter_).Check(*tree, std::nullopt)) return std::nullopt;
+    if (type != nullptr) *type = tree->type;
+    return Generator(scope_, limits_, &reporter_).Make(*tree);
   }
 
-  bool VisitName(Node& node, const Node* peer, const Present& present, bool absent_allowed) {
-    const std::string name(node.token.text);
-    for (std::size_t i = 0; i < schema_.attributes.size(); ++i) {
-      const Attribute& attribute = schema_.attributes[i];
-      if (attribute.name != name) continue;
-      node.attribute = i;
-      node.type = attribute.type;
-      node.enumeration = attribute.enumeration;
-      node.longest = attribute.longest;
-      if (!attribute.optional || absent_allowed || present.count(i) > 0) return true;
-      reporter_->Say(node.at, "expected a check, has(" + name + ") and ..., or '" + name + " default ...': it may be absent");
-      return false;
-    }
-    if (peer != nullptr && peer->type == Type::kEnum) {
-      const auto& words = schema_.enumerations.at(peer->enumeration);
-      const auto found = std::find(words.begin(), words.end(), name);
-      node.type = Type::kEnum;
-      node.enumeration = peer->enumeration;
-      node.constant = true;
-      node.number = found - words.begin();
-      if (found != words.end()) return true;
-      reporter_->Say(node.at, "expected a word of " + peer->enumeration + ", found '" + name + "'" + Suggest(name, words));
+  // counter NAME by EXPRESSION, ... over DURATION [distinct EXPRESSION] [when CONDITION] [keys NUMBER];
+  bool ReadCounter() {
+    Counter counter;
+    Token name;
+    const std::size_t from = parser_.Next().at;
+    if (!parser_.ExpectName(&name, "the name of the counter") || !Fresh(name) || !parser_.Expect("by")) return false;
+    counter.name = name.text;
+    do {
+      auto part = Part(nullptr);
+      if (!part) return false;
+      counter.key.push_back(std::move(*part));
+    } while (parser_.Take(","));
+    if (!parser_.Expect("over")) return false;
+    const Token window = parser_.Next();
+    if (window.kind != Kind::kDuration || window.number < 8'000 || window.number > 86'400'000'000) {
+      parser_.Wrong("a duration from 8ms to 24h");
       return false;
     }
-    std::vector<std::string> names;
-    for (const Attribute& attribute : schema_.attributes) names.push_back(attribute.name);
-    reporter_->Say(node.at, "expected an attribute, found '" + name + "'" + Suggest(name, names));
-    return false;
-  }
-
-  bool VisitBinary(Node& node, const Present& present) {
-    Node& left = *node.parts[0];
-    Node& right = *node.parts[1];
-    const std::string_view sign = node.sign;
-    node.type = Type::kBool;
-    if (sign == "and" || sign == "or") {
-      const bool fine = Visit(left, nullptr, present) && Want(left, Type::kBool);
-      Present with = present;
-      if (sign == "and") Holds(left, &with);
-      return Visit(right, nullptr, with) && Want(right, Type::kBool) && fine;
-    }
-    // A word of an enumeration is understood by the other side.
-    const bool swapped = left.shape == Shape::kName && right.shape == Shape::kName && !IsAttribute(left);
-    Node& known = swapped ? right : left;
-    Node& other = swapped ? left : right;
-    if (!Visit(known, nullptr, present) || !Visit(other, &known, present)) return false;
-    if (sign == "starts_with" || sign == "ends_with" || sign == "contains")
-      return Want(left, Type::kString) && Want(right, Type::kString);
-    const bool arithmetic = std::string_view("+-*/%").find(sign) != std::string_view::npos;
-    if (!arithmetic) {
-      if (!Want(other, known.type)) return false;
-      if (known.enumeration != other.enumeration) {
-        reporter_->Say(node.at, "expected two of one enumeration, found " + known.enumeration + " and " + other.enumeration);
-        return false;
-      }
-      const bool order = sign != "==" && sign != "!=";
-      if (order && (known.type == Type::kEnum || known.type == Type::kBool)) {
-        reporter_->Say(node.at, "expected numbers, durations or texts to order, found " + std::string(NameOf(known.type)));
+    counter.window_us = parser_.TakeAny().number;
+    if (parser_.Take("distinct")) {
+      counter.distinct = Part(nullptr);
+      if (!counter.distinct) return false;
+    }
+    if (parser_.Take("when")) {
+      Type type = Type::kBool;
+      const std::size_t at = parser_.Next().at;
+      counter.when = Part(&type);
+      if (!counter.when) return false;
+      if (type != Type::kBool) {
+        reporter_.Say(at, "expected a condition, found " + std::string(NameOf(type)));
         return false;
       }
-      return true;
     }
-    // Durations add up, and are multiplied and divided by numbers.
-    const bool durations = left.type == Type::kDuration;
-    if (!durations && !Want(left, Type::kInt)) return false;
-    node.type = left.type;
-    if (durations && (sign == "*" || sign == "/")) return Want(right, Type::kInt);
-    return Want(right, left.type);
-  }
-
-  bool IsAttribute(const Node& node) const {
-    return std::any_of(schema_.attributes.begin(), schema_.attributes.end(),
-                       [&](const Attribute& a) { return a.name == node.token.text; });
-  }
-
-  bool VisitIn(Node& node, const Present& present) {
-    node.type = Type::kBool;
-    Node& value = *node.parts[0];
-    if (!Visit(value, nullptr, present)) return false;
-    bool fine = true;
-    for (std::size_t i = 1; i < node.parts.size(); ++i) {
-      Node& item = *node.parts[i];
-      if (!Visit(item, &value, present) || !Want(item, value.type)) {
-        fine = false;
-      } else if (node.shape == Shape::kIn && !item.constant) {
-        reporter_->Say(item.at, "expected a constant in a list, found something that is none");
-        fine = false;
+    counter.keys = kDefaultKeys;
+    if (parser_.Take("keys")) {
+      const Token keys = parser_.Next();
+      if (keys.kind != Kind::kInt || keys.number < 8 || keys.number > static_cast<std::int64_t>(limits_.most_keys)) {
+        parser_.Wrong("a number of keys from 8 to " + std::to_string(limits_.most_keys));
+        return false;
       }
+      counter.keys = static_cast<std::size_t>(parser_.TakeAny().number);
     }
-    if (node.shape == Shape::kRange && value.type != Type::kInt && value.type != Type::kDuration) {
-      Mismatch(value, Type::kInt);
+    if (set_.counters.size() >= limits_.most_counters) {
+      reporter_.Say(name.at, "expected at most " + std::to_string(limits_.most_counters) + " counters, found more");
       return false;
     }
-    return fine;
-  }
-
-  const Schema& schema_;
-  Reporter* reporter_;
-};
-
-}  // namespace
-
-// ---- generator ----
-
-class Generator {
- public:
-  Generator(const Schema& schema, const Limits& limits, Reporter* reporter)
-      : schema_(schema), limits_(limits), reporter_(reporter) {}
-
-  std::optional<Program> Make(const Node& node) {
-    Emit(node);
-    program_.type_ = node.type;
-    if (failed_) return std::nullopt;
-    // Jumps only go forward, so each instruction runs at most once: the sum is a bound for every input.
-    for (const Instruction& i : program_.code_) program_.cost_bound_ += i.cost;
-    if (program_.cost_bound_ > limits_.highest_cost) {
-      reporter_->Say(node.at, "expected a cost of at most " + std::to_string(limits_.highest_cost) + ", found " +
-                                  std::to_string(program_.cost_bound_));
-      return std::nullopt;
-    }
-    if (!program_.Verify(schema_.attributes.size())) {
-      reporter_->Say(node.at, "expected a program that can be verified, found one too deep");
-      return std::nullopt;
-    }
-    return std::move(program_);
-  }
-
- private:
-  std::size_t Put(Op op, std::size_t a = 0, std::uint64_t cost = 1) {
-    program_.code_.push_back({op, static_cast<std::uint32_t>(a), static_cast<std::uint32_t>(std::min<std::uint64_t>(cost, 1U << 30))});
-    return program_.code_.size() - 1;
-  }
-  void Here(std::size_t jump) { program_.code_[jump].a = static_cast<std::uint32_t>(program_.code_.size()); }
-
-  void Constant(std::int64_t number) {
-    program_.constants_.push_back({number, {}, true});
-    Put(Op::kConstant, program_.constants_.size() - 1);
-  }
-  void TextConstant(const std::string& text) {
-    program_.texts_.push_back(std::make_shared<std::string>(text));
-    program_.constants_.push_back({0, *program_.texts_.back(), true});
-    Put(Op::kConstant, program_.constants_.size() - 1);
-  }
-
-  void Emit(const Node& node) {
-    switch (node.shape) {
-      case Shape::kConstant:
-        return node.type == Type::kString ? TextConstant(node.token.value) : Constant(node.number);
-      case Shape::kName:
-        if (node.constant) return Constant(node.number);
-        Put(Op::kAttribute, node.attribute);
-        return;
-      case Shape::kHas:
-        Put(Op::kHas, node.attribute);
-        return;
-      case Shape::kLength:
-        Emit(*node.parts[0]);
-        Put(Op::kLength);
-        return;
-      case Shape::kUnary: {
-        if (node.constant) return Constant(node.number);
-        Emit(*node.parts[0]);
-        Put(node.sign == "not" ? Op::kNot : Op::kNegate);
-        return;
+    counter.signature = text_.substr(from, parser_.Next().at - from);
+    Attribute attribute;
+    attribute.name = counter.name;
+    counter.input = scope_.inputs.size();
+    scope_.inputs.push_back(attribute);
+    set_.counters.push_back(std::move(counter));
+    return parser_.Expect(";");
+  }
+
+  // example NAME given ATTRIBUTE = CONSTANT, ... [at DATE TIME] expect (RULE | none);
+  bool ReadExample() {
+    Example example;
+    example.line = LineAt(parser_.Next().at);
+    if (parser_.Next().kind == Kind::kText) example.name = parser_.TakeAny().value;
+    if (!parser_.Expect("given")) return false;
+    Checker checker(&scope_, limits_, &reporter_);
+    do {
+      Token name;
+      if (!parser_.ExpectName(&name, "the name of an attribute") || !parser_.Expect("=")) return false;
+      const auto attribute = std::find_if(scope_.schema.attributes.begin(), scope_.schema.attributes.end(),
+                                          [&](const Attribute& a) { return a.name == name.text; });
+      if (attribute == scope_.schema.attributes.end()) {
+        std::vector<std::string> names;
+        for (const Attribute& a : scope_.schema.attributes) names.push_back(a.name);
+        reporter_.Say(name.at, "expected an attribute, found '" + std::string(name.text.substr(0, 40)) + "'" + Suggest(name.text, names));
+        return false;
       }
-      case Shape::kBinary:
-        return EmitBinary(node);
-      case Shape::kOr: {
-        Put(Op::kHas, node.parts[0]->attribute);
-        const std::size_t absent = Put(Op::kBranch);
-        Emit(*node.parts[0]);
-        const std::size_t done = Put(Op::kJump);
-        Here(absent);
-        Emit(*node.parts[1]);
-        Here(done);
-        return;
+      Node like;
+      like.type = attribute->type;
+      like.enumeration = attribute->enumeration;
+      Tree value = parser_.Sign();
+      if (value == nullptr || !checker.CheckConstant(*value, like)) return false;
+      Value given{value->number, {}, true};
+      if (IsText(value->type)) {
+        example.owned.push_back(std::make_shared<std::string>(value->token.value));
+        given.text = *example.owned.back();
       }
-      case Shape::kIf: {
-        Emit(*node.parts[0]);
-        const std::size_t otherwise = Put(Op::kBranch);
-        Emit(*node.parts[1]);
-        const std::size_t done = Put(Op::kJump);
-        Here(otherwise);
-        Emit(*node.parts[2]);
-        Here(done);
-        return;
+      example.given.emplace_back(static_cast<std::size_t>(attribute - scope_.schema.attributes.begin()), given);
+    } while (parser_.Take(","));
+    if (parser_.Take("at")) {
+      if (parser_.Next().kind != Kind::kDate) {
+        parser_.Wrong("a date as 2026-12-24");
+        return false;
       }
-      case Shape::kRange: {
-        // low <= value and value <= high; the value is cheap or small, and is worked out twice.
-        Emit(*node.parts[1]);
-        Emit(*node.parts[0]);
-        Put(Op::kLessEqual);
-        const std::size_t out = Put(Op::kJumpIfFalse);
-        Emit(*node.parts[0]);
-        Emit(*node.parts[2]);
-        Put(Op::kLessEqual);
-        Here(out);
-        return;
+      const std::int64_t local = parser_.TakeAny().number * 86'400'000'000;
+      if (parser_.Next().kind != Kind::kTime) {
+        parser_.Wrong("a time of day as 18:30");
+        return false;
       }
-      case Shape::kIn:
-        return EmitIn(node);
-      case Shape::kMatches:
-        return EmitMatches(node);
-    }
-  }
-
-  void EmitBinary(const Node& node) {
-    const std::string_view sign = node.sign;
-    const Node& left = *node.parts[0];
-    const Node& right = *node.parts[1];
-    if (sign == "and" || sign == "or") {
-      Emit(left);
-      const std::size_t out = Put(sign == "and" ? Op::kJumpIfFalse : Op::kJumpIfTrue);
-      Emit(right);
-      Here(out);
-      return;
-    }
-    if (left.type == Type::kString) {
-      // Texts have one order, less: a > b is b < a, and a <= b is not b < a.
-      const bool turned = sign == ">" || sign == "<=";
-      Emit(turned ? right : left);
-      Emit(turned ? left : right);
-      const std::uint64_t compare = 1 + std::max(left.longest, right.longest) / 8;
-      if (sign == "==") Put(Op::kTextEqual, 0, compare);
-      if (sign == "!=") Put(Op::kTextNotEqual, 0, compare);
-      if (sign[0] == '<' || sign[0] == '>') Put(Op::kTextLess, 0, compare);
-      if (sign == "<=" || sign == ">=") Put(Op::kNot);
-      if (sign == "starts_with") Put(Op::kStartsWith, 0, compare);
-      if (sign == "ends_with") Put(Op::kEndsWith, 0, compare);
-      if (sign == "contains") Put(Op::kContains, 0, 1 + (left.longest + 1) * (right.longest / 8 + 1));
-      return;
+      example.wall_us = local + parser_.TakeAny().number;
+      const auto zone = Zone::Load(scope_.zone);
+      example.wall_us -= zone->OffsetUs(example.wall_us - zone->OffsetUs(example.wall_us));
+    }
+    if (!parser_.Expect("expect")) return false;
+    const Token expected = parser_.TakeAny();
+    example.expected = expected.text == "none" ? "" : expected.text;
+    if (parser_.Is("..") || expected.kind != Kind::kName) {
+      reporter_.Say(expected.at, "expected the name of a rule, or none");
+      return false;
     }
-    // a > b is b < a, a >= b is b <= a.
-    const bool turned = sign == ">" || sign == ">=";
-    Emit(turned ? right : left);
-    Emit(turned ? left : right);
-    if (sign == "==") Put(Op::kEqual);
-    if (sign == "!=") Put(Op::kNotEqual);
-    if (sign == "<" || sign == ">") Put(Op::kLess);
-    if (sign == "<=" || sign == ">=") Put(Op::kLessEqual);
-    if (sign == "+") Put(Op::kAdd);
-    if (sign == "-") Put(Op::kSubtract);
-    if (sign == "*") Put(Op::kMultiply);
-    if (sign == "/") Put(Op::kDivide);
-    if (sign == "%") Put(Op::kModulo);
-  }
-
-  void EmitIn(const Node& node) {
-    Emit(*node.parts[0]);
-    std::uint64_t steps = 2;
-    for (std::size_t n = node.parts.size(); n > 0; n /= 2) ++steps;
-    if (node.parts[0]->type == Type::kString) {
-      std::vector<std::string> list;
-      std::size_t longest = node.parts[0]->longest;
-      for (std::size_t i = 1; i < node.parts.size(); ++i) list.push_back(node.parts[i]->token.value);
-      std::sort(list.begin(), list.end());
-      program_.words_.push_back(std::move(list));
-      Put(Op::kInTexts, program_.words_.size() - 1, steps * (1 + longest / 8));
-      return;
+    if (parser_.Next().kind == Kind::kInt && expected.text != "none") {
+      // The row of a table: NAME 2 stands for its second row.
+      example.expected += "." + std::string(parser_.TakeAny().text);
     }
-    std::vector<std::int64_t> list;
-    for (std::size_t i = 1; i < node.parts.size(); ++i) list.push_back(node.parts[i]->number);
-    std::sort(list.begin(), list.end());
-    program_.numbers_.push_back(std::move(list));
-    Put(Op::kInNumbers, program_.numbers_.size() - 1, steps);
+    expected_.emplace_back(expected.at, example.expected);
+    set_.examples.push_back(std::move(example));
+    return parser_.Expect(";");
   }
 
-  void EmitMatches(const Node& node) {
-    Emit(*node.parts[0]);
-    re2::RE2::Options options;
-    options.set_log_errors(false);
-    options.set_max_mem(1 << 20);
-    auto pattern = std::make_shared<re2::RE2>(node.token.value, options);
-    if (!pattern->ok()) {
-      reporter_->Say(node.token.at, "expected a regular expression, found a fault: " + pattern->error());
-      failed_ = true;
-      return;
+  void CheckExamples() {
+    std::set<std::string, std::less<>> names;
+    for (const Rule& rule : set_.rules) names.insert(rule.name);
+    for (const auto& [at, name] : expected_) {
+      if (name.empty() || names.count(name) > 0) continue;
+      reporter_.Say(at, "expected the name of a rule, found '" + name + "'" + Suggest(name, {names.begin(), names.end()}));
     }
-    if (pattern->ProgramSize() > limits_.largest_pattern) {
-      reporter_->Say(node.token.at, "expected a regular expression of at most " + std::to_string(limits_.largest_pattern) +
-                                        " states, found " + std::to_string(pattern->ProgramSize()));
-      failed_ = true;
-      return;
-    }
-    // RE2 takes at most a pass over the text for each state.
-    const auto states = static_cast<std::uint64_t>(pattern->ProgramSize());
-    program_.patterns_.push_back(std::move(pattern));
-    Put(Op::kMatches, program_.patterns_.size() - 1, 1 + states * (node.parts[0]->longest + 1) / 16);
   }
 
-  const Schema& schema_;
-  const Limits& limits_;
-  Reporter* reporter_;
-  Program program_;
-  bool failed_ = false;
-};
-
-namespace {
-
-std::optional<Program> CompileTree(Node* tree, std::optional<Type> type, const Schema& schema, const Limits& limits, Reporter* reporter) {
-  if (tree == nullptr || !Checker(schema, reporter).Check(*tree, type)) return std::nullopt;
-  return Generator(schema, limits, reporter).Make(*tree);
-}
-
-// rule NAME when CONDITION then EFFECT, EFFECT ... ;
-class RuleReader {
- public:
-  RuleReader(Parser* parser, const Schema& schema, const Limits& limits, Reporter* reporter)
-      : parser_(parser), schema_(schema), limits_(limits), reporter_(reporter) {}
-
-  bool Read(Rule* rule) {
-    const std::size_t before = reporter_->count();
-    if (!parser_->Expect("rule")) return false;
-    if (parser_->Next().kind == Kind::kName && !parser_->Is("when")) rule->name = parser_->TakeAny().text;
-    if (!parser_->Expect("when")) return false;
-    Tree condition = parser_->Expression();
-    auto program = CompileTree(condition.get(), Type::kBool, schema_, limits_, reporter_);
-    if (condition == nullptr || !parser_->Expect("then")) return false;
-    do {
-      if (!Effect(&rule->effects)) return false;
-    } while (parser_->Take(","));
-    if (!parser_->Expect(";")) return false;
-    if (program) rule->when = std::move(*program);
-    return reporter_->count() == before;
-  }
-
- private:
   bool Word(std::string_view enumeration, std::optional<int>* index) {
-    if (!parser_->Expect("=")) return false;
-    const Token token = parser_->TakeAny();
-    const auto words = schema_.enumerations.find(std::string(enumeration));
+    if (!parser_.Expect("=")) return false;
+    const Token token = parser_.TakeAny();
+    const auto words = scope_.enumerations.find(std::string(enumeration));
     static const std::vector<std::string> kNone;
-    const auto& known = words == schema_.enumerations.end() ? kNone : words->second;
+    const auto& known = words == scope_.enumerations.end() ? kNone : words->second;
     const auto found = std::find(known.begin(), known.end(), token.text);
     if (found == known.end()) {
-      reporter_->Say(token.at, "expected a word of " + std::string(enumeration) + ", found '" + std::string(token.text.substr(0, 40)) +
-                                   "'" + Suggest(token.text, known));
+      reporter_.Say(token.at, "expected a word of " + std::string(enumeration) + ", found '" + std::string(token.text.substr(0, 40)) +
+                                  "'" + Suggest(token.text, known));
       return true;  // the rest of the rule can still be read
     }
     *index = static_cast<int>(found - known.begin());
     return true;
   }
-  bool Effect(Effects* effects) {
-    if (parser_->Take("class")) return Word("class", &effects->call_class);
-    if (parser_->Take("customer")) return Word("customer", &effects->customer);
-    if (parser_->Take("redial")) return effects->redial = true;
-    if (parser_->Take("refuse")) {
-      effects->refuse = true;
-      if (!parser_->Take("pause")) return true;
-      if (parser_->Next().kind != Kind::kDuration) {
-        parser_->Wrong("a duration");
+
+  bool Effects(expr::Effects* effects, std::size_t rule) {
+    do {
+      if (!OneEffect(effects, rule)) return false;
+    } while (parser_.Take(","));
+    return true;
+  }
+
+  bool OneEffect(expr::Effects* effects, std::size_t rule) {
+    if (parser_.Take("class")) return Word("class", &effects->call_class);
+    if (parser_.Take("customer")) return Word("customer", &effects->customer);
+    if (parser_.Take("redial")) return effects->redial = true;
+    if (parser_.Take("priority")) {
+      if (!parser_.Expect("=")) return false;
+      if (parser_.Next().kind != Kind::kInt || parser_.Next().number > 15) {
+        parser_.Wrong("a priority from 0 to 15");
         return false;
       }
-      effects->pause_us = parser_->TakeAny().number;
+      effects->priority = static_cast<int>(parser_.TakeAny().number);
+      return true;
+    }
+    if (parser_.Take("budget")) {
+      if (!parser_.Expect("=")) return false;
+      return Duration(&effects->budget_us.emplace());
+    }
+    if (parser_.Take("key")) {
+      if (!parser_.Expect("=")) return false;
+      Tree key = parser_.Expression();
+      if (key == nullptr) return false;
+      if (Checker(&scope_, limits_, &reporter_).Check(*key, std::nullopt)) keys_.push_back({rule, std::move(key)});
       return true;
     }
-    if (parser_->Take("tag")) {
-      if (parser_->Next().kind != Kind::kText) {
-        parser_->Wrong("a text");
+    if (parser_.Take("refuse")) {
+      effects->refuse = true;
+      return !parser_.Take("pause") || Duration(&effects->pause_us);
+    }
+    if (parser_.Take("tag")) {
+      if (parser_.Next().kind != Kind::kText || effects->tags.size() >= kMostTagsOfRule) {
+        parser_.Wrong(effects->tags.size() >= kMostTagsOfRule ? "at most " + std::to_string(kMostTagsOfRule) + " tags" : "a text");
         return false;
       }
-      effects->tags.push_back(parser_->TakeAny().value);
+      effects->tags.push_back(parser_.TakeAny().value);
       return true;
     }
-    parser_->Wrong("an effect (class = ..., customer = ..., refuse, redial, tag ...)");
+    parser_.Wrong("an effect (class = ..., customer = ..., priority = ..., budget = ..., key = ..., refuse, redial, tag ...)");
     return false;
   }
 
-  Parser* parser_;
-  const Schema& schema_;
+  bool Duration(std::int64_t* duration) {
+    if (parser_.Next().kind != Kind::kDuration) {
+      parser_.Wrong("a duration");
+      return false;
+    }
+    *duration = parser_.TakeAny().number;
+    return true;
+  }
+
+  // Trees to programs, with the parts that several have made once.
+  void Make() {
+    Sharing sharing;
+    for (const Tree& condition : conditions_) {
+      if (condition != nullptr) sharing.Add(*condition);
+    }
+    for (const Effect& effect : keys_) sharing.Add(*effect.key);
+    Generator::Places places;
+    for (const Node* part : sharing.Worth()) {
+      auto program = Generator(scope_, limits_, &reporter_, &places, &set_.shared).Make(*part);
+      if (!program) return;
+      places[part->id] = static_cast<std::uint32_t>(set_.shared.size());
+      set_.shared.push_back(std::move(*program));
+    }
+    std::vector<std::vector<RuleIndex::Option>> options(set_.rules.size());
+    for (std::size_t i = 0; i < set_.rules.size(); ++i) {
+      if (conditions_[i] == nullptr) continue;
+      auto program = Generator(scope_, limits_, &reporter_, &places, &set_.shared).Make(*conditions_[i]);
+      if (!program) continue;
+      set_.cost_bound += program->cost_bound();
+      set_.rules[i].when = std::move(*program);
+      AddConstraints(*conditions_[i], &set_.rules[i].constraints);
+      options[i] = Options(*conditions_[i]);
+    }
+    for (const Effect& effect : keys_) {
+      // Keys are worked out by themselves.
+      if (auto program = Generator(scope_, limits_, &reporter_).Make(*effect.key)) set_.rules[effect.rule].effects.key = std::move(*program);
+    }
+    set_.attributes = scope_.schema.attributes.size();
+    set_.inputs = scope_.inputs.size();
+    set_.calendar = scope_.calendar;
+    for (CalendarInput& input : set_.calendar) input.table = Zone::Load(input.zone);
+    set_.index.Build(options);
+  }
+
+  std::string_view text_;
+  Parser& parser_;
+  Scope& scope_;
   const Limits& limits_;
-  Reporter* reporter_;
+  Reporter& reporter_;
+  RuleSet& set_;
+  std::vector<Tree> conditions_;  // by rule; null where there was a mistake
+  std::vector<Effect> keys_;
+  std::vector<std::pair<std::size_t, std::string>> expected_;
+  std::size_t line_ = 1, counted_ = 0;
 };
 
-bool SizeFits(std::string_view text, const Limits& limits, Reporter* reporter) {
-  if (text.size() <= limits.most_octets) return true;
-  reporter->Say(0, "expected at most " + std::to_string(limits.most_octets) + " octets, found " + std::to_string(text.size()));
-  return false;
-}
-
 }  // namespace
 
-std::string ToString(const std::vector<Mistake>& mistakes) {
-  std::string text;
-  for (const Mistake& m : mistakes)
-    text += std::to_string(m.line) + ":" + std::to_string(m.column) + ": " + m.text + "\n" + m.shown + "\n";
-  return text;
-}
-
 std::optional<Program> CompileExpression(std::string_view text, const Schema& schema, const Limits& limits,
                                          std::vector<Mistake>* mistakes) {
   Reporter reporter(text, limits, mistakes);
@@ -892,7 +726,9 @@
     parser.Wrong("the end");
     return std::nullopt;
   }
-  return CompileTree(tree.get(), std::nullopt, schema, limits, &reporter);
+  Scope scope(schema);
+  if (tree == nullptr || !Checker(&scope, limits, &reporter).Check(*tree, std::nullopt)) return std::nullopt;
+  return Generator(scope, limits, &reporter).Make(*tree);
 }
 
 std::optional<RuleSet> CompileRules(std::string_view text, const Schema& schema, const Limits& limits,
@@ -900,22 +736,10 @@
   Reporter reporter(text, limits, mistakes);
   if (!SizeFits(text, limits, &reporter)) return std::nullopt;
   Parser parser(Lex(text, limits, &reporter), limits, &reporter);
+  Scope scope(schema);
+  scope.rules = true;
   RuleSet set;
-  while (!parser.AtEnd()) {
-    Rule rule;
-    const std::size_t at = parser.Next().at;
-    rule.line = 1 + static_cast<std::size_t>(std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(at), '\n'));
-    RuleReader reader(&parser, schema, limits, &reporter);
-    const std::size_t before = reporter.count();
-    if (!reader.Read(&rule) && reporter.count() > before) {
-      // A rule that was read to its end needs no skipping; one that broke off does.
-      if (parser.Is("rule")) continue;
-      parser.SkipRule();
-      continue;
-    }
-    set.cost_bound += rule.when.cost_bound();
-    set.rules.push_back(std::move(rule));
-  }
+  FileReader(text, &parser, &scope, limits, &reporter, &set).Read();
   if (reporter.count() > 0) return std::nullopt;
   return set;
 }
--- a/src/expr/machine.cpp
+++ b/src/expr/machine.cpp
@@ -4,148 +4,203 @@
 #include <array>
 #include <limits>
 
+#include "expr/arithmetic.h"
 #include "expr/expr.h"
+#include "expr/hash.h"
 
 namespace croftrun::expr {
 namespace {
 
-using Limit = std::numeric_limits<std::int64_t>;
+using namespace arithmetic;
 
-// Integers saturate: a rule about large numbers stays monotone, and nothing wraps.
-std::int64_t Add(std::int64_t a, std::int64_t b) {
-  std::int64_t sum = 0;
-  if (!__builtin_add_overflow(a, b, &sum)) return sum;
-  return b > 0 ? Limit::max() : Limit::min();
-}
-std::int64_t Negate(std::int64_t a) { return a == Limit::min() ? Limit::max() : -a; }
-std::int64_t Subtract(std::int64_t a, std::int64_t b) {
-  std::int64_t difference = 0;
-  if (!__builtin_sub_overflow(a, b, &difference)) return difference;
-  return b < 0 ? Limit::max() : Limit::min();
-}
-std::int64_t Multiply(std::int64_t a, std::int64_t b) {
-  std::int64_t product = 0;
-  if (!__builtin_mul_overflow(a, b, &product)) return product;
-  return (a < 0) == (b < 0) ? Limit::max() : Limit::min();
-}
-std::int64_t Divide(std::int64_t a, std::int64_t b) { return b == 0 ? 0 : b == -1 ? Negate(a) : a / b; }
-std::int64_t Modulo(std::int64_t a, std::int64_t b) { return b == 0 || b == -1 ? 0 : a % b; }
+std::uint64_t TextCost(std::size_t a, std::size_t b) { return 1 + std::max(a, b) / 8; }
 
-Value Number(std::int64_t number) { return {number, {}, true}; }
-std::uint64_t TextCost(std::string_view a, std::string_view b) { return 1 + std::max(a.size(), b.size()) / 8; }
+template <typename Pairs, typename Key>
+const Value& Lookup(const Pairs& pairs, const Key& key, const Value& otherwise) {
+  const auto found = std::lower_bound(pairs.begin(), pairs.end(), key, [](const auto& pair, const Key& k) { return pair.first < k; });
+  return found != pairs.end() && found->first == key ? found->second : otherwise;
+}
 
 }  // namespace
 
-Value Program::Run(const Input& input, std::uint64_t* steps) const {
-  std::array<Value, kDeepestStack> stack;
-  std::size_t top = 0;  // values on it
+Value Program::Run(const Input& input, std::uint64_t* steps, Scratch* scratch) const {
+  std::array<Cell, kDeepestStack> stack;  // NOLINT: written before it is read, as Verify made sure of
+  std::size_t top = 0;                    // values on it
   std::uint64_t spent = 0;
+  const auto push = [&](const Value& value) { stack[top++] = {value.number, value.text.data(), value.text.size()}; };
   for (std::size_t at = 0; at < code_.size(); ++at) {
     const Instruction& i = code_[at];
     ++spent;
     // Binary operations take the two topmost and leave one in their place.
-    const auto second = [&] { return stack[top - 1]; };
-    const auto first = [&] { return stack[top - 2]; };
-    const auto binary = [&](Value value) {
+    Cell& second = stack[top == 0 ? 0 : top - 1];
+    Cell& first = stack[top < 2 ? 0 : top - 2];
+    const auto binary = [&](std::int64_t number) {
       --top;
-      stack[top - 1] = value;
+      first.number = number;
     };
     const auto text = [&](bool result) {
-      spent += TextCost(first().text, second().text) - 1;
-      binary(Number(result ? 1 : 0));
+      spent += TextCost(first.size, second.size) - 1;
+      binary(result ? 1 : 0);
     };
     switch (i.op) {
       case Op::kConstant:
-        stack[top++] = constants_[i.a];
+        push(constants_[i.a]);
         break;
       case Op::kAttribute:
-        stack[top++] = input[i.a];
+        push(input[i.a]);
         break;
       case Op::kHas:
-        stack[top++] = Number(input[i.a].present ? 1 : 0);
+        stack[top++].number = input[i.a].present ? 1 : 0;
+        break;
+      case Op::kShared: {
+        if (scratch->stamp[i.a] != scratch->call) {
+          // Shared programs refer only to those with lower numbers: the depth of calls is bounded by their count.
+          const Value value = (*scratch->shared)[i.a].Run(input, &spent, scratch);
+          scratch->memo[i.a] = {value.number, value.text.data(), value.text.size()};
+          scratch->stamp[i.a] = scratch->call;
+        }
+        stack[top++] = scratch->memo[i.a];
         break;
+      }
       case Op::kNot:
-        stack[top - 1] = Number(second().number == 0 ? 1 : 0);
+        second.number = second.number == 0 ? 1 : 0;
         break;
       case Op::kNegate:
-        stack[top - 1] = Number(Negate(second().number));
+        second.number = Negate(second.number);
         break;
       case Op::kAdd:
-        binary(Number(Add(first().number, second().number)));
+        binary(Add(first.number, second.number));
         break;
       case Op::kSubtract:
-        binary(Number(Subtract(first().number, second().number)));
+        binary(Subtract(first.number, second.number));
         break;
       case Op::kMultiply:
-        binary(Number(Multiply(first().number, second().number)));
+        binary(Multiply(first.number, second.number));
         break;
       case Op::kDivide:
-        binary(Number(Divide(first().number, second().number)));
+        binary(Divide(first.number, second.number));
         break;
       case Op::kModulo:
-        binary(Number(Modulo(first().number, second().number)));
+        binary(Modulo(first.number, second.number));
         break;
       case Op::kEqual:
-        binary(Number(first().number == second().number ? 1 : 0));
+        binary(first.number == second.number ? 1 : 0);
         break;
       case Op::kNotEqual:
-        binary(Number(first().number != second().number ? 1 : 0));
+        binary(first.number != second.number ? 1 : 0);
         break;
       case Op::kLess:
-        binary(Number(first().number < second().number ? 1 : 0));
+        binary(first.number < second.number ? 1 : 0);
         break;
       case Op::kLessEqual:
-        binary(Number(first().number <= second().number ? 1 : 0));
+        binary(first.number <= second.number ? 1 : 0);
+        break;
+      case Op::kToDouble:
+        second.number = Bits(static_cast<double>(second.number));
+        break;
+      case Op::kNegateDouble:
+        second.number = Bits(-AsDouble(second.number));
+        break;
+      case Op::kAddDouble:
+        binary(Bits(AsDouble(first.number) + AsDouble(second.number)));
+        break;
+      case Op::kSubtractDouble:
+        binary(Bits(AsDouble(first.number) - AsDouble(second.number)));
+        break;
+      case Op::kMultiplyDouble:
+        binary(Bits(AsDouble(first.number) * AsDouble(second.number)));
+        break;
+      case Op::kDivideDouble:
+        binary(AsDouble(second.number) == 0.0 ? 0 : Bits(AsDouble(first.number) / AsDouble(second.number)));
+        break;
+      case Op::kLessDouble:
+        binary(AsDouble(first.number) < AsDouble(second.number) ? 1 : 0);
+        break;
+      case Op::kLessEqualDouble:
+        binary(AsDouble(first.number) <= AsDouble(second.number) ? 1 : 0);
         break;
       case Op::kTextEqual:
-        text(first().text == second().text);
+        text(first.text() == second.text());
         break;
       case Op::kTextNotEqual:
-        text(first().text != second().text);
+        text(first.text() != second.text());
         break;
       case Op::kTextLess:
-        text(first().text < second().text);
+        text(first.text() < second.text());
         break;
       case Op::kStartsWith:
-        text(first().text.starts_with(second().text));
+        text(first.text().starts_with(second.text()));
         break;
       case Op::kEndsWith:
-        text(first().text.ends_with(second().text));
+        text(first.text().ends_with(second.text()));
         break;
       case Op::kContains:
         // Plain search compares at each position.
-        spent += (first().text.size() + 1) * (second().text.size() / 8 + 1);
-        binary(Number(first().text.find(second().text) != std::string_view::npos ? 1 : 0));
+        spent += (first.size + 1) * (second.size / 8 + 1);
+        binary(first.text().find(second.text()) != std::string_view::npos ? 1 : 0);
         break;
       case Op::kLength:
-        stack[top - 1] = Number(static_cast<std::int64_t>(second().text.size()));
+        second.number = static_cast<std::int64_t>(second.size);
+        break;
+      case Op::kFirst:
+      case Op::kLast: {
+        const auto octets = std::min(first.size, static_cast<std::size_t>(std::max<std::int64_t>(0, second.number)));
+        if (i.op == Op::kLast) first.data += first.size - octets;
+        first.size = octets;
+        binary(0);
+        break;
+      }
+      case Op::kHashNumber:
+        second.number = static_cast<std::int64_t>(HashNumber(second.number));
+        break;
+      case Op::kHashText:
+        spent += second.size / 8;
+        second.number = static_cast<std::int64_t>(HashText(second.text()));
+        break;
+      case Op::kHashBoth:
+        binary(static_cast<std::int64_t>(HashBoth(static_cast<std::uint64_t>(first.number), static_cast<std::uint64_t>(second.number))));
         break;
       case Op::kInNumbers: {
         const auto& list = numbers_[i.a];
         spent += i.cost - 1;
-        stack[top - 1] = Number(std::binary_search(list.begin(), list.end(), second().number) ? 1 : 0);
+        second.number = std::binary_search(list.begin(), list.end(), second.number) ? 1 : 0;
+        break;
+      }
+      case Op::kInRanges: {
+        // Pairs of first and last, apart from each other: inside one, an odd count of bounds is below.
+        const auto& list = numbers_[i.a];
+        spent += i.cost - 1;
+        const auto after = std::upper_bound(list.begin(), list.end(), second.number) - list.begin();
+        second.number = after % 2 == 1 || (after > 0 && list[static_cast<std::size_t>(after) - 1] == second.number) ? 1 : 0;
         break;
       }
       case Op::kInTexts: {
         const auto& list = words_[i.a];
         spent += i.cost - 1;
-        stack[top - 1] = Number(std::binary_search(list.begin(), list.end(), second().text, std::less<>()) ? 1 : 0);
+        second.number = std::binary_search(list.begin(), list.end(), second.text(), std::less<>()) ? 1 : 0;
+        break;
+      }
+      case Op::kLookupNumber:
+      case Op::kLookupText: {
+        const ConstantMap& map = *maps_[i.a];
+        spent += i.cost - 1;
+        --top;
+        push(i.op == Op::kLookupNumber ? Lookup(map.numbers, second.number, map.otherwise) : Lookup(map.texts, second.text(), map.otherwise));
         break;
       }
       case Op::kMatches:
         spent += i.cost - 1;
-        stack[top - 1] = Number(
-            re2::RE2::PartialMatch(re2::StringPiece(second().text.data(), second().text.size()), *patterns_[i.a]) ? 1 : 0);
+        second.number = re2::RE2::PartialMatch(re2::StringPiece(second.data, second.size), *patterns_[i.a]) ? 1 : 0;
         break;
       case Op::kJumpIfFalse:
-        if (second().number == 0) {
+        if (second.number == 0) {
           at = i.a - 1;
         } else {
           --top;
         }
         break;
       case Op::kJumpIfTrue:
-        if (second().number != 0) {
+        if (second.number != 0) {
           at = i.a - 1;
         } else {
           --top;
@@ -160,10 +215,19 @@
     }
   }
   if (steps != nullptr) *steps += spent;
-  return stack[0];
+  const bool text = type_ == Type::kString || type_ == Type::kE164;
+  return {stack[0].number, text ? stack[0].text() : std::string_view(), true};
+}
+
+Program Program::OfCode(std::vector<Instruction> code, std::size_t constants) {
+  Program program;
+  program.code_ = std::move(code);
+  program.constants_.resize(constants);
+  for (const Instruction& i : program.code_) program.cost_bound_ += i.cost;
+  return program;
 }
 
-bool Program::Verify(std::size_t attributes) const {
+bool Program::Verify(std::size_t attributes, std::size_t shared) const {
   // The depth of the stack before each instruction must be the same on every way to it.
   std::vector<int> depth(code_.size() + 1, -1);
   if (code_.empty()) return false;
@@ -188,17 +252,29 @@
       case Op::kHas:
         range = attributes;
         break;
+      case Op::kShared:
+        range = shared;
+        break;
       case Op::kNot:
       case Op::kNegate:
+      case Op::kNegateDouble:
+      case Op::kToDouble:
       case Op::kLength:
+      case Op::kHashNumber:
+      case Op::kHashText:
         takes = 1;
         break;
       case Op::kInNumbers:
+      case Op::kInRanges:
         takes = 1, range = numbers_.size();
         break;
       case Op::kInTexts:
         takes = 1, range = words_.size();
         break;
+      case Op::kLookupNumber:
+      case Op::kLookupText:
+        takes = 1, range = maps_.size();
+        break;
       case Op::kMatches:
         takes = 1, range = patterns_.size();
         break;
@@ -211,6 +287,7 @@
         gives = 0, jumps = true;
         break;
       default:
+        if (i.op > Op::kJump) return false;
         takes = 2;
     }
     if (!jumps && i.a >= range && range != std::numeric_limits<std::size_t>::max()) return false;
@@ -226,11 +303,4 @@
   return depth[code_.size()] == 1;
 }
 
-int RuleSet::Match(const Input& input, std::uint64_t* steps) const {
-  for (std::size_t i = 0; i < rules.size(); ++i) {
-    if (rules[i].when.Test(input, steps)) return static_cast<int>(i);
-  }
-  return -1;
-}
-
 }  // namespace croftrun::expr
