--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -136,7 +136,7 @@
   return rules.Kept() && clean && report.fell_over == 0 ? kDone : kVerdictAgainst;
 }
 
-int CheckRules(const std::string& path, bool json) {
+int GiveVerdict(const std::string& path, bool json) {
   std::ifstream file(path);
   if (!file) {
     std::cerr << "cannot read " << path << "\n";
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -31,7 +31,20 @@
 };
 int RunLoad(const LoadRun& options);
 
-int CheckRules(const std::string& trace, bool json);
+// The five rules of the product, from a trace alone.
+int GiveVerdict(const std::string& trace, bool json);
+
+struct RulesRun {
+  std::string file, settings;
+  std::string call, at;  // of explain, in the language
+  int calls = 1'000'000;
+  bool json = false, overlaps = false;
+};
+int CheckRuleFile(const RulesRun& options);
+int ExplainCall(const RulesRun& options);
+int TestRules(const RulesRun& options);
+int BenchRules(const RulesRun& options);
+
 int CheckConfig(const std::string& file, bool json);
 int ShowConfig(const std::string& file);
 int ConvertDayFile(const std::string& day, const std::string& out, int most_edges, double most_calls_per_s);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -45,10 +45,30 @@
   load_command->callback([&] { code = RunLoad(load); });
 
   std::string path, out;
-  CLI::App* rules = app.add_subcommand("rules", "Verifies the five rules from a trace alone");
-  rules->add_option("trace", path, "JSON lines")->required();
-  rules->add_flag("--json", json, "The findings as JSON");
-  rules->callback([&] { code = CheckRules(path, json); });
+  CLI::App* verdict = app.add_subcommand("verdict", "Verifies the five rules of the product from a trace alone");
+  verdict->add_option("trace", path, "JSON lines")->required();
+  verdict->add_flag("--json", json, "The findings as JSON");
+  verdict->callback([&] { code = GiveVerdict(path, json); });
+
+  RulesRun of_rules;
+  CLI::App* rules = app.add_subcommand("rules", "Rules that classify calls (docs/expressions.md)");
+  rules->require_subcommand(1);
+  const auto add_rules = [&](const char* name, const char* what, int (*run_it)(const RulesRun&)) {
+    CLI::App* command = rules->add_subcommand(name, what);
+    command->add_option("file", of_rules.file, "The rules")->required();
+    command->add_option("--settings", of_rules.settings, "Settings of the edge, for its classes and customers")->required();
+    command->add_flag("--json", of_rules.json, "As JSON");
+    command->callback([&code, &of_rules, run_it] { code = run_it(of_rules); });
+    return command;
+  };
+  add_rules("check", "Tells every mistake, and rules that are never reached", CheckRuleFile)
+      ->add_flag("--overlaps", of_rules.overlaps, "Also rules that may match the same call and differ");
+  CLI::App* explain = add_rules("explain", "Shows which rule matches a call, and why the others do not", ExplainCall);
+  explain->add_option("--call", of_rules.call, "As in an example: called = \"2100\", customer = crew-leads, line = 7")->required();
+  explain->add_option("--at", of_rules.at, "As in an example: 2026-12-24 18:30");
+  add_rules("test", "Runs the examples that stand beside the rules", TestRules);
+  add_rules("bench", "Measures the rules on their examples", BenchRules)
+      ->add_option("--calls", of_rules.calls, "So many")->check(CLI::Range(1, 100'000'000))->capture_default_str();
 
   CLI::App* config = app.add_subcommand("config", "Settings of an edge");
   config->require_subcommand(1);
--- /dev/null
+++ b/src/cli/rules.cpp
@@ -0,0 +1,213 @@
+// croftrun rules check|explain|test|bench: what staff do with a file of rules before it is put in force.
+#include <chrono>
+#include <cstdio>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "cli/commands.h"
+#include "edge/edge_settings.h"
+
+namespace croftrun::cli {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMostSettings = 64U << 20U;
+// Pairs of rules compared for the report: some seconds at most.
+constexpr std::size_t kMostPairs = 60'000'000;
+
+struct Loaded {
+  expr::Schema schema;
+  std::optional<expr::RuleSet> rules;
+  std::vector<expr::Mistake> mistakes;
+  double load_ms = 0.0;
+};
+
+// The words that rules may use are those of the settings. False: told on standard error.
+bool Load(const RulesRun& options, const std::string& more, bool explain, Loaded* loaded) {
+  std::vector<config::Mistake> unread;
+  const std::string settings_text = config::ReadFile(options.settings, kMostSettings, &unread);
+  const std::string text = config::ReadFile(options.file, expr::Limits().most_octets, &unread);
+  edge::EdgeSettings settings;
+  std::vector<config::Mistake> mistakes;
+  if (unread.empty()) settings = edge::ParseEdgeSettings(settings_text, &mistakes);
+  // The rules of the settings themselves are not what is asked about.
+  std::erase_if(mistakes, [](const config::Mistake& m) { return m.path.starts_with("/rules"); });
+  mistakes.insert(mistakes.end(), unread.begin(), unread.end());
+  if (!mistakes.empty()) {
+    std::cerr << "croftrun: " << config::ToString(mistakes);
+    return false;
+  }
+  std::vector<std::string> customers;
+  for (const Customer& customer : settings.core.module.customers) customers.push_back(customer.name);
+  loaded->schema = edge::Classifier::SchemaFor(settings.class_names, customers);
+  expr::Limits limits;
+  limits.keep_parts = explain;
+  const auto began = std::chrono::steady_clock::now();
+  loaded->rules = expr::CompileRules(text + more, loaded->schema, limits, &loaded->mistakes);
+  loaded->load_ms = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+  return true;
+}
+
+int TellMistakes(const RulesRun& options, const Loaded& loaded) {
+  if (options.json) {
+    json list = json::array();
+    for (const expr::Mistake& m : loaded.mistakes) list.push_back({{"line", m.line}, {"column", m.column}, {"text", m.text}, {"shown", m.shown}});
+    std::cout << json{{"fine", false}, {"mistakes", list}}.dump(1) << "\n";
+  } else {
+    std::cerr << options.file << ":\n" << expr::ToString(loaded.mistakes);
+  }
+  return kBadInput;
+}
+
+// What stands in the input beside the attributes that the example gives: the first words, 0, or nothing.
+expr::Input InputOf(const Loaded& loaded, const expr::Example& example) {
+  expr::Input input;
+  for (const expr::Attribute& attribute : loaded.schema.attributes) input.push_back({0, {}, !attribute.optional});
+  for (const auto& [attribute, value] : example.given) input[attribute] = value;
+  loaded.rules->Extend(&input, {0, example.wall_us}, nullptr);
+  return input;
+}
+
+std::string NameOf(const expr::Rule& rule) { return rule.name.empty() ? "line " + std::to_string(rule.line) : rule.name; }
+
+std::string WordsOf(const Loaded& loaded, const expr::Outcome& outcome) {
+  const auto word = [&](const char* enumeration, int index) { return loaded.schema.enumerations.at(enumeration)[static_cast<std::size_t>(index)]; };
+  std::string words;
+  const auto add = [&](const std::string& text) { words += (words.empty() ? "" : ", ") + text; };
+  if (outcome.call_class) add("class = " + word("class", *outcome.call_class));
+  if (outcome.customer) add("customer = " + word("customer", *outcome.customer));
+  if (outcome.priority) add("priority = " + std::to_string(*outcome.priority));
+  if (outcome.budget_us) add("budget = " + std::to_string(*outcome.budget_us / 1000) + "ms");
+  if (outcome.key) add("key = " + std::to_string(*outcome.key));
+  if (outcome.redial) add("redial");
+  if (outcome.refuse) add("refuse pause " + std::to_string(outcome.pause_us / 1000) + "ms");
+  for (std::size_t i = 0; i < outcome.tag_count; ++i) add("tag \"" + *outcome.tags[i] + "\"");
+  return words;
+}
+
+}  // namespace
+
+int CheckRuleFile(const RulesRun& options) {
+  Loaded loaded;
+  if (!Load(options, "", false, &loaded)) return kBadInput;
+  if (!loaded.rules) return TellMistakes(options, loaded);
+  const expr::RuleSet& rules = *loaded.rules;
+  const auto notes = rules.Report(options.overlaps, kMostPairs);
+  if (options.json) {
+    json list = json::array();
+    for (const expr::Note& note : notes) list.push_back({{"line", note.line}, {"text", note.text}});
+    std::cout << json{{"fine", true},
+                      {"rules", rules.rules.size()},
+                      {"counters", rules.counters.size()},
+                      {"examples", rules.examples.size()},
+                      {"shared_parts", rules.shared.size()},
+                      {"cost_bound", rules.cost_bound},
+                      {"load_ms", loaded.load_ms},
+                      {"notes", list}}
+                     .dump(1)
+              << "\n";
+    return kDone;
+  }
+  for (const expr::Note& note : notes) std::printf("%s:%zu: note: %s\n", options.file.c_str(), note.line, note.text.c_str());
+  std::printf("fine: %zu rules, %zu counters, %zu examples, cost at most %llu a call\n", rules.rules.size(), rules.counters.size(),
+              rules.examples.size(), static_cast<unsigned long long>(rules.cost_bound));
+  return kDone;
+}
+
+int ExplainCall(const RulesRun& options) {
+  Loaded loaded;
+  const std::string at = options.at.empty() ? "" : " at " + options.at;
+  if (!Load(options, "\nexample given " + options.call + at + " expect none;", true, &loaded)) return kBadInput;
+  if (!loaded.rules) return TellMistakes(options, loaded);
+  const expr::RuleSet& rules = *loaded.rules;
+  const expr::Input input = InputOf(loaded, rules.examples.back());
+  expr::Outcome outcome;
+  std::uint64_t steps = 0;
+  rules.Apply(input, &outcome, &steps);
+  json tried = json::array();
+  for (const expr::Rule& rule : rules.rules) {
+    std::string failed;
+    for (const expr::RulePart& part : rule.parts) {
+      if (failed.empty() && !part.program.Test(input)) failed = part.text;
+    }
+    tried.push_back({{"rule", NameOf(rule)}, {"line", rule.line}, {"matches", failed.empty()}, {"fails_at", failed}});
+    if (failed.empty() && (!rules.all || rule.effects.refuse)) break;
+  }
+  const std::string words = WordsOf(loaded, outcome);
+  if (options.json) {
+    std::cout << json{{"rule", outcome.rule < 0 ? json() : json(NameOf(rules.rules[static_cast<std::size_t>(outcome.rule)]))},
+                      {"effects", words},
+                      {"steps", steps},
+                      {"tried", tried}}
+                     .dump(1)
+              << "\n";
+    return kDone;
+  }
+  for (const json& one : tried) {
+    const bool matches = one["matches"].get<bool>();
+    std::printf("%-24s %s\n", one["rule"].get<std::string>().c_str(),
+                matches ? "matches" : ("no, as this does not hold: " + one["fails_at"].get<std::string>()).c_str());
+  }
+  std::printf("%s\n", outcome.rule < 0 ? "no rule matches; the call stays as it is" : ("so: " + words).c_str());
+  return kDone;
+}
+
+int TestRules(const RulesRun& options) {
+  Loaded loaded;
+  if (!Load(options, "", false, &loaded)) return kBadInput;
+  if (!loaded.rules) return TellMistakes(options, loaded);
+  const expr::RuleSet& rules = *loaded.rules;
+  json failures = json::array();
+  for (const expr::Example& example : rules.examples) {
+    const int matched = rules.Match(InputOf(loaded, example));
+    const std::string name = matched < 0 ? "" : rules.rules[static_cast<std::size_t>(matched)].name;
+    if (name == example.expected) continue;
+    failures.push_back({{"line", example.line},
+                        {"example", example.name},
+                        {"expected", example.expected.empty() ? "none" : example.expected},
+                        {"found", matched < 0 ? "none" : NameOf(rules.rules[static_cast<std::size_t>(matched)])}});
+  }
+  if (options.json) {
+    std::cout << json{{"examples", rules.examples.size()}, {"failures", failures}}.dump(1) << "\n";
+  } else {
+    for (const json& f : failures)
+      std::printf("%s:%zu: example \"%s\": expected %s, found %s\n", options.file.c_str(), f["line"].get<std::size_t>(),
+                  f["example"].get<std::string>().c_str(), f["expected"].get<std::string>().c_str(), f["found"].get<std::string>().c_str());
+    std::printf("%zu of %zu examples hold\n", rules.examples.size() - failures.size(), rules.examples.size());
+  }
+  return failures.empty() ? kDone : kVerdictAgainst;
+}
+
+int BenchRules(const RulesRun& options) {
+  Loaded loaded;
+  if (!Load(options, "", false, &loaded)) return kBadInput;
+  if (!loaded.rules) return TellMistakes(options, loaded);
+  const expr::RuleSet& rules = *loaded.rules;
+  std::vector<expr::Input> inputs;
+  for (const expr::Example& example : rules.examples) inputs.push_back(InputOf(loaded, example));
+  if (inputs.empty()) inputs.push_back(InputOf(loaded, {}));
+  std::uint64_t steps = 0, matched = 0, most = 0;
+  for (const expr::Input& input : inputs) {
+    std::uint64_t one = 0;
+    matched += rules.Match(input, &one) >= 0 ? 1 : 0;
+    most = std::max(most, one);
+    steps += one;
+  }
+  const auto began = std::chrono::steady_clock::now();
+  for (int i = 0; i < options.calls; ++i) matched += rules.Match(inputs[static_cast<std::size_t>(i) % inputs.size()]) >= 0 ? 1 : 0;
+  const double ns = std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - began).count() / options.calls;
+  const json figures = {{"rules", rules.rules.size()}, {"calls", options.calls}, {"different_calls", inputs.size()},
+                        {"ns_a_call", ns},           {"load_ms", loaded.load_ms}, {"steps_a_call", static_cast<double>(steps) / static_cast<double>(inputs.size())},
+                        {"most_steps", most},        {"cost_bound", rules.cost_bound}};
+  if (options.json) {
+    std::cout << figures.dump(1) << "\n";
+  } else {
+    std::printf("%zu rules loaded in %.1f ms; %.0f ns a call over %d calls of %zu kinds; at most %llu steps, the bound is %llu\n",
+                rules.rules.size(), loaded.load_ms, ns, options.calls, inputs.size(), static_cast<unsigned long long>(most),
+                static_cast<unsigned long long>(rules.cost_bound));
+  }
+  return kDone;
+}
+
+}  // namespace croftrun::cli
--- a/src/core/call_core.cpp
+++ b/src/core/call_core.cpp
@@ -13,6 +13,11 @@
 // Octets of a session description that are carried through.
 constexpr std::size_t kMostSession = 1024;
 
+// The version of the rules a call is under, for the log: the same from its first line to its last.
+std::string UnderRules(const Offer& offer) {
+  return offer.rules == 0 ? std::string() : ", rules " + std::to_string(offer.rules);
+}
+
 struct Ended {
   Outcome outcome;
   Cause cause;
@@ -268,7 +273,7 @@
 void CallCore::Begin(CallId id) {
   Call& call = calls_[id];
   if (log_->Wants(LogLevel::kDebug))
-    log_->Write(LogLevel::kDebug, "taken", id, call.offer.calling + " to " + call.offer.called);
+    log_->Write(LogLevel::kDebug, "taken", id, call.offer.calling + " to " + call.offer.called + UnderRules(call.offer));
   const TimeUs margin = std::min(settings_.answer_margin_us, call.offer.patience_us / 2);
   const TimeUs budget = call.offer.patience_us - margin;
   if (call.offer.destination == own_number()) {
@@ -287,7 +292,7 @@
   offered.call = id;
   offered.call_class = call.offer.call_class;
   offered.customer = call.offer.customer;
-  offered.number_called = NumberKey(call.offer.called);
+  offered.number_called = call.offer.key != 0 ? call.offer.key : NumberKey(call.offer.called);
   offered.budget_us = budget;
   offered.destination = call.offer.destination;
   offered.width = static_cast<double>(call.offer.width);
@@ -463,7 +468,7 @@
                                           : counters_.failed);
   if (log_->Wants(LogLevel::kDebug)) {
     constexpr std::string_view kKinds[] = {"stands", "refused", "failed"};
-    log_->Write(LogLevel::kDebug, "final", id, kKinds[static_cast<std::size_t>(answer.kind)]);
+    log_->Write(LogLevel::kDebug, "final", id, std::string(kKinds[static_cast<std::size_t>(answer.kind)]) + UnderRules(call.offer));
   }
   if (answer.kind == FinalKind::kStands) {
     if (call.subscriber != nullptr) {
--- a/src/core/call_core.h
+++ b/src/core/call_core.h
@@ -66,6 +66,9 @@
   TimeUs patience_us = 0;  // until the caller gives up this try
   bool redialled = false;
   int advice = -1;  // the centre's tandem, by number
+  int priority = 0;        // by the rules; higher is more
+  std::uint64_t key = 0;   // by the rules: what the call is held by in place of the number called; 0: the number
+  std::uint32_t rules = 0; // version of the rules that classified it; 0: none
 };
 
 enum class FinalKind : std::uint8_t { kStands, kRefused, kFailed };
@@ -226,6 +229,8 @@
   std::size_t open_calls() const { return calls_.size(); }
   // This process has fallen behind and refuses a share of new calls at once.
   bool Overloaded() const { return gate_.share() > 0.0; }
+  // The share of new calls that it refuses.
+  double ShareRefused() const { return gate_.share(); }
   const CoreCounters& counters() const { return counters_; }
   const CircuitGroup* Group(int number) const;
   int own_number() const { return settings_.module.own_number; }
--- a/src/core/runtime.h
+++ b/src/core/runtime.h
@@ -46,6 +46,8 @@
  public:
   virtual ~Runtime() = default;
   virtual TimeUs Now() const = 0;
+  // Unix time in microseconds, for the calendar only: it may step either way at any time.
+  virtual std::int64_t WallUs() const = 0;
   // Calls `due` once, not before `delay` microseconds from now and never from within this call.
   virtual TimerId StartTimer(TimeUs delay, std::function<void()> due) = 0;
   // Harmless for a timer that is over; after it, `due` is not called.
--- a/src/edge/classifier.cpp
+++ b/src/edge/classifier.cpp
@@ -1,5 +1,8 @@
 #include "edge/classifier.h"
 
+#include <algorithm>
+#include <bit>
+
 #include "core/number_plan.h"
 
 namespace croftrun::edge {
@@ -14,7 +17,7 @@
   using expr::Type;
   expr::Schema schema;
   schema.enumerations = {{"class", classes}, {"customer", customers}};
-  // In the order in which Apply fills the input.
+  // In the order in which Fill fills the input.
   schema.attributes = {{"class", Type::kEnum, "class", 0, false},
                        {"customer", Type::kEnum, "customer", 0, false},
                        {"called", Type::kString, "", core::kMostDigits, false},
@@ -22,7 +25,9 @@
                        {"destination", Type::kInt, "", 0, false},
                        {"width", Type::kInt, "", 0, false},
                        {"patience", Type::kDuration, "", 0, false},
-                       {"line", Type::kInt, "", 0, true}};
+                       {"line", Type::kInt, "", 0, true},
+                       {"gateway", Type::kAddress, "", 0, false},
+                       {"overload", Type::kDouble, "", 0, false}};
   return schema;
 }
 
@@ -36,30 +41,43 @@
   return classifier;
 }
 
-Classifier::Verdict Classifier::Apply(core::Offer* offer, int line) const {
+void Classifier::Fill(const core::Offer& offer, const CallFacts& facts, expr::Input* input) {
   const auto number = [](std::int64_t value) { return expr::Value{value, {}, true}; };
   const auto text = [](std::string_view value, std::size_t longest) {
     return expr::Value{0, value.substr(0, longest), true};
   };
+  input->clear();
+  input->push_back(number(offer.call_class));
+  input->push_back(number(offer.customer));
+  input->push_back(text(offer.called, core::kMostDigits));
+  input->push_back(text(offer.calling, kLongestCalling));
+  input->push_back(number(offer.destination));
+  input->push_back(number(static_cast<std::int64_t>(offer.width)));
+  input->push_back(number(static_cast<std::int64_t>(offer.patience_us)));
+  input->push_back(expr::Value{facts.line, {}, facts.line != 0});
+  input->push_back(number(facts.gateway));
+  input->push_back(number(std::bit_cast<std::int64_t>(facts.overload)));
+}
+
+Classifier::Verdict Classifier::Apply(core::Offer* offer, const CallFacts& facts, const expr::Moment& moment,
+                                      expr::RuleState* state) const {
   // One buffer a thread: nothing is allocated for a call.
   thread_local expr::Input input;
-  input.clear();
-  input.push_back(number(offer->call_class));
-  input.push_back(number(offer->customer));
-  input.push_back(text(offer->called, core::kMostDigits));
-  input.push_back(text(offer->calling, kLongestCalling));
-  input.push_back(number(offer->destination));
-  input.push_back(number(static_cast<std::int64_t>(offer->width)));
-  input.push_back(number(static_cast<std::int64_t>(offer->patience_us)));
-  input.push_back(expr::Value{line, {}, line != 0});
-  const int matched = rules_.Match(input);
-  if (matched < 0) return {};
-  const expr::Rule& rule = rules_.rules[static_cast<std::size_t>(matched)];
-  const expr::Effects& effects = rule.effects;
-  if (effects.call_class) offer->call_class = *effects.call_class;
-  if (effects.customer) offer->customer = *effects.customer;
-  if (effects.redial) offer->redialled = true;
-  return {&rule, effects.refuse, static_cast<TimeUs>(effects.pause_us)};
+  Fill(*offer, facts, &input);
+  rules_.Extend(&input, moment, state);
+  Verdict verdict;
+  expr::Outcome& outcome = verdict.outcome;
+  rules_.Apply(input, &outcome);
+  if (outcome.rule < 0) return verdict;
+  verdict.rule = &rules_.rules[static_cast<std::size_t>(outcome.rule)];
+  verdict.refuse = outcome.refuse;
+  verdict.pause_us = static_cast<TimeUs>(outcome.pause_us);
+  if (outcome.call_class) offer->call_class = *outcome.call_class;
+  if (outcome.customer) offer->customer = *outcome.customer;
+  if (outcome.priority) offer->priority = *outcome.priority;
+  if (outcome.key) offer->key = std::max<std::uint64_t>(1, *outcome.key);
+  if (outcome.redial) offer->redialled = true;
+  return verdict;
 }
 
 }  // namespace croftrun::edge
--- a/src/edge/classifier.h
+++ b/src/edge/classifier.h
@@ -10,25 +10,37 @@
 
 #include "core/call_core.h"
 #include "expr/expr.h"
+#include "expr/rule_state.h"
 
 namespace croftrun::edge {
 
+// What the front knows of a call beside its offer.
+struct CallFacts {
+  int line = 0;              // 0: none
+  std::uint32_t gateway = 0;  // IPv4 address, host order
+  double overload = 0.0;     // share of new calls that this edge refuses for its own overload
+};
+
 class Classifier {
  public:
   // What rules can ask of a call, with the words of the settings.
   static expr::Schema SchemaFor(const std::vector<std::string>& classes, const std::vector<std::string>& customers);
+  // An input of that schema, without what the rule set adds. Texts refer to the offer.
+  static void Fill(const core::Offer& offer, const CallFacts& facts, expr::Input* input);
   // Null where there was a mistake; immutable once made, so that a call is wholly under one version.
   static std::shared_ptr<const Classifier> Make(std::string_view text, const std::vector<std::string>& classes,
                                                 const std::vector<std::string>& customers,
                                                 std::vector<expr::Mistake>* mistakes);
 
   struct Verdict {
-    const expr::Rule* rule = nullptr;  // that matched; null: none
+    const expr::Rule* rule = nullptr;  // the first that matched; null: none
     bool refuse = false;
     TimeUs pause_us = 0;
+    expr::Outcome outcome;
   };
-  // Changes class, customer and redial mark of the offer as the first rule that matches says. `line`: 0 for none.
-  Verdict Apply(core::Offer* offer, int line) const;
+  // Changes the offer as the rules say, but for the patience, which follows the class: `outcome.budget_us` is to be
+  // applied after it. Counts the call in `state`.
+  Verdict Apply(core::Offer* offer, const CallFacts& facts, const expr::Moment& moment, expr::RuleState* state) const;
   const expr::RuleSet& rules() const { return rules_; }
 
  private:
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -24,7 +24,7 @@
       transactions_(runtime, settings.listen, settings.transactions,
                     [this](auto command, const auto& from, const auto& message) { OnCommand(command, from, message); }),
       core_(CoreSettingsOf(settings, runtime), runtime, log),
-      lines_(settings, runtime, &core_, &transactions_),
+      lines_(settings, runtime, &core_, &transactions_, log),
       trunks_(settings, runtime, &core_, &transactions_),
       stopping_(runtime) {
   core_.SetTrunks(&trunks_);
@@ -139,6 +139,11 @@
     }
     metrics["groups"][std::to_string(group.number)] = states;
   }
+  if (const expr::RuleState* rules = lines_.rule_state()) {
+    metrics["rules"] = {{"version", lines_.rules_version()}, {"counters", nlohmann::json::object()}};
+    for (const auto& counter : rules->Report())
+      metrics["rules"]["counters"][counter.name] = {{"counted", counter.counted}, {"displaced", counter.displaced}, {"bytes", counter.bytes}};
+  }
   if (roster_) {
     metrics["roster"] = {{"version", roster_->version()},
                          {"updates", roster_->counters().updates},
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -26,6 +26,7 @@
   void Stop(std::function<void()> done);
   // New rules, whole, from the next call on.
   void SetClassifier(std::shared_ptr<const Classifier> classifier) { lines_.SetClassifier(std::move(classifier)); }
+  std::uint32_t rules_version() const { return lines_.rules_version(); }
   // Every counter, by part.
   nlohmann::json Metrics() const;
 
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -155,15 +155,28 @@
   }
 
   void ReadRules(const json& file, EdgeSettings* s) {
-    if (!file.contains("rules")) return;
-    std::string text;
-    for (const json& line : file.at("rules")) text += line.get<std::string>() + "\n";
+    std::string text, path = "/rules/";
+    if (file.contains("rules") && file.contains("rules_file"))
+      return Mistake("/rules_file", "expected either rules or rules_file, found both");
+    if (file.contains("rules_file")) {
+      const auto name = file.at("rules_file").get<std::string>();
+      std::vector<config::Mistake> unread;
+      text = config::ReadFile(name, expr::Limits().most_octets, &unread);
+      for (const config::Mistake& mistake : unread) Mistake("/rules_file", name + ": " + mistake.text);
+      if (!unread.empty()) return;
+      path = "/rules_file " + name + ":";
+    } else if (!file.contains("rules")) {
+      return;
+    } else {
+      for (const json& line : file.at("rules")) text += line.get<std::string>() + "\n";
+    }
+    const bool lines_of_list = path == "/rules/";  // those are counted from 0, as in the rest of the paths
     std::vector<std::string> customers;
     for (const Customer& customer : s->core.module.customers) customers.push_back(customer.name);
     std::vector<expr::Mistake> faults;
     s->classifier = Classifier::Make(text, s->class_names, customers, &faults);
     for (const expr::Mistake& fault : faults)
-      Mistake("/rules/" + std::to_string(fault.line - 1), "column " + std::to_string(fault.column) + ": " + fault.text + "\n" + fault.shown);
+      Mistake(path + std::to_string(fault.line - (lines_of_list ? 1 : 0)), "column " + std::to_string(fault.column) + ": " + fault.text + "\n" + fault.shown);
   }
 
   int Look(const std::map<std::string, int>& names, const json& entry, const char* key, const std::string& path) {
--- a/src/edge/line_front.cpp
+++ b/src/edge/line_front.cpp
@@ -29,14 +29,38 @@
 }
 
 LineFront::LineFront(const EdgeSettings& settings, core::Runtime* runtime, core::CallCore* core,
-                     mgcp::Transactions* transactions)
+                     mgcp::Transactions* transactions, core::LogSink* log)
     : settings_(settings),
       runtime_(runtime),
       core_(core),
       transactions_(transactions),
+      log_(log),
       lines_(static_cast<std::size_t>(settings.lines.count) + 1),
-      classifier_(settings.classifier),
-      retry_(runtime) {}
+      rule_seed_(runtime->Random()),
+      retry_(runtime) {
+  SetClassifier(settings.classifier);
+}
+
+void LineFront::SetClassifier(std::shared_ptr<const Classifier> classifier) {
+  classifier_ = std::move(classifier);
+  ++rules_version_;
+  if (classifier_ == nullptr) return rule_state_.reset();
+  if (rule_state_) return rule_state_->Follow(classifier_->rules(), rule_seed_);
+  rule_state_.emplace(classifier_->rules(), rule_seed_);
+}
+
+Classifier::Verdict LineFront::Classify(core::Offer* offer, int line) {
+  offer->rules = rules_version_;
+  const CallFacts facts{line, settings_.gateway.host, core_->ShareRefused()};
+  const expr::Moment moment{runtime_->Now(), classifier_->rules().calendar.empty() ? 0 : runtime_->WallUs()};
+  const Classifier::Verdict verdict = classifier_->Apply(offer, facts, moment, &*rule_state_);
+  if (verdict.rule != nullptr && log_->Wants(core::LogLevel::kDebug)) {
+    std::string detail = offer->calling + ": rule " + (verdict.rule->name.empty() ? std::to_string(verdict.rule->line) : verdict.rule->name);
+    for (std::size_t i = 0; i < verdict.outcome.tag_count; ++i) detail += (i == 0 ? ", tags " : " ") + *verdict.outcome.tags[i];
+    log_->Write(core::LogLevel::kDebug, "classified", 0, detail + ", rules " + std::to_string(rules_version_));
+  }
+  return verdict;
+}
 
 void LineFront::Start() {
   if (settings_.lines.count > 0) ArmAll();
@@ -205,13 +229,15 @@
   };
   take_class();
   if (classifier_ != nullptr) {
-    const Classifier::Verdict verdict = classifier_->Apply(&offer, number);
+    const Classifier::Verdict verdict = Classify(&offer, number);
     if (verdict.refuse) {
       ++counters_.refused_by_rule;
       Acknowledge();
       return Tone(number, line, "G/cg", "refused", verdict.pause_us);
     }
     if (verdict.rule != nullptr) take_class();  // width and patience follow the class
+    if (verdict.outcome.budget_us)
+      offer.patience_us = std::min(offer.patience_us, static_cast<TimeUs>(std::max<std::int64_t>(1, *verdict.outcome.budget_us)));
   }
   if (offer.patience_us == 0) return RefuseInAnswer(line, 0);  // whoever dialled has given up
   line.state = State::kCalling;
--- a/src/edge/line_front.h
+++ b/src/edge/line_front.h
@@ -29,15 +29,18 @@
   };
 
   LineFront(const EdgeSettings& settings, core::Runtime* runtime, core::CallCore* core,
-            mgcp::Transactions* transactions);
+            mgcp::Transactions* transactions, core::LogSink* log);
 
   // Clears what a former life left and arms all lines; repeated until the gateway answers.
   void Start();
   void OnNotify(mgcp::Transactions::CommandId command, const mgcp::Message& message);
   // A restart in progress of lines matching the endpoint of the message.
   void OnRestart(const mgcp::Message& message);
-  // From the next call on; null: no rules.
-  void SetClassifier(std::shared_ptr<const Classifier> classifier) { classifier_ = std::move(classifier); }
+  // From the next call on; null: no rules. Counters that stay the same go on. Each set has a version, from 1.
+  void SetClassifier(std::shared_ptr<const Classifier> classifier);
+  std::uint32_t rules_version() const { return rules_version_; }
+  // Null: no rules.
+  const expr::RuleState* rule_state() const { return rule_state_ ? &*rule_state_ : nullptr; }
 
   void OnTaken(CallId call) override;
   void OnFinal(CallId call, const core::FinalAnswer& answer) override;
@@ -69,6 +72,7 @@
   // costs least when there are most of them.
   void RefuseInAnswer(Line& line, TimeUs pause_us);
   void Dial(int number, Line& line, const std::string& digits, const mgcp::Message& message);
+  Classifier::Verdict Classify(core::Offer* offer, int line);
   void Tone(int number, Line& line, std::string_view signal, std::string_view answer, TimeUs pause_us);
   void Disconnect(int number, Line& line, bool rearm, std::string_view signal);
   void Unbind(Line& line);
@@ -87,6 +91,7 @@
   core::Runtime* runtime_;
   core::CallCore* core_;
   mgcp::Transactions* transactions_;
+  core::LogSink* log_;
   std::vector<Line> lines_;  // by endpoint number, from 1; [0] unused
   std::unordered_map<CallId, int> calling_, rung_;
   // Set while a line's call is being taken: its final answer can come before its id is known.
@@ -94,6 +99,9 @@
   // The notification being worked on, until it is answered.
   std::optional<mgcp::Transactions::CommandId> unanswered_;
   std::shared_ptr<const Classifier> classifier_;
+  std::optional<expr::RuleState> rule_state_;
+  std::uint64_t rule_seed_;
+  std::uint32_t rules_version_ = 0;
   std::uint32_t next_request_ = 1;
   core::Timer retry_;
   Counters counters_;
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -57,10 +57,17 @@
     if (faults.empty()) fresh = edge::ParseEdgeSettings(again, &faults);
     if (faults.empty() && fresh.class_names != settings.class_names)
       faults.push_back({"/classes", "expected the classes in force, found others; restart the edge to change them"});
+    const auto names = [](const edge::EdgeSettings& s) {
+      std::vector<std::string> list;
+      for (const Customer& customer : s.core.module.customers) list.push_back(customer.name);
+      return list;
+    };
+    if (faults.empty() && names(fresh) != names(settings))
+      faults.push_back({"/customers", "expected the customers in force, found others; restart the edge to change them"});
     if (faults.empty()) {
       node.SetClassifier(fresh.classifier);
       const std::size_t rules = fresh.classifier == nullptr ? 0 : fresh.classifier->rules().rules.size();
-      log.Write(core::LogLevel::kInfo, "rules-reloaded", 0, std::to_string(rules) + " rules");
+      log.Write(core::LogLevel::kInfo, "rules-reloaded", 0, std::to_string(rules) + " rules, version " + std::to_string(node.rules_version()));
     } else {
       log.Write(core::LogLevel::kError, "rules-kept", 0, config::ToString(faults));
     }
--- a/src/expr/check.h
+++ b/src/expr/check.h
@@ -44,6 +44,9 @@
   std::size_t nodes = 0;  // made by definitions written out: bounded
 };
 
+// As people would write it, with definitions written out.
+std::string Render(const Node& node, const Scope& scope);
+
 class Checker {
  public:
   Checker(Scope* scope, const Limits& limits, Reporter* reporter) : scope_(scope), limits_(limits), reporter_(reporter) {}
--- a/src/expr/compile.cpp
+++ b/src/expr/compile.cpp
@@ -213,11 +213,9 @@
     parser_.Expect("rule");
     if (parser_.Next().kind == Kind::kName && !parser_.Is("when")) rule.name = parser_.TakeAny().text;
     if (!parser_.Expect("when")) return false;
-    const std::size_t from = parser_.Next().at;
     Tree condition = parser_.Expression();
     const bool fine = condition != nullptr && Checker(&scope_, limits_, &reporter_).Check(*condition, Type::kBool);
     if (condition == nullptr) return false;
-    rule.text = text_.substr(from, parser_.Behind() - from);
     if (!parser_.Expect("then")) return false;
     const std::size_t number = set_.rules.size();
     if (!Effects(&rule.effects, number) || !parser_.Expect(";")) return false;
@@ -267,7 +265,6 @@
       Rule rule;
       rule.name = std::string(name.text) + "." + std::to_string(++row);
       rule.line = std::max(table_line, LineAt(parser_.Next().at));
-      const std::size_t from = parser_.Next().at;
       Tree condition;
       bool read = parser_.Expect("row");
       for (std::size_t i = 0; read && i < columns.size(); ++i) {
@@ -278,7 +275,6 @@
         if (read) condition = condition == nullptr ? std::move(test) : And(std::move(condition), std::move(test));
       }
       if (read) {
-        rule.text = std::string(text_.substr(from, parser_.Behind() - from));
         if (condition == nullptr) condition = Truth();
         const bool fine = Checker(&scope_, limits_, &reporter_).Check(*condition, Type::kBool);
         read = parser_.Expect("=>") && Effects(&rule.effects, set_.rules.size()) && parser_.Expect(";");
@@ -666,6 +662,14 @@
     return true;
   }
 
+  void AddParts(const Node& node, std::vector<RulePart>* parts) {
+    if (node.shape == Shape::kBinary && node.sign == "and") {
+      for (const Tree& part : node.parts) AddParts(*part, parts);
+    } else if (auto program = Generator(scope_, limits_, &reporter_).Make(node)) {
+      parts->push_back({Render(node, scope_), std::move(*program)});
+    }
+  }
+
   // Trees to programs, with the parts that several have made once.
   void Make() {
     Sharing sharing;
@@ -687,6 +691,7 @@
       if (!program) continue;
       set_.cost_bound += program->cost_bound();
       set_.rules[i].when = std::move(*program);
+      if (limits_.keep_parts) AddParts(*conditions_[i], &set_.rules[i].parts);
       AddConstraints(*conditions_[i], &set_.rules[i].constraints);
       options[i] = Options(*conditions_[i]);
     }
--- a/src/expr/counters.cpp
+++ b/src/expr/counters.cpp
@@ -63,21 +63,27 @@
   entries_.resize(sets_ * kWays);
 }
 
-std::uint32_t DistinctTable::Slide(Entry* entry, std::uint64_t window) {
-  if (window > entry->window) {
-    entry->before = window == entry->window + 1 ? entry->now : Sketch{};
-    entry->now = Sketch{};
-    entry->window = window;
-  }
-  double sum = 0.0;
+void DistinctTable::Slide(Entry* entry, std::uint64_t window) {
+  if (window <= entry->window) return;
+  entry->before = window == entry->window + 1 ? entry->now : Sketch{};
+  entry->now = Sketch{};
+  entry->window = window;
+}
+
+std::uint32_t DistinctTable::Estimate(const Entry& entry, std::uint64_t window) {
+  if (entry.key == 0 || entry.window + 1 < window) return 0;
+  // 2^-rank in units of 2^-62, so that the sum is a sum of integers.
+  constexpr int kUnit = 62;
+  std::uint64_t sum = 0;
   std::size_t zeros = 0;
   for (std::size_t i = 0; i < kRegisters; ++i) {
-    const std::uint8_t rank = std::max(entry->now[i], entry->before[i]);
-    sum += std::ldexp(1.0, -rank);
+    const std::uint8_t before = entry.window < window ? 0 : entry.before[i];
+    const std::uint8_t rank = std::max(entry.now[i], before);
+    sum += std::uint64_t{1} << (kUnit - 6 - std::min<int>(rank, kUnit - 6));
     zeros += rank == 0 ? 1 : 0;
   }
   constexpr double kCount = kRegisters;
-  const double estimate = 0.709 * kCount * kCount / sum;  // the constant for 64 registers
+  const double estimate = 0.709 * kCount * kCount / std::ldexp(static_cast<double>(sum), -(kUnit - 6));  // the constant for 64 registers
   if (estimate <= 2.5 * kCount && zeros > 0) return static_cast<std::uint32_t>(std::lround(kCount * std::log(kCount / static_cast<double>(zeros))));
   return static_cast<std::uint32_t>(std::min(estimate, 4e9));
 }
@@ -86,24 +92,19 @@
   const std::uint64_t mixed = std::max<std::uint64_t>(1, HashBoth(key, seed_));
   const std::uint64_t window = now_us / window_us_;
   Entry* const set = &entries_[(mixed & (sets_ - 1)) * kWays];
-  Entry* place = nullptr;
-  Entry* least = set;
-  std::uint32_t least_count = std::numeric_limits<std::uint32_t>::max();
-  for (Entry* entry = set; entry < set + kWays && place == nullptr; ++entry) {
-    if (entry->key == mixed) {
-      place = entry;
-    } else {
-      const std::uint32_t its = entry->key == 0 || entry->window + 1 < window ? 0 : Slide(entry, entry->window);
-      if (its < least_count || (its == least_count && entry->window < least->window)) least = entry, least_count = its;
-    }
-  }
-  if (place == nullptr) {
+  Entry* place = std::find_if(set, set + kWays, [&](const Entry& entry) { return entry.key == mixed; });
+  if (place == set + kWays) {
     if (item == nullptr) return 0;
-    if (least_count > 0) ++displaced_;
-    *least = Entry{};
-    least->key = mixed;
-    least->window = window;
-    place = least;
+    std::uint32_t least = std::numeric_limits<std::uint32_t>::max();
+    for (Entry* entry = set; entry < set + kWays; ++entry) {
+      const std::uint32_t its = Estimate(*entry, window);
+      if (its < least || (its == least && entry->order > place->order)) place = entry, least = its;
+    }
+    if (least > 0) ++displaced_;
+    *place = Entry{};
+    place->key = mixed;
+    place->window = window;
+    place->order = ++order_;
   }
   if (item != nullptr) {
     Slide(place, window);
@@ -111,7 +112,7 @@
     std::uint8_t& rank = place->now[hash % kRegisters];
     rank = std::max(rank, static_cast<std::uint8_t>(std::countl_zero(hash | kRegisters) + 1));
   }
-  return Slide(place, window);
+  return Estimate(*place, window);
 }
 
 }  // namespace croftrun::expr
--- a/src/expr/counters.h
+++ b/src/expr/counters.h
@@ -62,13 +62,16 @@
   struct Entry {
     std::uint64_t key = 0;
     std::uint64_t window = 0;
+    std::uint32_t order = 0;
     Sketch now{}, before{};
   };
   std::uint32_t At(std::uint64_t now_us, std::uint64_t key, const std::uint64_t* item);
-  static std::uint32_t Slide(Entry* entry, std::uint64_t window);
+  static void Slide(Entry* entry, std::uint64_t window);
+  static std::uint32_t Estimate(const Entry& entry, std::uint64_t window);
 
   std::vector<Entry> entries_;
   std::uint64_t sets_ = 1, window_us_ = 1, seed_ = 0;
+  std::uint32_t order_ = 0;
   std::uint64_t displaced_ = 0;
 };
 
--- a/src/expr/expr.h
+++ b/src/expr/expr.h
@@ -51,6 +51,7 @@
   std::uint64_t highest_cost = 100'000;  // of one expression
   int largest_pattern = 2'000;           // states of a regular expression's program
   std::size_t most_mistakes = 50;
+  bool keep_parts = false;  // of each rule, to explain it
 };
 
 struct Mistake {
@@ -150,13 +151,18 @@
   bool redial = false;
   std::vector<std::string> tags;
 };
+// Something that must hold for a rule to match, by itself.
+struct RulePart {
+  std::string text;
+  Program program;
+};
 struct Rule {
   std::string name;
   std::size_t line = 0;
   Program when;
   Effects effects;
   std::vector<Constraint> constraints;  // what must hold for it to match, as far as it is of a simple form
-  std::string text;                     // its condition as written, for people
+  std::vector<RulePart> parts;          // only where the limits ask for them
 };
 
 struct Counter {
--- a/src/expr/tree.h
+++ b/src/expr/tree.h
@@ -44,8 +44,6 @@
       : tokens_(std::move(tokens)), limits_(limits), reporter_(reporter) {}
 
   const Token& Next() const { return tokens_[at_]; }
-  // Where the last token that was taken ends.
-  std::size_t Behind() const { return at_ == 0 ? 0 : tokens_[at_ - 1].at + tokens_[at_ - 1].text.size(); }
   bool Is(std::string_view text) const { return Next().kind != Kind::kText && Next().text == text; }
   bool Take(std::string_view text) {
     if (!Is(text)) return false;
--- a/src/lab/path.h
+++ b/src/lab/path.h
@@ -24,6 +24,7 @@
   Path(core::Runtime* runtime, Trace* trace, std::uint64_t seed)
       : runtime_(runtime), trace_(trace), random_(seed) {}
 
+  std::int64_t WallUs() const override { return runtime_->WallUs(); }
   TimeUs Now() const override { return runtime_->Now(); }
   core::TimerId StartTimer(TimeUs delay, std::function<void()> due) override {
     return runtime_->StartTimer(delay, std::move(due));
--- a/src/runtime/asio_runtime.cpp
+++ b/src/runtime/asio_runtime.cpp
@@ -253,6 +253,10 @@
                                              .count());
 }
 
+std::int64_t AsioRuntime::WallUs() const {
+  return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 core::TimerId AsioRuntime::StartTimer(TimeUs delay, std::function<void()> due) {
   const TimeUs at = Now() + delay;
   const core::TimerId id = next_timer_++;
--- a/src/runtime/asio_runtime.h
+++ b/src/runtime/asio_runtime.h
@@ -34,6 +34,7 @@
   ~AsioRuntime() override;
 
   TimeUs Now() const override;
+  std::int64_t WallUs() const override;
   core::TimerId StartTimer(TimeUs delay, std::function<void()> due) override;
   void CancelTimer(core::TimerId timer) override;
   std::unique_ptr<core::DatagramPort> OpenPort(const core::Address& local, core::DatagramSink* sink) override;
--- a/src/sim/virtual_runtime.h
+++ b/src/sim/virtual_runtime.h
@@ -22,6 +22,9 @@
   explicit VirtualRuntime(std::uint64_t seed, TimeUs latency_us = 100) : random_(seed), latency_us_(latency_us) {}
   ~VirtualRuntime() override;
 
+  std::int64_t WallUs() const override { return wall_us_ + static_cast<std::int64_t>(now_); }
+  // What the clock on the wall shows when Now() is 0.
+  void SetWall(std::int64_t wall_us) { wall_us_ = wall_us; }
   TimeUs Backlog() const override { return backlog_us_; }
   // What work is said to have waited before it is looked at: the test's to choose, as nothing waits here.
   void SetBacklog(TimeUs backlog_us) { backlog_us_ = backlog_us; }
@@ -42,6 +45,7 @@
   class Port;
   TimeUs now_ = 1'000'000;
   TimeUs backlog_us_ = 0;
+  std::int64_t wall_us_ = 1'767'225'600'000'000;  // 2026-01-01
   std::map<std::pair<TimeUs, core::TimerId>, std::function<void()>> timers_;
   std::unordered_map<core::TimerId, TimeUs> due_at_;
   core::TimerId next_timer_ = 1;
--- a/tests/cli_test.sh
+++ b/tests/cli_test.sh
@@ -19,7 +19,7 @@
 
 expect 0 "help" "Exit codes" -- "$cli" --help
 expect 2 "no command" "subcommand is required" -- "$cli"
-expect 2 "unknown option" "" -- "$cli" rules --nothing x
+expect 2 "unknown option" "" -- "$cli" verdict --nothing x
 expect 3 "missing settings" "cannot read" -- "$cli" config check "$work/none.json"
 
 cat >"$work/wrong.json" <<'JSON'
@@ -36,17 +36,17 @@
 expect 0 "good settings" "fine" -- "$cli" config check "$work/edge.json"
 expect 0 "settings with defaults" '"answer_margin_ms": 20' -- "$cli" config show "$work/edge.json"
 
-expect 3 "no trace" "cannot read" -- "$cli" rules "$work/none.jsonl"
+expect 3 "no trace" "cannot read" -- "$cli" verdict "$work/none.jsonl"
 echo '{"t":1,"fact":"relief"}' >"$work/empty.jsonl"
-expect 3 "a trace of nothing" "names no edge" -- "$cli" rules "$work/empty.jsonl"
+expect 3 "a trace of nothing" "names no edge" -- "$cli" verdict "$work/empty.jsonl"
 echo 'not json' >"$work/broken.jsonl"
-expect 3 "a broken trace" "broken.jsonl:1: expected a JSON object" -- "$cli" rules "$work/broken.jsonl"
+expect 3 "a broken trace" "broken.jsonl:1: expected a JSON object" -- "$cli" verdict "$work/broken.jsonl"
 cat >"$work/bad.jsonl" <<'JSON'
 {"t":0,"fact":"day","figures":{"edges":[{"exchange":0,"edge":"127.0.0.1:2727","gateway":"127.0.0.2:2427"}],"release_ms":300,"drain_grace_ms":500}}
 {"t":1000,"from":"127.0.0.1:2727","to":"127.0.0.2:2427","text":"RQNT 5 aaln/1@gw MGCP 1.0\r\nX-Answer: refused\r\n"}
 JSON
-expect 1 "a trace with a broken rule" "BROKEN" -- "$cli" rules "$work/bad.jsonl"
-expect 1 "the same as JSON" '"kept": false' -- "$cli" rules --json "$work/bad.jsonl"
+expect 1 "a trace with a broken rule" "BROKEN" -- "$cli" verdict "$work/bad.jsonl"
+expect 1 "the same as JSON" '"kept": false' -- "$cli" verdict --json "$work/bad.jsonl"
 
 expect 0 "a day converted" "ageing" -- "$cli" day convert "$root/tests/data/day.json" -o "$work/day.json" --edges 3 --rate 20
 for text in '"kind": "crash"' '"kind": "circuits-lost"' '"kind": "roster-late"' '"exchanges": 3' '"size": 0.5' '"size": 2500'; do
@@ -54,4 +54,24 @@
 done
 expect 3 "no day" "not a day file" -- "$cli" day convert "$work/edge.json"
 expect 3 "no scenario" "Missing required property 'fleet'" -- "$cli" lab run "$work/edge.json" --folder "$work/out"
+for name in booking permits jobboard; do
+  rules=$root/examples/rules/$name.rules settings=$root/examples/rules/$name.json
+  expect 0 "$name: rules check" "fine: " -- "$cli" rules check "$rules" --settings "$settings"
+  expect 0 "$name: rules test" "examples hold" -- "$cli" rules test "$rules" --settings "$settings"
+done
+booking=("$root/examples/rules/booking.rules" --settings "$root/examples/rules/booking.json")
+expect 0 "why a rule matches" "so: class = slot-hold, customer = crew-leads, priority = 8" -- "$cli" rules explain "${booking[@]}" \
+  --call 'called = "2100", class = slot-hold, line = 410'
+expect 0 "why a rule does not" "no, as this does not hold: line in 400 .. 459" -- "$cli" rules explain "${booking[@]}" \
+  --call 'called = "2100", class = slot-hold, line = 9'
+expect 3 "explain with a misspelt attribute" "did you mean 'called'" -- "$cli" rules explain "${booking[@]}" --call 'caled = "2"'
+expect 0 "rules bench" "ns a call" -- "$cli" rules bench "${booking[@]}" --calls 1000
+sed 's/expect area;/expect crew;/' "$root/examples/rules/booking.rules" >"$work/untrue.rules"
+expect 1 "an example that does not hold" "expected crew, found area" -- "$cli" rules test "$work/untrue.rules" --settings "$root/examples/rules/booking.json"
+printf 'rule a when class == slot-hodl then redial;\nrule b when line > 5 then redial;\n' >"$work/faulty.rules"
+expect 3 "faulty rules" "1:22: expected a word of class, found 'slot-hodl'; did you mean 'slot-hold'?" -- "$cli" rules check "$work/faulty.rules" \
+  --settings "$root/examples/rules/booking.json"
+expect 3 "the same as JSON" '"line": 2' -- "$cli" rules check --json "$work/faulty.rules" --settings "$root/examples/rules/booking.json"
+printf 'rule a when class == slot-hold then redial;\nrule b when class == slot-hold and width == 1 then refuse;\n' >"$work/dead.rules"
+expect 0 "a rule never reached" "rule b of line 2 is never reached" -- "$cli" rules check "$work/dead.rules" --settings "$root/examples/rules/booking.json"
 exit "$failed"
--- a/tests/hard_cases_test.cpp
+++ b/tests/hard_cases_test.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -402,6 +404,97 @@
   EXPECT_FALSE(edge::Classifier::Make("rule x when line > 5 then refuse;", settings.class_names, {}, &mistakes));
 }
 
+// The log of an edge, by call.
+class KeptLog final : public core::LogSink {
+ public:
+  bool Wants(core::LogLevel) const override { return true; }
+  void Write(core::LogLevel, std::string_view event, CallId call, std::string_view detail) override {
+    lines.push_back({std::string(event), call, std::string(detail)});
+  }
+  struct Line {
+    std::string event;
+    CallId call;
+    std::string detail;
+  };
+  std::vector<Line> lines;
+};
+
+TEST_F(HardCase, EachCallIsWhollyUnderOneVersionOfTheRulesHoweverOftenTheyAreSwapped) {
+  KeptLog kept;
+  node.reset();
+  node = std::make_unique<edge::EdgeNode>(settings, &runtime, &kept);
+  runtime.RunFor(100 * kMs);
+  std::vector<expr::Mistake> mistakes;
+  // Odd versions make every call wide and tag it "odd", even ones leave it narrow and tag it "even".
+  const auto odd = edge::Classifier::Make("rule o when true then class = slot-hold, tag \"odd\";", settings.class_names, {}, &mistakes);
+  const auto even = edge::Classifier::Make("rule e when true then class = slot-check, tag \"even\";", settings.class_names, {}, &mistakes);
+  for (int round = 0; round < 200; ++round) {
+    node->SetClassifier(node->rules_version() % 2 == 0 ? odd : even);
+    const int line = 1 + round % 20;
+    Dial(line);
+    if (round % 3 == 0) node->SetClassifier(node->rules_version() % 2 == 0 ? odd : even);  // while the call is out
+    runtime.RunFor(5 * kMs);
+    HangUp(line);
+    runtime.RunFor(5 * kMs);
+  }
+  std::map<CallId, std::set<std::string>> versions;
+  std::size_t taken = 0;
+  for (const KeptLog::Line& line : kept.lines) {
+    const auto at = line.detail.find("rules ");
+    if (line.event == "taken" || line.event == "final") {
+      ASSERT_NE(at, std::string::npos) << line.detail;
+      versions[line.call].insert(line.detail.substr(at));
+      taken += line.event == "taken" ? 1 : 0;
+    }
+    if (line.event == "classified") {
+      const bool odd_version = std::stoi(line.detail.substr(at + 6)) % 2 == 1;
+      EXPECT_NE(line.detail.find(odd_version ? "tags odd" : "tags even"), std::string::npos) << line.detail;
+    }
+  }
+  EXPECT_EQ(taken, 200U);
+  for (const auto& [call, seen] : versions) EXPECT_EQ(seen.size(), 1U) << call;
+}
+
+TEST_F(HardCase, ALineThatTriesTooOftenIsRefusedByTheRulesWithTheirPauseAndNotAfterTheWindow) {
+  std::vector<expr::Mistake> mistakes;
+  node->SetClassifier(edge::Classifier::Make("counter tries by calling over 10s; rule flood when tries > 3 then refuse pause 4s;",
+                                             settings.class_names, {}, &mistakes));
+  const auto try_once = [&](int line) {
+    const std::size_t refused = Answers(line, "refused");
+    Dial(line);
+    HangUp(line);
+    runtime.RunFor(400 * kMs);
+    return Answers(line, "refused") > refused;
+  };
+  for (int i = 0; i < 3; ++i) EXPECT_FALSE(try_once(1));
+  EXPECT_TRUE(try_once(1));
+  EXPECT_EQ(gateway.Last(mgcp::Verb::kRqnt, "aaln/1")->verb, mgcp::Verb::kRqnt);
+  EXPECT_FALSE(try_once(2));
+  runtime.RunFor(12'000 * kMs);
+  EXPECT_FALSE(try_once(1));
+}
+
+TEST_F(HardCase, ARuleCutsTheCallersTimeAndTheWallClockMayStep) {
+  std::vector<expr::Mistake> mistakes;
+  node->SetClassifier(edge::Classifier::Make("rule night when time in 22:00 .. 6:00 then budget = 500ms;", settings.class_names, {}, &mistakes));
+  const auto patience = [&](int line) {
+    Dial(line);
+    const int given = std::stoi(std::string(gateway.Last(mgcp::Verb::kCrcx, "ds/")->Get("X-Patience")));
+    HangUp(line);
+    runtime.RunFor(400 * kMs);
+    return given;
+  };
+  runtime.SetWall(1'767'225'600'000'000);  // midnight
+  EXPECT_LE(patience(1), 500);
+  runtime.SetWall(1'767'225'600'000'000 + 12 * 3'600'000'000LL);
+  EXPECT_GT(patience(2), 500);
+  runtime.SetWall(-5'000'000'000'000'000);  // far back
+  patience(3);
+  runtime.SetWall(4'000'000'000'000'000'000);  // and beyond all dates
+  patience(4);
+  EXPECT_EQ(node->core().counters().overdue, 0U);
+}
+
 TEST_F(HardCase, ACircuitInUseLeavesServiceWhenItsCallEndsAfterAGracefulRestart) {
   Dial(1);
   const std::string circuit = LastSeized();
--- a/tests/short_day_test.sh
+++ b/tests/short_day_test.sh
@@ -5,7 +5,7 @@
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 "$cli" lab run "$root/scenarios/short-bad-day.json" --folder "$work" --capture --quiet
-"$cli" rules "$work/trace.jsonl"
+"$cli" verdict "$work/trace.jsonl"
 [[ $(head -c 4 "$work/capture.pcap" | od -An -tx1 | tr -d ' ') == d4c3b2a1 ]]
 grep -q '"event":"started"' "$work/edge-0.log"
 grep -q '"stands"' "$work/edge-1.metrics.json"
