--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -27,6 +27,8 @@
   int hold_ms = 200;
   int lines = 0;  // 0: what the rate needs
   int edge_cpu = -1, own_cpu = -1;
+  std::string rules;  // a file for the edge; empty: none
+  int reload_ms = 0;  // the edge is told to read it again as often; 0: never
   bool json = false, echo = true;
 };
 int RunLoad(const LoadRun& options);
--- a/src/cli/load.cpp
+++ b/src/cli/load.cpp
@@ -128,7 +128,7 @@
   return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
 }
 
-std::string EdgeSettings(const lab::LoadSettings& load, std::size_t circuits) {
+std::string EdgeSettings(const lab::LoadSettings& load, std::size_t circuits, const std::string& rules) {
   nlohmann::json json = {
       {"exchange", {{"number", 0}}},
       {"agent",
@@ -141,6 +141,7 @@
       {"roster", {{"server", core::ToString(load.roster)}, {"listen", core::ToString(load.edge_roster)}}},
       {"network", {{"release_ms", 300}, {"drain_grace_ms", 500}, {"most_attempts", 4}, {"may_cancel", true}}},
       {"log", {{"level", "warning"}}}};
+  if (!rules.empty()) json["rules_file"] = rules;
   return json.dump(1);
 }
 
@@ -169,7 +170,7 @@
   Pin(0, options.own_cpu);
   lab::LoadLine line(load);
   lab::EdgeProcesses edges(options.edge_program, options.folder);
-  edges.Start(0, EdgeSettings(load, circuits));
+  edges.Start(0, EdgeSettings(load, circuits, options.rules));
   const pid_t edge = edges.Process(0);
   Pin(edge, options.edge_cpu);
   if (!line.WaitForEdge(20'000'000)) {
@@ -180,8 +181,24 @@
     pid_t edge;
     Usage usage;
   } peak{edge, {}};
+  // As an operator would, while calls run.
+  std::uint64_t reloads = 0;
+  std::jthread reload;
+  if (options.reload_ms > 0) {
+    reload = std::jthread([&](const std::stop_token& stop) {
+      while (!stop.stop_requested()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(options.reload_ms));
+        ::kill(edge, SIGHUP);
+        ++reloads;
+      }
+    });
+  }
   const Usage before = UsageOf(edge);
   lab::LoadFigures f = line.Run([](void* p) { static_cast<Peak*>(p)->usage = UsageOf(static_cast<Peak*>(p)->edge); }, &peak);
+  if (reload.joinable()) {
+    reload.request_stop();
+    reload.join();
+  }
   const bool clean = edges.StopAll(10'000);
 
   const double cpu = peak.usage.cpu_s - before.cpu_s;
@@ -213,6 +230,7 @@
       {"answer_ms", {{"median", At(f.answer_us, 0.5) / 1000.0}, {"p99", At(f.answer_us, 0.99) / 1000.0}}},
       {"most_up", f.most_up},
       {"bytes_per_call_up", bytes},
+      {"reloads", reloads},
       {"edge_exited_clean", clean}};
   if (options.json) {
     std::cout << json.dump(1) << "\n";
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -40,6 +40,8 @@
   load_command->add_option("--lines", load.lines, "Lines; 0: what the rate needs")->capture_default_str();
   load_command->add_option("--edge-cpu", load.edge_cpu, "Ask for this processor for the edge")->capture_default_str();
   load_command->add_option("--own-cpu", load.own_cpu, "Ask for this processor for the load")->capture_default_str();
+  load_command->add_option("--rules", load.rules, "Rules for the edge (the only class is load)");
+  load_command->add_option("--reload-ms", load.reload_ms, "Have the edge read them again as often")->check(CLI::Range(10, 60'000));
   load_command->add_flag("!--no-echo", load.echo, "Leave the raw echo out");
   load_command->add_flag("--json", load.json, "The figures as JSON");
   load_command->callback([&] { code = RunLoad(load); });
--- a/src/edge/json_log.cpp
+++ b/src/edge/json_log.cpp
@@ -18,7 +18,7 @@
   logger_ = std::make_shared<spdlog::logger>("edge", sink);
   logger_->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l",%v})");
   logger_->set_level(spdlog::level::from_str(level));
-  logger_->flush_on(spdlog::level::warn);
+  logger_->flush_on(spdlog::level::info);
 }
 
 JsonLog::~JsonLog() { logger_->flush(); }
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -2,11 +2,14 @@
 //
 // Exit codes: 0 stopped in order (SIGTERM, SIGINT), 1 could not start, 2 usage, 3 settings at fault.
 #include <CLI/CLI.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <csignal>
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <memory>
 
 #include "edge/edge_node.h"
 #include "edge/json_log.h"
@@ -16,6 +19,43 @@
 
 constexpr std::size_t kMostSettingsBytes = 64U << 20U;
 
+// Pairs of rules compared for notes in the log; `croftrun rules check` looks at all.
+constexpr std::size_t kMostPairs = 200'000;
+constexpr std::size_t kMostNotes = 10;
+
+struct Reread {
+  std::shared_ptr<const croftrun::edge::Classifier> classifier;
+  std::vector<croftrun::config::Mistake> faults;
+};
+
+// The words that rules may use are those in force: the classes and customers of a running edge do not change.
+Reread ReadAgain(const std::string& path, const croftrun::edge::EdgeSettings& in_force) {
+  using namespace croftrun;
+  Reread result;
+  const std::string text = config::ReadFile(path, kMostSettingsBytes, &result.faults);
+  edge::EdgeSettings fresh;
+  if (result.faults.empty()) fresh = edge::ParseEdgeSettings(text, &result.faults);
+  const auto customers = [](const edge::EdgeSettings& s) {
+    std::vector<std::string> names;
+    for (const Customer& customer : s.core.module.customers) names.push_back(customer.name);
+    return names;
+  };
+  if (result.faults.empty() && fresh.class_names != in_force.class_names)
+    result.faults.push_back({"/classes", "expected the classes in force, found others; restart the edge to change them"});
+  if (result.faults.empty() && customers(fresh) != customers(in_force))
+    result.faults.push_back({"/customers", "expected the customers in force, found others; restart the edge to change them"});
+  result.classifier = std::move(fresh.classifier);
+  return result;
+}
+
+void TellNotes(const croftrun::expr::RuleSet& rules, croftrun::core::LogSink* log) {
+  std::size_t told = 0;
+  for (const auto& note : rules.Report(false, kMostPairs)) {
+    if (++told > kMostNotes) break;
+    log->Write(croftrun::core::LogLevel::kWarning, "rules-note", 0, "line " + std::to_string(note.line) + ": " + note.text);
+  }
+}
+
 int Run(const std::string& path, const std::string& metrics_path) {
   using namespace croftrun;
   std::vector<config::Mistake> mistakes;
@@ -47,36 +87,46 @@
     tell.async_wait(on_tell);
   };
   tell.async_wait(on_tell);
-  // The rules alone are read again; a file at fault leaves those in force.
+  // The rules alone are read again, by a thread of their own: calls do not wait for it. A file at fault leaves those in
+  // force. A signal during that is kept for after it.
+  boost::asio::thread_pool reader(1);
   boost::asio::signal_set reload(runtime.context(), SIGHUP);
+  bool reading = false, again = false;
+  std::function<void()> read = [&] {
+    reading = true;
+    again = false;
+    boost::asio::post(reader, [&] {
+      auto fresh = std::make_shared<Reread>(ReadAgain(path, settings));
+      boost::asio::post(runtime.context(), [&, fresh] {
+        reading = false;
+        if (fresh->faults.empty()) {
+          node.SetClassifier(fresh->classifier);
+          const std::size_t rules = fresh->classifier == nullptr ? 0 : fresh->classifier->rules().rules.size();
+          log.Write(core::LogLevel::kInfo, "rules-reloaded", 0,
+                    std::to_string(rules) + " rules, version " + std::to_string(node.rules_version()));
+          if (fresh->classifier != nullptr) TellNotes(fresh->classifier->rules(), &log);
+        } else {
+          log.Write(core::LogLevel::kError, "rules-kept", 0, config::ToString(fresh->faults));
+        }
+        if (again) read();
+      });
+    });
+  };
   std::function<void(const boost::system::error_code&, int)> on_reload = [&](const auto& error, int) {
     if (error) return;
-    std::vector<config::Mistake> faults;
-    const std::string again = config::ReadFile(path, kMostSettingsBytes, &faults);
-    edge::EdgeSettings fresh;
-    if (faults.empty()) fresh = edge::ParseEdgeSettings(again, &faults);
-    if (faults.empty() && fresh.class_names != settings.class_names)
-      faults.push_back({"/classes", "expected the classes in force, found others; restart the edge to change them"});
-    const auto names = [](const edge::EdgeSettings& s) {
-      std::vector<std::string> list;
-      for (const Customer& customer : s.core.module.customers) list.push_back(customer.name);
-      return list;
-    };
-    if (faults.empty() && names(fresh) != names(settings))
-      faults.push_back({"/customers", "expected the customers in force, found others; restart the edge to change them"});
-    if (faults.empty()) {
-      node.SetClassifier(fresh.classifier);
-      const std::size_t rules = fresh.classifier == nullptr ? 0 : fresh.classifier->rules().rules.size();
-      log.Write(core::LogLevel::kInfo, "rules-reloaded", 0, std::to_string(rules) + " rules, version " + std::to_string(node.rules_version()));
+    if (reading) {
+      again = true;
     } else {
-      log.Write(core::LogLevel::kError, "rules-kept", 0, config::ToString(faults));
+      read();
     }
     reload.async_wait(on_reload);
   };
   reload.async_wait(on_reload);
+  if (settings.classifier != nullptr) TellNotes(settings.classifier->rules(), &log);
   std::cerr << "croftrun-edge: exchange " << settings.core.module.own_number << " listens on "
             << core::ToString(node.transactions().Local()) << "\n";
   runtime.Run();
+  reader.join();  // what it posts after this is not run
   if (!metrics_path.empty()) {
     std::ofstream(metrics_path) << node.Metrics().dump(1) << "\n";
   }
--- a/src/edge/trunk_gateway.cpp
+++ b/src/edge/trunk_gateway.cpp
@@ -267,10 +267,14 @@
     return Clear(key, "", false, refusal);
   }
   offer.call_class = meaning->call_class;
+  // Where the call began, rules may have put it into another class than its number says.
+  const auto& names = settings_.class_names;
+  const auto named = std::find(names.begin(), names.end(), message.Get(wire_names::kClass));
+  if (named != names.end()) offer.call_class = static_cast<int>(named - names.begin());
   offer.customer = meaning->customer;
   offer.destination = meaning->destination;
   offer.width = circuits.size();
-  const CallClass& call_class = settings_.core.module.classes[static_cast<std::size_t>(meaning->call_class)];
+  const CallClass& call_class = settings_.core.module.classes[static_cast<std::size_t>(offer.call_class)];
   offer.patience_us = call_class.deadline_us;
   if (const auto patience = wire_names::Number<std::uint32_t>(message.Get(wire_names::kPatience)))
     offer.patience_us = TimeUs{*patience} * 1000;
--- a/src/expr/check.cpp
+++ b/src/expr/check.cpp
@@ -64,6 +64,12 @@
   return inputs.size() - 1;
 }
 
+std::shared_ptr<const Zone> Scope::ZoneTable(const std::string& zone_name) {
+  std::shared_ptr<const Zone>& table = zones[zone_name];
+  if (table == nullptr) table = Zone::Load(zone_name);
+  return table;
+}
+
 bool Checker::Check(Node& node, std::optional<Type> expected) {
   const std::size_t before = reporter_->count();
   const bool fine = Visit(node, nullptr, {});
--- a/src/expr/check.h
+++ b/src/expr/check.h
@@ -30,6 +30,8 @@
   };
   // The input that holds a calendar value; appended when first asked for.
   std::size_t Calendar(CalendarKind kind, const std::string& zone_name);
+  // Made once a file; the zone is known.
+  std::shared_ptr<const Zone> ZoneTable(const std::string& zone_name);
 
   const Schema& schema;
   std::map<std::string, std::vector<std::string>> enumerations;
@@ -41,6 +43,7 @@
   std::map<std::string, Tree> lists;  // kIn, with the items behind its first part
   std::map<std::string, Map> maps;
   std::vector<std::shared_ptr<const ConstantMap>> map_values;
+  std::map<std::string, std::shared_ptr<const Zone>> zones;
   std::size_t nodes = 0;  // made by definitions written out: bounded
 };
 
--- a/src/expr/compile.cpp
+++ b/src/expr/compile.cpp
@@ -499,7 +499,7 @@
         return false;
       }
     }
-    counter.keys = kDefaultKeys;
+    counter.keys = std::min(kDefaultKeys, limits_.most_keys);
     if (parser_.Take("keys")) {
       const Token keys = parser_.Next();
       if (keys.kind != Kind::kInt || keys.number < 8 || keys.number > static_cast<std::int64_t>(limits_.most_keys)) {
@@ -562,7 +562,7 @@
         return false;
       }
       example.wall_us = local + parser_.TakeAny().number;
-      const auto zone = Zone::Load(scope_.zone);
+      const auto zone = scope_.ZoneTable(scope_.zone);
       example.wall_us -= zone->OffsetUs(example.wall_us - zone->OffsetUs(example.wall_us));
     }
     if (!parser_.Expect("expect")) return false;
@@ -697,12 +697,14 @@
     }
     for (const Effect& effect : keys_) {
       // Keys are worked out by themselves.
+      // A rule that broke off behind its key was not kept; there was a mistake then, and nothing comes of the file.
+      if (effect.rule >= set_.rules.size()) continue;
       if (auto program = Generator(scope_, limits_, &reporter_).Make(*effect.key)) set_.rules[effect.rule].effects.key = std::move(*program);
     }
     set_.attributes = scope_.schema.attributes.size();
     set_.inputs = scope_.inputs.size();
     set_.calendar = scope_.calendar;
-    for (CalendarInput& input : set_.calendar) input.table = Zone::Load(input.zone);
+    for (CalendarInput& input : set_.calendar) input.table = scope_.ZoneTable(input.zone);
     set_.index.Build(options);
   }
 
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -168,12 +168,15 @@
 void Day::Try(CallerId id) {
   Caller& caller = callers_.at(id);
   auto& free = free_lines_[static_cast<std::size_t>(caller.from)];
-  if (free.empty()) {
+  // A phone that was just put down may still have its connection taken away: nobody dials from it yet.
+  Gateway& gateway = *gateways_.at(caller.from);
+  const auto idle = std::find_if(free.begin(), free.end(), [&](int line) { return gateway.LineIdle(line); });
+  if (idle == free.end()) {
     ++report_.no_line;
     return Leave(id);
   }
-  caller.line = *free.begin();
-  free.erase(free.begin());
+  caller.line = *idle;
+  free.erase(idle);
   at_line_[{caller.from, caller.line}] = id;
   ++caller.tries;
   ++caller.turn;
@@ -182,7 +185,7 @@
   ++report_.classes[static_cast<std::size_t>(caller.call_class)].tries;
   const double share = scenario_.try_share.first + Unit() * (scenario_.try_share.second - scenario_.try_share.first);
   const auto patience = static_cast<TimeUs>(share * static_cast<double>(c.give_up_us)) / 1000 * 1000;
-  gateways_.at(caller.from)->Dial(caller.line, caller.called, patience);
+  gateway.Dial(caller.line, caller.called, patience);
   const std::uint64_t turn = caller.turn;
   After(patience, [this, id, turn] { GiveUp(id, turn); });
   if (Unit() < scenario_.early_hang_up) {
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -54,6 +54,7 @@
   for (const json& entry : t.at("classes")) {
     TrafficClass c;
     Value(entry, "name", &c.name);
+    c.planned_as = entry.value("planned_as", c.name);
     Value(entry, "share", &c.share);
     Time(entry, "give_up_ms", &c.give_up_us);
     c.aim_us = c.give_up_us;
@@ -118,6 +119,7 @@
     Time(rules, "longest_pause_ms", &s.longest_pause_us);
   }
   ReadTraffic(file.at("traffic"), &s);
+  Value(file, "edge_rules", &s.edge_rules);
   if (s.edges > s.exchanges)
     mistakes->push_back({"/fleet/edges", "expected at most as many as exchanges (" + std::to_string(s.exchanges) +
                                              "), found " + std::to_string(s.edges)});
@@ -170,7 +172,7 @@
                                {"width", k.width},
                                {"holding_ms", k.holding_us / kMs}});
     for (int far = 0; far < s.exchanges; ++far)
-      file["plan"].push_back({{"prefix", Prefix(static_cast<int>(c), 0, far)}, {"exchange", far}, {"class", k.name}});
+      file["plan"].push_back({{"prefix", Prefix(static_cast<int>(c), 0, far)}, {"exchange", far}, {"class", k.planned_as}});
   }
   file["roster"] = {{"server", core::ToString(RosterAddress(s))}, {"listen", core::ToString(roster_listen)}};
   file["network"] = {{"senders", s.edges},
@@ -188,6 +190,7 @@
                      {"longest_pause_ms", s.longest_pause_us / kMs},
                      {"tells_wait", s.processor.tells_wait}};
   if (!s.processor.reports.empty()) file["network"]["reports"] = json::array({s.processor.reports});
+  if (!s.edge_rules.empty()) file["rules"] = s.edge_rules;
   // The lab's machine is not the network that T-HIST was made for: answers are kept for a shorter time.
   file["transactions"] = {{"history_ms", 10'000}, {"give_up_ms", 8'000}};
   file["log"] = {{"level", "info"}, {"file", log_file}};
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -27,7 +27,7 @@
 };
 
 struct TrafficClass {
-  std::string name;
+  std::string name, planned_as;
   double share = 1.0;
   TimeUs aim_us = 1'500'000, give_up_us = 9'000'000;
   double worth = 1.0, late_worth = 0.0;
@@ -55,6 +55,7 @@
   TimeUs longest_pause_us = 2'000'000;
   double calls_per_s = 10.0;
   std::vector<TrafficClass> classes;
+  std::vector<std::string> edge_rules;
   std::pair<double, double> try_share = {0.34, 0.4};
   int redials = 2;
   std::pair<TimeUs, TimeUs> redial_us = {200'000, 800'000};
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -111,6 +111,32 @@
   ExpectAllFree(played);
 }
 
+// The number plan takes every call for a slot-check; a rule alone can tell the holds of crew leads. Twice the load that the
+// processors carry.
+TEST(Day, ARuleThatPutsACallOnTopHasItServedFirstInAnOverload) {
+  json base = Base();
+  base["traffic"]["calls_per_s"] = 60;
+  base["traffic"]["classes"][1]["worth"] = 8;
+  base["traffic"]["classes"][1]["planned_as"] = "slot-check";
+  base["fleet"]["lines"] = 2'000;
+  base["fleet"]["edges"] = 2;
+  const auto share_in_time = [](const json& day_json, std::size_t call_class) {
+    PlayedDay day(day_json.dump());
+    day.Play();
+    ExpectSound(day);
+    EXPECT_EQ(day.Unanswered(), 0U);
+    return static_cast<double>(day.report.classes[call_class].in_time) / static_cast<double>(day.report.classes[call_class].offered);
+  };
+  const double holds_without = share_in_time(base, 1), checks_without = share_in_time(base, 0);
+  base["edge_rules"] = {"rule crew when called starts_with \"2\" then class = slot-hold, priority = 8, tag \"crew\";"};
+  const double holds_with = share_in_time(base, 1), checks_with = share_in_time(base, 0);
+  RecordProperty("holds_without", std::to_string(holds_without));
+  RecordProperty("holds_with", std::to_string(holds_with));
+  EXPECT_GT(holds_with, holds_without + 0.15) << checks_without << " " << checks_with;
+  EXPECT_GT(holds_with, checks_with + 0.15);
+  EXPECT_NEAR(holds_without, checks_without, 0.12);  // without it they are alike
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Kinds, DayWithTrouble,
     testing::Values(
--- a/tests/expr_rules_test.cpp
+++ b/tests/expr_rules_test.cpp
@@ -161,6 +161,11 @@
   EXPECT_EQ(*outcome.tags[1], "crew");
 }
 
+TEST(ExprRules, ARuleThatBreaksOffBehindItsKeyIsAMistakeAndNoMore) {
+  EXPECT_NE(Faults("rule a when width == 1 then key = first(called, 5) rule b").find("expected ';'"), std::string::npos);
+  EXPECT_NE(Faults("rule a when width == 1 then key = called, budget = 5;").find("a duration"), std::string::npos);
+}
+
 TEST(ExprRules, ATableIsRulesByRows) {
   const RuleSet set = Rules(R"(
     table tops when customer ==, called starts_with, line default 0 in, called matches {
--- a/tests/hard_cases_test.cpp
+++ b/tests/hard_cases_test.cpp
@@ -455,6 +455,18 @@
   for (const auto& [call, seen] : versions) EXPECT_EQ(seen.size(), 1U) << call;
 }
 
+TEST_F(HardCase, ACallInTransitKeepsTheClassItWasGivenWhereItBegan) {
+  gateway.Notify("ds/1/0", gateway.Request("ds/1/0"), "MS/sup(addr(110020007),id(aaln/9))",
+                 "X-Origin: 1\r\nX-Class: slot-hold\r\nX-Patience: 2000\r\n");
+  runtime.RunFor(10 * kMs);
+  ASSERT_EQ(SetUps(), 1U);
+  EXPECT_EQ(gateway.Last(mgcp::Verb::kCrcx, "ds/2/")->Get("X-Class"), "slot-hold");
+  gateway.Notify("ds/1/1", gateway.Request("ds/1/1"), "MS/sup(addr(110020007),id(aaln/9))",
+                 "X-Origin: 1\r\nX-Class: unheard-of\r\nX-Patience: 2000\r\n");
+  runtime.RunFor(10 * kMs);
+  EXPECT_EQ(gateway.Last(mgcp::Verb::kCrcx, "ds/2/")->Get("X-Class"), "slot-check");  // by the plan
+}
+
 TEST_F(HardCase, ALineThatTriesTooOftenIsRefusedByTheRulesWithTheirPauseAndNotAfterTheWindow) {
   std::vector<expr::Mistake> mistakes;
   node->SetClassifier(edge::Classifier::Make("counter tries by calling over 10s; rule flood when tries > 3 then refuse pause 4s;",
