--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -2,6 +2,7 @@
 #ifndef CROFTRUN_CLI_COMMANDS_H_
 #define CROFTRUN_CLI_COMMANDS_H_
 
+#include <cstdint>
 #include <string>
 
 namespace croftrun::cli {
@@ -28,6 +29,7 @@
   int lines = 0;  // 0: what the rate needs
   int edge_cpu = -1, own_cpu = -1;
   std::string rules;  // a file for the edge; empty: none
+  std::string flow;   // udp, tcp, dead, stall: where flow records go; empty: nowhere
   int reload_ms = 0;  // the edge is told to read it again as often; 0: never
   bool json = false, echo = true;
 };
@@ -47,6 +49,16 @@
 int TestRules(const RulesRun& options);
 int BenchRules(const RulesRun& options);
 
+struct FlowRun {
+  std::string from;  // a file of IPFIX messages, or an address to listen at
+  bool tcp = false, json = false;
+  int seconds = 10;  // of listening
+  std::uint32_t enterprise = 32473;
+  std::uint64_t split_ms = 0;  // of the report: Unix time in milliseconds
+};
+int DecodeFlow(const FlowRun& options);
+int ReportFlow(const FlowRun& options);
+
 int CheckConfig(const std::string& file, bool json);
 int ShowConfig(const std::string& file);
 int ConvertDayFile(const std::string& day, const std::string& out, int most_edges, double most_calls_per_s);
--- a/src/cli/load.cpp
+++ b/src/cli/load.cpp
@@ -22,6 +22,7 @@
 #include <thread>
 
 #include "cli/commands.h"
+#include "lab/collector.h"
 #include "lab/edge_processes.h"
 #include "lab/load_line.h"
 #include "lab/numbering.h"
@@ -128,7 +129,7 @@
   return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
 }
 
-std::string EdgeSettings(const lab::LoadSettings& load, std::size_t circuits, const std::string& rules) {
+std::string EdgeSettings(const lab::LoadSettings& load, std::size_t circuits, const std::string& rules, const std::string& collector) {
   nlohmann::json json = {
       {"exchange", {{"number", 0}}},
       {"agent",
@@ -142,6 +143,8 @@
       {"network", {{"release_ms", 300}, {"drain_grace_ms", 500}, {"most_attempts", 4}, {"may_cancel", true}}},
       {"log", {{"level", "warning"}}}};
   if (!rules.empty()) json["rules_file"] = rules;
+  if (!collector.empty())
+    json["flow"] = {{"collectors", {{{"address", "127.30.0.4:4739"}, {"transport", collector == "udp" ? "udp" : "tcp"}, {"queue", 65'536}}}}};
   return json.dump(1);
 }
 
@@ -167,10 +170,14 @@
   EchoFigures echo;
   if (options.echo) echo = MeasureEcho(loopback(9, 7007), options.edge_cpu);
 
+  lab::Collector collector(loopback(4, 4739));
+  if (options.flow == "udp") collector.StartUdp();
+  if (options.flow == "tcp") collector.StartTcp(lab::Collector::Mode::kRead);
+  if (options.flow == "stall") collector.StartTcp(lab::Collector::Mode::kStall);
   Pin(0, options.own_cpu);
   lab::LoadLine line(load);
   lab::EdgeProcesses edges(options.edge_program, options.folder);
-  edges.Start(0, EdgeSettings(load, circuits, options.rules));
+  edges.Start(0, EdgeSettings(load, circuits, options.rules, options.flow));
   const pid_t edge = edges.Process(0);
   Pin(edge, options.edge_cpu);
   if (!line.WaitForEdge(20'000'000)) {
@@ -201,6 +208,8 @@
   }
   const bool clean = edges.StopAll(10'000);
 
+  std::this_thread::sleep_for(std::chrono::milliseconds(options.flow.empty() ? 0 : 200));
+  collector.Stop();
   const double cpu = peak.usage.cpu_s - before.cpu_s;
   const double done = static_cast<double>(f.answered + f.refused + f.failed);
   const double datagrams = static_cast<double>(f.datagrams_in + f.datagrams_out);
@@ -230,6 +239,8 @@
       {"answer_ms", {{"median", At(f.answer_us, 0.5) / 1000.0}, {"p99", At(f.answer_us, 0.99) / 1000.0}}},
       {"most_up", f.most_up},
       {"bytes_per_call_up", bytes},
+      {"flow_calls", collector.calls.load()},
+      {"flow_attempts", collector.attempts.load()},
       {"reloads", reloads},
       {"edge_exited_clean", clean}};
   if (options.json) {
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -41,6 +41,7 @@
   load_command->add_option("--edge-cpu", load.edge_cpu, "Ask for this processor for the edge")->capture_default_str();
   load_command->add_option("--own-cpu", load.own_cpu, "Ask for this processor for the load")->capture_default_str();
   load_command->add_option("--rules", load.rules, "Rules for the edge (the only class is load)");
+  load_command->add_option("--flow", load.flow, "Flow records go to a collector that reads, or does not")->check(CLI::IsMember({"udp", "tcp", "dead", "stall"}));
   load_command->add_option("--reload-ms", load.reload_ms, "Have the edge read them again as often")->check(CLI::Range(10, 60'000));
   load_command->add_flag("!--no-echo", load.echo, "Leave the raw echo out");
   load_command->add_flag("--json", load.json, "The figures as JSON");
@@ -72,6 +73,21 @@
   add_rules("bench", "Measures the rules on their examples", BenchRules)
       ->add_option("--calls", of_rules.calls, "So many")->check(CLI::Range(1, 100'000'000))->capture_default_str();
 
+  FlowRun of_flow;
+  CLI::App* flow = app.add_subcommand("flow", "Flow records (docs/flow-export.md)");
+  flow->require_subcommand(1);
+  CLI::App* decode = flow->add_subcommand("decode", "Shows records as JSON lines");
+  decode->add_option("from", of_flow.from, "A file of IPFIX messages, or an address to listen at, 127.0.0.1:4739")->required();
+  decode->add_flag("--tcp", of_flow.tcp, "Listen for TCP, not UDP");
+  decode->add_option("--seconds", of_flow.seconds, "Listen for so long")->check(CLI::Range(1, 3600))->capture_default_str();
+  decode->add_option("--enterprise", of_flow.enterprise, "Number of our enterprise elements")->capture_default_str();
+  decode->callback([&] { code = DecodeFlow(of_flow); });
+  CLI::App* report = flow->add_subcommand("report", "How attempts went by group before and after a time");
+  report->add_option("file", of_flow.from, "A file of IPFIX messages")->required();
+  report->add_option("--split-ms", of_flow.split_ms, "Unix time in milliseconds")->required();
+  report->add_flag("--json", of_flow.json, "As JSON");
+  report->callback([&] { code = ReportFlow(of_flow); });
+
   CLI::App* config = app.add_subcommand("config", "Settings of an edge");
   config->require_subcommand(1);
   CLI::App* check = config->add_subcommand("check", "Tells every mistake of a settings file");
