Rules know exchanges and zones by the names of the settings (places)

Rules had the destination as a number only. places in the settings names exchanges and their zones; rules then have to and to_zone as enumerations that may be absent, checked at load like the others. Tests: a zone refused, an exchange put into a class, a misspelt name and an unchecked use refused at load; 56 tests of rules and hard cases pass.

--- a/src/edge/classifier.cpp
+++ b/src/edge/classifier.cpp
@@ -10,10 +10,19 @@
 
 constexpr std::size_t kLongestCalling = 64;
 
+// Each zone once, in the order in which they are named.
+std::vector<std::string> ZonesOf(const std::vector<Place>& places) {
+  std::vector<std::string> zones;
+  for (const Place& place : places) {
+    if (std::find(zones.begin(), zones.end(), place.zone) == zones.end()) zones.push_back(place.zone);
+  }
+  return zones;
+}
+
 }  // namespace
 
 expr::Schema Classifier::SchemaFor(const std::vector<std::string>& classes,
-                                   const std::vector<std::string>& customers) {
+                                   const std::vector<std::string>& customers, const std::vector<Place>& places) {
   using expr::Type;
   expr::Schema schema;
   schema.enumerations = {{"class", classes}, {"customer", customers}};
@@ -28,16 +37,27 @@
                        {"line", Type::kInt, "", 0, true},
                        {"gateway", Type::kAddress, "", 0, false},
                        {"overload", Type::kDouble, "", 0, false}};
+  if (places.empty()) return schema;
+  for (const Place& place : places) schema.enumerations["exchange"].push_back(place.name);
+  schema.enumerations["zone"] = ZonesOf(places);
+  schema.attributes.push_back({"to", Type::kEnum, "exchange", 0, true});
+  schema.attributes.push_back({"to_zone", Type::kEnum, "zone", 0, true});
   return schema;
 }
 
 std::shared_ptr<const Classifier> Classifier::Make(std::string_view text, const std::vector<std::string>& classes,
                                                    const std::vector<std::string>& customers,
-                                                   std::vector<expr::Mistake>* mistakes) {
-  auto rules = expr::CompileRules(text, SchemaFor(classes, customers), {}, mistakes);
+                                                   std::vector<expr::Mistake>* mistakes,
+                                                   const std::vector<Place>& places) {
+  auto rules = expr::CompileRules(text, SchemaFor(classes, customers, places), {}, mistakes);
   if (!rules) return nullptr;
   auto classifier = std::make_shared<Classifier>();
   classifier->rules_ = std::move(*rules);
+  const std::vector<std::string> zones = ZonesOf(places);
+  for (std::size_t i = 0; i < places.size(); ++i) {
+    const auto zone = std::find(zones.begin(), zones.end(), places[i].zone) - zones.begin();
+    classifier->places_[places[i].exchange] = {static_cast<int>(i), static_cast<int>(zone)};
+  }
   return classifier;
 }
 
@@ -64,6 +84,12 @@
   // One buffer a thread: nothing is allocated for a call.
   thread_local expr::Input input;
   Fill(*offer, facts, &input);
+  if (!places_.empty()) {
+    const auto place = places_.find(offer->destination);
+    const bool named = place != places_.end();
+    input.push_back({named ? place->second.exchange : 0, {}, named});
+    input.push_back({named ? place->second.zone : 0, {}, named});
+  }
   rules_.Extend(&input, moment, state);
   Verdict verdict;
   expr::Outcome& outcome = verdict.outcome;
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -156,6 +156,16 @@
   }
 
   void ReadRules(const json& file, EdgeSettings* s) {
+    std::size_t place_index = 0;
+    for (const json& entry : file.value("places", json::array())) {
+      const std::string where = "/places/" + std::to_string(place_index++);
+      Place place{entry.at("exchange").get<int>(), entry.at("name").get<std::string>(), entry.at("zone").get<std::string>()};
+      for (const Place& known : s->places) {
+        if (known.exchange == place.exchange || known.name == place.name)
+          Mistake(where, "expected each exchange and each name once, found " + place.name + " for exchange " + std::to_string(place.exchange));
+      }
+      s->places.push_back(std::move(place));
+    }
     std::string text, path = "/rules/";
     if (file.contains("rules") && file.contains("rules_file"))
       return Mistake("/rules_file", "expected either rules or rules_file, found both");
@@ -175,7 +185,7 @@
     std::vector<std::string> customers;
     for (const Customer& customer : s->core.module.customers) customers.push_back(customer.name);
     std::vector<expr::Mistake> faults;
-    s->classifier = Classifier::Make(text, s->class_names, customers, &faults);
+    s->classifier = Classifier::Make(text, s->class_names, customers, &faults, s->places);
     for (const expr::Mistake& fault : faults)
       Mistake(path + std::to_string(fault.line - (lines_of_list ? 1 : 0)), "column " + std::to_string(fault.column) + ": " + fault.text + "\n" + fault.shown);
   }
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -45,6 +45,7 @@
   std::string domain;
   LineSettings lines;
   std::vector<std::string> class_names;
+  std::vector<Place> places;  // for rules
   core::NumberPlan plan;
   std::shared_ptr<const Classifier> classifier;  // null: no rules
   std::optional<RosterSettings> roster;
--- a/tests/hard_cases_test.cpp
+++ b/tests/hard_cases_test.cpp
@@ -404,6 +404,23 @@
   EXPECT_FALSE(edge::Classifier::Make("rule x when line > 5 then refuse;", settings.class_names, {}, &mistakes));
 }
 
+TEST_F(HardCase, RulesKnowExchangesAndZonesByTheNamesOfTheSettings) {
+  const std::vector<edge::Place> places = {{1, "atlanta", "east"}, {2, "new-orleans", "gulf"}};
+  std::vector<expr::Mistake> mistakes;
+  node->SetClassifier(edge::Classifier::Make("rule gulf when has(to_zone) and to_zone == gulf then refuse pause 1s;"
+                                             "rule a when has(to) and to in [atlanta] then class = slot-hold;",
+                                             settings.class_names, {}, &mistakes, places));
+  ASSERT_TRUE(mistakes.empty()) << expr::ToString(mistakes);
+  Dial(1);
+  EXPECT_EQ(gateway.Last(mgcp::Verb::kCrcx, "ds/")->Get("X-Class"), "slot-hold");
+  Dial(2, "110020007");
+  EXPECT_EQ(Answers(2, "refused"), 1U);
+  EXPECT_FALSE(edge::Classifier::Make("rule x when to == atlanta then redial;", settings.class_names, {}, &mistakes, places));
+  mistakes.clear();
+  EXPECT_FALSE(edge::Classifier::Make("rule x when has(to) and to == atlnta then redial;", settings.class_names, {}, &mistakes, places));
+  EXPECT_NE(expr::ToString(mistakes).find("did you mean 'atlanta'"), std::string::npos);
+}
+
 // The log of an edge, by call.
 class KeptLog final : public core::LogSink {
  public:
