Read once more: one IsText, one list of customers' names, members that nothing read taken out

Whether a type is held as text was asked by six copies of the same test in src/expr, and the customers' names were gathered in three places (settings, reload, command line); each is one function now. The load line had three members that nothing read, and the exporter set a sequence number to itself over UDP.

--- a/src/cli/rules.cpp
+++ b/src/cli/rules.cpp
@@ -38,9 +38,7 @@
     std::cerr << "croftrun: " << config::ToString(mistakes);
     return false;
   }
-  std::vector<std::string> customers;
-  for (const Customer& customer : settings.core.module.customers) customers.push_back(customer.name);
-  loaded->schema = edge::Classifier::SchemaFor(settings.class_names, customers, settings.places);
+  loaded->schema = edge::Classifier::SchemaFor(settings.class_names, edge::CustomerNames(settings), settings.places);
   expr::Limits limits;
   limits.keep_parts = explain;
   const auto began = std::chrono::steady_clock::now();
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -182,10 +182,8 @@
       for (const json& line : file.at("rules")) text += line.get<std::string>() + "\n";
     }
     const bool lines_of_list = path == "/rules/";  // those are counted from 0, as in the rest of the paths
-    std::vector<std::string> customers;
-    for (const Customer& customer : s->core.module.customers) customers.push_back(customer.name);
     std::vector<expr::Mistake> faults;
-    s->classifier = Classifier::Make(text, s->class_names, customers, &faults, s->places);
+    s->classifier = Classifier::Make(text, s->class_names, CustomerNames(*s), &faults, s->places);
     for (const expr::Mistake& fault : faults)
       Mistake(path + std::to_string(fault.line - (lines_of_list ? 1 : 0)), "column " + std::to_string(fault.column) + ": " + fault.text + "\n" + fault.shown);
   }
@@ -273,6 +271,12 @@
 
 }  // namespace
 
+std::vector<std::string> CustomerNames(const EdgeSettings& settings) {
+  std::vector<std::string> names;
+  for (const Customer& customer : settings.core.module.customers) names.push_back(customer.name);
+  return names;
+}
+
 std::string_view EdgeSchema() { return kEdgeSchema; }
 
 EdgeSettings ParseEdgeSettings(std::string_view text, std::vector<config::Mistake>* mistakes) {
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -58,6 +58,8 @@
   std::string log_file;
 };
 
+// The words that rules may use for customers, in their order.
+std::vector<std::string> CustomerNames(const EdgeSettings& settings);
 // The schema's text, as published.
 std::string_view EdgeSchema();
 // Appends every mistake found, each with its path; the result is only of use where there was none.
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -35,14 +35,9 @@
   const std::string text = config::ReadFile(path, kMostSettingsBytes, &result.faults);
   edge::EdgeSettings fresh;
   if (result.faults.empty()) fresh = edge::ParseEdgeSettings(text, &result.faults);
-  const auto customers = [](const edge::EdgeSettings& s) {
-    std::vector<std::string> names;
-    for (const Customer& customer : s.core.module.customers) names.push_back(customer.name);
-    return names;
-  };
   if (result.faults.empty() && fresh.class_names != in_force.class_names)
     result.faults.push_back({"/classes", "expected the classes in force, found others; restart the edge to change them"});
-  if (result.faults.empty() && customers(fresh) != customers(in_force))
+  if (result.faults.empty() && edge::CustomerNames(fresh) != edge::CustomerNames(in_force))
     result.faults.push_back({"/customers", "expected the customers in force, found others; restart the edge to change them"});
   result.classifier = std::move(fresh.classifier);
   return result;
--- a/src/expr/check.cpp
+++ b/src/expr/check.cpp
@@ -13,7 +13,6 @@
 // Nodes that definitions written out may make, all together.
 constexpr std::size_t kMostNodes = 1'000'000;
 
-bool IsText(Type type) { return type == Type::kString || type == Type::kE164; }
 bool IsOrdered(Type type) { return type != Type::kEnum && type != Type::kBool && type != Type::kAddress; }
 
 void Same(Node& node, const Node& a, const Node& b) {
--- a/src/expr/compile.cpp
+++ b/src/expr/compile.cpp
@@ -19,7 +19,6 @@
 constexpr std::size_t kMostIndexed = 128;
 constexpr std::size_t kMostTagsOfRule = 8;
 
-bool IsText(Type type) { return type == Type::kString || type == Type::kE164; }
 bool IsInput(const Node& node) { return node.shape == Shape::kName && !node.constant; }
 
 bool SizeFits(std::string_view text, const Limits& limits, Reporter* reporter) {
--- a/src/expr/generate.cpp
+++ b/src/expr/generate.cpp
@@ -14,8 +14,6 @@
 // What a part must come to before a place of its own pays: looking it up costs about as much as three operations.
 constexpr std::size_t kWorthSharing = 6;
 
-bool IsText(Type type) { return type == Type::kString || type == Type::kE164; }
-
 std::size_t OwnWeight(const Node& node) {
   switch (node.shape) {
     case Shape::kMatches:
--- a/src/expr/machine.cpp
+++ b/src/expr/machine.cpp
@@ -215,8 +215,7 @@
     }
   }
   if (steps != nullptr) *steps += spent;
-  const bool text = type_ == Type::kString || type_ == Type::kE164;
-  return {stack[0].number, text ? stack[0].text() : std::string_view(), true};
+  return {stack[0].number, IsText(type_) ? stack[0].text() : std::string_view(), true};
 }
 
 Program Program::OfCode(std::vector<Instruction> code, std::size_t constants) {
--- a/src/expr/render.cpp
+++ b/src/expr/render.cpp
@@ -48,7 +48,7 @@
   };
   switch (node.shape) {
     case Shape::kConstant:
-      return node.type == Type::kString || node.type == Type::kE164 ? "\"" + node.token.value + "\"" : Number(node, scope);
+      return IsText(node.type) ? "\"" + node.token.value + "\"" : Number(node, scope);
     case Shape::kName:
       return node.constant ? Number(node, scope) : std::string(node.token.text);
     case Shape::kUnary:
--- a/src/expr/rule_set.cpp
+++ b/src/expr/rule_set.cpp
@@ -10,8 +10,7 @@
 
 std::uint64_t HashOf(const Program& program, const Input& input) {
   const Value value = program.Run(input);
-  const bool text = program.type() == Type::kString || program.type() == Type::kE164;
-  return text ? HashText(value.text) : HashNumber(value.number);
+  return IsText(program.type()) ? HashText(value.text) : HashNumber(value.number);
 }
 
 bool Covers(const Rule& a, const Rule& b) {
--- a/src/expr/value.h
+++ b/src/expr/value.h
@@ -12,6 +12,9 @@
   kBool, kInt, kDouble, kString, kE164, kDuration, kTime, kDate, kAddress, kEnum
 };
 
+// Whether values of the type are in `text`, not in `number`.
+inline bool IsText(Type type) { return type == Type::kString || type == Type::kE164; }
+
 // One attribute's value; `text` is valid as long as its owner.
 struct Value {
   // bool, int; bits of a double; duration in microseconds; time of day in microseconds since midnight; days since
--- a/src/flow/encode.h
+++ b/src/flow/encode.h
@@ -46,7 +46,6 @@
   // Header and all; valid until Begin. `unix_s`: export time; `up_ms`: since the exporter began (v9). Counts the records
   // into the sequence number, which wraps.
   const std::string& Finish(std::uint32_t unix_s, std::uint32_t up_ms);
-  std::uint32_t sequence() const { return sequence_; }
   void SetSequence(std::uint32_t sequence) { sequence_ = sequence; }
 
  private:
--- a/src/flow/exporter.cpp
+++ b/src/flow/exporter.cpp
@@ -140,7 +140,7 @@
     }
     link_.OnUp(NowUs());
     // Each connection is told everything anew (RFC 7011 8: templates are of their transport session).
-    encoder_.SetSequence(settings_.transport == Transport::kUdp ? encoder_.sequence() : 0);
+    if (settings_.transport == Transport::kTcp) encoder_.SetSequence(0);
     templates_at_ = 0;
     co_return true;
   }
--- a/src/lab/load_line.h
+++ b/src/lab/load_line.h
@@ -56,7 +56,7 @@
     State state = State::kIdle;
     std::string armed;  // the request under which it may dial
     std::uint64_t request = 0;  // the same as a number: a repeat of an older request is not taken
-    TimeUs dialled_at = 0, seized_at = 0, answered_at = 0, repeat_at = 0;
+    TimeUs dialled_at = 0, answered_at = 0;
     double first_us = 0.0;
     std::uint32_t transaction = 0;
     std::string dial;  // the datagram, for repeats
@@ -94,7 +94,6 @@
   std::uint32_t next_transaction_ = 1, next_connection_ = 1;
   std::uint64_t up_ = 0;
   TimeUs last_heard_ = 0;
-  bool measuring_ = false;
   LoadFigures figures_;
 };
 
