--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -7,8 +7,13 @@
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
 
 #include "edge/edge_settings.h"
+#include "lab/collector.h"
 #include "lab/day.h"
 #include "lab/edge_processes.h"
 #include "lab/rules.h"
@@ -88,6 +93,65 @@
 
 }  // namespace
 
+namespace {
+
+// Collectors of a day, one for each edge; what came is kept as it came, and counted.
+class DayCollectors {
+ public:
+  // Throws boost::system::system_error where an address cannot be bound.
+  DayCollectors(const lab::Scenario& scenario, const std::string& folder) : folder_(folder) {
+    for (int i = 0; i < scenario.edges; ++i) {
+      auto& one = collectors_.emplace_back(std::make_unique<One>(lab::CollectorAddress(scenario, i)));
+      one->file.open(folder + "/flows-" + std::to_string(i) + ".ipfix", std::ios::binary | std::ios::trunc);
+      one->collector.OnMessage([one = one.get()](std::string_view message) { one->file << message; });
+      one->collector.StartTcp(lab::Collector::Mode::kRead);
+    }
+  }
+  // Three counts of the same: on the sockets, by the softswitch itself, and received. `true` if they agree; of an edge that
+  // was killed its own count is of its last life only, and what it had not sent is told as the difference.
+  nlohmann::json Compare(const lab::RuleChecker& rules, const lab::Scenario& scenario, bool* agree) {
+    std::set<int> killed;
+    for (const lab::Fault& fault : scenario.faults) {
+      if (fault.kind == "edge-kill") killed.insert(fault.exchanges.begin(), fault.exchanges.end());
+    }
+    const auto work = rules.work();
+    nlohmann::json all = nlohmann::json::array();
+    *agree = true;
+    for (std::size_t i = 0; i < collectors_.size(); ++i) {
+      One& one = *collectors_[i];
+      one.collector.Stop();
+      one.file.close();
+      const int number = static_cast<int>(i);
+      std::ifstream metrics_file(folder_ + "/edge-" + std::to_string(i) + ".metrics.json");
+      const nlohmann::json metrics = nlohmann::json::parse(metrics_file, nullptr, false);
+      const nlohmann::json own = metrics.is_object() ? metrics.value("flow", nlohmann::json::object()) : nlohmann::json::object();
+      const auto truth = work.count(number) > 0 ? work.at(number) : lab::RuleChecker::Work{};
+      const std::uint64_t dropped = own.value("dropped_calls", std::uint64_t{0}) + own.value("dropped_attempts", std::uint64_t{0});
+      const std::uint64_t own_calls = own.value("calls", std::uint64_t{0}), own_attempts = own.value("attempts", std::uint64_t{0});
+      const std::uint64_t calls = one.collector.calls, attempts = one.collector.attempts;
+      const bool same = killed.count(number) > 0 ? calls <= truth.calls && attempts <= truth.set_ups && calls >= own_calls
+                                                 : calls == truth.calls && attempts == truth.set_ups && calls == own_calls && attempts == own_attempts;
+      *agree = *agree && same && dropped == 0;
+      all.push_back({{"edge", number}, {"killed", killed.count(number) > 0}, {"agree", same},
+                     {"sockets", {{"calls", truth.calls}, {"set_ups", truth.set_ups}}},
+                     {"own", {{"calls", own_calls}, {"attempts", own_attempts}, {"dropped", dropped}}},
+                     {"received", {{"calls", calls}, {"attempts", attempts}, {"possibly_repeated", one.collector.possibly_repeated.load()}}}});
+    }
+    return all;
+  }
+
+ private:
+  struct One {
+    explicit One(const core::Address& address) : collector(address) {}
+    lab::Collector collector;
+    std::ofstream file;
+  };
+  std::string folder_;
+  std::vector<std::unique_ptr<One>> collectors_;
+};
+
+}  // namespace
+
 int RunDay(const LabRun& options) {
   std::vector<config::Mistake> mistakes;
   const std::string text = config::ReadFile(options.scenario, kMostBytes, &mistakes);
@@ -95,6 +159,12 @@
   if (mistakes.empty()) scenario = lab::ParseScenario(text, &mistakes);
   if (!Fine(mistakes, options.scenario)) return kBadInput;
   std::filesystem::create_directories(options.folder);
+  std::optional<DayCollectors> collectors;
+  if (options.flow) {
+    scenario.flow_folder = options.folder;
+    for (int i = 0; i < scenario.edges; ++i) std::filesystem::remove_all(options.folder + "/spool-" + std::to_string(i));
+    collectors.emplace(scenario, options.folder);
+  }
 
   runtime::AsioRuntime runtime;
   lab::Trace trace(&runtime);
@@ -118,10 +188,14 @@
   rules.Finish();
   const lab::DayReport report = day.Report();
   const bool clean = edges.StopAll(5'000);
+  bool agree = true;
+  nlohmann::json flows;
+  if (collectors) flows = collectors->Compare(rules, scenario, &agree);
 
   if (options.json) {
     nlohmann::json json = {{"report", ReportJson(scenario, report)}, {"verdict", RulesJson(rules)},
                            {"edges_exited_clean", clean}};
+    if (collectors) json["flows"] = flows;
     std::cout << json.dump(1) << "\n";
   } else {
     std::printf("%s: %d edges, %d exchanges, %.1f calls/s for %.0f s, %llu datagrams, %llu calls in transit\n",
@@ -130,10 +204,15 @@
                 static_cast<unsigned long long>(rules.transit_taken()));
     std::printf("%s", rules.Summary().c_str());
     PrintReport(scenario, report);
+    for (const auto& f : flows)
+      std::printf("flows of edge %s: on the sockets %s calls, %s set-ups; own count %s, %s; received %s, %s: %s%s\n", f["edge"].dump().c_str(),
+                  f["sockets"]["calls"].dump().c_str(), f["sockets"]["set_ups"].dump().c_str(), f["own"]["calls"].dump().c_str(),
+                  f["own"]["attempts"].dump().c_str(), f["received"]["calls"].dump().c_str(), f["received"]["attempts"].dump().c_str(),
+                  f["agree"].get<bool>() ? "they agree" : "they do NOT agree", f["killed"].get<bool>() ? " (it was killed)" : "");
     std::printf("edges stopped in order: %s\n", clean ? "yes" : "NO");
     std::printf("trace, settings, logs and metrics in %s\n", options.folder.c_str());
   }
-  return rules.Kept() && clean && report.fell_over == 0 ? kDone : kVerdictAgainst;
+  return rules.Kept() && clean && agree && report.fell_over == 0 ? kDone : kVerdictAgainst;
 }
 
 int GiveVerdict(const std::string& path, bool json) {
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace croftrun::cli {
 
@@ -18,6 +19,7 @@
 struct LabRun {
   std::string scenario, edge_program, folder;
   bool capture = false, json = false, quiet = false;
+  bool flow = false;  // edges export flows to collectors, whose records are compared with the trace
 };
 int RunDay(const LabRun& options);
 
@@ -29,7 +31,10 @@
   int lines = 0;  // 0: what the rate needs
   int edge_cpu = -1, own_cpu = -1;
   std::string rules;  // a file for the edge; empty: none
-  std::string flow;   // udp, tcp, dead, stall: where flow records go; empty: nowhere
+  // udp, tcp, dead, stall: where flow records go; spool: to none, with a spool; outage: over TCP with a spool, to one that
+  // is away for a time; empty: nowhere.
+  std::string flow;
+  int outage_s = 60;
   int reload_ms = 0;  // the edge is told to read it again as often; 0: never
   bool json = false, echo = true;
 };
@@ -52,9 +57,15 @@
 struct FlowRun {
   std::string from;  // a file of IPFIX messages, or an address to listen at
   bool tcp = false, json = false;
+  std::string certificate, key, authorities;  // to listen over TLS
+  std::string out;                            // messages are also kept there, as they came (RFC 5655)
+  std::string svg, title;                     // of the report, as a picture
+  std::uint64_t bin_ms = 1000;
+  std::vector<std::string> marks;  // "SECONDS=TEXT", from the first attempt on
   int seconds = 10;  // of listening
   std::uint32_t enterprise = 32473;
-  std::uint64_t split_ms = 0;  // of the report: Unix time in milliseconds
+  std::uint64_t split_ms = 0;  // of the report: Unix time in milliseconds; or
+  double split_s = 0.0;        // seconds after the first attempt
 };
 int DecodeFlow(const FlowRun& options);
 int ReportFlow(const FlowRun& options);
--- a/src/cli/flow.cpp
+++ b/src/cli/flow.cpp
@@ -1,14 +1,15 @@
 // croftrun flow decode|report: what flow records say, from a file of IPFIX messages (RFC 5655) or as they come.
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
-#include <map>
 #include <nlohmann/json.hpp>
 #include <thread>
 
 #include "cli/commands.h"
 #include "config/json_settings.h"
+#include "flow/shift.h"
 #include "lab/collector.h"
 
 namespace croftrun::cli {
@@ -78,7 +79,18 @@
   if (!core::ParseAddress(options.from, &address)) return ReadFlowFile(options.from, print) ? kDone : kBadInput;
   lab::Collector collector(address);
   collector.OnRecord(print);
-  options.tcp ? collector.StartTcp(lab::Collector::Mode::kRead) : collector.StartUdp();
+  std::ofstream kept;
+  if (!options.out.empty()) {
+    kept.open(options.out, std::ios::binary);
+    if (!kept) {
+      std::cerr << "cannot write " << options.out << "\n";
+      return kCannotRun;
+    }
+    collector.OnMessage([&](std::string_view message) { kept << message; });
+  }
+  if (!options.certificate.empty()) collector.UseTls(options.certificate, options.key, options.authorities);
+  const bool tcp = options.tcp || !options.certificate.empty();
+  tcp ? collector.StartTcp(lab::Collector::Mode::kRead) : collector.StartUdp();
   std::this_thread::sleep_for(std::chrono::seconds(options.seconds));
   collector.Stop();
   const auto& counters = collector.decoder().counters();
@@ -89,32 +101,47 @@
 }
 
 int ReportFlow(const FlowRun& options) {
-  struct Sums {
-    std::uint64_t sent = 0, stood = 0, tandem = 0;
-  };
-  // By group, before and from the time on.
-  std::map<std::uint64_t, std::pair<Sums, Sums>> groups;
-  const bool fine = ReadFlowFile(options.from, [&](const DecodedRecord& record) {
-    if (record.template_id != flow::kAttemptTemplate) return;
-    auto& [before, after] = groups[record.Number(Source::kGroupOut)];
-    Sums& sums = record.Number(Source::kStart) < options.split_ms ? before : after;
-    ++sums.sent;
-    sums.stood += record.Number(Source::kSetUp) > 0 ? 1 : 0;
-    sums.tandem += record.Number(Source::kTandem) == 1 ? 1 : 0;
-  });
-  if (!fine) return kBadInput;
+  flow::Shift shift;
+  if (!ReadFlowFile(options.from, [&](const DecodedRecord& record) { shift.Add(record); })) return kBadInput;
+  const std::uint64_t first = shift.begins();
+  const auto after_first = [&](double seconds) { return first + static_cast<std::uint64_t>(std::max(0.0, seconds) * 1000.0); };
+  const std::uint64_t split = options.split_ms > 0 ? options.split_ms : after_first(options.split_s);
+  const auto groups = shift.Groups(split, options.bin_ms);
+  if (!options.svg.empty()) {
+    flow::Shift::Picture picture{options.title, options.bin_ms, {}};
+    for (const std::string& mark : options.marks) {
+      const std::size_t equals = mark.find('=');
+      char* end = nullptr;
+      const double seconds = std::strtod(mark.c_str(), &end);
+      if (equals == std::string::npos || end != mark.c_str() + equals) {
+        std::cerr << "--mark: expected SECONDS=TEXT, found \"" << mark << "\"\n";
+        return kUsage;
+      }
+      picture.marks.emplace_back(after_first(seconds), mark.substr(equals + 1));
+    }
+    std::ofstream file(options.svg);
+    file << shift.Svg(picture);
+    if (!file.flush()) {
+      std::cerr << "cannot write " << options.svg << "\n";
+      return kCannotRun;
+    }
+  }
   if (options.json) {
-    json out = json::array();
-    const auto part = [](const Sums& s) { return json{{"sent", s.sent}, {"stood", s.stood}, {"by_way_of", s.tandem}}; };
-    for (const auto& [group, sums] : groups) out.push_back({{"group", group}, {"before", part(sums.first)}, {"after", part(sums.second)}});
+    json out = {{"attempts", shift.attempts()}, {"repeated", shift.repeated()}, {"split_ms", split}, {"groups", json::array()}};
+    const auto part = [](const flow::Shift::Sums& s) {
+      return json{{"sent", s.sent()}, {"stood", s.direct + s.by_way_of}, {"by_way_of", s.by_way_of}};
+    };
+    for (const auto& g : groups)
+      out["groups"].push_back({{"exchange", g.exchange}, {"group", g.group}, {"before", part(g.before)}, {"after", part(g.after)}});
     std::cout << out.dump(1) << "\n";
     return kDone;
   }
-  std::printf("%-8s %10s %10s %10s   %10s %10s %10s\n", "group", "sent", "stood", "by way of", "sent", "stood", "by way of");
-  for (const auto& [group, sums] : groups) {
+  std::printf("%-8s %-8s %10s %10s %10s   %10s %10s %10s\n", "exchange", "group", "sent", "stood", "by way of", "sent", "stood", "by way of");
+  for (const auto& g : groups) {
     const auto n = [](std::uint64_t value) { return static_cast<unsigned long long>(value); };
-    std::printf("%-8llu %10llu %10llu %10llu   %10llu %10llu %10llu\n", n(group), n(sums.first.sent), n(sums.first.stood), n(sums.first.tandem),
-                n(sums.second.sent), n(sums.second.stood), n(sums.second.tandem));
+    std::printf("%-8llu %-8llu %10llu %10llu %10llu   %10llu %10llu %10llu\n", n(g.exchange), n(g.group), n(g.before.sent()),
+                n(g.before.direct + g.before.by_way_of), n(g.before.by_way_of), n(g.after.sent()), n(g.after.direct + g.after.by_way_of),
+                n(g.after.by_way_of));
   }
   return kDone;
 }
--- a/src/cli/load.cpp
+++ b/src/cli/load.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -129,7 +130,8 @@
   return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
 }
 
-std::string EdgeSettings(const lab::LoadSettings& load, std::size_t circuits, const std::string& rules, const std::string& collector) {
+std::string EdgeSettings(const lab::LoadSettings& load, std::size_t circuits, const std::string& rules, const std::string& collector,
+                         const std::string& folder) {
   nlohmann::json json = {
       {"exchange", {{"number", 0}}},
       {"agent",
@@ -143,8 +145,12 @@
       {"network", {{"release_ms", 300}, {"drain_grace_ms", 500}, {"most_attempts", 4}, {"may_cancel", true}}},
       {"log", {{"level", "warning"}}}};
   if (!rules.empty()) json["rules_file"] = rules;
-  if (!collector.empty())
-    json["flow"] = {{"collectors", {{{"address", "127.30.0.4:4739"}, {"transport", collector == "udp" ? "udp" : "tcp"}, {"queue", 65'536}}}}};
+  if (!collector.empty()) {
+    nlohmann::json to = {{"address", "127.30.0.4:4739"}, {"transport", collector == "udp" ? "udp" : "tcp"}, {"queue", 65'536}};
+    if (collector == "spool" || collector == "outage") to["spool"] = {{"folder", folder + "/spool"}};
+    if (collector == "outage") to["longest_wait_ms"] = 2000;
+    json["flow"] = {{"collectors", {to}}};
+  }
   return json.dump(1);
 }
 
@@ -152,6 +158,7 @@
 
 int RunLoad(const LoadRun& options) {
   std::filesystem::create_directories(options.folder);
+  std::filesystem::remove_all(options.folder + "/spool");
   const auto loopback = [](std::uint32_t last, std::uint16_t port) {
     return core::Address{127U << 24U | 30U << 16U | last, port};
   };
@@ -172,12 +179,12 @@
 
   lab::Collector collector(loopback(4, 4739));
   if (options.flow == "udp") collector.StartUdp();
-  if (options.flow == "tcp") collector.StartTcp(lab::Collector::Mode::kRead);
+  if (options.flow == "tcp" || options.flow == "outage") collector.StartTcp(lab::Collector::Mode::kRead);
   if (options.flow == "stall") collector.StartTcp(lab::Collector::Mode::kStall);
   Pin(0, options.own_cpu);
   lab::LoadLine line(load);
   lab::EdgeProcesses edges(options.edge_program, options.folder);
-  edges.Start(0, EdgeSettings(load, circuits, options.rules, options.flow));
+  edges.Start(0, EdgeSettings(load, circuits, options.rules, options.flow, options.folder));
   const pid_t edge = edges.Process(0);
   Pin(edge, options.edge_cpu);
   if (!line.WaitForEdge(20'000'000)) {
@@ -200,8 +207,20 @@
       }
     });
   }
+  std::atomic<std::int64_t> back_at{0};
+  std::jthread outage;
+  if (options.flow == "outage") {
+    outage = std::jthread([&] {
+      std::this_thread::sleep_for(std::chrono::milliseconds(options.seconds * 250));
+      collector.Stop();
+      std::this_thread::sleep_for(std::chrono::seconds(options.outage_s));
+      back_at = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+      collector.StartTcp(lab::Collector::Mode::kRead);
+    });
+  }
   const Usage before = UsageOf(edge);
   lab::LoadFigures f = line.Run([](void* p) { static_cast<Peak*>(p)->usage = UsageOf(static_cast<Peak*>(p)->edge); }, &peak);
+  if (outage.joinable()) outage.join();
   if (reload.joinable()) {
     reload.request_stop();
     reload.join();
@@ -235,12 +254,15 @@
       {"echo_datagrams_per_s", echo.datagrams_per_s},
       {"echo_datagrams_per_cpu_s", echo.datagrams_per_cpu_s},
       {"share_of_echo", echo.datagrams_per_cpu_s > 0.0 ? calls_per_cpu_s * per_call / echo.datagrams_per_cpu_s : 0.0},
-      {"added_ms", {{"median", At(f.added_us, 0.5) / 1000.0}, {"p99", At(f.added_us, 0.99) / 1000.0}}},
+      {"added_ms", {{"median", At(f.added_us, 0.5) / 1000.0}, {"p99", At(f.added_us, 0.99) / 1000.0}, {"p999", At(f.added_us, 0.999) / 1000.0}}},
       {"answer_ms", {{"median", At(f.answer_us, 0.5) / 1000.0}, {"p99", At(f.answer_us, 0.99) / 1000.0}}},
       {"most_up", f.most_up},
       {"bytes_per_call_up", bytes},
       {"flow_calls", collector.calls.load()},
       {"flow_attempts", collector.attempts.load()},
+      {"flow_spooled", collector.spooled.load()},
+      {"flow_possibly_repeated", collector.possibly_repeated.load()},
+      {"flow_recovered_s", back_at > 0 ? static_cast<double>(collector.last_old_us - back_at) / 1e6 : 0.0},
       {"reloads", reloads},
       {"edge_exited_clean", clean}};
   if (options.json) {
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -24,6 +24,7 @@
   run_command->add_option("--edge", run.edge_program, "The croftrun-edge to start")->capture_default_str();
   run_command->add_option("--folder", run.folder, "For trace, settings, logs and metrics")->capture_default_str();
   run_command->add_flag("--capture", run.capture, "Also write capture.pcap");
+  run_command->add_flag("--flow", run.flow, "Edges export flows; records are kept and compared with the trace");
   run_command->add_flag("--json", run.json, "The report as JSON");
   run_command->add_flag("--quiet", run.quiet, "No progress");
   run_command->callback([&] { code = RunDay(run); });
@@ -41,7 +42,8 @@
   load_command->add_option("--edge-cpu", load.edge_cpu, "Ask for this processor for the edge")->capture_default_str();
   load_command->add_option("--own-cpu", load.own_cpu, "Ask for this processor for the load")->capture_default_str();
   load_command->add_option("--rules", load.rules, "Rules for the edge (the only class is load)");
-  load_command->add_option("--flow", load.flow, "Flow records go to a collector that reads, or does not")->check(CLI::IsMember({"udp", "tcp", "dead", "stall"}));
+  load_command->add_option("--flow", load.flow, "Flow records go to a collector that reads, or does not")->check(CLI::IsMember({"udp", "tcp", "dead", "stall", "spool", "outage"}));
+  load_command->add_option("--outage-s", load.outage_s, "The collector of outage is away for so long, from a quarter of the time on")->check(CLI::Range(1, 200))->capture_default_str();
   load_command->add_option("--reload-ms", load.reload_ms, "Have the edge read them again as often")->check(CLI::Range(10, 60'000));
   load_command->add_flag("!--no-echo", load.echo, "Leave the raw echo out");
   load_command->add_flag("--json", load.json, "The figures as JSON");
@@ -79,12 +81,23 @@
   CLI::App* decode = flow->add_subcommand("decode", "Shows records as JSON lines");
   decode->add_option("from", of_flow.from, "A file of IPFIX messages, or an address to listen at, 127.0.0.1:4739")->required();
   decode->add_flag("--tcp", of_flow.tcp, "Listen for TCP, not UDP");
+  CLI::Option* certificate = decode->add_option("--certificate", of_flow.certificate, "Listen for TLS, with this certificate (PEM)");
+  CLI::Option* key = decode->add_option("--key", of_flow.key, "Its key (PEM)");
+  certificate->needs(key);
+  key->needs(certificate);
+  decode->add_option("--authorities", of_flow.authorities, "Let in only who shows a certificate of these (PEM)")->needs(certificate);
+  decode->add_option("-o,--out", of_flow.out, "Keep the messages there, as they came");
   decode->add_option("--seconds", of_flow.seconds, "Listen for so long")->check(CLI::Range(1, 3600))->capture_default_str();
   decode->add_option("--enterprise", of_flow.enterprise, "Number of our enterprise elements")->capture_default_str();
   decode->callback([&] { code = DecodeFlow(of_flow); });
   CLI::App* report = flow->add_subcommand("report", "How attempts went by group before and after a time");
   report->add_option("file", of_flow.from, "A file of IPFIX messages")->required();
-  report->add_option("--split-ms", of_flow.split_ms, "Unix time in milliseconds")->required();
+  CLI::Option* split_ms = report->add_option("--split-ms", of_flow.split_ms, "Unix time in milliseconds");
+  report->add_option("--split-s", of_flow.split_s, "Or seconds after the first attempt")->excludes(split_ms);
+  report->add_option("--svg", of_flow.svg, "Also as a picture over time, there");
+  report->add_option("--title", of_flow.title, "Of the picture");
+  report->add_option("--bin-ms", of_flow.bin_ms, "Of the picture's columns")->check(CLI::Range(1, 86'400'000))->capture_default_str();
+  report->add_option("--mark", of_flow.marks, "SECONDS=TEXT, drawn there; several times");
   report->add_flag("--json", of_flow.json, "As JSON");
   report->callback([&] { code = ReportFlow(of_flow); });
 
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -188,6 +188,34 @@
       Mistake(path + std::to_string(fault.line - (lines_of_list ? 1 : 0)), "column " + std::to_string(fault.column) + ": " + fault.text + "\n" + fault.shown);
   }
 
+  void ReadTls(const json& entry, const std::string& path, const std::string& transport, flow::TlsFiles* tls) {
+    if (entry.contains("tls") != (transport == "tls")) {
+      Mistake(path + "/tls", transport == "tls" ? "expected authorities at least, found nothing" : "expected transport tls beside it, found " + transport);
+      return;
+    }
+    if (!entry.contains("tls")) return;
+    const json& t = entry.at("tls");
+    Value(t, "authorities", &tls->authorities);
+    Value(t, "certificate", &tls->certificate);
+    Value(t, "key", &tls->key);
+    Value(t, "name", &tls->name);
+    if (tls->certificate.empty() != tls->key.empty()) Mistake(path + "/tls", "expected certificate and key together, found one of them");
+  }
+
+  void ReadSpool(const json& entry, flow::CollectorSettings* c) {
+    if (!entry.contains("spool")) return;
+    const json& s = entry.at("spool");
+    flow::SpoolSettings spool;
+    Value(s, "folder", &spool.folder);
+    Value(s, "most_octets", &spool.most_octets);
+    Value(s, "segment_octets", &spool.segment_octets);
+    Time(s, "sync_ms", &spool.sync_us);
+    Time(s, "retry_ms", &spool.retry_us);
+    Time(s, "away_ms", &c->catch_up.away_us);
+    Value(s, "records_per_s", &c->catch_up.records_per_s);
+    c->spool = spool;
+  }
+
   void ReadFlow(const json& file, EdgeSettings* s) {
     if (!file.contains("flow")) return;
     const json& f = file.at("flow");
@@ -200,6 +228,7 @@
     Time(f, "group_interval_ms", &flow.exporter.group_us);
     Time(f, "counts_interval_ms", &flow.exporter.counts_us);
     Value(f, "enterprise", &flow.exporter.enterprise);
+    Value(f, "sample_one_in", &flow.exporter.sample);
     flow.exporter.classes = s->class_names;
     flow.exporter.seed = exchange + 1;
     std::size_t index = 0;
@@ -208,16 +237,23 @@
       flow::CollectorSettings c;
       if (!core::ParseAddress(entry.at("address").get<std::string>(), &c.address))
         Mistake(path + "/address", "expected an address as 127.0.0.1:4739, found \"" + entry.at("address").get<std::string>() + "\"");
-      const bool tcp = entry.value("transport", "udp") == "tcp";
-      c.transport = tcp ? flow::Transport::kTcp : flow::Transport::kUdp;
+      const std::string transport = entry.value("transport", "udp");
+      c.transport = transport == "tcp" ? flow::Transport::kTcp : transport == "tls" ? flow::Transport::kTls : flow::Transport::kUdp;
       c.protocol = entry.value("protocol", "ipfix") == "netflow9" ? flow::Protocol::kNetflow9 : flow::Protocol::kIpfix;
-      if (tcp && c.protocol == flow::Protocol::kNetflow9) Mistake(path + "/protocol", "expected ipfix over tcp, found netflow9, which goes over udp only");
+      if (c.transport != flow::Transport::kUdp && c.protocol == flow::Protocol::kNetflow9)
+        Mistake(path + "/protocol", "expected ipfix over " + transport + ", found netflow9, which goes over udp only");
       Value(entry, "queue", &c.queue);
       Value(entry, "message_octets", &c.most_octets);
       Time(entry, "template_refresh_ms", &c.template_refresh_us);
       Time(entry, "least_wait_ms", &c.link.least_wait_us);
       Time(entry, "longest_wait_ms", &c.link.longest_wait_us);
       Time(entry, "stall_ms", &c.link.stall_us);
+      ReadTls(entry, path, transport, &c.tls);
+      ReadSpool(entry, &c);
+      for (const flow::CollectorSettings& other : flow.exporter.collectors) {
+        if (c.spool && other.spool && c.spool->folder == other.spool->folder)
+          Mistake(path + "/spool/folder", "expected a folder of its own, found \"" + c.spool->folder + "\", which another collector has");
+      }
       flow.exporter.collectors.push_back(c);
     }
     s->flow = std::move(flow);
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -14,6 +14,7 @@
 #include "edge/edge_node.h"
 #include "edge/json_log.h"
 #include "runtime/asio_runtime.h"
+#include "runtime/posix_disk.h"
 
 namespace {
 
@@ -52,7 +53,9 @@
   for (const auto& c : exporter.Figures())
     json["collectors"].push_back({{"name", c.name}, {"up", c.up}, {"taken", c.taken}, {"sent", c.sent}, {"queue_full", c.queue_full},
                                   {"send_failed", c.send_failed}, {"waiting", c.waiting}, {"messages", c.messages}, {"connects", c.connects},
-                                  {"failures", c.failures}, {"stalls", c.stalls}});
+                                  {"failures", c.failures}, {"stalls", c.stalls}, {"unsure", c.unsure}, {"spooled", c.spooled},
+                                  {"spool_octets", c.spool_octets}, {"recovered", c.recovered}, {"spool_full", c.spool_full},
+                                  {"spool_damaged", c.spool_damaged}, {"spool_errors", c.spool_errors}, {"last_error", c.last_error}, {"spool_error", c.spool_error}});
   return json;
 }
 
@@ -76,6 +79,7 @@
   }
   edge::JsonLog log(settings.log_level, settings.log_file, settings.core.module.own_number);
   runtime::AsioRuntime runtime;
+  runtime::PosixDisk disk;
   edge::EdgeNode node(settings, &runtime, &log);
   std::unique_ptr<flow::Ring> ring;
   std::unique_ptr<flow::Recorder> recorder;
@@ -83,7 +87,12 @@
   if (settings.flow) {
     ring = std::make_unique<flow::Ring>(settings.flow->ring);
     recorder = std::make_unique<flow::Recorder>(settings.flow->recorder, &runtime, ring.get());
-    exporter = std::make_unique<flow::Exporter>(settings.flow->exporter, ring.get());
+    const auto on_event = [&](const std::string& collector, const std::string& what) {
+      boost::asio::post(runtime.context(), [&log, collector, what] {
+        log.Write(what == "reached" ? core::LogLevel::kInfo : core::LogLevel::kWarning, "collector", 0, collector + ": " + what);
+      });
+    };
+    exporter = std::make_unique<flow::Exporter>(settings.flow->exporter, ring.get(), &disk, on_event);
     node.core().AddObserver(recorder.get());
   }
   const auto metrics = [&] {
--- a/src/flow/backlog.h
+++ b/src/flow/backlog.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <deque>
+#include <vector>
 
 #include "flow/record.h"
 
@@ -19,7 +20,7 @@
       ++dropped_[static_cast<std::size_t>(record.kind)];
       return;
     }
-    queues_[Rank(record.kind)].push_back(record);
+    queues_[RankOf(record.kind)].push_back(record);
     ++size_;
   }
   // Calls first, then attempts: after an outage the news that matters most goes ahead. Null when empty.
@@ -37,6 +38,23 @@
       return;
     }
   }
+  // The oldest of a rank, `most` at most, taken out: for the spool. Nothing left of a rank: empty.
+  std::vector<FlowRecord> Take(std::size_t rank, std::size_t most) {
+    auto& queue = queues_[rank];
+    const auto end = queue.begin() + static_cast<std::ptrdiff_t>(std::min(most, queue.size()));
+    std::vector<FlowRecord> taken(queue.begin(), end);
+    queue.erase(queue.begin(), end);
+    size_ -= taken.size();
+    return taken;
+  }
+  // Back to where they were, in the same order.
+  void PutBack(std::size_t rank, const std::vector<FlowRecord>& records) {
+    queues_[rank].insert(queues_[rank].begin(), records.begin(), records.end());
+    size_ += records.size();
+    while (size_ > most_ && MakeRoom(RecordKind::kCall)) {
+    }
+  }
+  std::size_t most() const { return most_; }
   std::size_t size() const { return size_; }
   std::uint64_t dropped(RecordKind kind) const { return dropped_[static_cast<std::size_t>(kind)]; }
   std::uint64_t dropped() const {
@@ -46,14 +64,9 @@
   }
 
  private:
-  // Sums of groups say in few records what many attempts say: they go behind calls only.
-  static std::size_t Rank(RecordKind kind) {
-    constexpr std::array<std::size_t, kRecordKinds> kRanks = {0, 2, 3, 1};
-    return kRanks[static_cast<std::size_t>(kind)];
-  }
   // Drops one that matters less than this kind, or as much but is older. False: there is none.
   bool MakeRoom(RecordKind kind) {
-    for (std::size_t rank = queues_.size(); rank-- > Rank(kind);) {
+    for (std::size_t rank = queues_.size(); rank-- > RankOf(kind);) {
       if (queues_[rank].empty()) continue;
       ++dropped_[static_cast<std::size_t>(queues_[rank].front().kind)];
       queues_[rank].pop_front();
--- a/src/flow/elements.h
+++ b/src/flow/elements.h
@@ -29,7 +29,7 @@
 enum class Source : std::uint8_t {
   kCall, kStart, kEnd, kDuration, kEndReason, kGroupIn, kGroupOut, kExchange, kOrigin, kDestination, kCalled, kCalling, kClass,
   kCustomer, kAnswer, kOutcome, kCause, kSetUp, kAttempts, kAttemptNumber, kTandem, kInTransit, kWidth, kPriority, kRules, kTried,
-  kSent, kStood, kTurnedBack, kLost,
+  kSent, kStood, kTurnedBack, kLost, kReplay, kSelector, kObserved, kSelected,
   kExportedRecords, kNotSent, kRingFull, kQueueFull, kSpoolFull, kSendFailed,
   kInfoEnterprise, kInfoElement, kInfoType, kInfoSemantics, kInfoName, kInfoDescription
 };
@@ -63,7 +63,7 @@
 std::span<const Element> OwnElements();
 // Numbers of the templates.
 enum TemplateId : std::uint16_t { kCallTemplate = 256, kAttemptTemplate = 257, kIntervalTemplate = 258, kGroupTemplate = 259,
-                                  kCountsTemplate = 260, kTypesTemplate = 261 };
+                                  kCountsTemplate = 260, kTypesTemplate = 261, kSamplesTemplate = 262 };
 
 }  // namespace croftrun::flow
 
--- a/src/flow/encode.cpp
+++ b/src/flow/encode.cpp
@@ -10,6 +10,7 @@
 constexpr std::uint16_t kV9TemplateSet = 0, kV9OptionsTemplateSet = 1;
 constexpr std::uint16_t kEnterpriseBit = 0x8000;
 constexpr std::uint16_t kV9ScopeSystem = 1;
+constexpr std::uint64_t kHashBased = 6;  // flowSelectorAlgorithm (RFC 7014, IANA)
 constexpr std::uint8_t kOrdered = 4;  // semantic of a list (RFC 6313 4.4)
 
 void Put(std::string* out, std::uint64_t value, std::size_t octets) {
@@ -114,17 +115,21 @@
 std::size_t Encoder::AddTypes(std::size_t from) {
   for (; from < types(); ++from) {
     const Info info{OwnElements()[from], settings_.enterprise};
-    if (!AddData(Templates()[kTypesTemplate - kCallTemplate], {nullptr, nullptr, &info})) break;
+    if (!AddData(Templates()[kTypesTemplate - kCallTemplate], {nullptr, nullptr, &info, nullptr})) break;
   }
   return from;
 }
 
 bool Encoder::Add(const FlowRecord& record) {
-  return AddData(Templates()[static_cast<std::size_t>(record.kind)], {&record, nullptr, nullptr});
+  return AddData(Templates()[static_cast<std::size_t>(record.kind)], {&record, nullptr, nullptr, nullptr});
 }
 
 bool Encoder::AddCounts(const ExportCounts& counts) {
-  return AddData(Templates()[kCountsTemplate - kCallTemplate], {nullptr, &counts, nullptr});
+  return AddData(Templates()[kCountsTemplate - kCallTemplate], {nullptr, &counts, nullptr, nullptr});
+}
+
+bool Encoder::AddSamples(const SampleCounts& samples) {
+  return AddData(Templates()[kSamplesTemplate - kCallTemplate], {nullptr, nullptr, nullptr, &samples});
 }
 
 bool Encoder::AddData(const Template& of, const Values& values) {
@@ -176,6 +181,11 @@
         return 0;
     }
   }
+  if (values.samples != nullptr) {
+    if (source == Source::kSelector) return kHashBased;
+    if (source == Source::kExchange) return settings_.domain;
+    return source == Source::kObserved ? values.samples->observed : values.samples->selected;
+  }
   const FlowRecord& r = *values.record;
   switch (source) {
     case Source::kCall:
@@ -228,6 +238,8 @@
       return r.turned_back;
     case Source::kLost:
       return r.lost;
+    case Source::kReplay:
+      return static_cast<std::uint64_t>(r.replay);
     default:
       return 0;
   }
--- a/src/flow/encode.h
+++ b/src/flow/encode.h
@@ -18,6 +18,11 @@
   std::uint64_t exported = 0, not_sent = 0, ring_full = 0, queue_full = 0, spool_full = 0, send_failed = 0;
 };
 
+// Of what is told of a part of the calls only.
+struct SampleCounts {
+  std::uint64_t observed = 0, selected = 0;
+};
+
 struct EncoderSettings {
   Protocol protocol = Protocol::kIpfix;
   std::uint32_t domain = 0;       // observation domain, source id: the exchange's number
@@ -41,6 +46,7 @@
   // False: the message is full; to be begun anew. A record that fits into no message is one that no settings make.
   bool Add(const FlowRecord& record);
   bool AddCounts(const ExportCounts& counts);
+  bool AddSamples(const SampleCounts& samples);
   bool empty() const { return records_ == 0 && !has_templates_; }
   std::size_t records() const { return records_; }
   // Header and all; valid until Begin. `unix_s`: export time; `up_ms`: since the exporter began (v9). Counts the records
@@ -57,6 +63,7 @@
     const FlowRecord* record = nullptr;
     const ExportCounts* counts = nullptr;
     const Info* info = nullptr;
+    const SampleCounts* samples = nullptr;
   };
   bool AddData(const Template& of, const Values& values);
   void OpenSet(std::uint16_t id);
--- a/src/flow/link_state.cpp
+++ b/src/flow/link_state.cpp
@@ -32,6 +32,12 @@
   connect_at_ = now + wait_ / 2 + chance_ % (wait_ / 2 + 1);
 }
 
+void LinkState::OnRenewed(std::uint64_t now) {
+  phase_ = Phase::kDown;
+  writing_since_.reset();
+  connect_at_ = now;
+}
+
 void LinkState::OnProgress(std::uint64_t now) {
   if (writing_since_) writing_since_ = now;
 }
--- a/src/flow/link_state.h
+++ b/src/flow/link_state.h
@@ -12,7 +12,10 @@
   std::uint64_t least_wait_us = 250'000;     // before the first attempt after a failure
   std::uint64_t longest_wait_us = 30'000'000;
   std::uint64_t connect_us = 5'000'000;      // a connection that takes longer is given up
-  std::uint64_t stall_us = 10'000'000;       // a write without progress for so long: it reads no more, or is half open
+  std::uint64_t stall_us = 10'000'000;       // nothing acknowledged for so long: it reads no more, or is half open
+  // A connection that falls sooner proves nothing: a collector that accepts and resets, or whose refusal of our certificate
+  // comes after the handshake (TLS 1.3), acknowledges octets that it never reads.
+  std::uint64_t prove_us = 1'000'000;
   std::uint64_t steady_us = 20'000'000;      // up so long, it is no flapping one
 };
 
@@ -33,10 +36,16 @@
   void OnUp(std::uint64_t now);
   // Refused, closed, reset, or given up here.
   void OnDown(std::uint64_t now);
-  void OnWriteBegun(std::uint64_t now) { writing_since_ = now; }
-  // Some octets went out.
+  // Closed here in order, to be made anew at once: no failure.
+  void OnRenewed(std::uint64_t now);
+  // Octets are under way from now on, or were already.
+  void OnWriteBegun(std::uint64_t now) { writing_since_ = writing_since_.value_or(now); }
+  // The other machine acknowledged some.
   void OnProgress(std::uint64_t now);
+  // All are acknowledged.
   void OnWriteDone(std::uint64_t now);
+  // Up for so long that what the other machine acknowledged is taken as read.
+  bool Proven(std::uint64_t now) const { return phase_ == Phase::kUp && now - since_ >= settings_.prove_us; }
   // When the present wait is to be given up; nothing while there is none.
   std::optional<std::uint64_t> GiveUpAt() const;
   // It is that late: the connection is to be closed, and OnDown follows.
--- a/src/flow/record.h
+++ b/src/flow/record.h
@@ -28,6 +28,10 @@
   char octets_[N] = {};
 };
 
+// Whether a collector may have had it before: told as it happened, from the spool, or after a connection or process ended
+// that may have told it.
+enum class Replay : std::uint8_t { kLive = 0, kSpooled = 1, kPossiblyRepeated = 2 };
+
 // Of flowEndReason (IPFIX element 136): how the thing ended.
 enum class EndReason : std::uint8_t { kNone = 0, kIdle = 1, kActive = 2, kEnd = 3, kForced = 4, kResources = 5 };
 
@@ -36,6 +40,7 @@
 
   RecordKind kind = RecordKind::kCall;
   EndReason end_reason = EndReason::kEnd;
+  Replay replay = Replay::kLive;
   std::uint64_t call = 0;
   // Unix time, milliseconds, by the wall clock when the record was made; the start is the end less a duration that no
   // clock step can touch.
@@ -63,6 +68,12 @@
   std::uint64_t sent = 0, stood = 0, turned_back = 0, lost = 0;
 };
 
+// What goes first, in memory and on disk: calls, then sums of groups, which say in few records what many attempts say.
+inline constexpr std::size_t RankOf(RecordKind kind) {
+  constexpr std::array<std::size_t, kRecordKinds> kRanks = {0, 2, 3, 1};
+  return kRanks[static_cast<std::size_t>(kind)];
+}
+
 }  // namespace croftrun::flow
 
 #endif  // CROFTRUN_FLOW_RECORD_H_
--- a/src/lab/collector.cpp
+++ b/src/lab/collector.cpp
@@ -14,6 +14,15 @@
 
 constexpr std::size_t kLargest = 65'536;
 constexpr auto kNap = std::chrono::milliseconds(1);
+constexpr auto kLinger = std::chrono::milliseconds(20);
+
+// What was begun on a socket that is closed now ends soon.
+void Drain(asio::io_context* context, const bool& done) {
+  while (!done) {
+    context->restart();
+    context->run_for(kNap);
+  }
+}
 
 }  // namespace
 
@@ -44,6 +53,8 @@
     const std::size_t size = socket.receive(asio::buffer(buffer), 0, error);
     if (error) {
       std::this_thread::sleep_for(kNap);
+    } else if (lose_one_in_ > 0 && ++datagrams_ % lose_one_in_ == 0) {
+      ++lost_datagrams;
     } else {
       Take({buffer.data(), size});
     }
@@ -61,37 +72,87 @@
     ++connections;
     if (mode == Mode::kReset) {
       socket.set_option(asio::socket_base::linger(true, 0));
+      continue;
+    }
+    decoder_.Forget();  // templates are of their connection
+    if (mode == Mode::kStall) {
+      socket.set_option(asio::socket_base::receive_buffer_size(4096));
+      while (running_) std::this_thread::sleep_for(kNap);
+    } else if (keys_ == nullptr) {
+      ReadStream(socket);
     } else {
-      ReadTcp(std::move(socket), mode == Mode::kStall);
+      asio::ssl::stream<tcp::socket> stream(std::move(socket), *keys_);
+      bool done = false;
+      boost::system::error_code failed;
+      stream.async_handshake(asio::ssl::stream_base::server, [&](const boost::system::error_code& e) {
+        done = true;
+        failed = e;
+      });
+      if (!Finish(done)) {
+        stream.lowest_layer().close();
+        Drain(&context_, done);
+      } else if (failed) {
+        // The alert that says why is let out before the connection goes.
+        boost::system::error_code ignored;
+        stream.lowest_layer().shutdown(tcp::socket::shutdown_send, ignored);
+        std::this_thread::sleep_for(kLinger);
+      } else {
+        ReadStream(stream);
+      }
     }
   }
 }
 
-void Collector::ReadTcp(tcp::socket socket, bool stall) {
-  decoder_.Forget();  // templates are of their connection
-  if (stall) socket.set_option(asio::socket_base::receive_buffer_size(4096));
-  socket.non_blocking(true);
-  std::string stream;
+bool Collector::Finish(const bool& done) {
+  while (running_ && !done) {
+    context_.restart();
+    context_.run_for(kNap);
+  }
+  return done;
+}
+
+template <typename Stream>
+void Collector::ReadStream(Stream& stream) {
+  std::string received;
   std::vector<char> buffer(kLargest);
-  while (running_) {
-    boost::system::error_code error = asio::error::would_block;
-    const std::size_t size = stall ? 0 : socket.read_some(asio::buffer(buffer), error);
-    if (error && error != asio::error::would_block) return;
-    if (size == 0) std::this_thread::sleep_for(kNap);
-    stream.append(buffer.data(), size);
+  boost::system::error_code error;
+  while (!error) {
+    bool done = false;
+    std::size_t size = 0;
+    stream.async_read_some(asio::buffer(buffer), [&](const boost::system::error_code& e, std::size_t n) {
+      done = true;
+      error = e;
+      size = n;
+    });
+    if (!Finish(done)) {
+      stream.lowest_layer().close();
+      Drain(&context_, done);
+      return;
+    }
+    received.append(buffer.data(), size);
     std::size_t taken = 0;
     while (true) {
-      const std::string_view rest = std::string_view(stream).substr(taken);
+      const std::string_view rest = std::string_view(received).substr(taken);
       const std::size_t length = flow::Decoder::LengthOfNext(rest);
       if (length == 0 || length > rest.size()) break;
       Take(rest.substr(0, length));
       taken += length;
     }
-    stream.erase(0, taken);
+    received.erase(0, taken);
   }
 }
 
+void Collector::UseTls(const std::string& certificate, const std::string& key, const std::string& authorities) {
+  keys_ = std::make_unique<asio::ssl::context>(asio::ssl::context::tls_server);
+  keys_->use_certificate_chain_file(certificate);
+  keys_->use_private_key_file(key, asio::ssl::context::pem);
+  if (authorities.empty()) return;
+  keys_->load_verify_file(authorities);
+  keys_->set_verify_mode(asio::ssl::verify_peer | asio::ssl::verify_fail_if_no_peer_cert);
+}
+
 void Collector::Take(std::string_view message) {
+  if (on_message_) on_message_(message);
   decoder_.Message(
       message,
       [this](const flow::DecodedRecord& record) {
@@ -104,6 +165,13 @@
           told_not_sent = record.Number(flow::Source::kNotSent);
           told_exported = record.Number(flow::Source::kExportedRecords);
         }
+        if (record.template_id == flow::kCallTemplate || record.template_id == flow::kAttemptTemplate) {
+          const std::uint64_t replay = record.Number(flow::Source::kReplay);
+          spooled += replay == static_cast<std::uint64_t>(flow::Replay::kSpooled) ? 1 : 0;
+          if (replay != 0)
+            last_old_us = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+          possibly_repeated += replay == static_cast<std::uint64_t>(flow::Replay::kPossiblyRepeated) ? 1 : 0;
+        }
         if (on_record_) on_record_(record);
       },
       nullptr);
--- a/src/lab/collector.h
+++ b/src/lab/collector.h
@@ -1,11 +1,14 @@
-// The stand-in collector: reads flow records over UDP or one TCP connection after the other by its own decoder, counts them,
-// and misbehaves on demand. A thread of its own.
+// The stand-in collector: reads flow records over UDP or one TCP or TLS connection after the other by its own decoder, counts
+// them, and misbehaves on demand. A thread of its own. After Stop it can be started again, as one that was restarted.
 #ifndef CROFTRUN_LAB_COLLECTOR_H_
 #define CROFTRUN_LAB_COLLECTOR_H_
 
 #include <atomic>
 #include <boost/asio.hpp>
+#include <boost/asio/ssl.hpp>
 #include <functional>
+#include <memory>
+#include <string>
 #include <thread>
 
 #include "core/runtime.h"
@@ -22,14 +25,22 @@
   Collector(const Collector&) = delete;
   Collector& operator=(const Collector&) = delete;
 
-  // Called on the collector's thread for each record; to be set before the start.
+  // Called on the collector's thread for each record and each whole message; to be set before the start.
   void OnRecord(flow::Decoder::OnRecord on_record) { on_record_ = std::move(on_record); }
-  // Throw boost::system::system_error where the address cannot be bound.
+  void OnMessage(std::function<void(std::string_view)> on_message) { on_message_ = std::move(on_message); }
+  // Over UDP one datagram in so many is lost; 0: none.
+  void LoseOneIn(std::uint64_t datagrams) { lose_one_in_ = datagrams; }
+  // Connections are over TLS; with authorities only clients that show a certificate of theirs are let in.
+  void UseTls(const std::string& certificate, const std::string& key, const std::string& authorities);
+  // Throw boost::system::system_error where the address cannot be bound or a file is at fault.
   void StartUdp();
   void StartTcp(Mode mode);
   void Stop();
 
-  std::atomic<std::uint64_t> calls{0}, attempts{0}, groups{0}, intervals{0}, connections{0};
+  std::atomic<std::uint64_t> calls{0}, attempts{0}, groups{0}, intervals{0}, connections{0}, lost_datagrams{0};
+  // Steady clock, microseconds: when a record last came that was not told as it happened.
+  std::atomic<std::int64_t> last_old_us{0};
+  std::atomic<std::uint64_t> spooled{0}, possibly_repeated{0};  // of calls and attempts
   // Once stopped.
   const flow::Decoder& decoder() const { return decoder_; }
   std::uint64_t told_not_sent = 0, told_exported = 0, types = 0;
@@ -37,7 +48,10 @@
  private:
   void ReadUdp(boost::asio::ip::udp::socket socket);
   void Accept(boost::asio::ip::tcp::acceptor acceptor, Mode mode);
-  void ReadTcp(boost::asio::ip::tcp::socket socket, bool stall);
+  template <typename Stream>
+  void ReadStream(Stream& stream);
+  // Runs what was begun until it is done or the collector is stopped.
+  bool Finish(const bool& done);
   void Take(std::string_view message);
 
   core::Address address_;
@@ -46,6 +60,9 @@
   std::thread thread_;
   flow::Decoder decoder_;
   flow::Decoder::OnRecord on_record_;
+  std::function<void(std::string_view)> on_message_;
+  std::uint64_t lose_one_in_ = 0, datagrams_ = 0;
+  std::unique_ptr<boost::asio::ssl::context> keys_;
 };
 
 }  // namespace croftrun::lab
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -345,7 +345,7 @@
   } else if (fault.kind == "roster-late") {
     roster_.SetLag(scenario_.roster_lag_us + static_cast<TimeUs>(fault.size * 1000.0));
   } else if (fault.kind == "circuits-lost") {
-    network_.CutCircuits(fault.zone, fault.size);
+    network_.CutCircuits(fault.zone, fault.exchanges, fault.size);
   } else if (fault.kind == "hot-caller") {
     for (const int number : fault.exchanges) {
       if (number < scenario_.edges) hot_.insert(number);
--- a/src/lab/network.cpp
+++ b/src/lab/network.cpp
@@ -337,9 +337,11 @@
                               {"fall_ms", p.fall_us / 1000}});
 }
 
-void Network::CutCircuits(int zone, double keep) {
+void Network::CutCircuits(int zone, const std::vector<int>& among, double keep) {
+  const auto listed = [&](int number) { return std::find(among.begin(), among.end(), number) != among.end(); };
   for (auto& [pair, circuits] : groups_) {
-    if ((At(pair.first).zone == zone) == (At(pair.second).zone == zone)) continue;
+    const bool hit = among.empty() ? (At(pair.first).zone == zone) != (At(pair.second).zone == zone) : listed(pair.first) && listed(pair.second);
+    if (!hit) continue;
     const auto kept = static_cast<unsigned>(std::ceil(keep * static_cast<double>(circuits.size())));
     for (unsigned i = kept; i < circuits.size(); ++i) {
       circuits[i].blocked = true;
--- a/src/lab/network.h
+++ b/src/lab/network.h
@@ -119,7 +119,8 @@
   // ---- troubles ----
   void Kill(int number);       // its processor dies; what touches it is cut
   void Start(int number);      // back, cold
-  void CutCircuits(int zone, double keep);  // groups between `zone` and the others keep this share
+  // Groups among these exchanges keep this share of their circuits; with none listed, those between `zone` and the others.
+  void CutCircuits(int zone, const std::vector<int>& among, double keep);
   void RestoreCircuits();
 
   TimeUs Way(int a, int b) const;
--- a/src/lab/rules.cpp
+++ b/src/lab/rules.cpp
@@ -71,6 +71,12 @@
   return "edge of exchange " + std::to_string(edge.number) + ", " + std::string(endpoint);
 }
 
+std::map<int, RuleChecker::Work> RuleChecker::work() const {
+  std::map<int, Work> by_number;
+  for (const auto& [host, edge] : edges_) by_number[edge.number] = edge.work;
+  return by_number;
+}
+
 void RuleChecker::Take(const TraceRecord& record) {
   last_ = std::max(last_, record.at_us);
   if (!record.fact.empty()) return OnFact(record);
@@ -152,7 +158,9 @@
 void RuleChecker::Forget(Edge& edge) {
   const auto number = edge.number;
   const auto edge_address = edge.edge, gateway = edge.gateway;
+  const Work work = edge.work;
   edge = Edge{};
+  edge.work = work;
   edge.number = number;
   edge.edge = edge_address;
   edge.gateway = gateway;
@@ -251,6 +259,7 @@
   if (message.code >= 300 && answer.empty()) return;
   const bool line = endpoint.rfind(wire_names::kLines, 0) == 0;
   ++(line ? taken_ : transit_);
+  ++edge.work.calls;
   Check(Rule::kOneAnswer);
   const auto before = edge.owed.find(endpoint);
   if (before != edge.owed.end() && !before->second.answered && before->second.over_at == 0)
@@ -306,6 +315,7 @@
   const std::string key = origin == edge.number ? "own " + id : std::to_string(origin) + " " + id;
   CallerState& caller = edge.callers[key];
 
+  ++edge.work.set_ups;
   Check(Rule::kOneAttempt);
   if (caller.attempt.out)
     Break(Rule::kOneAttempt, at, Where(edge, circuit),
--- a/src/lab/rules.h
+++ b/src/lab/rules.h
@@ -48,6 +48,11 @@
   // Edges named in the trace; without any, nothing could be checked.
   std::size_t edges() const { return edges_.size(); }
   std::string Summary() const;
+  // Of one edge: calls taken from lines and from other exchanges, and set-ups sent, its repeats not counted.
+  struct Work {
+    std::uint64_t calls = 0, set_ups = 0;
+  };
+  std::map<int, Work> work() const;
 
  private:
   // The answer owed to a line, or to the exchange that sent a call here.
@@ -76,6 +81,7 @@
   };
   struct Edge {
     int number = -1;
+    Work work;
     core::Address edge, gateway;
     std::map<std::string, Owed> owed;            // by endpoint: lines and incoming circuits
     std::map<std::string, CallerState> callers;  // by origin and calling line
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -142,6 +142,11 @@
 core::Address EdgeAddress(const Scenario& s, int number) { return AddressOf(s.octet, number, 2727); }
 core::Address GatewayAddress(const Scenario& s, int number) { return AddressOf(s.octet + 1, number, 2427); }
 core::Address RosterAddress(const Scenario& s) { return AddressOf(s.octet + 2, 0, 4000); }
+core::Address CollectorAddress(const Scenario& s, int number) {
+  core::Address address = GatewayAddress(s, number);
+  address.port = 4739;
+  return address;
+}
 std::string DomainOf(int number) { return "gw" + std::to_string(number) + ".lab"; }
 
 std::string EdgeSettingsFor(const Scenario& s, int number, const std::string& log_file) {
@@ -191,6 +196,10 @@
                      {"tells_wait", s.processor.tells_wait}};
   if (!s.processor.reports.empty()) file["network"]["reports"] = json::array({s.processor.reports});
   if (!s.edge_rules.empty()) file["rules"] = s.edge_rules;
+  if (!s.flow_folder.empty()) {
+    const std::string spool = s.flow_folder + "/spool-" + std::to_string(number);
+    file["flow"] = {{"collectors", {{{"address", core::ToString(CollectorAddress(s, number))}, {"transport", "tcp"}, {"spool", {{"folder", spool}}}}}}};
+  }
   // The lab's machine is not the network that T-HIST was made for: answers are kept for a shorter time.
   file["transactions"] = {{"history_ms", 10'000}, {"give_up_ms", 8'000}};
   file["log"] = {{"level", "info"}, {"file", log_file}};
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -61,6 +61,8 @@
   std::pair<TimeUs, TimeUs> redial_us = {200'000, 800'000};
   double early_hang_up = 0.0;
   std::vector<Fault> faults;
+  // Every edge exports flows to the collector beside its gateway, with a spool in this folder; empty: none does.
+  std::string flow_folder;
 };
 
 std::string_view ScenarioSchema();
@@ -69,6 +71,7 @@
 core::Address EdgeAddress(const Scenario& scenario, int number);
 core::Address GatewayAddress(const Scenario& scenario, int number);
 core::Address RosterAddress(const Scenario& scenario);
+core::Address CollectorAddress(const Scenario& scenario, int number);
 std::string DomainOf(int number);
 // The settings of the edge of exchange `number`, as JSON.
 std::string EdgeSettingsFor(const Scenario& scenario, int number, const std::string& log_file);
--- a/tests/cli_test.sh
+++ b/tests/cli_test.sh
@@ -36,6 +36,26 @@
 expect 0 "good settings" "fine" -- "$cli" config check "$work/edge.json"
 expect 0 "settings with defaults" '"answer_margin_ms": 20' -- "$cli" config show "$work/edge.json"
 
+# Flow export: every mistake at once, each with its place.
+sed 's|"network": {}}|"network": {}, "flow": {"collectors": [\
+  {"address": "127.0.0.1:1", "transport": "tls"}, {"address": "x"}, {"address": "127.0.0.1:2", "tls": {"authorities": "a.pem"}},\
+  {"address": "127.0.0.1:3", "transport": "tls", "tls": {"authorities": "a.pem", "key": "k.pem"}},\
+  {"address": "127.0.0.1:4", "spool": {"folder": "s"}}, {"address": "127.0.0.1:5", "spool": {"folder": "s"}},\
+  {"address": "127.0.0.1:6", "transport": "tcp", "protocol": "netflow9"}]}}|' "$work/edge.json" >"$work/flow.json"
+expect 3 "TLS without authorities" "/flow/collectors/0/tls: expected authorities" -- "$cli" config check "$work/flow.json"
+expect 3 "no address" '/flow/collectors/1/address: expected an address as 127.0.0.1:4739, found "x"' -- "$cli" config check "$work/flow.json"
+expect 3 "TLS files beside UDP" "/flow/collectors/2/tls: expected transport tls beside it, found udp" -- "$cli" config check "$work/flow.json"
+expect 3 "a key alone" "/flow/collectors/3/tls: expected certificate and key together" -- "$cli" config check "$work/flow.json"
+expect 3 "two spools in one folder" '/flow/collectors/5/spool/folder: expected a folder of its own' -- "$cli" config check "$work/flow.json"
+expect 3 "NetFlow over TCP" "/flow/collectors/6/protocol: expected ipfix over tcp" -- "$cli" config check "$work/flow.json"
+expect 3 "no flow file" "cannot read" -- "$cli" flow decode "$work/none.ipfix"
+printf 'not a message at all' >"$work/wrong.ipfix"
+expect 3 "no flow message" "octet 0: " -- "$cli" flow report "$work/wrong.ipfix" --split-ms 1
+: >"$work/empty.ipfix"
+expect 2 "a mark without a text" "expected SECONDS=TEXT" -- "$cli" flow report "$work/empty.ipfix" --svg "$work/x.svg" --mark 15
+expect 4 "a picture nowhere" "cannot write" -- "$cli" flow report "$work/empty.ipfix" --svg "$work/none/x.svg"
+expect 2 "a certificate without its key" "requires --key" -- "$cli" flow decode 127.0.0.1:24799 --certificate "$work/c.pem"
+
 expect 3 "no trace" "cannot read" -- "$cli" verdict "$work/none.jsonl"
 echo '{"t":1,"fact":"relief"}' >"$work/empty.jsonl"
 expect 3 "a trace of nothing" "names no edge" -- "$cli" verdict "$work/empty.jsonl"
--- a/tests/flow_codec_test.cpp
+++ b/tests/flow_codec_test.cpp
@@ -3,10 +3,15 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <atomic>
+#include <chrono>
 #include <cstdio>
+#include <memory>
+#include <thread>
 
 #include "flow/decode.h"
 #include "flow/encode.h"
+#include "flow/exporter.h"
 
 namespace croftrun::flow {
 namespace {
@@ -198,7 +203,9 @@
   std::string error;
 };
 
-FixbufResult ReadByFixbuf(const std::string& file) {
+// `open` makes the buffer that it reads from, with its session.
+template <typename Open>
+FixbufResult ReadByFixbuf(Open open, std::size_t most_calls = ~std::size_t{0}) {
   FixbufResult result;
   fbInfoModel_t* model = fbInfoModelAlloc();
   std::vector<std::string> names;
@@ -232,10 +239,12 @@
     result.error = error->message;
     return result;
   }
-  std::FILE* stream = std::fopen(file.c_str(), "rb");
-  fbCollector_t* collector = fbCollectorAllocFP(nullptr, stream);
-  fBuf_t* buffer = fBufAllocForCollection(session, collector);
-  while (true) {
+  fBuf_t* buffer = open(session, &error);
+  if (buffer == nullptr) {
+    result.error = error != nullptr ? error->message : "no connection";
+    return result;
+  }
+  while (result.calls.size() < most_calls) {
     std::uint16_t id = 0;
     fbTemplate_t* of = fBufNextCollectionTemplate(buffer, &id, &error);
     if (of == nullptr) {
@@ -265,9 +274,6 @@
     }
     fbBasicListClear(&call.tried);
   }
-  fBufFree(buffer);
-  std::fclose(stream);
-  fbInfoModelFree(model);
   return result;
 }
 
@@ -285,7 +291,13 @@
   messages.push_back(encoder.Finish(1'796'000'006, 6000));
   for (const std::string& message : messages) std::fwrite(message.data(), 1, message.size(), out);
   std::fclose(out);
-  const FixbufResult read = ReadByFixbuf(file);
+  std::FILE* stream = std::fopen(file.c_str(), "rb");
+  fBuf_t* buffer = nullptr;
+  const FixbufResult read = ReadByFixbuf([&](fbSession_t* session, GError**) {
+    return buffer = fBufAllocForCollection(session, fbCollectorAllocFP(nullptr, stream));
+  });
+  fBufFree(buffer);
+  std::fclose(stream);
   std::remove(file.c_str());
   EXPECT_EQ(read.error, "");
   ASSERT_EQ(read.calls.size(), 150U);
@@ -302,5 +314,65 @@
   EXPECT_EQ(read.tried[1], (std::vector<std::uint32_t>{5, 7}));
 }
 
+// The exporter's own stream, as it comes. The listener's thread is the test's; records are fed by another.
+class FixbufLive : public testing::TestWithParam<Transport> {};
+
+TEST_P(FixbufLive, ReadsWhatTheExporterSends) {
+  const bool tcp = GetParam() == Transport::kTcp;
+  constexpr std::size_t kCalls = 500;
+  const std::string service = tcp ? "24761" : "24762";
+  fbConnSpec_t spec{};
+  spec.transport = tcp ? FB_TCP : FB_UDP;
+  spec.host = const_cast<char*>("127.0.0.1");
+  spec.svc = const_cast<char*>(service.c_str());
+  Ring ring(16'384);
+  std::unique_ptr<Exporter> exporter;
+  fbListener_t* listener = nullptr;
+  fBuf_t* buffer = nullptr;
+  std::atomic<bool> done{false};
+  std::jthread feed;
+  const FixbufResult read = ReadByFixbuf(
+      [&](fbSession_t* session, GError** error) -> fBuf_t* {
+        listener = fbListenerAlloc(&spec, session, nullptr, nullptr, error);
+        if (listener == nullptr) return nullptr;
+        feed = std::jthread([&] {
+          ExporterSettings settings;
+          settings.exchange = 3;
+          settings.classes = {"slot-check", "slot-hold"};
+          settings.poll_us = 1000;
+          CollectorSettings to;
+          to.address = {0x7f000001, static_cast<std::uint16_t>(tcp ? 24761 : 24762)};
+          to.transport = GetParam();
+          to.link.least_wait_us = 10'000;
+          settings.collectors = {to};
+          exporter = std::make_unique<Exporter>(settings, &ring);
+          for (std::uint64_t i = 0; i < kCalls; ++i) {
+            ring.Push(Call(i));
+            ring.Push(Attempt(i));
+            if (i % 100 == 99) std::this_thread::sleep_for(std::chrono::milliseconds(3));
+          }
+          exporter->Stop();
+          // A reader that waits for more than comes ends all the same.
+          for (int i = 0; i < 10'000 && !done; ++i) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+          if (!done && buffer != nullptr) fBufInterruptSocket(buffer);
+        });
+        return buffer = fbListenerWait(listener, error);
+      },
+      kCalls);
+  done = true;
+  feed.join();
+  EXPECT_EQ(read.error, "");
+  ASSERT_EQ(read.calls.size(), kCalls);
+  for (std::uint64_t i = 0; i < kCalls; ++i) EXPECT_EQ(read.calls[i].call, i);
+  EXPECT_EQ(read.types, OwnElements().size());
+  EXPECT_EQ(read.called[1], "2100200017");
+  EXPECT_EQ(read.classes[1], "slot-hold");
+  EXPECT_EQ(read.tried[1], (std::vector<std::uint32_t>{5, 7}));
+  if (tcp) fBufFree(buffer);
+  fbListenerFree(listener);
+}
+
+INSTANTIATE_TEST_SUITE_P(Streams, FixbufLive, testing::Values(Transport::kTcp, Transport::kUdp));
+
 }  // namespace
 }  // namespace croftrun::flow
--- a/tests/flow_export_test.cpp
+++ b/tests/flow_export_test.cpp
@@ -87,6 +87,21 @@
   EXPECT_EQ(link.counters().stalls, 1U);
 }
 
+TEST(LinkState, AConnectionMadeAnewInOrderIsNoFailureAndOneThatIsYoungProvesNothing) {
+  LinkSettings settings;
+  LinkState link(settings, 1);
+  link.OnConnecting(0);
+  EXPECT_FALSE(link.Proven(10 * kSecond));
+  link.OnUp(10);
+  EXPECT_FALSE(link.Proven(9 + settings.prove_us));
+  EXPECT_TRUE(link.Proven(10 + settings.prove_us));
+  link.OnWriteBegun(100);
+  link.OnRenewed(kSecond);
+  EXPECT_EQ(link.connect_at(), kSecond);
+  EXPECT_EQ(link.counters().failures, 0U);
+  EXPECT_FALSE(link.Overdue(1000 * kSecond));
+}
+
 TEST(Backlog, WhenFullTheLeastImportantGoesOldestFirst) {
   Backlog backlog(4);
   backlog.Push(Of(RecordKind::kInterval, 1));
@@ -301,6 +316,7 @@
   const CollectorFigures figures = exporter.Figures()[0];
   EXPECT_GT(figures.failures, 2U);
   EXPECT_LT(collector.connections, 60U);
+  EXPECT_EQ(figures.sent, 0U);  // its machine acknowledged some, but it fell at once
   EXPECT_EQ(figures.taken, figures.sent + figures.queue_full + figures.send_failed + figures.waiting);
 }
 
