The door stands before the core, for calls from lines; nothing changes where it is not set

Change: edge/intake between the fronts and the core: a call waits there under the id it will have, is let in, refused in the answer to its notification, or gone when its caller hangs up; each is counted and leaves its flow record. Settings `door` and weights of customers. A refusal before a call is taken no longer overtakes the acknowledgement of its digits, nor answers for another call that is refused while the digits are looked at. ASan found a reference into an entry that its own removal erased (FairQueue::TakeOut): by value now.

--- a/src/core/call_core.cpp
+++ b/src/core/call_core.cpp
@@ -195,9 +195,13 @@
 
 // ---- fronts ----
 
-CallId CallCore::NewCall(const Offer& offer, Subscriber* subscriber, int origin) {
+CallId CallCore::Reserve() {
   while (next_call_ == 0 || calls_.count(next_call_) > 0) ++next_call_;
-  const CallId id = next_call_++;
+  return next_call_++;
+}
+
+CallId CallCore::NewCall(const Offer& offer, Subscriber* subscriber, int origin, CallId reserved) {
+  const CallId id = reserved != 0 ? reserved : Reserve();
   Call& call = calls_[id];
   call.offer = offer;
   call.subscriber = subscriber;
@@ -225,10 +229,24 @@
   return true;
 }
 
-CallId CallCore::Take(const Offer& offer, Subscriber* subscriber) {
+void CallCore::TakeRefused(const Offer& offer, Subscriber* subscriber, CallId reserved, TimeUs pause_us) {
+  ++counters_.offered;
+  ++counters_.refused_door;
+  const CallId id = NewCall(offer, subscriber, own_number(), reserved);
+  GiveFinal(id, calls_[id], {FinalKind::kRefused, pause_us, ReleaseCause::kCongestion});
+}
+
+void CallCore::TakeHungUp(const Offer& offer, CallId reserved) {
+  ++counters_.offered;
+  ++counters_.hung_up;
+  NewCall(offer, nullptr, own_number(), reserved);
+  Forget(reserved, {});
+}
+
+CallId CallCore::Take(const Offer& offer, Subscriber* subscriber, CallId reserved) {
   ++counters_.offered;
   const bool refused = RefusedAtOnce();
-  const CallId id = NewCall(offer, subscriber, own_number());
+  const CallId id = NewCall(offer, subscriber, own_number(), reserved);
   if (refused) {
     GiveFinal(id, calls_[id], {FinalKind::kRefused, 0, ReleaseCause::kCongestion});
     return id;
--- a/src/core/call_core.h
+++ b/src/core/call_core.h
@@ -184,7 +184,7 @@
   std::uint64_t offered = 0, incoming = 0, terminating = 0;
   std::uint64_t stands = 0, refused = 0, failed = 0, hung_up = 0;
   std::uint64_t attempts = 0, moot = 0, timeouts = 0, cut = 0, ended = 0;
-  std::uint64_t refused_full = 0, refused_stopping = 0, refused_overload = 0, overdue = 0, glare = 0, stale_answers = 0;
+  std::uint64_t refused_full = 0, refused_stopping = 0, refused_overload = 0, refused_door = 0, overdue = 0, glare = 0, stale_answers = 0;
 };
 
 class CallCore {
@@ -199,7 +199,14 @@
 
   // ---- fronts ----
   // Takes a call. Its answer may come from within this call. Returns its id, also when it is over by then.
-  CallId Take(const Offer& offer, Subscriber* subscriber);
+  // `reserved`: an id of Reserve, 0 for a fresh one.
+  CallId Take(const Offer& offer, Subscriber* subscriber, CallId reserved = 0);
+  // An id for a call that is to come.
+  CallId Reserve();
+  // A call that the door refused: it is counted, told to the observers and answered, and the module never hears of it.
+  void TakeRefused(const Offer& offer, Subscriber* subscriber, CallId reserved, TimeUs pause_us);
+  // A call whose caller hung up at the door: counted and told to the observers.
+  void TakeHungUp(const Offer& offer, CallId reserved);
   void HangUp(CallId call);
   // The media description of the caller's side, once it is connected.
   void OnCallerSession(CallId call, std::string_view session);
@@ -279,7 +286,7 @@
   Call* Find(CallId id);
   // Why a new call is refused before any work is spent on it; false: it is not.
   bool RefusedAtOnce();
-  CallId NewCall(const Offer& offer, Subscriber* subscriber, int origin);
+  CallId NewCall(const Offer& offer, Subscriber* subscriber, int origin, CallId reserved = 0);
   void Begin(CallId id);
   void OnDeadline(CallId id);
   void OnAttemptTimeout(CallId id, int attempt);
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -164,6 +164,15 @@
   if (!kept_.Remove(call) && !queue_.Remove(call)) OnAnswered(call, false, now, verdicts);
 }
 
+void Door::Close(std::vector<Verdict>* verdicts) {
+  for (FairQueue* queue : {&kept_, &queue_}) {
+    while (const auto one = queue->GiveWay()) {
+      ++counters_.refused;
+      verdicts->push_back({one->call, false, 0, false});
+    }
+  }
+}
+
 void Door::OnTime(TimeUs now, std::vector<Verdict>* verdicts) {
   for (FairQueue* queue : {&kept_, &queue_}) {
     while (const auto late = queue->Expired(now)) {
--- a/src/door/door.h
+++ b/src/door/door.h
@@ -71,6 +71,8 @@
   void OnAnswered(CallId call, bool stands, TimeUs now, std::vector<Verdict>* verdicts);
   // A caller hung up while the call waited.
   void OnGone(CallId call, TimeUs now, std::vector<Verdict>* verdicts);
+  // Whoever waits is refused, without a time to come back: nobody knows who will be here then.
+  void Close(std::vector<Verdict>* verdicts);
   // Whoever can no longer be answered in time is answered now. To be called by NextAt.
   void OnTime(TimeUs now, std::vector<Verdict>* verdicts);
   std::optional<TimeUs> NextAt() const;
--- a/src/door/fair_queue.cpp
+++ b/src/door/fair_queue.cpp
@@ -32,7 +32,7 @@
   return TakeOut({whose, of, std::prev(of->waiting.end())});
 }
 
-Waiting FairQueue::TakeOut(const Place& place) {
+Waiting FairQueue::TakeOut(const Place place) {
   const Waiting waiting = *place.at;
   Customer& customer = customers_.at(place.customer);
   const std::uint64_t key = place.flow->key;
--- a/src/door/fair_queue.h
+++ b/src/door/fair_queue.h
@@ -64,7 +64,7 @@
     std::list<Waiting>::iterator at;
   };
   double WeightOf(int customer) const;
-  Waiting TakeOut(const Place& place);
+  Waiting TakeOut(Place place);  // by value: its own entry goes
 
   std::size_t most_;
   std::vector<double> weights_;
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -24,7 +24,8 @@
       transactions_(runtime, settings.listen, settings.transactions,
                     [this](auto command, const auto& from, const auto& message) { OnCommand(command, from, message); }),
       core_(CoreSettingsOf(settings, runtime), runtime, log),
-      lines_(settings, runtime, &core_, &transactions_, log),
+      intake_(settings.door, settings.core.answer_margin_us, runtime, &core_),
+      lines_(settings, runtime, &core_, &intake_, &transactions_, log),
       trunks_(settings, runtime, &core_, &transactions_),
       stopping_(runtime) {
   core_.SetTrunks(&trunks_);
@@ -59,6 +60,7 @@
 
 void EdgeNode::Stop(std::function<void()> done) {
   core_.StopTaking();
+  intake_.StopTaking();
   log_->Write(core::LogLevel::kInfo, "stopping", 0, std::to_string(core_.open_calls()) + " calls up");
   WaitForCalls(runtime_->Now() + settings_.shutdown_limit_us, std::move(done));
 }
@@ -92,6 +94,7 @@
         {"refused_full", c.refused_full},
         {"refused_stopping", c.refused_stopping},
         {"refused_overload", c.refused_overload},
+        {"refused_door", c.refused_door},
         {"overdue", c.overdue},
         {"glare", c.glare},
         {"stale_answers", c.stale_answers}}},
@@ -130,6 +133,14 @@
         {"rung", l.rung},
         {"ignored_events", l.ignored_events},
         {"restarts", l.restarts}}}};
+  if (const door::Door* door = intake_.door()) {
+    const door::Door::Counters& d = door->counters();
+    metrics["door"] = {{"waiting", door->waiting()}, {"under_way", door->under_way()}, {"limit", door->limit()},
+                       {"table_bytes", door->table_bytes()}, {"knocks", d.knocks}, {"admitted", d.admitted},
+                       {"waited", d.waited}, {"refused", d.refused}, {"early", d.early}, {"overdue", d.overdue},
+                       {"gave_way", d.gave_way}, {"over_limit", d.over_limit}, {"promised", d.promised},
+                       {"as_told", d.as_told}, {"as_told_admitted", d.as_told_admitted}};
+  }
   for (const core::GroupSettings& group : settings_.core.groups) {
     const core::CircuitGroup* circuits = core_.Group(group.number);
     nlohmann::json states;
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -44,6 +44,7 @@
   core::LogSink* log_;
   mgcp::Transactions transactions_;
   core::CallCore core_;
+  Intake intake_;
   LineFront lines_;
   TrunkGateway trunks_;
   std::unique_ptr<RosterClient> roster_;
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -35,6 +35,7 @@
     ReadRules(file, &s);
     ReadFlow(file, &s);
     ReadNetwork(file.at("network"), &s.core.module);
+    ReadDoor(file, &s);
     if (file.contains("transactions")) ReadTransactions(file.at("transactions"), &s.transactions);
     if (file.contains("log")) {
       s.log_level = file.at("log").value("level", s.log_level);
@@ -188,6 +189,38 @@
       Mistake(path + std::to_string(fault.line - (lines_of_list ? 1 : 0)), "column " + std::to_string(fault.column) + ": " + fault.text + "\n" + fault.shown);
   }
 
+  void ReadDoor(const json& file, EdgeSettings* s) {
+    if (!file.contains("door")) return;
+    const json& d = file.at("door");
+    door::DoorSettings door;
+    Value(d, "most_waiting", &door.most_waiting);
+    Value(d, "clients", &door.clients.most);
+    Value(d, "promises", &door.promises.most);
+    Value(d, "first_limit", &door.limiter.first);
+    Value(d, "least_limit", &door.limiter.least);
+    Value(d, "most_limit", &door.limiter.most);
+    Value(d, "calls_per_s", &door.all.per_s);
+    Value(d, "burst", &door.all.burst);
+    Value(d, "client_calls_per_s", &door.clients.per_s);
+    Value(d, "client_burst", &door.clients.burst);
+    Time(d, "prove_ms", &door.clients.prove_us);
+    Time(d, "least_pause_ms", &door.least_pause_us);
+    if (door.limiter.least > door.limiter.most) Mistake("/door/least_limit", "expected no more than most_limit, found more");
+    // A pause is stated as the site allows, or not at all.
+    const Settings& m = s->core.module;
+    door.longest_pause_us = m.honours_pause ? m.longest_pause_us : 0;
+    if (file.contains("customers")) {
+      for (const json& entry : file.at("customers")) {
+        door::CustomerSettings customer;
+        Value(entry, "weight", &customer.weight);
+        Value(entry, "door_calls_per_s", &customer.limit.per_s);
+        Value(entry, "door_burst", &customer.limit.burst);
+        door.customers.push_back(customer);
+      }
+    }
+    s->door = std::move(door);
+  }
+
   void ReadTls(const json& entry, const std::string& path, const std::string& transport, flow::TlsFiles* tls) {
     if (entry.contains("tls") != (transport == "tls")) {
       Mistake(path + "/tls", transport == "tls" ? "expected authorities at least, found nothing" : "expected transport tls beside it, found " + transport);
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -13,6 +13,7 @@
 #include "core/call_core.h"
 #include "core/number_plan.h"
 #include "edge/classifier.h"
+#include "door/door.h"
 #include "flow/exporter.h"
 #include "flow/recorder.h"
 #include "mgcp/transactions.h"
@@ -50,6 +51,7 @@
   std::shared_ptr<const Classifier> classifier;  // null: no rules
   std::optional<RosterSettings> roster;
   std::optional<FlowSettings> flow;
+  std::optional<door::DoorSettings> door;
   mgcp::TransactionSettings transactions;
   TimeUs shutdown_limit_us = 30'000'000;
   TimeUs audit_us = 2'000'000;
--- a/src/edge/line_front.cpp
+++ b/src/edge/line_front.cpp
@@ -28,11 +28,12 @@
   return Hex(static_cast<std::uint64_t>(own_number)) + "F" + Hex(call);
 }
 
-LineFront::LineFront(const EdgeSettings& settings, core::Runtime* runtime, core::CallCore* core,
+LineFront::LineFront(const EdgeSettings& settings, core::Runtime* runtime, core::CallCore* core, Intake* intake,
                      mgcp::Transactions* transactions, core::LogSink* log)
     : settings_(settings),
       runtime_(runtime),
       core_(core),
+      intake_(intake),
       transactions_(transactions),
       log_(log),
       lines_(static_cast<std::size_t>(settings.lines.count) + 1),
@@ -243,7 +244,7 @@
   line.state = State::kCalling;
   line.called = false;
   dialling_ = number;
-  const CallId call = core_->Take(offer, this);
+  const CallId call = intake_->Take(offer, this, offer.calling);
   dialling_ = 0;
   // Answered from within, the line has moved on already.
   if (line.state == State::kCalling || line.state == State::kTalking) {
@@ -262,7 +263,12 @@
     Unbind(line);
     line.state = State::kTone;
     const bool refused = answer.kind == core::FinalKind::kRefused;
-    if (refused && unanswered_ && core_->Overloaded()) return RefuseInAnswer(line, answer.pause_us);
+    // Refused before it was taken. Of the call being dialled only: others may be answered while it is looked at.
+    if (number == dialling_) {
+      const bool cheaply = core_->Overloaded() || intake_->door() != nullptr;
+      if (refused && unanswered_ && cheaply) return RefuseInAnswer(line, answer.pause_us);
+      Acknowledge();  // a tone goes to a call that was taken
+    }
     const bool busy = answer.cause == core::ReleaseCause::kUserBusy;
     return Tone(number, line, refused ? "G/cg" : busy ? "L/bz" : "L/ro", refused ? "refused" : "failed",
                 answer.pause_us);
@@ -330,7 +336,7 @@
       core_->OnRingReleased(call, state == State::kRinging ? core::ReleaseCause::kTemporaryFailure
                                                            : core::ReleaseCause::kNormal);
     } else {
-      core_->HangUp(call);
+      intake_->HangUp(call);
     }
   }
   Disconnect(number, line, true, "");
--- a/src/edge/line_front.h
+++ b/src/edge/line_front.h
@@ -17,6 +17,7 @@
 
 #include "core/call_core.h"
 #include "edge/edge_settings.h"
+#include "edge/intake.h"
 #include "mgcp/transactions.h"
 
 namespace croftrun::edge {
@@ -28,7 +29,7 @@
     std::uint64_t rung = 0, ignored_events = 0, restarts = 0;
   };
 
-  LineFront(const EdgeSettings& settings, core::Runtime* runtime, core::CallCore* core,
+  LineFront(const EdgeSettings& settings, core::Runtime* runtime, core::CallCore* core, Intake* intake,
             mgcp::Transactions* transactions, core::LogSink* log);
 
   // Clears what a former life left and arms all lines; repeated until the gateway answers.
@@ -90,6 +91,7 @@
   const EdgeSettings& settings_;
   core::Runtime* runtime_;
   core::CallCore* core_;
+  Intake* intake_;
   mgcp::Transactions* transactions_;
   core::LogSink* log_;
   std::vector<Line> lines_;  // by endpoint number, from 1; [0] unused
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -81,6 +81,59 @@
 
 // Found among random days: a call was taken from a notification repeated since before the edge's restart, and its release
 // had been told while the gateway was cut off. Only a look that is repeated until it is answered finds it.
+// The narrowest door: two set-ups at once, so that calls wait, give way, hang up and run out of time at it.
+json WithDoor(json day) {
+  day["edge_door"] = {{"first_limit", 2}, {"least_limit", 1}, {"most_limit", 2}, {"most_waiting", 8}, {"prove_ms", 1000}};
+  day["traffic"]["calls_per_s"] = 60;
+  day["traffic"]["early_hang_up"] = 0.2;
+  return day;
+}
+
+TEST(Day, AtADoorWhereCallsWaitEveryRuleHoldsAndEachCallIsAnsweredOnce) {
+  for (int seed = 1; seed <= 3; ++seed) {
+    json scenario = With(WithDoor(Base()), {{{"at_ms", 2000}, {"for_ms", 2000}, {"kind", "crash"}, {"exchanges", {2}}},
+                                            {{"at_ms", 5000}, {"for_ms", 1500}, {"kind", "gateway-silent"}, {"exchanges", {0}}},
+                                            {{"at_ms", 8000}, {"kind", "gateway-restart"}, {"exchanges", {0}}}});
+    scenario["seed"] = seed;
+    PlayedDay day(scenario.dump());
+    day.Play();
+    ExpectSound(day);
+    ExpectAllFree(day);
+    EXPECT_EQ(day.Unanswered(), 0U);
+    const json door = day.edges.At(0).Metrics().at("door");
+    EXPECT_GT(door.at("waited").get<int>(), 20) << seed;
+    EXPECT_GT(door.at("refused").get<int>(), 20);
+    EXPECT_EQ(door.at("waiting").get<int>(), 0);
+    EXPECT_EQ(door.at("under_way").get<int>(), 0);  // each admitted call was told of
+    const core::CoreCounters& counters = day.edges.At(0).core().counters();
+    EXPECT_EQ(counters.refused_door, door.at("refused").get<std::uint64_t>());
+    // Refused once: what the door let in and what it did not are all that was knocked for, but for who hung up waiting.
+    EXPECT_LE(door.at("admitted").get<std::uint64_t>() + counters.refused_door, door.at("knocks").get<std::uint64_t>());
+  }
+}
+
+TEST(Day, AWideDoorChangesNothing) {
+  json scenario = Base();
+  PlayedDay without(scenario.dump());
+  without.Play();
+  scenario["edge_door"] = json::object();
+  PlayedDay with(scenario.dump());
+  with.Play();
+  ExpectSound(with);
+  EXPECT_EQ(with.edges.At(0).Metrics().at("door").at("refused").get<int>(), 0);
+  EXPECT_NEAR(static_cast<double>(with.Answered()), static_cast<double>(without.Answered()), 0.1 * static_cast<double>(without.Answered()));
+}
+
+TEST(Day, WhoWaitsAtTheDoorOfAnEdgeThatStopsIsRefusedAtOnce) {
+  PlayedDay day(WithDoor(Base()).dump());
+  day.runtime.RunFor(5'000'000);
+  ASSERT_GT(day.edges.At(0).Metrics().at("door").at("waiting").get<int>(), 0);
+  day.edges.Stop(0);
+  EXPECT_EQ(day.edges.At(0).Metrics().at("door").at("waiting").get<int>(), 0);
+  day.Play();
+  EXPECT_TRUE(day.rules.Kept()) << day.rules.Summary();
+}
+
 TEST(Day, ACallWhoseReleaseWasToldToNobodyIsFoundByLookingAgain) {
   std::ifstream file(CROFTRUN_TEST_DATA "/cut-off-gateway.json");
   std::stringstream text;
