Read once more: one token bucket for the door, a spool frame built once, a member nothing read

Cause: the door had the same token bucket twice, once of a client and once of customers and all; the spool built a frame before it knew which segment it would go to, and again where that had changed; the door kept, of a call under way, a client that nobody asked for.

Change: door/bucket.h serves all three; the spool encodes the records once and puts the head before them when the segment is known; a call under way is the time it began. What is decided and written stays as it was.

--- a/src/door/clients.h
+++ b/src/door/clients.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "croftrun/call_controller.h"
+#include "door/bucket.h"
 
 namespace croftrun::door {
 
@@ -19,15 +20,15 @@
   std::size_t most = 16'384;
   TimeUs prove_us = 10'000'000;       // served so long ago, it has shown itself when it comes again
   TimeUs forget_us = 600'000'000;     // not seen for so long, it is a stranger again
-  double per_s = 0.0, burst = 10.0;   // of each that has shown itself; 0: no limit
+  BucketSettings limit = {0.0, 10.0};  // of each that has shown itself
 };
 
 class Clients {
  public:
   struct Client {
     std::uint64_t who = 0;
-    TimeUs seen = 0, served = 0, filled = 0;  // served: first; 0: never
-    float tokens = 0.0F;
+    TimeUs seen = 0, served = 0;  // served: first; 0: never
+    Bucket bucket;
     bool shown = false;
   };
 
@@ -47,19 +48,11 @@
     Client& last = *std::min_element(set.begin(), set.end(), [](const Client& a, const Client& b) {
       return a.shown != b.shown ? b.shown : a.seen < b.seen;
     });
-    last = {who, now, 0, now, static_cast<float>(settings_.burst), false};
+    last = {who, now, 0, {settings_.limit.burst, now}, false};
     return last;
   }
   // A call of its own bucket.
-  bool TakeToken(Client& client, TimeUs now) const {
-    if (settings_.per_s <= 0.0) return true;
-    const double filled = client.tokens + static_cast<double>(now - client.filled) * settings_.per_s / 1e6;
-    client.tokens = static_cast<float>(std::min(settings_.burst, filled));
-    client.filled = now;
-    if (client.tokens < 1.0F) return false;
-    client.tokens -= 1.0F;
-    return true;
-  }
+  bool TakeToken(Client& client, TimeUs now) const { return client.bucket.Take(settings_.limit, now); }
   std::size_t bytes() const { return sets_.size() * sizeof(sets_[0]); }
 
  private:
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -53,18 +53,9 @@
   return XXH3_64bits_withSeed(text.data(), text.size(), seed) | 1U;  // never that of the strangers
 }
 
-bool Door::TakeToken(Bucket& bucket, const BucketSettings& limit, TimeUs now) const {
-  if (limit.per_s <= 0.0) return true;
-  if (bucket.filled != 0) bucket.tokens = std::min(limit.burst, bucket.tokens + static_cast<double>(now - bucket.filled) * limit.per_s / 1e6);
-  bucket.filled = now;
-  if (bucket.tokens < 1.0) return false;
-  bucket.tokens -= 1.0;
-  return true;
-}
-
 void Door::Admit(const Waiting& waiting, TimeUs now, std::vector<Verdict>* verdicts) {
   ++counters_.admitted;
-  under_way_[waiting.call] = {now, waiting.who};
+  under_way_[waiting.call] = now;
   if (Clients::Client& client = clients_.Come(waiting.who, now); client.served == 0) client.served = now;
   verdicts->push_back({waiting.call, true, 0, false});
 }
@@ -112,8 +103,8 @@
   }
   const auto customer = static_cast<std::size_t>(knock.customer);
   const bool within = (as_told || one.stranger || clients_.TakeToken(client, now)) &&
-                      (knock.customer < 0 || customer >= of_customer_.size() || TakeToken(of_customer_[customer], settings_.customers[customer].limit, now)) &&
-                      TakeToken(all_, settings_.all, now);
+                      (knock.customer < 0 || customer >= of_customer_.size() || of_customer_[customer].Take(settings_.customers[customer].limit, now)) &&
+                      all_.Take(settings_.all, now);
   if (!within) {
     ++counters_.over_limit;
     return Refuse(one, now, verdicts);
@@ -155,7 +146,7 @@
   const auto found = under_way_.find(call);
   if (found == under_way_.end()) return;
   const bool full = under_way_.size() >= limiter_.limit();
-  if (stands) limiter_.OnAnswer(now - found->second.at, full, now);
+  if (stands) limiter_.OnAnswer(now - found->second, full, now);
   under_way_.erase(found);
   Serve(now, verdicts);
 }
--- a/src/door/door.h
+++ b/src/door/door.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "door/bucket.h"
 #include "door/clients.h"
 #include "door/fair_queue.h"
 #include "door/limiter.h"
@@ -17,10 +18,6 @@
 
 namespace croftrun::door {
 
-struct BucketSettings {
-  double per_s = 0.0;  // 0: no limit
-  double burst = 100.0;
-};
 struct CustomerSettings {
   double weight = 1.0;
   BucketSettings limit;
@@ -87,12 +84,7 @@
   const Counters& counters() const { return counters_; }
 
  private:
-  struct Bucket {
-    double tokens = 0.0;
-    TimeUs filled = 0;
-  };
   static std::vector<double> Weights(const std::vector<CustomerSettings>& customers);
-  bool TakeToken(Bucket& bucket, const BucketSettings& limit, TimeUs now) const;
   std::uint64_t Hash(std::uint64_t under, std::string_view text) const;
   void Admit(const Waiting& waiting, TimeUs now, std::vector<Verdict>* verdicts);
   void Refuse(const Waiting& waiting, TimeUs now, std::vector<Verdict>* verdicts);
@@ -107,11 +99,7 @@
   FairQueue kept_;  // who came as told: before all others, bounded by what was promised
   Bucket all_;
   std::vector<Bucket> of_customer_;
-  struct Started {
-    TimeUs at = 0;
-    std::uint64_t who = 0;
-  };
-  std::unordered_map<CallId, Started> under_way_;  // as many as the limiter's most
+  std::unordered_map<CallId, TimeUs> under_way_;  // since when; as many as the limiter's most
   std::uint64_t chance_;
   Counters counters_;
 };
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -201,8 +201,8 @@
     Value(d, "most_limit", &door.limiter.most);
     Value(d, "calls_per_s", &door.all.per_s);
     Value(d, "burst", &door.all.burst);
-    Value(d, "client_calls_per_s", &door.clients.per_s);
-    Value(d, "client_burst", &door.clients.burst);
+    Value(d, "client_calls_per_s", &door.clients.limit.per_s);
+    Value(d, "client_burst", &door.clients.limit.burst);
     Time(d, "prove_ms", &door.clients.prove_us);
     Time(d, "least_pause_ms", &door.least_pause_us);
     if (door.limiter.least > door.limiter.most) Mistake("/door/least_limit", "expected no more than most_limit, found more");
--- a/src/flow/spool.cpp
+++ b/src/flow/spool.cpp
@@ -31,13 +31,11 @@
   return XXH3_64bits_withSeed(content.data(), content.size(), XXH3_64bits(head.data(), head.size()));
 }
 
-std::string FrameOf(std::uint64_t first, const std::vector<FlowRecord>& records) {
-  std::string content;
-  for (const FlowRecord& record : records) Append(record, &content);
+std::string FrameOf(std::uint64_t first, std::size_t records, const std::string& content) {
   std::string frame(kMark);
   Put(kRecordFormat, 4, &frame);
   Put(content.size(), 4, &frame);
-  Put(records.size(), 4, &frame);
+  Put(records, 4, &frame);
   Put(first, 4, &frame);
   Put(SumOf(frame, content), 8, &frame);
   return frame + content;
@@ -174,13 +172,13 @@
 
 bool Spool::Write(std::size_t rank, const std::vector<FlowRecord>& records, std::uint64_t now) {
   if (!Writable(now)) return false;
-  const bool fresh = writing_[rank] == nullptr || segments_[rank].back().octets >= settings_.segment_octets;
-  const std::string frame = FrameOf(fresh ? 0 : segments_[rank].back().records, records);
-  if (!MakeRoom(rank, frame.size())) {
+  std::string content;
+  for (const FlowRecord& record : records) Append(record, &content);
+  if (!MakeRoom(rank, kHeader + content.size())) {
     counters_.full += records.size();
     return true;
   }
-  // Making room may have dropped the very segment that was written.
+  // Only now: making room may have dropped the very segment that was written.
   if (writing_[rank] == nullptr || segments_[rank].back().octets >= settings_.segment_octets) {
     Seal();
     std::error_code error;
@@ -192,8 +190,8 @@
     segments_[rank].push_back({next_number_++, 0, 0});
   }
   Segment& segment = segments_[rank].back();
-  const std::string final_frame = segment.records == 0 && !fresh ? FrameOf(0, records) : frame;
-  if (const std::error_code error = writing_[rank]->Append(final_frame)) {
+  const std::string frame = FrameOf(segment.records, records.size(), content);
+  if (const std::error_code error = writing_[rank]->Append(frame)) {
     // The part that went is taken back; if not even that works, a reader skips it.
     if (writing_[rank]->Truncate(segment.octets)) writing_[rank].reset();
     if (segment.records == 0) {
@@ -204,9 +202,9 @@
     Fail(error, now);
     return false;
   }
-  segment.octets += final_frame.size();
+  segment.octets += frame.size();
   segment.records += records.size();
-  octets_ += final_frame.size();
+  octets_ += frame.size();
   records_ += records.size();
   counters_.taken += records.size();
   if (!unsynced_) unsynced_since_ = now;
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -373,8 +373,8 @@
 TEST(Door, LimitsHoldByCustomerAndByClient) {
   DoorSettings settings = Settings();
   settings.customers = {{1.0, {20.0, 5.0}}, {}};
-  settings.clients.per_s = 5.0;
-  settings.clients.burst = 2.0;
+  settings.clients.limit.per_s = 5.0;
+  settings.clients.limit.burst = 2.0;
   settings.clients.prove_us = kSecond;
   settings.longest_pause_us = 0;
   Evening evening(settings);
