--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -20,6 +20,7 @@
 #include "lab/day_accounts.h"
 #include "lab/day_file.h"
 #include "lab/day_picture.h"
+#include "lab/doors.h"
 #include "lab/edge_processes.h"
 #include "lab/rules.h"
 #include "lab/virtual_day.h"
@@ -81,6 +82,26 @@
   return json;
 }
 
+// Every record of a trace in turn; false: it cannot be read, and what is wrong was told with its line.
+bool ReadTrace(const std::string& path, const std::function<void(const lab::TraceRecord&)>& take) {
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << "cannot read " << path << "\n";
+    return false;
+  }
+  std::string line;
+  for (std::size_t number = 1; std::getline(file, line); ++number) {
+    lab::TraceRecord record;
+    std::string error;
+    if (!lab::FromLine(line, &record, &error)) {
+      std::cerr << path << ":" << number << ": " << error << "\n";
+      return false;
+    }
+    take(record);
+  }
+  return true;
+}
+
 nlohmann::json AccountJson(const reach::Account& account) {
   nlohmann::json lost = nlohmann::json::object();
   for (std::size_t i = 0; i < reach::kLost; ++i) lost[std::string(reach::Name(static_cast<reach::Lost>(i)))] = account.lost[i];
@@ -235,10 +256,6 @@
   if (options.capture) trace.CaptureTo(options.folder + "/capture.pcap");
   lab::RuleChecker rules;
   lab::DayAccounts accounts(scenario);
-  trace.SetSink([&](const lab::TraceRecord& record) {
-    rules.Take(record);
-    accounts.Take(record);
-  });
   std::ofstream(options.folder + "/scenario.json") << text;
   lab::EdgeProcesses edges(options.edge_program, options.folder);
   lab::Day day(scenario, &runtime, &trace, &edges, options.folder);
@@ -253,6 +270,13 @@
   runtime.Run();
   tick.Stop();
   if (progress) std::fprintf(stderr, "\r%s: done \n", scenario.name.c_str());
+  // Judged from the file, after the day: while it lasts, the laboratory is to be quicker than what it measures.
+  trace.Flush();
+  if (!ReadTrace(options.folder + "/trace.jsonl", [&](const lab::TraceRecord& record) {
+        rules.Take(record);
+        accounts.Take(record);
+      }))
+    return kCannotRun;
   rules.Finish();
   const lab::DayReport report = day.Report();
   const bool clean = edges.StopAll(5'000);
@@ -287,30 +311,50 @@
   return rules.Kept() && clean && agree && !wasted && report.fell_over == 0 ? kDone : kVerdictAgainst;
 }
 
+int CompareDoors(const LabDoors& options) {
+  lab::DoorsCurve curve;
+  curve.floods = options.floods;
+  std::sort(curve.floods.begin(), curve.floods.end());
+  nlohmann::json all = nlohmann::json::array();
+  if (!options.json)
+    std::printf("%-14s %8s %10s %8s %8s %8s %10s %10s %8s\n", "door", "flood/s", "worth/s", "quiet", "worst", "crowd", "p99 wait", "as told", "waiting");
+  for (const std::string& name : lab::DoorNames()) {
+    auto& row = curve.by_door.emplace_back();
+    for (const double flood : curve.floods) {
+      lab::DoorsSettings settings;
+      settings.seed = options.seed;
+      settings.flood_per_s = flood;
+      row.push_back(lab::PlayDoor(name, settings));
+      const lab::DoorFigures& f = row.back();
+      all.push_back({{"door", f.door}, {"flood_per_s", flood}, {"worth_per_s", f.goodput}, {"quiet_share", f.quiet_share}, {"worst_client", f.worst_client},
+                     {"crowd_share", f.crowd_share}, {"p99_wait_ms", f.p99_wait_ms}, {"as_told_kept", f.told_kept}, {"most_waiting", f.most_waiting}});
+      if (!options.json)
+        std::printf("%-14s %8.0f %10.1f %8.3f %8.3f %8.3f %7.0f ms %10.3f %8llu\n", f.door.c_str(), flood, f.goodput, f.quiet_share, f.worst_client, f.crowd_share,
+                    f.p99_wait_ms, f.told_kept, static_cast<unsigned long long>(f.most_waiting));
+    }
+  }
+  if (options.json) std::cout << all.dump(1) << "\n";
+  if (options.svg.empty()) return kDone;
+  std::ofstream file(options.svg);
+  file << lab::DoorsPicture(curve);
+  if (file.good()) return kDone;
+  std::cerr << "cannot write " << options.svg << "\n";
+  return kCannotRun;
+}
+
 int ReportDay(const std::string& folder, const std::string& out) {
   std::vector<config::Mistake> mistakes;
   const std::string text = config::ReadFile(folder + "/scenario.json", kMostBytes, &mistakes);
   lab::Scenario scenario;
   if (mistakes.empty()) scenario = lab::ParseScenario(text, &mistakes);
   if (!Fine(mistakes, folder + "/scenario.json")) return kBadInput;
-  std::ifstream file(folder + "/trace.jsonl");
-  if (!file) {
-    std::cerr << "cannot read " << folder << "/trace.jsonl\n";
-    return kBadInput;
-  }
   lab::RuleChecker rules;
   lab::DayAccounts accounts(scenario);
-  std::string line;
-  for (std::size_t number = 1; std::getline(file, line); ++number) {
-    lab::TraceRecord record;
-    std::string error;
-    if (!lab::FromLine(line, &record, &error)) {
-      std::cerr << folder << "/trace.jsonl:" << number << ": " << error << "\n";
-      return kBadInput;
-    }
-    rules.Take(record);
-    accounts.Take(record);
-  }
+  if (!ReadTrace(folder + "/trace.jsonl", [&](const lab::TraceRecord& record) {
+        rules.Take(record);
+        accounts.Take(record);
+      }))
+    return kBadInput;
   rules.Finish();
   const reach::Bound bound = accounts.Bound();
   const std::string page = out.empty() ? folder + "/day.html" : out;
@@ -372,22 +416,8 @@
 }
 
 int GiveVerdict(const std::string& path, bool json) {
-  std::ifstream file(path);
-  if (!file) {
-    std::cerr << "cannot read " << path << "\n";
-    return kBadInput;
-  }
   lab::RuleChecker rules;
-  std::string line;
-  for (std::size_t number = 1; std::getline(file, line); ++number) {
-    lab::TraceRecord record;
-    std::string error;
-    if (!lab::FromLine(line, &record, &error)) {
-      std::cerr << path << ":" << number << ": " << error << "\n";
-      return kBadInput;
-    }
-    rules.Take(record);
-  }
+  if (!ReadTrace(path, [&](const lab::TraceRecord& record) { rules.Take(record); })) return kBadInput;
   rules.Finish();
   if (rules.edges() == 0) {
     std::cerr << path << ": names no edge (a record of the fact \"day\" is missing), so nothing can be checked\n";
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -31,6 +31,14 @@
 };
 // The module and baselines on the same days, on virtual time.
 int CompareDeciders(const LabCompare& options);
+struct LabDoors {
+  std::vector<double> floods = {0, 200, 500, 1000, 2000, 4000};
+  std::uint64_t seed = 1;
+  std::string svg;
+  bool json = false;
+};
+// Doors on the same evening, on virtual time.
+int CompareDoors(const LabDoors& options);
 // The page of a day that was run, again from its folder.
 int ReportDay(const std::string& folder, const std::string& out);
 
@@ -46,6 +54,7 @@
   // is away for a time; empty: nowhere.
   std::string flow;
   int outage_s = 60;
+  double strangers_per_s = 0.0;  // datagrams from an address that is no gateway of the edge, at most 200,000 a second
   int reload_ms = 0;  // the edge is told to read it again as often; 0: never
   bool json = false, echo = true;
 };
--- a/src/cli/load.cpp
+++ b/src/cli/load.cpp
@@ -74,6 +74,31 @@
   }
 }
 
+// From a loopback address that no edge knows, for as long as the load lasts and never longer than it may.
+std::uint64_t Strangers(const core::Address& edge, const LoadRun& options, const std::stop_token& stop) {
+  asio::io_context context{1};
+  udp::socket socket(context, udp::endpoint{asio::ip::make_address_v4("127.99.0.1"), 0});
+  socket.non_blocking(true);
+  const udp::endpoint to{asio::ip::address_v4(edge.host), edge.port};
+  const auto start = std::chrono::steady_clock::now();
+  std::array<char, 2048> buffer;
+  boost::system::error_code error;
+  std::uint64_t sent = 0;
+  while (!stop.stop_requested()) {
+    const double passed = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+    if (passed > options.seconds + 30.0) break;
+    const auto due = static_cast<std::uint64_t>(passed * options.strangers_per_s);
+    for (; sent < due; ++sent) {
+      const std::string text = "NTFY " + std::to_string(sent % 999'999'999 + 1) + " aaln/" + std::to_string(sent % 500 + 1) + "@load.lab MGCP 1.0\r\nX: 1\r\nO: L/hd, D/1, D/2, D/3\r\n";
+      socket.send_to(asio::buffer(text), to, 0, error);
+    }
+    while (socket.receive(asio::buffer(buffer), 0, error) > 0 && !error) {
+    }
+    std::this_thread::sleep_for(std::chrono::microseconds(200));
+  }
+  return sent;
+}
+
 struct EchoFigures {
   double datagrams_per_s = 0.0;      // in and out
   double datagrams_per_cpu_s = 0.0;  // of the echo's processor time
@@ -218,8 +243,17 @@
       collector.StartTcp(lab::Collector::Mode::kRead);
     });
   }
+  std::uint64_t strangers_sent = 0;
+  std::jthread strangers;
+  if (options.strangers_per_s > 0.0) {
+    strangers = std::jthread([&](const std::stop_token& stop) { strangers_sent = Strangers(load.edge, options, stop); });
+  }
   const Usage before = UsageOf(edge);
   lab::LoadFigures f = line.Run([](void* p) { static_cast<Peak*>(p)->usage = UsageOf(static_cast<Peak*>(p)->edge); }, &peak);
+  if (strangers.joinable()) {
+    strangers.request_stop();
+    strangers.join();
+  }
   if (outage.joinable()) outage.join();
   if (reload.joinable()) {
     reload.request_stop();
@@ -264,6 +298,7 @@
       {"flow_possibly_repeated", collector.possibly_repeated.load()},
       {"flow_recovered_s", back_at > 0 ? static_cast<double>(collector.last_old_us - back_at) / 1e6 : 0.0},
       {"reloads", reloads},
+      {"strangers_sent", strangers_sent},
       {"edge_exited_clean", clean}};
   if (options.json) {
     std::cout << json.dump(1) << "\n";
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -38,6 +38,14 @@
   compare_command->add_flag("--json", compare.json, "As JSON");
   compare_command->callback([&] { code = CompareDeciders(compare); });
 
+  LabDoors doors;
+  CLI::App* doors_command = lab->add_subcommand("doors", "Compares the fair door with others under a flood of made-up identities, on virtual time");
+  doors_command->add_option("--flood", doors.floods, "Identities a second; several")->check(CLI::Range(0.0, 100'000.0));
+  doors_command->add_option("--seed", doors.seed, "Of the evening")->capture_default_str();
+  doors_command->add_option("--svg", doors.svg, "Also as a picture, there");
+  doors_command->add_flag("--json", doors.json, "As JSON");
+  doors_command->callback([&] { code = CompareDoors(doors); });
+
   std::string report_folder, report_out;
   CLI::App* day_report = lab->add_subcommand("report", "Draws a day that was run: one HTML page, from its trace");
   day_report->add_option("folder", report_folder, "As lab run left it")->required();
@@ -60,6 +68,8 @@
   load_command->add_option("--flow", load.flow, "Flow records go to a collector that reads, or does not")->check(CLI::IsMember({"udp", "tcp", "dead", "stall", "spool", "outage"}));
   load_command->add_option("--outage-s", load.outage_s, "The collector of outage is away for so long, from a quarter of the time on")->check(CLI::Range(1, 200))->capture_default_str();
   load_command->add_option("--reload-ms", load.reload_ms, "Have the edge read them again as often")->check(CLI::Range(10, 60'000));
+  load_command->add_option("--strangers", load.strangers_per_s, "Meanwhile so many NTFY a second of made-up transactions from an address that is no gateway")
+      ->check(CLI::Range(0, 200'000));
   load_command->add_flag("!--no-echo", load.echo, "Leave the raw echo out");
   load_command->add_flag("--json", load.json, "The figures as JSON");
   load_command->callback([&] { code = RunLoad(load); });
--- a/src/core/call_core.cpp
+++ b/src/core/call_core.cpp
@@ -335,6 +335,12 @@
   Feed(offered);
 }
 
+bool CallCore::TooLate(const Call& call) {
+  if (runtime_->Now() < call.taken_at + call.offer.patience_us) return false;
+  ++counters_.too_late;
+  return true;
+}
+
 void CallCore::OnDeadline(CallId id) {
   Call* call = Find(id);
   if (call == nullptr || call->answered) return;
@@ -382,6 +388,10 @@
 void CallCore::OnRingAnswered(CallId id, std::string_view session) {
   Call* call = Find(id);
   if (call == nullptr || call->state != State::kRinging) return;
+  if (TooLate(*call)) {
+    if (terminator_ != nullptr) terminator_->StopRinging(id, ReleaseCause::kTimerExpiry);
+    return OnRingReleased(id, ReleaseCause::kTimerExpiry);
+  }
   call->session.assign(session.substr(0, kMostSession));
   call->state = State::kStands;
   GiveFinal(id, *call, {FinalKind::kStands, 0, ReleaseCause::kNormal});
@@ -415,8 +425,10 @@
     ++counters_.stale_answers;  // an answer that crossed a hang-up, or came after the time-out
     return;
   }
-  runtime_->CancelTimer(std::exchange(call->attempt->timeout, kNoTimer));
   NoteRefusal(call->out, {});
+  // This process stood still past the caller's time, and the answer lay in its queue: there is nobody to tell any more.
+  if (TooLate(*call)) return EndAttempt(id, *call, Outcome::kTimeout, Cause::kNone, {ReleaseCause::kTimerExpiry}, false);
+  runtime_->CancelTimer(std::exchange(call->attempt->timeout, kNoTimer));
   call->state = State::kStands;
   call->attempt->stood_at = runtime_->Now();
   const CallStands stands{id, call->attempt->exchange, index, runtime_->Now() - call->attempt->sent_at};
--- a/src/core/call_core.h
+++ b/src/core/call_core.h
@@ -199,6 +199,7 @@
   std::uint64_t refused_full = 0, refused_stopping = 0, refused_overload = 0, refused_door = 0, overdue = 0, stale_answers = 0;
   // Seizures by the far end that were sent back: it met one of ours or a call; the circuit is out of service here.
   std::uint64_t glare = 0, not_in_service = 0;
+  std::uint64_t too_late = 0;  // answers of the far end found in the queue after the caller's time: the process had stood still
   // Seizures of ours that were refused, and circuits suspected for it.
   std::uint64_t refused_by_far_end = 0, suspected = 0;
 };
@@ -259,6 +260,8 @@
   double ShareRefused() const { return gate_.share(); }
   const CoreCounters& counters() const { return counters_; }
   const CircuitGroup* Group(int number) const;
+  // What the roster last said, by id; gone ones are kept for a while.
+  const std::map<ExchangeId, DirectoryEntry>& Directory() const { return directory_; }
   int own_number() const { return settings_.module.own_number; }
 
  private:
@@ -304,6 +307,8 @@
   bool RefusedAtOnce();
   CallId NewCall(const Offer& offer, Subscriber* subscriber, int origin, CallId reserved = 0);
   void Begin(CallId id);
+  // The caller's time is over; counted.
+  bool TooLate(const Call& call);
   void OnDeadline(CallId id);
   void OnAttemptTimeout(CallId id, int attempt);
   // Ends the attempt: lets the circuits go and tells the module and the observers.
--- a/src/core/decider.h
+++ b/src/core/decider.h
@@ -1,7 +1,8 @@
 // Who decides about calls: the seam at which the module stands in the call core.
 //
-// The product has one decider, the module. The laboratory puts others in its place, to know what a decision is worth; they
-// get the same events and answer with the same actions, and the core holds them to the same word.
+// The product has one decider, the module. The laboratory puts others in its place, to know what a decision
+// is worth; they get the same events and answer with the same actions, and the core holds them to the same
+// word.
 #ifndef CROFTRUN_CORE_DECIDER_H_
 #define CROFTRUN_CORE_DECIDER_H_
 
@@ -21,15 +22,17 @@
 };
 
 // Actions of the start itself are appended.
-using MakeDecider =
-    std::function<std::unique_ptr<Decider>(const Settings&, std::uint64_t seed, TimeUs now, std::vector<Action>* actions)>;
+using MakeDecider = std::function<std::unique_ptr<Decider>(const Settings&, std::uint64_t seed, TimeUs now,
+                                                           std::vector<Action>* actions)>;
 
 // The module.
 class ModuleDecider final : public Decider {
  public:
   ModuleDecider(const Settings& settings, std::uint64_t seed, TimeUs now, std::vector<Action>* actions)
       : module_(settings, seed, now, actions) {}
-  void Handle(TimeUs now, const Event& event, std::vector<Action>* actions) override { module_.Handle(now, event, actions); }
+  void Handle(TimeUs now, const Event& event, std::vector<Action>* actions) override {
+    module_.Handle(now, event, actions);
+  }
 
  private:
   CallController module_;
--- a/src/core/refusals.h
+++ b/src/core/refusals.h
@@ -1,13 +1,15 @@
 // What one end of a trunk group remembers of the circuits on which its own seizures were refused.
 //
-// The far end may hold a circuit for out of service, or for busy, that this end knows as idle. Both ends choose by a fixed
-// order, so without a memory the very same circuit would be picked again for the next call and refused again, for as long
-// as the views differ. Decisions only: no I/O, no clock; all times are handed in.
+// The far end may hold a circuit for out of service, or for busy, that this end knows as idle. Both ends
+// choose by a fixed order, so without a memory the very same circuit would be picked again for the next call
+// and refused again, for as long as the views differ. Decisions only: no I/O, no clock; all times are handed
+// in.
 //
 //   refusals in a row   the circuit
 //   1                   goes to the back of the choice: it is taken only when no other is idle
 //   2 and more, or one
-//   as out of service   is suspected: not taken, looked at, and back (at the back) after a pause that doubles each time
+//   as out of service   is suspected: not taken, looked at, and back (at the back) after a pause that doubles
+//   each time
 // A set-up that the far end worked on, or a seizure by the far end, proves the circuit and ends its record.
 #ifndef CROFTRUN_CORE_REFUSALS_H_
 #define CROFTRUN_CORE_REFUSALS_H_
@@ -21,15 +23,15 @@
 
 class RefusalMemory {
  public:
-  // Pauses of a suspected circuit: long enough for an audit or a release complete to settle the matter, and bounded so
-  // that a circuit whose far end came back unheard is tried again within seconds.
+  // Pauses of a suspected circuit: long enough for an audit or a release complete to settle the matter, and
+  // bounded so that a circuit whose far end came back unheard is tried again within seconds.
   static constexpr TimeUs kFirstPause = 1'000'000;
   static constexpr TimeUs kLongestPause = 16'000'000;
 
   explicit RefusalMemory(std::size_t circuits) : records_(circuits) {}
 
-  // A seizure of ours on this circuit was refused. `out_of_service`: the far end said that it holds it for that, so it need
-  // not say so twice.
+  // A seizure of ours on this circuit was refused. `out_of_service`: the far end said that it holds it for
+  // that, so it need not say so twice.
   void Refused(std::size_t circuit, bool out_of_service = false) {
     std::uint8_t& record = records_[circuit];
     if (record < kMostCounted) ++record;
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -35,6 +35,7 @@
   core_.SetTrunks(&trunks_);
   core_.SetTerminator(&lines_);
   if (settings_.roster) roster_ = std::make_unique<RosterClient>(*settings_.roster, runtime, &core_, log);
+  if (settings_.api) api_ = std::make_unique<ApiFront>(settings_, runtime, &core_, &intake_, &lines_);
   lines_.Start();
   trunks_.Start();
   log_->Write(core::LogLevel::kInfo, "started", 0, "exchange " + std::to_string(core_.own_number()));
@@ -123,6 +124,7 @@
         {"not_in_service", c.not_in_service},
         {"refused_by_far_end", c.refused_by_far_end},
         {"suspected", c.suspected},
+        {"too_late", c.too_late},
         {"stale_answers", c.stale_answers}}},
       {"transactions",
        {{"pending", transactions_.pending()},
@@ -187,6 +189,13 @@
     for (const auto& counter : rules->Report())
       metrics["rules"]["counters"][counter.name] = {{"counted", counter.counted}, {"displaced", counter.displaced}, {"bytes", counter.bytes}};
   }
+  if (api_) {
+    const ws::Desk::Counters& a = api_->desk().counters();
+    metrics["api"] = {{"connections_open", api_->desk().connections()}, {"sessions_open", api_->desk().sessions()}, {"connections", a.connections},
+                      {"hellos", a.hellos}, {"denied", a.denied}, {"sessions", a.sessions}, {"resumed", a.resumed}, {"expired", a.expired},
+                      {"commands", a.commands}, {"repeated", a.repeated}, {"mistakes", a.mistakes}, {"over_rate", a.over_rate}, {"placed", a.placed},
+                      {"slow_readers", a.slow_readers}, {"lost_events", a.lost_events}};
+  }
   if (roster_) {
     metrics["roster"] = {{"version", roster_->version()},
                          {"updates", roster_->counters().updates},
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/call_core.h"
+#include "edge/api_front.h"
 #include "edge/edge_settings.h"
 #include "edge/line_front.h"
 #include "edge/roster_client.h"
@@ -26,11 +27,14 @@
   void Stop(std::function<void()> done);
   // New rules, whole, from the next call on.
   void SetClassifier(std::shared_ptr<const Classifier> classifier) { lines_.SetClassifier(std::move(classifier)); }
+  void SetCustomers(const std::vector<door::CustomerSettings>& customers) { intake_.SetCustomers(customers); }
   std::uint32_t rules_version() const { return lines_.rules_version(); }
   // Every counter, by part.
   nlohmann::json Metrics() const;
 
   core::CallCore& core() { return core_; }
+  // Null where the settings have no api.
+  ws::Desk* desk() { return api_ ? &api_->desk() : nullptr; }
   const mgcp::Transactions& transactions() const { return transactions_; }
   const TrunkGateway& trunks() const { return trunks_; }
   const RosterClient* roster() const { return roster_.get(); }
@@ -52,6 +56,7 @@
   LineFront lines_;
   TrunkGateway trunks_;
   std::unique_ptr<RosterClient> roster_;
+  std::unique_ptr<ApiFront> api_;
   core::Timer stopping_, strangers_;
   std::uint64_t strangers_told_ = 0;
 };
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -1,6 +1,7 @@
 #include "edge/edge_settings.h"
 
 #include <map>
+#include <sstream>
 
 #include "edge/edge_schema.inc"
 
@@ -36,6 +37,7 @@
     ReadFlow(file, &s);
     ReadNetwork(file.at("network"), &s.core.module);
     ReadDoor(file, &s);
+    if (file.contains("api")) ReadApi(file.at("api"), &s);
     if (file.contains("transactions")) ReadTransactions(file.at("transactions"), &s.transactions);
     if (file.contains("log")) {
       s.log_level = file.at("log").value("level", s.log_level);
@@ -189,6 +191,28 @@
       Mistake(path + std::to_string(fault.line - (lines_of_list ? 1 : 0)), "column " + std::to_string(fault.column) + ": " + fault.text + "\n" + fault.shown);
   }
 
+  void ReadApi(const json& a, EdgeSettings* s) {
+    ApiSettings api;
+    Address(a, "/api", "listen", &api.listen);
+    Value(a, "token_keys_file", &api.token_keys_file);
+    Value(a, "most_connections", &api.most_connections);
+    Value(a, "accepts_per_s", &api.accepts_per_s);
+    Time(a, "idle_ms", &api.idle_us);
+    Value(a, "most_sessions", &api.desk.most_sessions);
+    Value(a, "most_queued", &api.desk.most_queued);
+    Time(a, "resume_ms", &api.desk.resume_us);
+    Time(a, "hello_ms", &api.desk.hello_us);
+    Value(a, "calls", &api.desk.session.most_calls);
+    Value(a, "commands_per_s", &api.desk.session.commands.per_s);
+    Value(a, "burst", &api.desk.session.commands.burst);
+    if (!api.token_keys_file.empty()) {
+      std::vector<config::Mistake> mistakes;
+      api.desk.token_keys = ReadTokenKeys(api.token_keys_file, &mistakes);
+      for (const config::Mistake& mistake : mistakes) Mistake("/api/token_keys_file", mistake.path + ": " + mistake.text);
+    }
+    s->api = std::move(api);
+  }
+
   void ReadDoor(const json& file, EdgeSettings* s) {
     if (!file.contains("door")) return;
     const json& d = file.at("door");
@@ -346,6 +370,22 @@
   return names;
 }
 
+std::vector<std::string> ReadTokenKeys(const std::string& file, std::vector<config::Mistake>* mistakes) {
+  constexpr std::size_t kMostKeyBytes = 64U << 10U, kShortest = 16, kMostKeys = 16;
+  std::vector<std::string> keys;
+  std::istringstream text(config::ReadFile(file, kMostKeyBytes, mistakes));
+  std::string line;
+  for (std::size_t number = 1; std::getline(text, line); ++number) {
+    if (line.empty() || line[0] == '#') continue;
+    if (line.size() < kShortest)
+      mistakes->push_back({file + ":" + std::to_string(number), "expected a key of at least " + std::to_string(kShortest) + " octets, found " + std::to_string(line.size())});
+    keys.push_back(line);
+  }
+  if (mistakes->empty() && (keys.empty() || keys.size() > kMostKeys))
+    mistakes->push_back({file, "expected 1 to " + std::to_string(kMostKeys) + " keys, found " + std::to_string(keys.size())});
+  return keys;
+}
+
 std::string_view EdgeSchema() { return kEdgeSchema; }
 
 EdgeSettings ParseEdgeSettings(std::string_view text, std::vector<config::Mistake>* mistakes) {
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -17,6 +17,7 @@
 #include "flow/exporter.h"
 #include "flow/recorder.h"
 #include "mgcp/transactions.h"
+#include "ws/desk.h"
 
 namespace croftrun::edge {
 
@@ -39,6 +40,17 @@
   flow::ExporterSettings exporter;
 };
 
+struct ApiSettings {
+  core::Address listen;
+  std::string token_keys_file;  // empty: clients are told apart by their address alone
+  std::size_t most_connections = 1'024;
+  TimeUs idle_us = 30'000'000;
+  std::size_t accepts_per_s = 200;
+  ws::DeskSettings desk;  // with the keys, as read
+};
+// One key a line, of 16 octets at least; mistakes with their line.
+std::vector<std::string> ReadTokenKeys(const std::string& file, std::vector<config::Mistake>* mistakes);
+
 struct EdgeSettings {
   core::CoreSettings core;
   core::Address listen;
@@ -52,6 +64,7 @@
   std::optional<RosterSettings> roster;
   std::optional<FlowSettings> flow;
   std::optional<door::DoorSettings> door;
+  std::optional<ApiSettings> api;
   mgcp::TransactionSettings transactions;
   TimeUs shutdown_limit_us = 30'000'000;
   TimeUs audit_us = 2'000'000;
--- a/src/edge/intake.h
+++ b/src/edge/intake.h
@@ -21,6 +21,10 @@
   // As CallCore::Take. `client`: who calls, as the door tells clients apart.
   CallId Take(const core::Offer& offer, core::Subscriber* subscriber, std::string_view client);
   void HangUp(CallId call);
+  // New weights and limits of the customers, from the next turn on; calls that wait stay where they are.
+  void SetCustomers(const std::vector<door::CustomerSettings>& customers) {
+    if (door_) door_->SetCustomers(customers);
+  }
   // Whoever waits is refused now; later calls are the core's to refuse.
   void StopTaking();
 
--- a/src/edge/line_front.cpp
+++ b/src/edge/line_front.cpp
@@ -50,6 +50,31 @@
   rule_state_.emplace(classifier_->rules(), rule_seed_);
 }
 
+Classifier::Verdict LineFront::Prepare(const core::NumberMeaning& meaning, TimeUs patience_us, int line, core::Offer* offer) {
+  offer->call_class = meaning.call_class;
+  if (offer->customer < 0 || line > 0) offer->customer = meaning.customer;
+  offer->destination = meaning.destination;
+  const TimeUs waited = runtime_->Backlog();
+  const auto take_class = [&] {
+    const CallClass& call_class = settings_.core.module.classes[static_cast<std::size_t>(offer->call_class)];
+    offer->width = static_cast<std::size_t>(call_class.width);
+    offer->patience_us = patience_us > 0 ? patience_us : call_class.deadline_us;
+    // It runs from the digits' arrival, not from when they are looked at.
+    offer->patience_us -= std::min(offer->patience_us, waited);
+  };
+  take_class();
+  if (classifier_ == nullptr) return {};
+  const Classifier::Verdict verdict = Classify(offer, line);
+  if (verdict.refuse) {
+    ++counters_.refused_by_rule;
+    return verdict;
+  }
+  if (verdict.rule != nullptr) take_class();  // width and patience follow the class
+  if (verdict.outcome.budget_us)
+    offer->patience_us = std::min(offer->patience_us, static_cast<TimeUs>(std::max<std::int64_t>(1, *verdict.outcome.budget_us)));
+  return verdict;
+}
+
 Classifier::Verdict LineFront::Classify(core::Offer* offer, int line) {
   offer->rules = rules_version_;
   const CallFacts facts{line, settings_.gateway.host, core_->ShareRefused()};
@@ -212,33 +237,13 @@
     Acknowledge();
     return Tone(number, line, "L/ro", "failed", 0);
   }
-  const std::vector<CallClass>& classes = settings_.core.module.classes;
   core::Offer offer;
   offer.called = digits;
   offer.calling = std::string(wire_names::kLines) + std::to_string(number);
-  offer.call_class = meaning->call_class;
-  offer.customer = meaning->customer;
-  offer.destination = meaning->destination;
   const auto patience = wire_names::Number<std::uint32_t>(message.Get(wire_names::kPatience));
-  const TimeUs waited = runtime_->Backlog();
-  const auto take_class = [&] {
-    const CallClass& call_class = classes[static_cast<std::size_t>(offer.call_class)];
-    offer.width = static_cast<std::size_t>(call_class.width);
-    offer.patience_us = patience ? TimeUs{*patience} * 1000 : call_class.deadline_us;
-    // It runs from the digits' arrival, not from when they are looked at.
-    offer.patience_us -= std::min(offer.patience_us, waited);
-  };
-  take_class();
-  if (classifier_ != nullptr) {
-    const Classifier::Verdict verdict = Classify(&offer, number);
-    if (verdict.refuse) {
-      ++counters_.refused_by_rule;
-      Acknowledge();
-      return Tone(number, line, "G/cg", "refused", verdict.pause_us);
-    }
-    if (verdict.rule != nullptr) take_class();  // width and patience follow the class
-    if (verdict.outcome.budget_us)
-      offer.patience_us = std::min(offer.patience_us, static_cast<TimeUs>(std::max<std::int64_t>(1, *verdict.outcome.budget_us)));
+  if (const Classifier::Verdict verdict = Prepare(*meaning, patience ? TimeUs{*patience} * 1000 : 0, number, &offer); verdict.refuse) {
+    Acknowledge();
+    return Tone(number, line, "G/cg", "refused", verdict.pause_us);
   }
   if (offer.patience_us == 0) return RefuseInAnswer(line, 0);  // whoever dialled has given up
   line.state = State::kCalling;
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -14,6 +14,7 @@
 #include "edge/edge_node.h"
 #include "edge/json_log.h"
 #include "runtime/asio_runtime.h"
+#include "ws/server.h"
 #include "runtime/posix_disk.h"
 
 namespace {
@@ -27,6 +28,8 @@
 struct Reread {
   std::shared_ptr<const croftrun::edge::Classifier> classifier;
   std::vector<croftrun::config::Mistake> faults;
+  std::vector<croftrun::door::CustomerSettings> customers;  // their weights and limits at the door; none: no door
+  std::vector<std::string> token_keys;                      // of the API; none: it has none
 };
 
 // The words that rules may use are those in force: the classes and customers of a running edge do not change.
@@ -41,6 +44,8 @@
   if (result.faults.empty() && edge::CustomerNames(fresh) != edge::CustomerNames(in_force))
     result.faults.push_back({"/customers", "expected the customers in force, found others; restart the edge to change them"});
   result.classifier = std::move(fresh.classifier);
+  if (fresh.door) result.customers = fresh.door->customers;
+  if (fresh.api) result.token_keys = fresh.api->desk.token_keys;
   return result;
 }
 
@@ -95,6 +100,16 @@
     exporter = std::make_unique<flow::Exporter>(settings.flow->exporter, ring.get(), &disk, on_event);
     node.core().AddObserver(recorder.get());
   }
+  std::unique_ptr<ws::Server> api;
+  if (settings.api) {
+    ws::ServerSettings server;
+    server.listen = settings.api->listen;
+    server.most_connections = settings.api->most_connections;
+    server.idle_us = settings.api->idle_us;
+    server.accepts_per_s = settings.api->accepts_per_s;
+    server.most_octets = settings.api->desk.api.most_octets;
+    api = std::make_unique<ws::Server>(&runtime.context(), server, node.desk());
+  }
   const auto metrics = [&] {
     nlohmann::json all = node.Metrics();
     if (exporter != nullptr) all["flow"] = FlowMetrics(*ring, *exporter);
@@ -132,6 +147,8 @@
         reading = false;
         if (fresh->faults.empty()) {
           node.SetClassifier(fresh->classifier);
+          if (!fresh->customers.empty()) node.SetCustomers(fresh->customers);
+          if (node.desk() != nullptr && !fresh->token_keys.empty()) node.desk()->SetKeys(fresh->token_keys);
           const std::size_t rules = fresh->classifier == nullptr ? 0 : fresh->classifier->rules().rules.size();
           log.Write(core::LogLevel::kInfo, "rules-reloaded", 0,
                     std::to_string(rules) + " rules, version " + std::to_string(node.rules_version()));
--- a/src/edge/trunk_gateway.cpp
+++ b/src/edge/trunk_gateway.cpp
@@ -86,7 +86,8 @@
 // former life of this edge; one on a circuit that carries an incoming call already was told before.
 bool TrunkGateway::IsStale(Key key, std::uint32_t request, const mgcp::Message& message) const {
   const auto armed = armed_.find(key);
-  if (armed != armed_.end() && armed->second != request) return true;
+  const bool under_none = request == 0 && unarmed_.count(key) > 0;
+  if (armed != armed_.end() && armed->second != request && !under_none) return true;
   const auto incoming = [this](Key at) {
     const auto held = legs_.find(at);
     return held != legs_.end() && held->second.attempt < 0;
@@ -179,7 +180,8 @@
     core_->OnTrunkReleased(call, attempt,
                            {own_down ? ReleaseCause::kOwnOutOfOrder : ReleaseCause::kGlare, core_->own_number()});
   }
-  if (code == mgcp::kUnknownEndpoint || code == mgcp::kEndpointNotReady || code == mgcp::kEndpointRestarting)
+  const bool blocked = answered.message != nullptr && answered.message->Get(wire_names::kState) == "blocked";
+  if (blocked || code == mgcp::kUnknownEndpoint || code == mgcp::kEndpointNotReady || code == mgcp::kEndpointRestarting)
     TakeOut(key);
 }
 
@@ -411,6 +413,7 @@
   if (info.at >= 0) writer.Line(wire_names::kAt, std::to_string(info.at));
   if (info.wait_us > 0) writer.Line(wire_names::kWait, std::to_string(info.wait_us / 1000));
   Send(key, Verb::kDlcx, std::move(body), [this, key, request = state.request](const Answered& answered) {
+    if (answered.ok()) unarmed_.erase(key);
     const auto release = releases_.find(key);
     if (release == releases_.end() || release->second.request != request) return;
     // Not answered, or answered with an error: nothing was deleted, and the sweep asks again.
@@ -501,6 +504,11 @@
     }
     return;
   }
+  if (says == "blocked") {
+    // By maintenance or a fault further on: it carries nothing until the gateway says otherwise.
+    if (out_of_service_.count(key) == 0) TakeOut(key);
+    return;
+  }
   if (says == "releasing") {
     // Our part is done, the far end's is not: its release complete, or the next sweep, is the next look.
     releases_.try_emplace(key, ReleaseState{runtime_->Now(), 0, false});
@@ -564,9 +572,10 @@
       Audit(key);
     } else {
       // restart, forced: what was on it is cut, and the request it had is forgotten there (RFC 3435 4.4.5, as known): until
-      // it is given a new one, a seizure is told under none.
-      TakeOut(key);
+      // it has answered a new one, which clearing may give it, a seizure is told under none.
       armed_[key] = 0;
+      unarmed_.insert(key);
+      TakeOut(key);
       if (mgcp::EqualsIgnoringCase(method, "forced")) {
         withdrawn_.insert(key);
       } else {
--- a/src/edge/trunk_gateway.h
+++ b/src/edge/trunk_gateway.h
@@ -111,6 +111,7 @@
   std::unordered_set<Key> auditing_;  // in to_audit_ or asked
   std::unordered_set<Key> look_again_;  // something was heard of it while the look was on its way
   std::unordered_map<Key, std::uint32_t> armed_;  // the request under which a seizure is told, given in this life
+  std::unordered_set<Key> unarmed_;  // restarted, and no request given since is known to have arrived
   std::unordered_map<Key, TimeUs> seen_seized_;  // by the far end, without a call here: since when
   std::size_t audits_out_ = 0;
   std::uint32_t next_request_ = 1;
--- a/src/edge/wire_names.h
+++ b/src/edge/wire_names.h
@@ -23,7 +23,7 @@
 inline constexpr std::string_view kAt = "X-At";              // number of the exchange that gave the cause
 inline constexpr std::string_view kWait = "X-Wait";          // ms, stated by a full processor
 inline constexpr std::string_view kLoad = "X-Load";          // figures of the far processor
-inline constexpr std::string_view kState = "X-State";        // of a circuit: idle, seized, seized-in, far-released, releasing
+inline constexpr std::string_view kState = "X-State";        // of a circuit: idle, seized, seized-in, far-released, releasing, blocked
 inline constexpr std::string_view kPause = "X-Pause";        // ms the caller should stay away
 inline constexpr std::string_view kAnswer = "X-Answer";      // refused or failed, for a tone alone does not tell
 
--- a/src/lab/baselines.h
+++ b/src/lab/baselines.h
@@ -1,5 +1,5 @@
-// Textbook deciders, to know what the module's decisions are worth: the same events, the same actions, the same core. For the
-// laboratory only.
+// Textbook deciders, to know what the module's decisions are worth: the same events, the same actions, the
+// same core. For the laboratory only.
 #ifndef CROFTRUN_LAB_BASELINES_H_
 #define CROFTRUN_LAB_BASELINES_H_
 
--- a/src/lab/gateway.cpp
+++ b/src/lab/gateway.cpp
@@ -401,4 +401,11 @@
 
 void Gateway::OnReleaseComplete(const CircuitId& circuit) { NotifyCircuit(circuit, "MS/rlc"); }
 
+void Gateway::OnBlocked(const CircuitId& circuit, bool blocked) {
+  if (faults_.deaf) return;
+  std::string body;
+  Writer(&body).Line("RM", blocked ? "forced" : "restart");
+  transactions_.Send(settings_.agent, {Verb::kRsip, wire_names::Circuit(circuit.far, circuit.circuit, settings_.domain), body, {}});
+}
+
 }  // namespace croftrun::lab
--- a/src/lab/gateway.h
+++ b/src/lab/gateway.h
@@ -57,6 +57,7 @@
   void OnAnswer(const CircuitId& circuit) override;
   void OnRelease(const CircuitId& circuit, const ReleaseNews& news) override;
   void OnReleaseComplete(const CircuitId& circuit) override;
+  void OnBlocked(const CircuitId& circuit, bool blocked) override;
 
  private:
   struct Line {
--- a/src/lab/network.h
+++ b/src/lab/network.h
@@ -50,6 +50,8 @@
   virtual void OnAnswer(const CircuitId& circuit) = 0;
   virtual void OnRelease(const CircuitId& circuit, const ReleaseNews& news) = 0;
   virtual void OnReleaseComplete(const CircuitId& circuit) = 0;
+  // The circuit is lost to both ends, or is there again; what was on it was cut before.
+  virtual void OnBlocked(const CircuitId&, bool) {}
 };
 
 struct ProcessorSettings {
@@ -111,7 +113,7 @@
   bool Seize(int number, const CircuitId& circuit, const SetUpInfo& info);
   void Answer(int number, const CircuitId& circuit);
   void Release(int number, const CircuitId& circuit, const ReleaseNews& news);
-  // "idle", "seized", "seized-in" (by the far end), "far-released" (which let go first) or "releasing".
+  // "idle", "seized", "seized-in" (by the far end), "far-released" (which let go first), "releasing" or "blocked".
   std::string_view State(int number, const CircuitId& circuit) const;
   bool Idle(int number, const CircuitId& circuit) const { return State(number, circuit) == "idle"; }
   // An idle circuit towards `far`, from this end's side of the group; false if there is none.
@@ -170,6 +172,7 @@
   // Tells the user of an end that the far end let go; an end it never heard of is completed for it.
   void TellRelease(int number, const CircuitId& id, const ReleaseNews& news);
   void CutEnd(int number, const CircuitId& circuit, int cause);
+  void Block(const Pair& pair, unsigned circuit, bool blocked);
 
   core::Runtime* runtime_;
   Trace* trace_;
--- a/src/lab/rules.h
+++ b/src/lab/rules.h
@@ -85,6 +85,7 @@
     int number = -1;
     Work work;
     TimeUs killed_at = 0;
+    TimeUs stalled_from = ~TimeUs{0}, stalled_to = 0;  // the last time that it stood still
     core::Address edge, gateway;
     std::map<std::string, Owed> owed;            // by endpoint: lines and incoming circuits
     std::map<std::string, CallerState> callers;  // by origin and calling line
@@ -123,6 +124,7 @@
   std::map<int, Cold> cold_;
   core::Address roster_;
   TimeUs release_us_ = 0, grace_us_ = 0, last_ = 0;
+  TimeUs first_ = 0;  // of the trace: examples are told from there
   std::uint64_t taken_ = 0, transit_ = 0, fell_over_ = 0;
 };
 
--- a/src/lab/trace.h
+++ b/src/lab/trace.h
@@ -49,6 +49,10 @@
   // Every record also goes there.
   void SetSink(std::function<void(const TraceRecord&)> sink) { sink_ = std::move(sink); }
 
+  // What was written so far can be read by others from now on.
+  void Flush() {
+    if (file_ != nullptr) std::fflush(file_);
+  }
   void Datagram(const core::Address& from, const core::Address& to, std::string_view bytes);
   void Fact(std::string name, nlohmann::json figures);
   std::uint64_t datagrams() const { return datagrams_; }
--- a/src/mgcp/peers.h
+++ b/src/mgcp/peers.h
@@ -1,8 +1,9 @@
 // Who may cost this agent anything that lasts: decisions only, no I/O, no clock.
 //
-// PeerGuard tells gateways from strangers and says when a stranger is answered at all. HistoryRoom shares out the table of
-// remembered answers: by gateway, so that one that floods takes no other's room, and with a part kept for endpoints in use,
-// so that a flood in a gateway's name (the source of a datagram is easily forged) leaves calls in progress theirs.
+// PeerGuard tells gateways from strangers and says when a stranger is answered at all. HistoryRoom shares out
+// the table of remembered answers: by gateway, so that one that floods takes no other's room, and with a part
+// kept for endpoints in use, so that a flood in a gateway's name (the source of a datagram is easily forged)
+// leaves calls in progress theirs.
 #ifndef CROFTRUN_MGCP_PEERS_H_
 #define CROFTRUN_MGCP_PEERS_H_
 
@@ -23,8 +24,8 @@
 
 class PeerGuard {
  public:
-  // Answers a second to all strangers together: enough that a gateway set up wrongly is told so, and no more than a trickle
-  // towards whoever a forged source names.
+  // Answers a second to all strangers together: enough that a gateway set up wrongly is told so, and no more
+  // than a trickle towards whoever a forged source names.
   static constexpr double kAnswersPerSecond = 10.0;
   static constexpr double kAnswersAtOnce = 20.0;
 
@@ -39,7 +40,8 @@
   std::size_t hosts() const { return std::max<std::size_t>(1, hosts_.size()); }
   // Whether this stranger's command is answered (with an error); counts it.
   bool MayAnswer(TimeUs now) {
-    tokens_ = std::min(kAnswersAtOnce, tokens_ + static_cast<double>(now - filled_) * kAnswersPerSecond / 1e6);
+    tokens_ =
+        std::min(kAnswersAtOnce, tokens_ + static_cast<double>(now - filled_) * kAnswersPerSecond / 1e6);
     filled_ = now;
     if (tokens_ < 1.0) return false;
     tokens_ -= 1.0;
@@ -64,7 +66,8 @@
 
   HistoryRoom(std::size_t room, std::size_t hosts) : by_host_(room / hosts), open_(by_host_ - by_host_ / 4) {}
 
-  // Room for an answer to `host`. `endpoint`: a hash that is not 0 where a call is in progress there. False: none.
+  // Room for an answer to `host`. `endpoint`: a hash that is not 0 where a call is in progress there. False:
+  // none.
   bool Take(std::uint32_t host, std::uint64_t endpoint, Place* place) {
     std::size_t& taken = taken_[host];
     if (taken < open_) {
--- a/src/reach/account.cpp
+++ b/src/reach/account.cpp
@@ -15,9 +15,21 @@
 }  // namespace
 
 std::string_view Name(Lost lost) {
-  constexpr std::array<std::string_view, kLost> kNames = {
-      "no circuit anywhere", "free, not tried", "glare", "stuck circuit", "turned back", "cold exchange", "dead exchange",
-      "slow or full exchange", "lines busy", "lost on the path", "own edge", "caller gone", "cut"};
+  constexpr std::array<std::string_view, kLost> kNames = {"no circuit anywhere",
+                                                          "free, not tried",
+                                                          "not tried, unwell end",
+                                                          "late redial, not tried",
+                                                          "glare",
+                                                          "stuck circuit",
+                                                          "turned back",
+                                                          "cold exchange",
+                                                          "dead exchange",
+                                                          "slow or full exchange",
+                                                          "lines busy",
+                                                          "lost on the path",
+                                                          "own edge",
+                                                          "caller gone",
+                                                          "cut"};
   return kNames[static_cast<std::size_t>(lost)];
 }
 
@@ -27,9 +39,17 @@
   if (t.how == "hung-up") return reach::Lost::kCallerGone;
   if (t.own_edge_down) return reach::Lost::kOwnEdge;
   if (t.how == "unanswered") return reach::Lost::kPath;
-  if (!t.sent) return t.direct || t.tandems > 0 ? reach::Lost::kNotTried : reach::Lost::kNoCircuit;
+  if (!t.sent) {
+    if (!t.direct && t.tandems == 0) return reach::Lost::kNoCircuit;
+    return t.late      ? reach::Lost::kLateRedial
+           : t.healthy ? reach::Lost::kNotTried
+                       : reach::Lost::kNotTriedUnwell;
+  }
   const auto state = [&](reach::Lost otherwise) {
-    return t.dead ? reach::Lost::kDead : t.cold ? reach::Lost::kCold : t.slow ? reach::Lost::kSlow : otherwise;
+    return t.dead   ? reach::Lost::kDead
+           : t.cold ? reach::Lost::kCold
+           : t.slow ? reach::Lost::kSlow
+                    : otherwise;
   };
   switch (t.end) {
     case SetUpEnd::kOwnDown:
@@ -41,7 +61,8 @@
       if (t.cause == 47) return reach::Lost::kStuckCircuit;
       if (t.cause == 17) return reach::Lost::kBusy;
       if (t.cause == 27) return reach::Lost::kDead;
-      if (t.cause == 34) return t.direct || t.tandems > 0 ? reach::Lost::kTurnedBack : reach::Lost::kNoCircuit;
+      if (t.cause == 34)
+        return t.direct || t.tandems > 0 ? reach::Lost::kTurnedBack : reach::Lost::kNoCircuit;
       if (t.cause == 42) return state(reach::Lost::kSlow);
       return state(reach::Lost::kDead);
     default:
@@ -66,7 +87,8 @@
     ++account.lost[static_cast<std::size_t>(Cause(t))];
   }
   // A group that is free between healthy exchanges and whose calls are refused unsent.
-  const bool wasted = (t.how == "refused" || t.how == "failed") && !t.sent && t.direct && t.healthy;
+  const bool wasted =
+      (t.how == "refused" || t.how == "failed") && !t.sent && !t.late && t.direct && t.healthy;
   Refused& idle = idle_[{t.from, t.to}];
   Refused& avoided = avoided_[t.to];
   if (!t.direct || !t.healthy) {
@@ -80,13 +102,15 @@
   }
   if (!idle.told && at - idle.since >= limits_.idle_us && idle.count >= limits_.idle_refused) {
     idle.told = true;
-    Waste(at, "exchange " + std::to_string(t.from) + " refused " + std::to_string(idle.count) + " calls to " + std::to_string(t.to) + " in " +
-                  Seconds(at - idle.since) + " while their group had circuits free, both exchanges were well, and sent none");
+    Waste(at, "exchange " + std::to_string(t.from) + " refused " + std::to_string(idle.count) + " calls to " +
+                  std::to_string(t.to) + " in " + Seconds(at - idle.since) +
+                  " while their group had circuits free, both exchanges were well, and sent none");
   }
   if (!avoided.told && at - avoided.since >= limits_.avoided_us && avoided.count >= limits_.avoided_refused) {
     avoided.told = true;
-    Waste(at, "nobody sent a set-up to exchange " + std::to_string(t.to) + " for " + Seconds(at - avoided.since) + ", though it was well and " +
-                  std::to_string(avoided.count) + " calls to it were refused");
+    Waste(at, "nobody sent a set-up to exchange " + std::to_string(t.to) + " for " +
+                  Seconds(at - avoided.since) + ", though it was well and " + std::to_string(avoided.count) +
+                  " calls to it were refused");
   }
 }
 
@@ -102,7 +126,8 @@
   run.last = at;
   most_running_ = std::max(most_running_, ++run.all);
   if (run.close == limits_.refusals_running)
-    Waste(at, "exchange " + std::to_string(from) + " seized " + circuit + " and was refused " + std::to_string(run.close) + " times running");
+    Waste(at, "exchange " + std::to_string(from) + " seized " + circuit + " and was refused " +
+                  std::to_string(run.close) + " times running");
 }
 
 void Ledger::OnCircuitUsed(int from, const std::string& circuit) { running_.erase({from, circuit}); }
--- a/src/reach/account.h
+++ b/src/reach/account.h
@@ -1,5 +1,6 @@
-// Where the worth of a day went: every try without a good end charged to exactly one cause, and resources that were plainly
-// wasted. Told what was seen, in order; no I/O, no clock, nothing of the product's own decisions.
+// Where the worth of a day went: every try without a good end charged to exactly one cause, and resources
+// that were plainly wasted. Told what was seen, in order; no I/O, no clock, nothing of the product's own
+// decisions.
 #ifndef CROFTRUN_REACH_ACCOUNT_H_
 #define CROFTRUN_REACH_ACCOUNT_H_
 
@@ -18,6 +19,8 @@
 enum class Lost : std::uint8_t {
   kNoCircuit,       // no way had a circuit free at its end: none was to be had
   kNotTried,        // one had, and no set-up was sent: by decision (admission, budget, pause)
+  kNotTriedUnwell,  // the same, and an exchange at either end was not well (down, cold, slow, hung, leaving)
+  kLateRedial,      // the same, for a redial that could no longer be in time
   kGlare,           // its last set-up met a seizure by the far end
   kStuckCircuit,    // ... a circuit that the far end held for out of service, or the own gateway for taken
   kTurnedBack,      // ... a tandem without a circuit onward, though some way was free
@@ -30,7 +33,7 @@
   kCallerGone,      // hung up before the answer
   kCut,             // stood, and was cut
 };
-inline constexpr std::size_t kLost = 13;
+inline constexpr std::size_t kLost = 15;
 std::string_view Name(Lost lost);
 
 // How a set-up ended, as seen on the wire. kReleased comes with its cause (ITU-T Q.850).
@@ -41,10 +44,12 @@
   int call_class = 0;
   // "stands", "stands-late", "refused", "failed", "unanswered", "hung-up"; "cut", "cut-late": a second word.
   std::string_view how;
-  bool direct = false;   // a circuit of the own group was free at both ends
-  int tandems = 0;       // ways over one tandem with a circuit free on both legs
-  bool healthy = false;  // both exchanges up, warm, listed, their processors under a quarter of their longest wait
+  bool direct = false;  // a circuit of the own group was free at both ends
+  int tandems = 0;      // ways over one tandem with a circuit free on both legs
+  bool healthy =
+      false;  // both exchanges up, warm, listed, their processors under a quarter of their longest wait
   bool own_edge_down = false;
+  bool late = false;  // dialled again when most of the time in which the first try was wanted had passed
   // The last set-up of the try; kOut with sent false: none was sent.
   bool sent = false;
   SetUpEnd end = SetUpEnd::kOut;
@@ -62,21 +67,24 @@
 
 // Limits of what passes for bad luck; the day fails beyond them.
 struct WasteLimits {
-  unsigned refusals_running = 3;       // of one circuit, with less than the gap between each two
+  unsigned refusals_running = 3;  // of one circuit, with less than the gap between each two
   TimeUs refusal_gap_us = 1'000'000;
-  TimeUs idle_us = 2'000'000;          // a free group whose calls are refused, between healthy exchanges ...
-  unsigned idle_refused = 8;           // ... so many of them at least, and none set up on it meanwhile
-  TimeUs avoided_us = 5'000'000;       // a healthy exchange to which nobody sends, while so many calls to it are refused
+  TimeUs idle_us = 2'000'000;  // a free group whose calls are refused, between healthy exchanges ...
+  unsigned idle_refused = 8;   // ... so many of them at least, and none set up on it meanwhile
+  TimeUs avoided_us =
+      5'000'000;  // a healthy exchange to which nobody sends, while so many calls to it are refused
   unsigned avoided_refused = 12;
 };
 
 class Ledger {
  public:
   static constexpr std::size_t kMostExamples = 10;
-  explicit Ledger(std::size_t classes, const WasteLimits& limits = {}) : limits_(limits), accounts_(classes) {}
+  explicit Ledger(std::size_t classes, const WasteLimits& limits = {})
+      : limits_(limits), accounts_(classes) {}
 
   void OnTry(TimeUs at, const TryEnd& end);
-  // A set-up left `from` for `to` (the exchange at the other end of the circuit), on behalf of a call to `destination`.
+  // A set-up left `from` for `to` (the exchange at the other end of the circuit), on behalf of a call to
+  // `destination`.
   void OnSetUp(TimeUs at, int from, int to, int destination);
   // A seizure of this circuit was refused for the circuit's sake (glare, out of service), or it did its work.
   void OnCircuitRefused(TimeUs at, int from, const std::string& circuit);
--- a/src/reach/bound.cpp
+++ b/src/reach/bound.cpp
@@ -11,6 +11,8 @@
 namespace croftrun::reach {
 namespace {
 
+constexpr std::size_t kSmall = 4'000;  // columns
+
 enum class RowKind { kDemand, kGroup, kExchange, kNetwork, kProcessor, kProcessors, kCrowded };
 
 struct FreeModel {
@@ -44,12 +46,21 @@
     starts_.push_back(static_cast<CoinBigIndex>(rows_.size()));
     const std::unique_ptr<Clp_Simplex, FreeModel> model(Clp_newModel());
     Clp_setLogLevel(model.get(), 0);
-    const std::vector<double> zeros(objective_.size(), 0.0), free(objective_.size(), 1e30), low(upper_.size(), -1e30);
-    Clp_loadProblem(model.get(), static_cast<int>(objective_.size()), static_cast<int>(upper_.size()), starts_.data(), rows_.data(),
-                    values_.data(), zeros.data(), free.data(), objective_.data(), low.data(), upper_.data());
+    const std::vector<double> zeros(objective_.size(), 0.0), free(objective_.size(), 1e30),
+        low(upper_.size(), -1e30);
+    Clp_loadProblem(model.get(), static_cast<int>(objective_.size()), static_cast<int>(upper_.size()),
+                    starts_.data(), rows_.data(), values_.data(), zeros.data(), free.data(),
+                    objective_.data(), low.data(), upper_.data());
     Clp_setOptimizationDirection(model.get(), -1.0);
     Clp_setMaximumSeconds(model.get(), p_.most_seconds);
-    Clp_initialSolve(model.get());
+    // The simplex for what is small: exact. Whole days would take it minutes; the barrier without crossing
+    // over to a vertex is
+    // as good a bound.
+    if (objective_.size() <= kSmall) {
+      Clp_initialSolve(model.get());
+    } else {
+      Clp_initialBarrierNoCrossSolve(model.get());
+    }
     bound.solved = Clp_status(model.get()) == 0;
     if (!bound.solved) return bound;
     bound.worth = Clp_objectiveValue(model.get());
@@ -61,14 +72,17 @@
     for (std::size_t r = 0; r < upper_.size(); ++r) {
       const double worth = std::fabs(price[r]) * upper_[r] / 100.0;
       const RowKind kind = kinds_[r];
-      if (kind == RowKind::kGroup || kind == RowKind::kExchange || kind == RowKind::kNetwork) bound.for_circuits += worth;
+      if (kind == RowKind::kGroup || kind == RowKind::kExchange || kind == RowKind::kNetwork)
+        bound.for_circuits += worth;
       if (kind == RowKind::kProcessor || kind == RowKind::kProcessors) bound.for_processors += worth;
     }
     return bound;
   }
 
  private:
-  static std::pair<std::size_t, std::size_t> Pair(std::size_t a, std::size_t b) { return {std::min(a, b), std::max(a, b)}; }
+  static std::pair<std::size_t, std::size_t> Pair(std::size_t a, std::size_t b) {
+    return {std::min(a, b), std::max(a, b)};
+  }
   std::size_t Times(const Demand& d) const {
     const ClassOfCall& c = p_.classes[d.call_class];
     return std::min(p_.intervals - std::min(p_.intervals, d.interval), std::max(c.in_time, c.late) + 1);
@@ -106,7 +120,9 @@
         continue;
       }
       for (std::size_t t = 0; t < p_.exchanges; ++t) {
-        if (t == d.from || t == d.to || group_of_.count(Pair(d.from, t)) == 0 || group_of_.count(Pair(t, d.to)) == 0) continue;
+        if (t == d.from || t == d.to || group_of_.count(Pair(d.from, t)) == 0 ||
+            group_of_.count(Pair(t, d.to)) == 0)
+          continue;
         Begin(worth, in_time, demand);
         Occupy(d, c, at, {{d.from, t}, {t, d.to}}, 2.0);
         Load(at, d, {t});
@@ -126,7 +142,8 @@
     values_.push_back(value);
   }
 
-  void Occupy(const Demand& d, const ClassOfCall& c, std::size_t at, const std::vector<std::pair<std::size_t, std::size_t>>& on, double legs) {
+  void Occupy(const Demand& d, const ClassOfCall& c, std::size_t at,
+              const std::vector<std::pair<std::size_t, std::size_t>>& on, double legs) {
     for (std::size_t k = 0; k < c.keeps.size() && at + k < p_.intervals; ++k) {
       const std::size_t interval = at + k;
       const double circuits = c.keeps[k] * c.width;
@@ -138,18 +155,24 @@
       if (d.crowded && !p_.crowded_lines.empty())
         Put(Row(RowKind::kCrowded, 0, interval, p_.crowded_lines[interval]), c.keeps[k]);
       if (by_tandem_) continue;
-      for (const std::size_t end : {d.from, d.to}) Put(Row(RowKind::kExchange, end, interval, At(end, interval)), circuits);
+      for (const std::size_t end : {d.from, d.to})
+        Put(Row(RowKind::kExchange, end, interval, At(end, interval)), circuits);
       Put(Row(RowKind::kNetwork, 0, interval, All(interval)), legs * circuits);
     }
   }
 
   void Load(std::size_t at, const Demand& d, const std::vector<std::size_t>& tandems) {
-    const auto put = [&](std::size_t exchange, double work) {
-      if (work > 0.0) Put(Row(RowKind::kProcessor, exchange, at, p_.processor[exchange][at]), work);
+    const std::vector<double>& leaves = p_.classes[d.call_class].leaves;
+    const auto put = [&](std::size_t exchange, double work, double end) {
+      const std::size_t last = std::max<std::size_t>(1, end > 0.0 ? leaves.size() : 1);
+      for (std::size_t k = 0; k < last && at + k < p_.intervals; ++k) {
+        const double sum = (k == 0 ? work : 0.0) + (k < leaves.size() ? end * leaves[k] : 0.0);
+        if (sum > 0.0) Put(Row(RowKind::kProcessor, exchange, at + k, p_.processor[exchange][at + k]), sum);
+      }
     };
-    put(d.from, p_.work.origin);
-    put(d.to, p_.work.destination);
-    for (const std::size_t tandem : tandems) put(tandem, p_.work.tandem);
+    put(d.from, p_.work.origin, p_.work.origin_end);
+    put(d.to, p_.work.destination, p_.work.destination_end);
+    for (const std::size_t tandem : tandems) put(tandem, p_.work.tandem, p_.work.tandem_end);
   }
 
   double At(std::size_t exchange, std::size_t interval) const {
@@ -186,11 +209,26 @@
   const double r = mean_us / interval_us, fades = std::exp(-1.0 / r);
   std::vector<double> keeps;
   for (std::size_t d = 0; d < intervals; ++d) {
-    const double share = d == 0 ? r * (1.0 - r * (1.0 - fades)) : r * r * (1.0 - fades) * (1.0 - fades) * std::pow(fades, static_cast<double>(d - 1));
+    const double share =
+        d == 0 ? r * (1.0 - r * (1.0 - fades))
+               : r * r * (1.0 - fades) * (1.0 - fades) * std::pow(fades, static_cast<double>(d - 1));
     if (d > 0 && share < 0.002) break;
     keeps.push_back(share);
   }
   return keeps;
 }
 
+std::vector<double> Leaves(double mean_us, double interval_us, std::size_t intervals) {
+  const double r = mean_us / interval_us, fades = std::exp(-1.0 / r);
+  std::vector<double> leaves;
+  for (std::size_t d = 0; d < intervals; ++d) {
+    const double share =
+        d == 0 ? 1.0 - r * (1.0 - fades)
+               : r * (1.0 - fades) * (1.0 - fades) * std::pow(fades, static_cast<double>(d - 1));
+    if (d > 0 && share < 0.002) break;
+    leaves.push_back(share);
+  }
+  return leaves;
+}
+
 }  // namespace croftrun::reach
--- a/src/reach/bound.h
+++ b/src/reach/bound.h
@@ -1,10 +1,11 @@
 // What was within reach: an upper bound on the worth that any routing could have answered on a day.
 //
-// A linear relaxation over short intervals. Calls are split at will; a call keeps its circuits for the mean of its holding
-// time, spread over the intervals; processors and groups are held to what they can do over each interval, not at each
-// instant. What it leaves out, all in favour of the bound: that calls are whole; that knowledge is late; work for calls that
-// are refused, repeated or cut; that calls are cut; jams within an interval; and in large networks (`by_tandem` false) which
-// tandem a call goes over: only that it takes two circuits, one at either end. No I/O. The solver is CLP (COIN-OR).
+// A linear relaxation over short intervals. Calls are split at will; a call keeps its circuits for the mean
+// of its holding time, spread over the intervals; processors and groups are held to what they can do over
+// each interval, not at each instant. What it leaves out, all in favour of the bound: that calls are whole;
+// that knowledge is late; work for calls that are refused, repeated or cut; that calls are cut; jams within
+// an interval; and in large networks (`by_tandem` false) which tandem a call goes over: only that it takes
+// two circuits, one at either end. No I/O. The solver is CLP (COIN-OR).
 #ifndef CROFTRUN_REACH_BOUND_H_
 #define CROFTRUN_REACH_BOUND_H_
 
@@ -17,10 +18,13 @@
 struct ClassOfCall {
   double worth = 1.0, late_worth = 0.0;  // late: this share of the worth
   double width = 1.0;                    // circuits on each group
-  // [d]: the mean share of the d-th interval after that of its answer (0: the same one) in which it keeps its circuits.
+  // [d]: the mean share of the d-th interval after that of its answer (0: the same one) in which it keeps its
+  // circuits.
   std::vector<double> keeps;
-  std::size_t in_time = 1;  // answered so many intervals after that of its offer, a call may still be in time ...
-  std::size_t late = 1;     // ... or late, but before its caller gives up
+  std::vector<double> leaves;  // [d]: the share of such calls that end in that interval
+  std::size_t in_time =
+      1;  // answered so many intervals after that of its offer, a call may still be in time ...
+  std::size_t late = 1;  // ... or late, but before its caller gives up
 };
 
 struct Demand {
@@ -36,7 +40,9 @@
 
 // Work in units of the processors' figures.
 struct Work {
-  double origin = 0.0, destination = 0.0, tandem = 0.0;  // of a call, at each exchange on its way, up to its release
+  double origin = 0.0, destination = 0.0,
+         tandem = 0.0;  // of a call, at each exchange on its way, up to its answer
+  double origin_end = 0.0, destination_end = 0.0, tandem_end = 0.0;  // and of its release
 };
 
 struct Problem {
@@ -65,8 +71,11 @@
 
 Bound UpperBound(const Problem& problem);
 
-// `keeps` of a class whose holding times are exponential with this mean; of calls answered evenly over an interval.
+// `keeps` of a class whose holding times are exponential with this mean; of calls answered evenly over an
+// interval.
 std::vector<double> Keeps(double mean_us, double interval_us, std::size_t intervals);
+// `leaves` of the same.
+std::vector<double> Leaves(double mean_us, double interval_us, std::size_t intervals);
 
 }  // namespace croftrun::reach
 
--- a/src/runtime/asio_runtime.cpp
+++ b/src/runtime/asio_runtime.cpp
@@ -28,6 +28,9 @@
 // Receive buffer asked of the kernel. It may grant far less, so the socket is emptied into the process's own queue
 // after every few datagrams that were worked on.
 constexpr int kSocketBuffer = 4 << 20;
+// The clock's first reading. Not 0, which several interfaces read as "never"; and so long before the process began that the
+// start of another exchange, which is told as an age, has a time of its own on this clock.
+constexpr TimeUs kClockBegins = 24ULL * 3'600'000'000;
 constexpr std::size_t kSystemBatch = 32;   // datagrams of one system call
 constexpr std::size_t kWorkBatch = 64;     // worked on before the socket is emptied again and timers get their turn
 constexpr std::size_t kLargest = 4096;     // octets of a datagram that is not cut (RFC 3435 3.5.4 asks for 4,000)
@@ -232,7 +235,7 @@
       if (owner.timers_.empty()) {
         self->timer.expires_at(std::chrono::steady_clock::time_point::max());
       } else {
-        self->timer.expires_at(owner.start_ + std::chrono::microseconds(self->armed_for - 1'000'000));
+        self->timer.expires_at(owner.start_ + std::chrono::microseconds(self->armed_for - kClockBegins));
       }
       co_await self->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
@@ -249,8 +252,7 @@
 
 TimeUs AsioRuntime::Now() const {
   if (turn_->present != 0) return turn_->present;
-  // One second is added so that no time is 0, which several interfaces read as "never".
-  return 1'000'000 + static_cast<TimeUs>(std::chrono::duration_cast<std::chrono::microseconds>(
+  return kClockBegins + static_cast<TimeUs>(std::chrono::duration_cast<std::chrono::microseconds>(
                                              std::chrono::steady_clock::now() - start_)
                                              .count());
 }
--- a/src/sim/stallable_runtime.h
+++ b/src/sim/stallable_runtime.h
@@ -1,5 +1,6 @@
-// A runtime that can be made to stand still, as a process does that gets no processor: its clock goes on, but no timer and
-// no datagram is worked on until it goes on, and then all that came meanwhile is there at once, in order.
+// A runtime that can be made to stand still, as a process does that gets no processor: its clock goes on, but
+// no timer and no datagram is worked on until it goes on, and then all that came meanwhile is there at once,
+// in order.
 #ifndef CROFTRUN_SIM_STALLABLE_RUNTIME_H_
 #define CROFTRUN_SIM_STALLABLE_RUNTIME_H_
 
--- /dev/null
+++ b/src/ws/server.cpp
@@ -0,0 +1,191 @@
+#include "ws/server.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/websocket.hpp>
+#include <chrono>
+#include <deque>
+
+#include "door/bucket.h"
+
+namespace croftrun::ws {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+struct Server::State {
+  State(asio::io_context* c, const ServerSettings& s, Desk* d)
+      : context(c), settings(s), desk(d), acceptor(*c) {
+    limit = {static_cast<double>(s.accepts_per_s), static_cast<double>(s.accepts_per_s)};
+    bucket.tokens = limit.burst;
+  }
+  asio::io_context* context;
+  ServerSettings settings;
+  Desk* desk;  // null once the server is gone
+  tcp::acceptor acceptor;
+  std::set<std::shared_ptr<Connection>> connections;
+  door::BucketSettings limit;
+  door::Bucket bucket;
+  Counters counters;
+};
+
+class Server::Connection final : public Sink, public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(tcp::socket socket, std::shared_ptr<State> state)
+      : stream_(std::move(socket)), wake_(*state->context), state_(std::move(state)) {}
+
+  void Start() { asio::co_spawn(*state_->context, Read(shared_from_this()), asio::detached); }
+  // At once, without a goodbye: both coroutines end with an error.
+  void Drop() {
+    beast::error_code ignored;
+    beast::get_lowest_layer(stream_).socket().close(ignored);
+    wake_.cancel();
+  }
+
+  void Send(std::string text) override {
+    queued_ += text.size();
+    out_.push_back(std::move(text));
+    wake_.cancel();
+  }
+  std::size_t Queued() const override { return queued_; }
+  void Close(int code, std::string reason) override {
+    closing_ = true;
+    code_ = code;
+    reason_ = std::move(reason);
+    wake_.cancel();
+  }
+
+ private:
+  static asio::awaitable<void> Read(std::shared_ptr<Connection> self) {
+    beast::error_code error;
+    const std::shared_ptr<State> state = self->state_;
+    const ServerSettings& settings = state->settings;
+    beast::websocket::stream_base::timeout timeout{};
+    timeout.handshake_timeout = std::chrono::microseconds(settings.handshake_us);
+    timeout.idle_timeout = std::chrono::microseconds(settings.idle_us);
+    timeout.keep_alive_pings = true;
+    self->stream_.set_option(timeout);
+    self->stream_.read_message_max(settings.most_octets);
+    co_await self->stream_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      ++state->counters.handshakes_failed;
+    } else if (state->desk != nullptr) {
+      beast::error_code unknown;
+      const auto peer = beast::get_lowest_layer(self->stream_).socket().remote_endpoint(unknown);
+      self->id_ = state->desk->OnOpened(self.get(), unknown ? "?" : peer.address().to_string());
+      asio::co_spawn(*state->context, Write(self), asio::detached);
+      beast::flat_buffer buffer;
+      while (!error && state->desk != nullptr) {
+        co_await self->stream_.async_read(buffer, asio::redirect_error(asio::use_awaitable, error));
+        if (error || state->desk == nullptr) break;
+        const auto data = buffer.cdata();
+        const std::string text(static_cast<const char*>(data.data()), data.size());
+        buffer.consume(buffer.size());
+        state->desk->OnText(self->id_, text);
+      }
+      if (state->desk != nullptr) state->desk->OnClosed(self->id_);
+    }
+    self->over_ = true;
+    self->wake_.cancel();
+    beast::error_code ignored;
+    beast::get_lowest_layer(self->stream_).socket().close(ignored);
+    state->connections.erase(self);
+  }
+
+  static asio::awaitable<void> Write(std::shared_ptr<Connection> self) {
+    beast::error_code error;
+    while (!self->over_) {
+      if (!self->out_.empty()) {
+        const std::string text = std::move(self->out_.front());
+        self->out_.pop_front();
+        self->stream_.text(true);
+        const auto buffer = asio::buffer(text);
+        co_await self->stream_.async_write(buffer, asio::redirect_error(asio::use_awaitable, error));
+        self->queued_ -= text.size();
+        if (error) break;
+        continue;
+      }
+      if (self->closing_) {
+        beast::websocket::close_reason reason;
+        reason.code = static_cast<beast::websocket::close_code>(self->code_);
+        reason.reason = self->reason_.substr(0, 120);
+        co_await self->stream_.async_close(reason, asio::redirect_error(asio::use_awaitable, error));
+        break;
+      }
+      self->wake_.expires_at(std::chrono::steady_clock::time_point::max());
+      beast::error_code woken;
+      co_await self->wake_.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+    }
+    beast::error_code ignored;
+    if (!self->over_) beast::get_lowest_layer(self->stream_).socket().close(ignored);
+  }
+
+  beast::websocket::stream<beast::tcp_stream> stream_;
+  asio::steady_timer wake_;
+  std::shared_ptr<State> state_;
+  std::deque<std::string> out_;
+  std::size_t queued_ = 0;
+  bool closing_ = false, over_ = false;
+  int code_ = 1000;
+  std::string reason_;
+  Desk::ConnectionId id_ = 0;
+};
+
+Server::Server(asio::io_context* context, const ServerSettings& settings, Desk* desk)
+    : state_(std::make_shared<State>(context, settings, desk)) {
+  const tcp::endpoint endpoint(asio::ip::address_v4(settings.listen.host), settings.listen.port);
+  state_->acceptor.open(endpoint.protocol());
+  state_->acceptor.set_option(tcp::acceptor::reuse_address(true));
+  state_->acceptor.bind(endpoint);
+  state_->acceptor.listen();
+  const auto accept = [](std::shared_ptr<State> state) -> asio::awaitable<void> {
+    beast::error_code error;
+    asio::steady_timer pause(*state->context);
+    while (state->desk != nullptr) {
+      tcp::socket socket(*state->context);
+      co_await state->acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+      if (state->desk == nullptr || error == asio::error::operation_aborted) co_return;
+      if (error) {
+        // Out of descriptors, most likely: others are about to close theirs.
+        pause.expires_after(std::chrono::milliseconds(50));
+        beast::error_code ignored;
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        continue;
+      }
+      const auto now = static_cast<TimeUs>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                               std::chrono::steady_clock::now().time_since_epoch())
+                                               .count());
+      if (state->connections.size() >= state->settings.most_connections ||
+          !state->bucket.Take(state->limit, now)) {
+        ++state->counters.turned_away;
+        continue;  // the socket closes as it goes out of scope
+      }
+      ++state->counters.accepted;
+      auto connection = std::make_shared<Connection>(std::move(socket), state);
+      state->connections.insert(connection);
+      connection->Start();
+    }
+  };
+  asio::co_spawn(*context, accept(state_),
+                 asio::detached);  // owned by the server through the acceptor, which it closes
+}
+
+Server::~Server() {
+  state_->desk = nullptr;
+  beast::error_code ignored;
+  state_->acceptor.close(ignored);
+  for (const auto& connection : std::set(state_->connections)) connection->Drop();
+}
+
+std::uint16_t Server::port() const { return state_->acceptor.local_endpoint().port(); }
+std::size_t Server::open() const { return state_->connections.size(); }
+const Server::Counters& Server::counters() const { return state_->counters; }
+
+}  // namespace croftrun::ws
--- a/tests/core_parts_test.cpp
+++ b/tests/core_parts_test.cpp
@@ -97,6 +97,16 @@
   });
 }
 
+TEST(Roster, AnExchangeThatStartedBeforeThisClockIsLongStartedNotJustStarted) {
+  RosterView view;
+  RosterUpdate update;
+  update.version = 1;
+  update.entries.push_back({.exchange = 5, .number = 1, .incarnation = 2, .age_us = 12'500'000});
+  DirectoryUpdate directory;
+  ASSERT_EQ(view.Apply(1'200'000, update, &directory), RosterView::Verdict::kApplied);
+  EXPECT_EQ(directory.entries.at(0).since_us, 0U);  // 1 would make it cold for all of the warm-up from now on
+}
+
 TEST(NumberPlan, TheLongestPrefixWins) {
   NumberPlan plan;
   EXPECT_TRUE(plan.Add("1", {.destination = 1}));
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "door/door.h"
+#include "lab/doors.h"
 
 namespace croftrun::door {
 namespace {
@@ -402,5 +403,23 @@
   EXPECT_LE(evening.door().limit(), 60U);
 }
 
+TEST(Doors, OnTheSameEveningOnlyTheFairOneKeepsTheQuietTheirShareUnderAFlood) {
+  lab::DoorsSettings settings;
+  settings.length_us = 16'000'000;
+  settings.flood_per_s = 1'500;
+  for (const std::string& name : lab::DoorNames()) {
+    const lab::DoorFigures figures = lab::PlayDoor(name, settings);
+    if (name == "fair") {
+      EXPECT_GE(figures.quiet_share, 0.95);
+      EXPECT_GE(figures.told_kept, 0.95);
+      EXPECT_LE(figures.most_waiting, 1024U);
+    } else {
+      EXPECT_LT(figures.quiet_share, 0.5) << name;
+    }
+  }
+  settings.flood_per_s = 0.0;
+  for (const std::string& name : lab::DoorNames()) EXPECT_GT(lab::PlayDoor(name, settings).quiet_share, 0.99) << name;
+}
+
 }  // namespace
 }  // namespace croftrun::door
--- a/tests/hard_cases_test.cpp
+++ b/tests/hard_cases_test.cpp
@@ -465,6 +465,26 @@
   EXPECT_EQ(node->core().open_calls(), 0U);
 }
 
+// An edge whose process stands still while its call's time runs out finds answer and time-out in its queue at once.
+TEST_F(HardCase, AnAnswerFoundAfterAStallPastTheCallersTimeTellsNobodyThatTheCallStands) {
+  sim::StallableRuntime stallable(&runtime);
+  node.reset();
+  node = std::make_unique<edge::EdgeNode>(settings, &stallable, &log);
+  runtime.RunFor(100 * kMs);
+  Dial(1, "110010007", 1000);
+  ASSERT_EQ(SetUps(), 1U);
+  stallable.Stall(true);
+  gateway.Notify(LastSeized(), std::string(gateway.Last(mgcp::Verb::kCrcx, LastSeized())->Get("X")), "MS/ans");
+  runtime.RunFor(1'500 * kMs);
+  stallable.Stall(false);
+  runtime.RunFor(100 * kMs);
+  EXPECT_EQ(Stands(1), 0U);
+  EXPECT_EQ(node->core().counters().stands, 0U);
+  EXPECT_EQ(node->core().counters().too_late, 1U);
+  EXPECT_EQ(node->core().open_calls(), 0U);
+  node.reset();
+}
+
 class FiveThousand : public HardCase {
  protected:
   FiveThousand() : HardCase(6000, 3000) { runtime.RunFor(2'000 * kMs); }
