--- a/src/reach/account.h
+++ b/src/reach/account.h
@@ -69,10 +69,11 @@
 struct WasteLimits {
   unsigned refusals_running = 3;  // of one circuit, with less than the gap between each two
   TimeUs refusal_gap_us = 1'000'000;
-  TimeUs idle_us = 2'000'000;  // a free group whose calls are refused, between healthy exchanges ...
+  // A free group whose calls are refused, between healthy exchanges: longer than a sender rests after losses in a row (the
+  // module: 1, 2, 4 s), ...
+  TimeUs idle_us = 5'000'000;
   unsigned idle_refused = 8;   // ... so many of them at least, and none set up on it meanwhile
-  TimeUs avoided_us =
-      5'000'000;  // a healthy exchange to which nobody sends, while so many calls to it are refused
+  TimeUs avoided_us = 10'000'000;  // a healthy exchange to which nobody sends, while so many calls are refused
   unsigned avoided_refused = 12;
 };
 
