API desk: one branch where two did the same

Cause: read once more; a call answered from within and one that is not were opened in the same two lines each.

Change: opened once; behaviour as before.

Measured: the 14 tests of the API pass under ASan and UBSan.

--- a/src/ws/desk.cpp
+++ b/src/ws/desk.cpp
@@ -230,15 +230,10 @@
   early_.clear();
   const CallId call = calls_->Take(offer, this, held.identity.client);
   placing_ = nullptr;
-  if (early_.empty()) {
-    held.session.Open(call);
-    owners_[call] = &held;
-  } else {
-    // Answered from within. One that stands is up; what was told goes out behind the reply.
-    held.session.Open(call);
-    owners_[call] = &held;
-    early_call_ = call;
-  }
+  held.session.Open(call);
+  owners_[call] = &held;
+  // Answered from within: what was told goes out behind the reply that names the call.
+  if (!early_.empty()) early_call_ = call;
   return {{"call", call}};
 }
 
