--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -59,6 +59,7 @@
   bool retired = false;  // gone, or another has its address
   std::list<std::unique_ptr<Link>> links;
   std::unordered_set<std::string> standing;  // calls that stand here
+  std::string told;                          // the state of its group, as it was told last
   std::vector<std::string> waiting;          // releases for the next connection
   core::Timer again;
   TimeUs pause = 0;
@@ -374,7 +375,7 @@
       const auto [exchange, sent] = probe->second;
       probes_.erase(probe);
       core_->OnProbeEnded(exchange, message->cause.value_or(0) == 1 ? Outcome::kOk : Outcome::kError,
-                          runtime_->Now() - sent, {});
+                          runtime_->Now() - sent, FiguresOf(*message));
       return true;
     }
     case MessageType::kWait:
@@ -439,19 +440,41 @@
   ++(meaning.outcome == Outcome::kReset ? counters_.resets
      : meaning.outcome == Outcome::kError ? counters_.errors
                                           : counters_.refusals);
-  core_->OnTrunkReleased(
-      leg.call, leg.attempt,
-      InfoOf(meaning, cause == kNoCircuit && meaning.cause != Cause::kProcessorFull ? core::ReleaseCause::kNoCircuit
-                                                                                  : core::ReleaseCause::kCongestion));
+  const bool no_circuit = cause == kNoCircuit && meaning.cause != Cause::kProcessorFull;
+  core::ReleaseInfo info =
+      InfoOf(meaning, no_circuit ? core::ReleaseCause::kNoCircuit : core::ReleaseCause::kCongestion);
+  info.load = FiguresOf(message);
+  core_->OnTrunkReleased(leg.call, leg.attempt, info);
 }
 
+// "spare:205;total:205", by the names of the settings; -1 for a figure that did not come.
+std::vector<float> Exchanges::FiguresOf(const Message& message) const {
+  const std::string* const load = message.Field("load");
+  if (load == nullptr) return {};
+  std::vector<float> figures(settings_.figures.size(), -1.0F);
+  for (std::string_view text = *load; !text.empty();) {
+    const auto end = text.find(';');
+    const auto item = text.substr(0, end);
+    text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    const auto colon = item.find(':');
+    if (colon == std::string_view::npos) continue;
+    const auto named = std::find(settings_.figures.begin(), settings_.figures.end(), item.substr(0, colon));
+    const auto value = ParseNumber(item.substr(colon + 1), -1.0, 1e9);
+    if (named != settings_.figures.end() && value)
+      figures[static_cast<std::size_t>(named - settings_.figures.begin())] = static_cast<float>(*value);
+  }
+  return figures;
+}
+
+// An exchange tells the state of its group on any of its connections, at times on several.
 void Exchanges::TakeGauge(Link* link, const Message& message) {
   ++counters_.gauges;
-  if (counters_.gauges <= 20) {
-    std::string text = message.id;
-    for (const auto& [key, value] : message.fields) text += " " + key + "=" + value;
-    log_->Write(core::LogLevel::kInfo, "gauge", 0, link->exchange->target.uid + " " + text);
-  }
+  const std::string* const load = message.Field("load");
+  if (load == nullptr || *load == link->exchange->told) return;
+  link->exchange->told = *load;
+  ++counters_.gauges_heard;
+  const std::vector<float> figures = FiguresOf(message);
+  if (!figures.empty()) core_->OnGauge(link->exchange->id, figures);
 }
 
 void Exchanges::EndLink(Link* link, const core::Ended& meaning, core::StreamEnd end) {
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -28,7 +28,7 @@
   TimeUs connect_within_us = 500'000;
   std::vector<std::string> classes;  // by index
   std::vector<std::string> zones, kinds;
-  std::vector<ReportField> report_fields;
+  std::vector<std::string> figures;  // names of a report's figures, in the module's order
   std::int64_t unix_offset_us = 0;   // Unix time minus the runtime's clock
 };
 
@@ -36,7 +36,7 @@
   std::uint64_t set_ups = 0, shared = 0, answers = 0, refusals = 0, errors = 0, resets = 0, never_ran = 0, given_up = 0;
   std::uint64_t ended = 0, cut = 0, cut_with_exchange = 0, released = 0;
   std::uint64_t connects = 0, refused = 0, timed_out = 0, broken = 0, spoilt = 0;
-  std::uint64_t gauges = 0, second_answers = 0, unknown_answers = 0, late_answers = 0, unknown_ends = 0;
+  std::uint64_t gauges = 0, gauges_heard = 0, second_answers = 0, unknown_answers = 0, late_answers = 0, unknown_ends = 0;
 };
 
 class Exchanges final : public core::TrunkDriver {
@@ -86,6 +86,7 @@
   void TakeRelease(Link* link, const Message& message);
   void TakeAnswer(Link* link, const Message& message);
   void TakeGauge(Link* link, const Message& message);
+  std::vector<float> FiguresOf(const Message& message) const;
   void EndLink(Link* link, const core::Ended& meaning, core::StreamEnd end);
   // The exchange's process is gone: so are the calls that stood there.
   void CutAll(Exchange* exchange, TimeUs before);
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -44,7 +44,7 @@
   to_exchanges.classes = ClassNames(config.module);
   to_exchanges.zones = config.zones;
   to_exchanges.kinds = config.kinds;
-  to_exchanges.report_fields = config.module.report_fields;
+  to_exchanges.figures = config.figures;
   // Read once: the same Unix time must mean the same time of the module however often it is told.
   to_exchanges.unix_offset_us = runtime->WallUs() - static_cast<std::int64_t>(runtime->Now());
   exchanges_ = std::make_unique<Exchanges>(to_exchanges, runtime, log, core_.get());
@@ -109,7 +109,8 @@
         {"errors", e.errors}, {"resets", e.resets}, {"never_ran", e.never_ran}, {"given_up", e.given_up},
         {"ended", e.ended}, {"cut", e.cut}, {"cut_with_exchange", e.cut_with_exchange}, {"released", e.released},
         {"connects", e.connects}, {"refused", e.refused}, {"timed_out", e.timed_out}, {"broken", e.broken},
-        {"spoilt", e.spoilt}, {"gauges", e.gauges}, {"second_answers", e.second_answers},
+        {"spoilt", e.spoilt}, {"gauges", e.gauges}, {"gauges_heard", e.gauges_heard},
+        {"second_answers", e.second_answers},
         {"unknown_answers", e.unknown_answers}, {"late_answers", e.late_answers}, {"unknown_ends", e.unknown_ends},
         {"open_links", exchanges_->links()}, {"legs", exchanges_->legs()}}},
       {"core",
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -198,6 +198,7 @@
     }
     config.zones = reader.Names("/settings/localities");
     config.kinds = reader.Names("/settings/flavors");
+    config.figures = reader.Names("/settings/report/fields");
     reader.Time("/settings/allowed/connect_timeout_us", &config.connect_timeout_us);
     reader.Time("/settings/allowed/conn_idle_us", &config.connection_idle_us);
     reader.Time("/settings/contract/grace_to_answer_us", &config.grace_us);
