Callers: for want of room only connections go that are idle with nothing unread

Line at fault: Callers::Evict took one without an open set-up that had brought nothing yet, though its first set-up may lie unread; the seam now tells (Stream::Unread), and a new connection has 100 ms. The same guard stands where silent ones are closed. Ruled out: restarts (there were none), a partial line (0 stuck).

--- a/src/core/runtime.h
+++ b/src/core/runtime.h
@@ -72,6 +72,8 @@
   virtual void Write(std::string_view bytes) = 0;
   // Octets that wait to be written. The owner bounds them, by destroying a stream whose far end does not read.
   virtual std::size_t Pending() const = 0;
+  // Octets have arrived that were not told yet: to close it now would lose them.
+  virtual bool Unread() const = 0;
   // Reading stops and goes on: what arrives meanwhile stays with the network.
   virtual void PauseReading(bool pause) = 0;
   virtual Address Remote() const = 0;
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -10,6 +10,8 @@
 // A connection that brought nothing of use by then is closed, and one that began a line and did not end it.
 constexpr TimeUs kUseWithin = 2'200'000;
 constexpr TimeUs kSweepEvery = 200'000;
+// For want of room a connection may go that brought nothing for this long: since its last use, or since it came.
+constexpr TimeUs kIdleFor = 200'000, kSilentFor = 100'000;
 // Ends of calls wait this long for a connection of their caller, this many at once.
 constexpr TimeUs kEndKept = 15'000'000;
 constexpr std::size_t kMostEnds = 4096;
@@ -56,7 +58,9 @@
       ++owner_->counters_.too_long;
       return owner_->Drop(this);
     }
-    if (!had || !reader.partial()) partial_since = owner_->runtime_->Now();
+    // A line that began before these octets and still goes on keeps its beginning.
+    const bool went_on = had && reader.partial() && bytes.find('\n') == std::string_view::npos;
+    if (!went_on) partial_since = owner_->runtime_->Now();
   }
   void OnEnd(core::StreamEnd) override { owner_->Drop(this); }
 
@@ -316,13 +320,16 @@
   }
 }
 
+// The least useful connection: one that brought nothing though it had time to, else the one longest idle. None on which
+// a set-up is open, or may just be on its way here.
 bool Callers::Evict() {
+  const TimeUs now = runtime_->Now();
   Link* worst = nullptr;
   for (const auto& link : links_) {
-    if (link->set_ups > 0) continue;
+    if (link->set_ups > 0 || now < link->last_use + (link->of_use ? kIdleFor : kSilentFor)) continue;
     const bool worse = worst == nullptr || std::make_pair(link->of_use, link->last_use) <
                                                std::make_pair(worst->of_use, worst->last_use);
-    if (worse) worst = link.get();
+    if (worse && !link->stream->Unread()) worst = link.get();
   }
   if (worst == nullptr) return false;
   ++counters_.links_evicted;
@@ -334,7 +341,7 @@
   const TimeUs now = runtime_->Now();
   std::vector<Link*> closed;
   for (const auto& link : links_) {
-    if (!link->of_use && now >= link->since + kUseWithin) {
+    if (!link->of_use && now >= link->since + kUseWithin && !link->stream->Unread()) {
       ++counters_.links_silent;
       closed.push_back(link.get());
     } else if (link->reader.partial() && now >= link->partial_since + kUseWithin) {
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -167,7 +167,7 @@
     }
   }
   core_->OnDirectory(update);
-  for (Exchange* const e : restarted) CutAll(e, e->since_us);
+  for (Exchange* const e : restarted) CutAll(e, e->since_us, "started again");
   for (Exchange* const e : gone) Retire(e);
   for (auto& [id, e] : exchanges_) {
     if (!e->retired) KeepConnected(e.get());
@@ -188,7 +188,7 @@
   if (const auto holder = by_address_.find(exchange->target.address);
       holder != by_address_.end() && holder->second == exchange->id)
     by_address_.erase(holder);
-  CutAll(exchange, runtime_->Now() + 1);
+  CutAll(exchange, runtime_->Now() + 1, "gone from the list");
   // Connections with a set-up out wait for its end.
   std::vector<Link*> idle;
   for (const auto& link : exchange->links) {
@@ -197,12 +197,15 @@
   for (Link* const link : idle) EndLink(link, kReset, core::StreamEnd::kClosed);
 }
 
-void Exchanges::CutAll(Exchange* exchange, TimeUs before) {
+void Exchanges::CutAll(Exchange* exchange, TimeUs before, std::string_view why) {
   std::vector<std::string> ids;
   for (const std::string& id : exchange->standing) {
     if (legs_.at(id).stood_at < before) ids.push_back(id);
   }
   std::sort(ids.begin(), ids.end());
+  if (!ids.empty())
+    log_->Write(core::LogLevel::kInfo, "exchange-lost", 0,
+                exchange->target.uid + " " + std::string(why) + ", calls cut: " + std::to_string(ids.size()));
   for (const std::string& id : ids) {
     const auto found = legs_.find(id);
     if (found == legs_.end()) continue;
@@ -506,7 +509,8 @@
                            InfoOf(meaning, never ? core::ReleaseCause::kOutOfOrder : core::ReleaseCause::kTemporaryFailure));
   }
   // Nothing listens there any more: what stood there was cut.
-  if (end == core::StreamEnd::kRefused && exchange->links.empty()) CutAll(exchange, runtime_->Now() + 1);
+  if (end == core::StreamEnd::kRefused && exchange->links.empty())
+    CutAll(exchange, runtime_->Now() + 1, "refuses connections");
   KeepConnected(exchange);
 }
 
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -89,7 +90,7 @@
   std::vector<float> FiguresOf(const Message& message) const;
   void EndLink(Link* link, const core::Ended& meaning, core::StreamEnd end);
   // The exchange's process is gone: so are the calls that stood there.
-  void CutAll(Exchange* exchange, TimeUs before);
+  void CutAll(Exchange* exchange, TimeUs before, std::string_view why);
   void Retire(Exchange* exchange);
   void NoteGivenUp(const std::string& id);
   void SendRelease(Exchange* exchange, Link* link, const std::string& id);
--- a/src/runtime/asio_streams.cpp
+++ b/src/runtime/asio_streams.cpp
@@ -159,6 +159,11 @@
     Flush(state_);
   }
   std::size_t Pending() const override { return state_->output.size() - state_->written; }
+  bool Unread() const override {
+    char octet = 0;
+    return state_->sink != nullptr && state_->open &&
+           ::recv(state_->socket.native_handle(), &octet, 1, MSG_DONTWAIT | MSG_PEEK) > 0;
+  }
   void PauseReading(bool pause) override {
     state_->paused = pause;
     if (!pause && state_->open) state_->wake.cancel();
