Module: a direct set-up that fails or breaks goes once more while most stand there

Probe, each end of a set-up logged: all 1,600 errors came from one exchange for 18 s, cause 47 without a note, three in five set-ups to it; the others stood. Ruled out: a crowded number (no note, every number once or twice), rude calls (the exchange carried the same callers' other calls). Line at fault: CallController Continue, which answered a call at its first error. Departure: FailsNowAndThen, for direct set-ups of a class that may be repeated, after the release wait where a rule asks for it, and only while a fifth of them stand.

--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -62,6 +62,8 @@
 constexpr std::size_t kMostHeld = 256, kMostNumbers = 64, kMostUnserved = 4096, kMostExchanges = 4096;
 // A share is not trusted before this many set-ups.
 constexpr double kFewSetUps = 2.0;
+// A set-up that failed or broke is repeated there while at least this share of them stands.
+constexpr double kFailsMost = 0.2;
 // Processors have room for more than first tries on their own groups while the set-up delay of all is under
 // so many times its usual one (which falls at once and rises by kUsualEase of the gap, as above reversed).
 constexpr double kRoomy = 1.5;
@@ -157,6 +159,7 @@
   TimeUs last_send = 0;
   TimeUs lost_at = 0;  // a failed connect or a death noticed from here: its start, if it is back
   Fading sent{kRateTau};
+  Leg direct{kRateTau};            // set-ups to it that stood, failed or broke
   Leg as_tandem;                   // over this tandem, wherever to
   std::map<ExchangeId, Leg> legs;  // to this destination, by tandem
   double cold_tokens = 1.0;
@@ -771,6 +774,7 @@
     const bool direct = found != calls_.end() && found->second.offer.destination == e->entry.number;
     if (direct) {
       NoteDelay(*e, AsDouble(stands.elapsed_us));
+      e->direct.stood.Add(now_, 1.0);
     } else {
       e->least_delay.Add(now_, AsDouble(stands.elapsed_us));
     }
@@ -897,14 +901,30 @@
     }
   }
 
+  // Symptom: set-ups to an exchange fail or break, for no reason told, while others stand: an ailing one,
+  // answers spoilt on their way, connections that break. One that may be repeated goes there once more, while
+  // it is likely to stand. Costs work where what fails is the call itself, whoever carries it.
+  bool FailsNowAndThen(const Call& call, const AttemptEnded& ended) {
+    const bool failed = ended.outcome == Outcome::kError && ended.cause == Cause::kNone;
+    if (!failed && ended.outcome != Outcome::kReset) return false;
+    Exchange* e = Find(ended.exchange);
+    if (e == nullptr) return false;
+    e->direct.back.Add(now_, 1.0);
+    const double stood = e->direct.stood.At(now_) + kFewSetUps * kTandemChance;
+    return !call.offer.in_transit && ClassOf(call).repeat == Repeat::kIdempotent &&
+           stood >= kFailsMost * (stood + e->direct.back.At(now_));
+  }
+
   // The attempt is over without a final answer: another route, the same one again, or an answer.
   void Continue(CallId id, Call& call, const AttemptEnded& ended, bool direct) {
     const bool timed_out = ended.outcome == Outcome::kTimeout;
+    const bool again = direct && FailsNowAndThen(call, ended);
     if (timed_out || ended.outcome == Outcome::kReset || ended.outcome == Outcome::kCancelled) {
       call.not_before = now_ + settings_.release_us;
-      if (call.offer.in_transit || direct || timed_out) return Answer(id, call, true);
+      if (call.offer.in_transit || (direct && !again) || timed_out) return Answer(id, call, true);
     }
-    if (ended.outcome == Outcome::kError) return Answer(id, call, true);
+    if (ended.outcome == Outcome::kError && !again) return Answer(id, call, true);
+    if (again) call.tried.erase(ended.exchange);
     if (ended.outcome == Outcome::kFull && (direct || ended.cause == Cause::kTurnedBackFull))
       return Answer(id, call, false);
     if (ended.outcome == Outcome::kMoot && ended.cause == Cause::kNoCircuit) call.tried.erase(ended.exchange);
--- a/src/config/json_settings.cpp
+++ b/src/config/json_settings.cpp
@@ -1,5 +1,6 @@
 #include "config/json_settings.h"
 
+#include <array>
 #include <fstream>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
@@ -55,9 +56,13 @@
     mistakes->push_back({"", "cannot read " + path});
     return {};
   }
-  std::string text(most_bytes + 1, '\0');
-  file.read(text.data(), static_cast<std::streamsize>(text.size()));
-  text.resize(static_cast<std::size_t>(file.gcount()));
+  // Piece by piece: the bound may be many times the file, and what is taken for it at once counts for ever.
+  std::string text;
+  std::array<char, 16 << 10> piece{};
+  while (file && text.size() <= most_bytes) {
+    file.read(piece.data(), piece.size());
+    text.append(piece.data(), static_cast<std::size_t>(file.gcount()));
+  }
   if (text.size() > most_bytes) {
     mistakes->push_back({"", path + " is over " + std::to_string(most_bytes) + " bytes"});
     text.clear();
