Callers: connections on which a call stands are the last to go for want of room

Checked in the logs: 7 ends waited for a connection of their caller that never came (ends_without_link 7, dropped 4), on softswitches that had given up over a thousand connections for want of room; the ends of exchanges all arrived (cut with the exchange at the same instants on both softswitches, unknown_ends 0). Ruled out: late notices (the list was behind the refused connections each time), memory, descriptors (153 of 256). Lines at fault: Callers::Evict, which chose by idleness alone, and the half share of descriptors that connections to exchanges (12 in use) kept. Callers have 65% now.

Found while reading: a set-up answered by an exchange that had just gone from the list was kept for ever (Exchanges::EndLink), and its exchange could be forgotten under it (OnNotice); the end of a call could be told on the front's connection (AnyLink).

--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <tuple>
 #include <utility>
 
 namespace croftrun::platform {
@@ -69,8 +70,9 @@
   const TimeUs since;
   TimeUs last_use;
   TimeUs partial_since = 0;
-  bool of_use = false;
-  std::size_t set_ups = 0;  // open on it
+  bool of_use = false, brought_calls = false;
+  std::size_t set_ups = 0;   // open on it
+  std::size_t standing = 0;  // calls that stand and were set up on it
   LineReader reader;
   Links::iterator place;
 
@@ -198,6 +200,7 @@
     return true;
   }
   offer.session = *message.description;
+  link->brought_calls = true;
   ++counters_.set_ups;
   last_set_up_ = runtime_->Now();
   const CallId call = core_->Reserve();
@@ -215,6 +218,7 @@
   if (call == 0) return Refuse(link, message.id, kTemporaryFailure);
   ++counters_.adopted;
   calls_.emplace(call, Held{message.id, link, link->host, true});
+  ++link->standing;
   by_id_.emplace(message.id, call);
   exchanges_->Adopt(call, message.id, exchange);
 }
@@ -247,6 +251,7 @@
   if (answer.kind == core::FinalKind::kStands) {
     ++counters_.answers;
     held.stands = true;
+    if (held.link != nullptr) ++held.link->standing;
     message.type = MessageType::kAnswer;
     message.description = std::string(answer.session);
     if (held.link != nullptr) Send(held.link, message);
@@ -279,10 +284,14 @@
   ends_.push_back({held.host, runtime_->Now(), WriteMessage(message)});
 }
 
+// The connection of this caller that brought set-ups, the latest used; one that never did may be the front's, which only
+// tests, or a stranger's from the same host.
 Callers::Link* Callers::AnyLink(std::uint32_t host) {
   Link* best = nullptr;
   for (const auto& link : links_) {
-    if (link->host == host && (best == nullptr || link->of_use || !best->of_use)) best = link.get();
+    if (link->host != host) continue;
+    const auto rank = [](const Link& x) { return std::make_tuple(x.brought_calls, x.of_use, x.last_use); };
+    if (best == nullptr || rank(*best) <= rank(*link)) best = link.get();
   }
   return best;
 }
@@ -293,6 +302,8 @@
   if (!found->second.stands) {
     --unanswered_;
     if (found->second.link != nullptr) --found->second.link->set_ups;
+  } else if (found->second.link != nullptr) {
+    --found->second.link->standing;
   }
   by_id_.erase(found->second.id);
   calls_.erase(found);
@@ -321,16 +332,16 @@
   }
 }
 
-// The least useful connection: one that brought nothing though it had time to, else the one longest idle. None on which
-// a set-up is open, or may just be on its way here.
+// The least useful connection: one that brought nothing though it had time to; else one without a call that stands, as
+// the call's end may find no other connection of its caller; else the one longest idle. None on which a set-up is open,
+// or may just be on its way here.
 bool Callers::Evict() {
   const TimeUs now = runtime_->Now();
   Link* worst = nullptr;
   for (const auto& link : links_) {
     if (link->set_ups > 0 || now < link->last_use + (link->of_use ? kIdleFor : kSilentFor)) continue;
-    const bool worse = worst == nullptr || std::make_pair(link->of_use, link->last_use) <
-                                               std::make_pair(worst->of_use, worst->last_use);
-    if (worse && !link->stream->Unread()) worst = link.get();
+    const auto rank = [](const Link& x) { return std::make_tuple(x.of_use, x.standing > 0, x.last_use); };
+    if ((worst == nullptr || rank(*link) < rank(*worst)) && !link->stream->Unread()) worst = link.get();
   }
   if (worst == nullptr) return false;
   ++counters_.links_evicted;
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -175,7 +175,7 @@
   // What is retired and holds nothing any more is forgotten.
   std::erase_if(exchanges_, [this](const auto& item) {
     Exchange& e = *item.second;
-    if (!e.retired || !e.links.empty()) return false;
+    if (!e.retired || !e.links.empty() || !e.standing.empty()) return false;
     by_uid_.erase(e.target.uid);
     return true;
   });
@@ -508,9 +508,11 @@
     core_->OnTrunkReleased(leg.call, leg.attempt,
                            InfoOf(meaning, never ? core::ReleaseCause::kOutOfOrder : core::ReleaseCause::kTemporaryFailure));
   }
-  // Nothing listens there any more: what stood there was cut.
+  // Nothing listens there any more, or it is gone from the list and its last connection with it, on which a set-up may
+  // still have been answered: what stood there was cut.
   if (end == core::StreamEnd::kRefused && exchange->links.empty())
     CutAll(exchange, runtime_->Now() + 1, "refuses connections");
+  if (exchange->retired && exchange->links.empty()) CutAll(exchange, runtime_->Now() + 1, "gone from the list");
   KeepConnected(exchange);
 }
 
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -9,6 +9,8 @@
 constexpr TimeUs kFiguresEvery = 10'000'000;
 // Descriptors that are neither a caller's nor an exchange's: the program's own and the board's, with some to spare.
 constexpr std::size_t kOwnDescriptors = 24;
+// Of the others, the percentage for connections to exchanges. Callers keep theirs for as long as they like.
+constexpr std::size_t kExchangesShare = 35;
 // Calls that a megabyte of memory is trusted with.
 constexpr std::size_t kCallsPerMegabyte = 128;
 // After a stop was asked for, callers may still come for this long. From then on new calls are refused at once; when all
@@ -40,7 +42,7 @@
   core_ = std::make_unique<core::CallCore>(CoreSettingsOf(config), runtime, log);
   const std::size_t room = config.sockets - std::min(config.sockets / 2, kOwnDescriptors);
   ExchangeSettings to_exchanges;
-  to_exchanges.most_links = room / 2;
+  to_exchanges.most_links = room * kExchangesShare / 100;
   to_exchanges.connect_within_us = config.connect_timeout_us;
   to_exchanges.classes = ClassNames(config.module);
   to_exchanges.zones = config.zones;
@@ -57,7 +59,7 @@
   }
   CallerSettings to_callers;
   to_callers.listen = config.listen;
-  to_callers.most_links = room - room / 2;
+  to_callers.most_links = room - to_exchanges.most_links;
   to_callers.classes = to_exchanges.classes;
   callers_ = std::make_unique<Callers>(to_callers, runtime, core_.get(), exchanges_.get());
   board_ = std::make_unique<Board>(runtime, log, config.board, last,
