Streams on sockets: octets written from within the acceptance leave

Seen: a new test on loopback, a close with words before it, heard nothing. Line at fault: AsioStream::Write, which dropped what came before the stream had a sink, and an accepted one has none until OnAccept returns. A stream now takes octets until it is over.

--- a/src/runtime/asio_streams.cpp
+++ b/src/runtime/asio_streams.cpp
@@ -40,13 +40,14 @@
   explicit StreamState(tcp::socket s) : socket(std::move(s)), wake(socket.get_executor()) {}
   tcp::socket socket;
   asio::steady_timer wake;  // ends the pause of the reader, or the wait for the connection
-  core::StreamSink* sink = nullptr;  // null once the stream is gone or over
+  core::StreamSink* sink = nullptr;  // null until the acceptor named it, and once the stream is gone or over
   core::Address remote;
   std::string output;
   std::size_t written = 0;  // of it
-  bool open = false, paused = false, writing = false;
+  bool open = false, paused = false, writing = false, over = false;
 
   void End(core::StreamEnd end) {
+    over = true;
     error_code ignored;
     socket.close(ignored);
     wake.cancel();
@@ -70,9 +71,9 @@
 
 asio::awaitable<void> WriteRest(std::shared_ptr<StreamState> state) {
   error_code error;
-  while (state->sink != nullptr && !state->output.empty()) {
+  while (!state->over && !state->output.empty()) {
     co_await state->socket.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
-    if (error || state->sink == nullptr) break;
+    if (error || state->over) break;
     if (!state->Push()) break;
   }
   state->writing = false;
@@ -148,20 +149,21 @@
   explicit AsioStream(std::shared_ptr<StreamState> state) : state_(std::move(state)) {}
   ~AsioStream() override {
     state_->sink = nullptr;
-    if (state_->open) state_->Push();
+    if (state_->open && !state_->over) state_->Push();
+    state_->over = true;
     error_code ignored;
     state_->socket.close(ignored);
     state_->wake.cancel();
   }
   void Write(std::string_view bytes) override {
-    if (state_->sink == nullptr) return;
+    if (state_->over) return;  // also from within OnAccept, before there is a sink
     state_->output.append(bytes);
     Flush(state_);
   }
   std::size_t Pending() const override { return state_->output.size() - state_->written; }
   bool Unread() const override {
     char octet = 0;
-    return state_->sink != nullptr && state_->open &&
+    return !state_->over && state_->open &&
            ::recv(state_->socket.native_handle(), &octet, 1, MSG_DONTWAIT | MSG_PEEK) > 0;
   }
   void PauseReading(bool pause) override {
