--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -445,6 +445,22 @@
   EXPECT_EQ(node_->exchanges().counters().spoilt, 1U);
 }
 
+TEST_F(PlatformTest, AnAnswerWithoutEndIsGivenUpAtTheBoundAndTheCallGoesOnceMore) {
+  const auto caller = Caller();
+  Stand(*caller, kOther);
+  int asked = 0;
+  one_.on_set_up = [&asked](PlatformLink& link, const Message& message) {
+    if (++asked > 1) return PlatformExchange::Answer(link, message.id, "good");
+    for (int i = 0; i < 64; ++i) link.stream->Write(std::string(1 << 10, 'x'));
+  };
+  caller->SetUp(kCall, 1);
+  runtime_.RunFor(5 * kMs);
+  EXPECT_EQ(node_->exchanges().counters().spoilt, 1U);
+  runtime_.RunFor(400 * kMs);
+  ASSERT_EQ(caller->For(kCall).size(), 1U);
+  EXPECT_EQ(caller->For(kCall)[0].description, "good");
+}
+
 TEST_F(PlatformTest, SecondCopiesAndAnswersUnderUnknownIdsAreIgnored) {
   one_.on_set_up = [](PlatformLink& link, const Message& message) {
     PlatformExchange::Answer(link, kOther, "of another");
