Platform: causes, number keys and figures by the pieces that stood already

Read once more; behaviour as it was. Cause values were listed as numbers in two files beside core::ReleaseCause: now platform/causes.h, made from it. KeyOf had core::NumberKey's hash again; an empty key is now no number, as an absent one. "name:value;..." was split in two places: ForEachFigure. Numbers of a notice are read by ParseNumber, so that "nan" is none there either. Taking a call's leg off the tables stood four times: Exchanges::Remove; the search for an open connection twice: OpenOne. Derived, no longer passed or kept: what the end of a connection means for its set-ups, whether a line ended it, where the board is. A setting that nothing read (the idle time) is gone.

--- a/src/platform/board.h
+++ b/src/platform/board.h
@@ -49,6 +49,7 @@
   // `last` was heard by another way.
   void Known(std::uint64_t last) { last_ = std::max(last_, last); }
   std::uint64_t last() const { return last_; }
+  const core::Address& address() const { return address_; }
   const BoardCounters& counters() const { return counters_; }
 
   void OnOpen() override;
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -5,6 +5,9 @@
 #include <tuple>
 #include <utility>
 
+#include "core/number_plan.h"
+#include "platform/causes.h"
+
 namespace croftrun::platform {
 namespace {
 
@@ -20,9 +23,6 @@
 constexpr std::size_t kMostPending = 256 << 10;
 constexpr double kLongestPatienceMs = 600'000;
 
-// Cause values of ITU-T Q.850 as the platform uses them.
-constexpr int kNormal = 16, kNoCircuit = 34, kTemporaryFailure = 41, kCongestion = 42, kInvalidContents = 100;
-
 int RefusalCause(core::ReleaseCause cause) {
   return cause == core::ReleaseCause::kNoCircuit ? kNoCircuit : kCongestion;
 }
@@ -32,9 +32,7 @@
   std::uint64_t number = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number, 16);
   if (error == std::errc() && end == text.data() + text.size()) return number;
-  std::uint64_t hash = 0xcbf29ce484222325U;
-  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3U;
-  return hash;
+  return core::NumberKey(text);
 }
 
 }  // namespace
@@ -46,17 +44,9 @@
 
   void OnBytes(std::string_view bytes) override {
     const bool had = reader.partial();
-    bool gone = false;
-    const bool goes_on = reader.Feed(bytes, [this, &gone](std::string_view line) {
-      Callers* const owner = owner_;
-      if (owner->Take(this, line)) return true;
-      gone = true;
-      owner->Drop(this);
-      return false;
-    });
-    if (gone) return;
-    if (!goes_on) {
-      ++owner_->counters_.too_long;
+    // Taking a line never ends the connection it came on.
+    if (!reader.Feed(bytes, [this](std::string_view line) { return owner_->Take(this, line); })) {
+      owner_->counters_.too_long += reader.too_long() ? 1 : 0;
       return owner_->Drop(this);
     }
     // A line that began before these octets and still goes on keeps its beginning.
@@ -65,6 +55,11 @@
   }
   void OnEnd(core::StreamEnd) override { owner_->Drop(this); }
 
+  void Use() {
+    of_use = true;
+    last_use = owner_->runtime_->Now();
+  }
+
   std::unique_ptr<core::Stream> stream;
   const std::uint32_t host;
   const TimeUs since;
@@ -117,32 +112,23 @@
     ++counters_.unreadable;
     return false;
   }
-  const auto use = [this, link] {
-    link->of_use = true;
-    link->last_use = runtime_->Now();
-  };
+  const bool of_a_call = message->type == MessageType::kSetUp || message->type == MessageType::kRelease;
+  if (of_a_call && message->id.empty()) {
+    ++counters_.faulty;
+    return false;
+  }
   switch (message->type) {
     case MessageType::kSetUp:
-      if (message->id.empty()) {
-        ++counters_.faulty;
-        return false;
-      }
-      use();
+      link->Use();
       return SetUp(link, *message);
     case MessageType::kRelease:
-      if (message->id.empty()) {
-        ++counters_.faulty;
-        return false;
-      }
       Release(link, *message);
       return true;
-    case MessageType::kTest: {
-      use();
+    case MessageType::kTest:
+      link->Use();
       ++counters_.tests;
-      Message passed{.type = MessageType::kTested, .id = message->id, .fields = {}, .cause = 1, .description = {}};
-      Send(link, passed);
+      Send(link, {.type = MessageType::kTested, .id = message->id, .cause = 1});
       return true;
-    }
     case MessageType::kWait:
     case MessageType::kHeard:
     case MessageType::kTested:
@@ -231,39 +217,38 @@
     // Who did not bring a set-up does not give it up.
     if (!held.stands && held.link != link) return;
     ++(held.stands ? counters_.released_by_caller : counters_.given_up);
-    link->of_use = true;
-    link->last_use = runtime_->Now();
+    link->Use();
     const bool stood = held.stands;
     Forget(call);
     core_->HangUp(call);
     if (!stood) return;
   }
-  Send(link, {.type = MessageType::kHeard, .id = message.id, .fields = {}, .cause = {}, .description = {}});
+  Send(link, {.type = MessageType::kHeard, .id = message.id});
 }
 
 void Callers::OnFinal(CallId call, const core::FinalAnswer& answer) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
   Held& held = found->second;
-  Message message{.type = MessageType::kRelease, .id = held.id, .fields = {}, .cause = {}, .description = {}};
-  --unanswered_;
-  if (held.link != nullptr) --held.link->set_ups;
+  Link* const link = held.link;
+  Message message{.type = MessageType::kRelease, .id = held.id};
   if (answer.kind == core::FinalKind::kStands) {
     ++counters_.answers;
     held.stands = true;
-    if (held.link != nullptr) ++held.link->standing;
+    --unanswered_;
+    if (link != nullptr) {
+      --link->set_ups;
+      ++link->standing;
+    }
     message.type = MessageType::kAnswer;
     message.description = std::string(answer.session);
-    if (held.link != nullptr) Send(held.link, message);
-    return;
+  } else {
+    const bool refused = answer.kind == core::FinalKind::kRefused;
+    ++(refused ? counters_.refusals : counters_.failures);
+    message.cause = refused ? RefusalCause(answer.cause) : kTemporaryFailure;
+    if (answer.pause_us > 0) message.fields.emplace_back("wait", std::to_string(answer.pause_us / 1000));
+    Forget(call);
   }
-  const bool refused = answer.kind == core::FinalKind::kRefused;
-  ++(refused ? counters_.refusals : counters_.failures);
-  message.cause = refused ? RefusalCause(answer.cause) : kTemporaryFailure;
-  if (answer.pause_us > 0) message.fields.emplace_back("wait", std::to_string(answer.pause_us / 1000));
-  Link* const link = held.link;
-  by_id_.erase(held.id);
-  calls_.erase(found);
   if (link != nullptr) Send(link, message);
 }
 
@@ -274,7 +259,7 @@
   const Held held = found->second;
   Forget(call);
   const int told = cause == core::ReleaseCause::kNormal ? kNormal : kTemporaryFailure;
-  const Message message{.type = MessageType::kRelease, .id = held.id, .fields = {}, .cause = told, .description = {}};
+  const Message message{.type = MessageType::kRelease, .id = held.id, .cause = told};
   if (Link* const link = held.link != nullptr ? held.link : AnyLink(held.host)) return Send(link, message);
   ++counters_.ends_without_link;
   if (ends_.size() >= kMostEnds) {
@@ -310,7 +295,7 @@
 }
 
 void Callers::Refuse(Link* link, const std::string& id, int cause) {
-  Send(link, {.type = MessageType::kRelease, .id = id, .fields = {}, .cause = cause, .description = {}});
+  Send(link, {.type = MessageType::kRelease, .id = id, .cause = cause});
 }
 
 void Callers::Send(Link* link, const Message& message) { link->stream->Write(WriteMessage(message)); }
@@ -365,10 +350,8 @@
     if (!link->of_use && now >= link->since + kUseWithin && !link->stream->Unread()) {
       ++counters_.links_silent;
       closed.push_back(link.get());
-    } else if (link->reader.partial() && now >= link->partial_since + kUseWithin) {
-      ++counters_.links_stuck;
-      closed.push_back(link.get());
-    } else if (link->stream->Pending() > kMostPending) {
+    } else if ((link->reader.partial() && now >= link->partial_since + kUseWithin) ||
+               link->stream->Pending() > kMostPending) {
       ++counters_.links_stuck;
       closed.push_back(link.get());
     }
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -1,8 +1,11 @@
 #include "platform/exchanges.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 
+#include "platform/causes.h"
+
 namespace croftrun::platform {
 namespace {
 
@@ -13,8 +16,6 @@
 // Releases that wait for a connection to one exchange.
 constexpr std::size_t kMostWaiting = 1024;
 
-constexpr int kNormal = 16, kUserBusy = 17, kNoCircuit = 34, kTemporaryFailure = 41, kNoResource = 47, kTimerExpiry = 102;
-
 constexpr core::Ended kReset{Outcome::kReset, Cause::kNone};
 constexpr core::Ended kNeverRan{Outcome::kConnectFailed, Cause::kNone};
 
@@ -27,7 +28,7 @@
       if (note == "cpu_full") return {Outcome::kFull, Cause::kProcessorFull};
       return {Outcome::kFull, Cause::kNoCircuit};
     case kUserBusy:
-    case kNoResource:
+    case kNotInService:
       return {Outcome::kError, note == "number_busy" ? Cause::kLinesBusy : Cause::kNone};
     case kTimerExpiry:
       if (note == "cpu_full") return {Outcome::kMoot, Cause::kProcessorFull};
@@ -75,20 +76,12 @@
     for (const std::string& id : std::exchange(exchange->waiting, {})) owner_->SendRelease(exchange, this, id);
   }
   void OnBytes(std::string_view bytes) override {
-    bool gone = false;
-    const bool goes_on = reader.Feed(bytes, [this, &gone](std::string_view line) {
-      Exchanges* const owner = owner_;
-      if (owner->Take(this, line)) return true;
-      gone = true;
-      ++owner->counters_.spoilt;
-      owner->EndLink(this, kReset, core::StreamEnd::kReset);
-      return false;
-    });
-    if (gone || goes_on) return;
+    // Taking a line may end other connections, never the one it came on.
+    if (reader.Feed(bytes, [this](std::string_view line) { return owner_->Take(this, line); })) return;
     ++owner_->counters_.spoilt;
-    owner_->EndLink(this, kReset, core::StreamEnd::kReset);
+    owner_->EndLink(this, core::StreamEnd::kReset);
   }
-  void OnEnd(core::StreamEnd end) override { owner_->EndLink(this, open ? kReset : kNeverRan, end); }
+  void OnEnd(core::StreamEnd end) override { owner_->EndLink(this, end); }
 
   Exchange* const exchange;
   std::unique_ptr<core::Stream> stream;
@@ -112,6 +105,22 @@
   return exchanges_.at(found->second)->retired ? 0 : found->second;
 }
 
+TimeUs Exchanges::TimeOf(std::int64_t unix_ms) const {
+  if (unix_ms == 0) return 0;
+  return static_cast<TimeUs>(std::max<std::int64_t>(1, unix_ms * 1000 - settings_.unix_offset_us));
+}
+
+DirectoryEntry Exchanges::EntryOf(const Exchange& exchange) const {
+  const Target& target = exchange.target;
+  return {.exchange = exchange.id,
+          .zone = IndexOf(settings_.zones, target.zone),
+          .kind = IndexOf(settings_.kinds, target.kind),
+          .number = target.number,
+          .status = target.status,
+          .rating = target.rating,
+          .since_us = exchange.since_us};
+}
+
 void Exchanges::OnNotice(const Notice& notice) {
   DirectoryUpdate update;
   update.kind = notice.whole ? DirectoryKind::kFull : DirectoryKind::kDelta;
@@ -131,23 +140,13 @@
       exchanges_[id]->id = id;
     }
     Exchange& e = *exchanges_.at(id);
-    const TimeUs since = target.boot_ms == 0 ? 0
-                                             : static_cast<TimeUs>(std::max<std::int64_t>(
-                                                   1, target.boot_ms * 1000 - settings_.unix_offset_us));
+    const TimeUs since = TimeOf(target.boot_ms);
     if (since > e.since_us && e.since_us != 0) restarted.push_back(&e);
     const core::Address before = e.target.address;
     e.target = target;
     if (target.status == ExchangeStatus::kGone && target.address == core::Address{}) e.target.address = before;
     e.since_us = since;
-    DirectoryEntry entry;
-    entry.exchange = id;
-    entry.zone = IndexOf(settings_.zones, target.zone);
-    entry.kind = IndexOf(settings_.kinds, target.kind);
-    entry.number = target.number;
-    entry.status = target.status;
-    entry.rating = target.rating;
-    entry.since_us = since;
-    update.entries.push_back(entry);
+    update.entries.push_back(EntryOf(e));
     if (target.status == ExchangeStatus::kGone) {
       gone.push_back(&e);
       continue;
@@ -194,7 +193,7 @@
   for (const auto& link : exchange->links) {
     if (link->set_ups.empty()) idle.push_back(link.get());
   }
-  for (Link* const link : idle) EndLink(link, kReset, core::StreamEnd::kClosed);
+  for (Link* const link : idle) EndLink(link, core::StreamEnd::kClosed);
 }
 
 void Exchanges::CutAll(Exchange* exchange, TimeUs before, std::string_view why) {
@@ -209,11 +208,8 @@
   for (const std::string& id : ids) {
     const auto found = legs_.find(id);
     if (found == legs_.end()) continue;
-    const Leg leg = found->second;
+    const Leg leg = Remove(found);
     ++counters_.cut_with_exchange;
-    exchange->standing.erase(id);
-    ids_.erase(leg.call);
-    legs_.erase(found);
     core_->OnTrunkReleased(leg.call, leg.attempt, {core::ReleaseCause::kTemporaryFailure});
   }
 }
@@ -266,7 +262,7 @@
     ++counters_.never_ran;
     return core_->OnTrunkReleased(call, set_up.attempt, InfoOf(kNeverRan, core::ReleaseCause::kOutOfOrder));
   }
-  Message message{.type = MessageType::kSetUp, .id = id, .fields = {}, .cause = {}, .description = set_up.offer->session};
+  Message message{.type = MessageType::kSetUp, .id = id, .description = set_up.offer->session};
   message.fields.emplace_back("class", settings_.classes.at(static_cast<std::size_t>(set_up.offer->call_class)));
   if (!set_up.offer->called.empty()) message.fields.emplace_back("key", set_up.offer->called);
   message.fields.emplace_back("left", std::to_string(set_up.budget_us / 1000));
@@ -285,39 +281,41 @@
 void Exchanges::Release(const core::CircuitSet& set, const core::ReleaseInfo&) {
   const auto named = ids_.find(set.call);
   if (named == ids_.end()) return;
-  const auto found = legs_.find(named->second);
-  const Leg leg = std::move(found->second);
-  legs_.erase(found);
-  ids_.erase(named);
+  const Leg leg = Remove(legs_.find(named->second));
   if (leg.stands) {
     ++counters_.released;
-    leg.at->standing.erase(leg.id);
   } else {
     ++counters_.given_up;
     NoteGivenUp(leg.id);
     if (leg.link == nullptr) return;
-    leg.link->set_ups.erase(leg.id);
-    if (!leg.link->open) {
-      // What waits in the stream would be sent once it opens: the stream goes, if nothing else waits there.
-      if (leg.link->set_ups.empty()) return EndLink(leg.link, kNeverRan, core::StreamEnd::kClosed);
-    }
+    // What waits in the stream would be sent once it opens: the stream goes, if nothing else waits there.
+    if (!leg.link->open && leg.link->set_ups.empty()) return EndLink(leg.link, core::StreamEnd::kClosed);
   }
   SendRelease(leg.at, leg.link, leg.id);
 }
 
 void Exchanges::SendRelease(Exchange* exchange, Link* link, const std::string& id) {
-  if (link == nullptr) {
-    for (const auto& other : exchange->links) {
-      if (other->open) link = other.get();
-    }
-  }
+  if (link == nullptr) link = OpenOne(*exchange);
   if (link == nullptr) {
     if (exchange->retired) return;
     if (exchange->waiting.size() < kMostWaiting) exchange->waiting.push_back(id);
     return KeepConnected(exchange);
   }
-  link->stream->Write(WriteMessage(
-      {.type = MessageType::kRelease, .id = id, .fields = {}, .cause = kNormal, .description = {}}));
+  link->stream->Write(WriteMessage({.type = MessageType::kRelease, .id = id, .cause = kNormal}));
+}
+
+Exchanges::Leg Exchanges::Remove(std::unordered_map<std::string, Leg>::iterator at) {
+  Leg leg = std::move(at->second);
+  legs_.erase(at);
+  ids_.erase(leg.call);
+  leg.at->standing.erase(leg.id);
+  if (leg.link != nullptr) leg.link->set_ups.erase(leg.id);
+  return leg;
+}
+
+Exchanges::Link* Exchanges::OpenOne(const Exchange& exchange) {
+  const auto newest = std::find_if(exchange.links.rbegin(), exchange.links.rend(), [](const auto& x) { return x->open; });
+  return newest == exchange.links.rend() ? nullptr : newest->get();
 }
 
 void Exchanges::NoteGivenUp(const std::string& id) {
@@ -331,19 +329,13 @@
 
 void Exchanges::ProbeExchange(ExchangeId exchange) {
   const auto found = exchanges_.find(exchange);
-  Link* link = nullptr;
-  if (found != exchanges_.end()) {
-    for (const auto& other : found->second->links) {
-      if (other->open) link = other.get();
-    }
-  }
+  Link* const link = found == exchanges_.end() ? nullptr : OpenOne(*found->second);
   if (link == nullptr) return core_->OnProbeEnded(exchange, Outcome::kConnectFailed, 1, {});
   char digits[17];
   std::snprintf(digits, sizeof(digits), "%016llx", static_cast<unsigned long long>(runtime_->Random()));
   if (probes_.size() > 256) probes_.clear();
   probes_[digits] = {exchange, runtime_->Now()};
-  link->stream->Write(
-      WriteMessage({.type = MessageType::kTest, .id = digits, .fields = {}, .cause = 0, .description = {}}));
+  link->stream->Write(WriteMessage({.type = MessageType::kTest, .id = digits, .cause = 0}));
 }
 
 void Exchanges::Adopt(CallId call, const std::string& id, ExchangeId at) {
@@ -426,11 +418,7 @@
     ++counters_.unknown_ends;
     return;
   }
-  const Leg leg = std::move(found->second);
-  legs_.erase(found);
-  ids_.erase(leg.call);
-  leg.at->standing.erase(message.id);
-  link->set_ups.erase(message.id);
+  const Leg leg = Remove(found);
   const int cause = message.cause.value_or(kTemporaryFailure);
   if (leg.stands) {
     const bool normal = cause == kNormal;
@@ -455,17 +443,13 @@
   const std::string* const load = message.Field("load");
   if (load == nullptr) return {};
   std::vector<float> figures(settings_.figures.size(), -1.0F);
-  for (std::string_view text = *load; !text.empty();) {
-    const auto end = text.find(';');
-    const auto item = text.substr(0, end);
-    text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
-    const auto colon = item.find(':');
-    if (colon == std::string_view::npos) continue;
-    const auto named = std::find(settings_.figures.begin(), settings_.figures.end(), item.substr(0, colon));
-    const auto value = ParseNumber(item.substr(colon + 1), -1.0, 1e9);
+  ForEachFigure(*load, [&](std::string_view name, std::string_view text) {
+    const auto named = std::find(settings_.figures.begin(), settings_.figures.end(), name);
+    const auto value = ParseNumber(text, -1.0, 1e9);
     if (named != settings_.figures.end() && value)
       figures[static_cast<std::size_t>(named - settings_.figures.begin())] = static_cast<float>(*value);
-  }
+    return true;
+  });
   return figures;
 }
 
@@ -480,12 +464,14 @@
   if (!figures.empty()) core_->OnGauge(link->exchange->id, figures);
 }
 
-void Exchanges::EndLink(Link* link, const core::Ended& meaning, core::StreamEnd end) {
+void Exchanges::EndLink(Link* link, core::StreamEnd end) {
   Exchange* const exchange = link->exchange;
   ++(end == core::StreamEnd::kRefused    ? counters_.refused
      : end == core::StreamEnd::kTimedOut ? counters_.timed_out
                                          : counters_.broken);
-  const std::unordered_set<std::string> lost = std::move(link->set_ups);
+  const bool ran = link->open;  // else nothing was written before it came to this
+  std::vector<std::string> ids(link->set_ups.begin(), link->set_ups.end());
+  std::sort(ids.begin(), ids.end());
   const std::unique_ptr<Link> kept = std::move(*link->place);
   exchange->links.erase(link->place);
   --link_count_;
@@ -494,19 +480,15 @@
   for (auto& [id, leg] : legs_) {
     if (leg.link == link) leg.link = nullptr;
   }
-  std::vector<std::string> ids(lost.begin(), lost.end());
-  std::sort(ids.begin(), ids.end());
   for (const std::string& id : ids) {
     const auto found = legs_.find(id);
     if (found == legs_.end()) continue;
-    const Leg leg = std::move(found->second);
-    legs_.erase(found);
-    ids_.erase(leg.call);
-    const bool never = meaning.outcome == Outcome::kConnectFailed;
-    ++(never ? counters_.never_ran : counters_.resets);
-    if (!never) NoteGivenUp(id);
+    const Leg leg = Remove(found);
+    ++(ran ? counters_.resets : counters_.never_ran);
+    if (ran) NoteGivenUp(id);
     core_->OnTrunkReleased(leg.call, leg.attempt,
-                           InfoOf(meaning, never ? core::ReleaseCause::kOutOfOrder : core::ReleaseCause::kTemporaryFailure));
+                           ran ? InfoOf(kReset, core::ReleaseCause::kTemporaryFailure)
+                               : InfoOf(kNeverRan, core::ReleaseCause::kOutOfOrder));
   }
   // Nothing listens there any more, or it is gone from the list and its last connection with it, on which a set-up may
   // still have been answered: what stood there was cut.
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -80,7 +80,14 @@
     std::string id;
   };
 
+  // A time of the runtime's clock, never 0; 0 for 0.
+  TimeUs TimeOf(std::int64_t unix_ms) const;
+  DirectoryEntry EntryOf(const Exchange& exchange) const;
+  // Takes it off everything that knows of it.
+  Leg Remove(std::unordered_map<std::string, Leg>::iterator at);
   Link* LinkFor(Exchange* exchange);
+  // The newest open connection; null: there is none.
+  static Link* OpenOne(const Exchange& exchange);
   Link* OpenLink(Exchange* exchange);
   // Keeps one connection to an exchange that is wanted.
   void KeepConnected(Exchange* exchange);
@@ -90,7 +97,8 @@
   void TakeAnswer(Link* link, const Message& message);
   void TakeGauge(Link* link, const Message& message);
   std::vector<float> FiguresOf(const Message& message) const;
-  void EndLink(Link* link, const core::Ended& meaning, core::StreamEnd end);
+  // Set-ups out on it never ran if it was never open, else they may have.
+  void EndLink(Link* link, core::StreamEnd end);
   // The exchange's process is gone: so are the calls that stood there.
   void CutAll(Exchange* exchange, TimeUs before, std::string_view why);
   void Retire(Exchange* exchange);
--- a/src/platform/line_codec.cpp
+++ b/src/platform/line_codec.cpp
@@ -102,30 +102,25 @@
 
 std::optional<Extras> ParseExtras(std::string_view text) {
   Extras extras;
-  while (!text.empty()) {
-    const auto end = text.find(';');
-    const auto item = text.substr(0, end);
-    text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
-    const auto colon = item.find(':');
-    if (colon == std::string_view::npos) continue;
-    const auto name = item.substr(0, colon), value = item.substr(colon + 1);
-    const auto number = [&value](double least, double most) { return ParseNumber(value, least, most); };
-    std::optional<double> read = 0.0;
+  const bool read = ForEachFigure(text, [&extras](std::string_view name, std::string_view value) {
+    std::optional<double> figure = 0.0;
+    const auto number = [&](double least, double most) { return figure = ParseNumber(value, least, most); };
     if (name == "dest") {
-      if ((read = number(0.0, kMostNumber))) extras.destination = static_cast<int>(*read);
+      if (number(0.0, kMostNumber)) extras.destination = static_cast<int>(*figure);
     } else if (name == "width") {
-      if ((read = number(1.0, kMostWidth))) extras.width = *read;
+      if (number(1.0, kMostWidth)) extras.width = *figure;
     } else if (name == "via") {
-      if ((read = number(-1.0, kMostNumber))) extras.via = static_cast<int>(*read);
+      if (number(-1.0, kMostNumber)) extras.via = static_cast<int>(*figure);
     } else if (name == "transit") {
-      if ((read = number(0.0, 1.0))) extras.transit = *read > 0.0;
+      if (number(0.0, 1.0)) extras.transit = *figure > 0.0;
     } else if (name == "again") {
-      if ((read = number(0.0, 1.0))) extras.again = *read > 0.0;
+      if (number(0.0, 1.0)) extras.again = *figure > 0.0;
     } else if (name == "at") {
       extras.at = value;
     }
-    if (!read) return std::nullopt;
-  }
+    return figure.has_value();
+  });
+  if (!read) return std::nullopt;
   return extras;
 }
 
--- a/src/platform/line_codec.h
+++ b/src/platform/line_codec.h
@@ -33,10 +33,10 @@
 
 struct Message {
   MessageType type = MessageType::kOther;
-  std::string id;                                            // of the call; empty where none came
-  std::vector<std::pair<std::string, std::string>> fields;   // numbers as they were written
-  std::optional<int> cause;
-  std::optional<std::string> description;
+  std::string id = {};                                           // of the call; empty where none came
+  std::vector<std::pair<std::string, std::string>> fields = {};  // numbers as they were written
+  std::optional<int> cause = {};
+  std::optional<std::string> description = {};
 
   // The field's text; null where it is absent.
   const std::string* Field(std::string_view name) const;
@@ -96,6 +96,20 @@
 // Nothing where a figure that is known by name cannot be read or is out of its range. Unknown names are skipped.
 std::optional<Extras> ParseExtras(std::string_view text);
 
+// Calls `take(name, value)` for each of "name:value;name:value", until it returns false; then false. What has no colon is
+// skipped.
+template <typename Take>
+bool ForEachFigure(std::string_view text, const Take& take) {
+  while (!text.empty()) {
+    const auto end = text.find(';');
+    const auto item = text.substr(0, end);
+    text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    const auto colon = item.find(':');
+    if (colon != std::string_view::npos && !take(item.substr(0, colon), item.substr(colon + 1))) return false;
+  }
+  return true;
+}
+
 // Nothing unless the whole text is one finite number from `least` to `most`.
 std::optional<double> ParseNumber(std::string_view text, double least, double most);
 
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -38,7 +38,7 @@
 }  // namespace
 
 Node::Node(const NodeConfig& config, core::Runtime* runtime, core::LogSink* log)
-    : runtime_(runtime), log_(log), board_address_(config.board), figures_(runtime), end_(runtime) {
+    : runtime_(runtime), log_(log), figures_(runtime), end_(runtime) {
   core_ = std::make_unique<core::CallCore>(CoreSettingsOf(config), runtime, log);
   const std::size_t room = config.sockets - std::min(config.sockets / 2, kOwnDescriptors);
   ExchangeSettings to_exchanges;
@@ -75,8 +75,7 @@
     board_->Known(notice.number);
   }
   log_->Write(core::LogLevel::kInfo, "reconfigured", 0,
-              "board " + core::ToString(board_address_) + " to " + core::ToString(config.board));
-  board_address_ = config.board;
+              "board " + core::ToString(board_->address()) + " to " + core::ToString(config.board));
   board_->MoveTo(config.board);
 }
 
--- a/src/platform/node.h
+++ b/src/platform/node.h
@@ -36,7 +36,6 @@
 
   core::Runtime* runtime_;
   core::LogSink* log_;
-  core::Address board_address_;
   std::unique_ptr<core::CallCore> core_;
   std::unique_ptr<Exchanges> exchanges_;
   std::unique_ptr<Callers> callers_;
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
 
+#include "platform/line_codec.h"
 #include "wire/settings_parser.h"
 
 namespace croftrun::platform {
@@ -51,11 +53,8 @@
   if (found == object.end()) return std::nullopt;
   if (found->is_number()) return found->get<double>();
   if (!found->is_string()) return std::nullopt;
-  const auto& text = found->get_ref<const std::string&>();
-  double number = 0.0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-  return number;
+  constexpr double kMost = std::numeric_limits<double>::max();
+  return ParseNumber(found->get_ref<const std::string&>(), -kMost, kMost);
 }
 
 std::string TextAt(const json& object, const char* key) {
@@ -200,7 +199,6 @@
     config.kinds = reader.Names("/settings/flavors");
     config.figures = reader.Names("/settings/report/fields");
     reader.Time("/settings/allowed/connect_timeout_us", &config.connect_timeout_us);
-    reader.Time("/settings/allowed/conn_idle_us", &config.connection_idle_us);
     reader.Time("/settings/contract/grace_to_answer_us", &config.grace_us);
   }
   if (const json* known = reader.At("/known")) {
