Core: fewer branches where the network counts; the net has a setting of its own

Read once more; behaviour as it was. answer_margin_us meant two things by network_counts, and Begin and Carry(Send) told them apart: net_after_us is a setting of its own now, the margin is 0 on the platform. FiguresAtEnd was a branch beside Figures; it is in Figures. ReleaseSet had a path of its own for a set without circuits, which the usual one takes as well. Descriptions of calls that stand go once passed on for all fronts, not on the platform alone; how long the view of them holds is said.

croftrun_tests, softswitch and platform tests pass under ASan and UBSan.

--- a/src/core/call_core.cpp
+++ b/src/core/call_core.cpp
@@ -112,15 +112,12 @@
 }
 
 std::vector<float> CallCore::Figures(int number) const {
+  if (settings_.network_counts) return {};
   const CircuitGroup* group = Group(number);
   if (group == nullptr) return {0.0F, 0.0F};
   return {static_cast<float>(group->Count(CircuitState::kIdle)), static_cast<float>(group->InUse())};
 }
 
-std::vector<float> CallCore::FiguresAtEnd(int number) const {
-  return settings_.network_counts ? std::vector<float>() : Figures(number);
-}
-
 void CallCore::TellSpare(int number) {
   if (settings_.network_counts) return;
   const auto found = by_number_.find(number);
@@ -156,8 +153,7 @@
     return EndAttempt(send.call, *call, Outcome::kMoot, Cause::kNoCircuit, {}, false);
   }
   const TimeUs now = runtime_->Now();
-  const TimeUs margin = settings_.network_counts ? 0 : settings_.answer_margin_us;
-  const TimeUs end = call->taken_at + call->offer.patience_us - margin;
+  const TimeUs end = call->taken_at + call->offer.patience_us - settings_.answer_margin_us;
   const TimeUs left = end > now ? end - now : 0;
   const TimeUs timeout = send.timeout_us == 0 ? left : std::min(send.timeout_us, left);
   call->attempt->timeout = runtime_->StartTimer(
@@ -312,10 +308,9 @@
   Call& call = calls_[id];
   if (log_->Wants(LogLevel::kDebug))
     log_->Write(LogLevel::kDebug, "taken", id, call.offer.calling + " to " + call.offer.called + UnderRules(call.offer));
-  const bool counts = settings_.network_counts;
-  const TimeUs margin = counts ? 0 : std::min(settings_.answer_margin_us, call.offer.patience_us / 2);
+  const TimeUs margin = std::min(settings_.answer_margin_us, call.offer.patience_us / 2);
   const TimeUs budget = call.offer.patience_us - margin;
-  if (call.offer.destination == own_number() && !counts) {
+  if (call.offer.destination == own_number() && !settings_.network_counts) {
     ++counters_.terminating;
     call.state = State::kRinging;
     call.deadline = runtime_->StartTimer(budget, [this, id] { OnDeadline(id); });
@@ -325,14 +320,14 @@
     return;
   }
   // A safety net under the module's own timers: whatever happens, the caller is answered in time.
-  const TimeUs net = budget + (counts ? settings_.answer_margin_us : margin / 2);
+  const TimeUs net = budget + margin / 2 + settings_.net_after_us;
   call.deadline = runtime_->StartTimer(net, [this, id] { OnDeadline(id); });
   call.module_knows = true;
   CallOffered offered;
   offered.call = id;
   offered.call_class = call.offer.call_class;
   offered.customer = call.offer.customer;
-  offered.number_called = call.offer.key != 0 || counts ? call.offer.key : NumberKey(call.offer.called);
+  offered.number_called = call.offer.key != 0 || settings_.network_counts ? call.offer.key : NumberKey(call.offer.called);
   offered.budget_us = budget;
   offered.destination = call.offer.destination;
   offered.width = static_cast<double>(call.offer.width);
@@ -524,7 +519,7 @@
   ended.wait_us = info.wait_us;
   ended.elapsed_us = now - attempt.sent_at;
   ended.terminal = terminal;
-  ended.report = FiguresAtEnd(number);
+  ended.report = Figures(number);
   ended.report.insert(ended.report.end(), info.load.begin(), info.load.end());
   Feed(std::move(ended));
 }
@@ -546,10 +541,10 @@
     for (Observer* observer : observers_) observer->OnStands(RecordOf(id, call));
     if (call.subscriber != nullptr) {
       FinalAnswer with_session = answer;
-      // Where calls stand by the thousand, the descriptions go once they were passed on.
-      const std::string passed_on = settings_.network_counts ? std::exchange(call.session, {}) : std::string();
-      if (settings_.network_counts) call.offer.session = {};
-      with_session.session = settings_.network_counts ? passed_on : call.session;
+      // Calls stand by the thousand: the descriptions go once they were passed on.
+      const std::string passed_on = std::exchange(call.session, {});
+      call.offer.session = {};
+      with_session.session = passed_on;
       call.subscriber->OnFinal(id, with_session);
     } else if (trunks_ != nullptr) {
       trunks_->Answer(call.in, call.session);
@@ -589,10 +584,8 @@
 
 void CallCore::ReleaseSet(CircuitSet* set, const ReleaseInfo& info) {
   const CircuitSet released = std::exchange(*set, CircuitSet{});
-  if (settings_.network_counts && trunks_ != nullptr) return trunks_->Release(released, info);
-  const auto group = groups_.find(released.group);
-  if (group == groups_.end()) return;
-  for (const CircuitNumber circuit : released.circuits) group->second.Release(circuit, released.call);
+  // A set without circuits is of a network that counts them itself: its group is none of this core's.
+  for (const CircuitNumber circuit : released.circuits) groups_.at(released.group).Release(circuit, released.call);
   if (trunks_ != nullptr) trunks_->Release(released, info);
 }
 
--- a/src/core/call_core.h
+++ b/src/core/call_core.h
@@ -89,7 +89,7 @@
   FinalKind kind = FinalKind::kFailed;
   TimeUs pause_us = 0;  // the caller should stay away this long; 0: no indication
   ReleaseCause cause = ReleaseCause::kNormal;
-  std::string_view session = {};  // media description of the other side; valid during the call
+  std::string_view session = {};  // media description of the other side; valid while OnFinal runs
 };
 
 // The side of a call that a front owns. It outlives its calls; exactly one OnFinal comes for each call it offered
@@ -206,9 +206,9 @@
   MakeDecider decider = {};  // empty: the module
   std::size_t most_session = 1024;  // octets of a media description that are carried through
   // The network has the circuits: nothing is seized here, what is free is what OnGauge was told, calls in transit are
-  // offered by the front, and no call ends here. The caller's time is then all the module's; `answer_margin_us` is only
-  // how long after it the core fails a call that the module forgot.
+  // offered by the front, and no call ends here.
   bool network_counts = false;
+  TimeUs net_after_us = 0;  // a call that the module forgot fails this much later; for sites that count answers until then
 };
 
 struct CoreCounters {
@@ -351,9 +351,8 @@
   void NoteRefusal(const CircuitSet& set, const ReleaseInfo& info);
   // A circuit that has become suspected rests, and is looked at meanwhile.
   void RestIfSuspected(int number, const CircuitGroup& group, CircuitNumber circuit);
+  // Of the group towards this exchange; empty where the network counts: what is told of it comes by OnGauge.
   std::vector<float> Figures(int number) const;
-  // With the figures of its end; empty where the network counts and they did not come with it.
-  std::vector<float> FiguresAtEnd(int number) const;
   int NumberOf(ExchangeId exchange) const;
   void IndexDirectory();
 
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -23,7 +23,8 @@
   settings.module = config.module;
   settings.seed = config.seed;
   settings.network_counts = true;
-  settings.answer_margin_us = config.grace_us;
+  settings.answer_margin_us = 0;  // the caller's time is all the module's
+  settings.net_after_us = config.grace_us;
   settings.most_session = kMostLine;
   settings.most_calls = std::min<std::size_t>(config.module.most_held, config.memory_mb * kCallsPerMegabyte);
   return settings;
