Module: failed set-ups are counted in Learn, FailsNowAndThen only asks

The question changed what it asked about: the count of set-ups that failed or broke was moved where all other ends are learnt from. Its prior is kLegPrior, of the same value, in place of two constants of tandems.

--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -867,6 +867,7 @@
     // Callers of short patience end a set-up before it tells anything of the far end.
     const double weight = std::min(1.0, AsDouble(ended.elapsed_us) / AsDouble(shortest_aim_));
     if (!direct && ended.outcome != Outcome::kMoot) NoteLeg(*call, e, &Leg::back);
+    if (direct && call != nullptr && FailedOrBroke(ended)) e.direct.back.Add(now_, 1.0);
     switch (ended.outcome) {
       case Outcome::kTimeout:
         // Lost on its way: set-ups sent after it stood.
@@ -912,16 +913,18 @@
   // answers spoilt on their way, connections that break. One that may be repeated goes there once more, while
   // it is likely to stand. Costs work where what fails is the call itself, whoever carries it.
   bool FailsNowAndThen(const Call& call, const AttemptEnded& ended) {
-    const bool failed = ended.outcome == Outcome::kError && ended.cause == Cause::kNone;
-    if (!failed && ended.outcome != Outcome::kReset) return false;
     Exchange* e = Find(ended.exchange);
-    if (e == nullptr) return false;
-    e->direct.back.Add(now_, 1.0);
-    const double stood = e->direct.stood.At(now_) + kFewSetUps * kTandemChance;
+    if (!FailedOrBroke(ended) || e == nullptr) return false;
+    const double stood = e->direct.stood.At(now_) + kLegPrior;
     return !call.offer.in_transit && ClassOf(call).repeat == Repeat::kIdempotent &&
            stood >= kFailsMost * (stood + e->direct.back.At(now_));
   }
 
+  static bool FailedOrBroke(const AttemptEnded& ended) {
+    return ended.outcome == Outcome::kReset ||
+           (ended.outcome == Outcome::kError && ended.cause == Cause::kNone);
+  }
+
   // The attempt is over without a final answer: another route, the same one again, or an answer.
   void Continue(CallId id, Call& call, const AttemptEnded& ended, bool direct) {
     const bool timed_out = ended.outcome == Outcome::kTimeout;
