Stand-ins of the platform: one way to break a connection, one to tell a notice

The cast to the virtual stream stood three times, now once in PlatformLink::Break; a notice of changes was put together six times by hand, in which the braces of a single entry meant an object, not a list: Tell of the fixture takes a list. Members that nothing read are gone.

platform_test: the same cases and assertions, all pass.

--- a/src/lab/platform_stand_ins.cpp
+++ b/src/lab/platform_stand_ins.cpp
@@ -17,6 +17,11 @@
   });
 }
 
+void PlatformLink::Break() {
+  if (auto* const virtual_one = dynamic_cast<sim::VirtualStream*>(stream.get()); virtual_one != nullptr && open)
+    virtual_one->Break();
+}
+
 PlatformExchange::PlatformExchange(core::Runtime* runtime, const core::Address& address)
     : runtime_(runtime), address_(address) {
   on_set_up = [](PlatformLink& link, const Message& message) {
@@ -29,10 +34,7 @@
 
 void PlatformExchange::Stop() {
   listener_.reset();
-  for (const auto& link : links_) {
-    if (auto* const stream = dynamic_cast<sim::VirtualStream*>(link->stream.get()); stream != nullptr && link->open)
-      stream->Break();
-  }
+  for (const auto& link : links_) link->Break();
 }
 
 core::StreamSink* PlatformExchange::OnAccept(std::unique_ptr<core::Stream> stream) {
@@ -48,11 +50,11 @@
 }
 
 void PlatformExchange::Answer(PlatformLink& link, const std::string& id, const std::string& description) {
-  link.Send({.type = MessageType::kAnswer, .id = id, .fields = {}, .cause = {}, .description = description});
+  link.Send({.type = MessageType::kAnswer, .id = id, .description = description});
 }
 
 void PlatformExchange::Release(PlatformLink& link, const std::string& id, int cause, const std::string& note) {
-  Message message{.type = MessageType::kRelease, .id = id, .fields = {}, .cause = cause, .description = {}};
+  Message message{.type = MessageType::kRelease, .id = id, .cause = cause};
   if (!note.empty()) message.fields.emplace_back("note", note);
   link.Send(message);
 }
@@ -74,7 +76,7 @@
 }
 
 PlatformBoard::PlatformBoard(core::Runtime* runtime, const core::Address& address)
-    : runtime_(runtime), listener_(runtime->Listen(address, this)) {}
+    : listener_(runtime->Listen(address, this)) {}
 
 core::StreamSink* PlatformBoard::OnAccept(std::unique_ptr<core::Stream> stream) {
   links_.push_back(std::make_unique<PlatformLink>([this](PlatformLink& link, const std::string& line) {
@@ -108,10 +110,7 @@
 }
 
 void PlatformBoard::Break() {
-  for (const auto& link : links_) {
-    if (auto* const stream = dynamic_cast<sim::VirtualStream*>(link->stream.get()); stream != nullptr && link->open)
-      stream->Break();
-  }
+  for (const auto& link : links_) link->Break();
 }
 
 PlatformCaller::PlatformCaller(core::Runtime* runtime, const core::Address& softswitch) : link(nullptr) {
@@ -125,12 +124,11 @@
                         {"left", left},
                         {"key", "7f3a9c21e0b4d655"},
                         {"extras", "dest:" + std::to_string(destination) + ";width:1;via:-1" + more}},
-             .cause = {},
              .description = "offer of " + id + "\r\nm=audio"});
 }
 
 void PlatformCaller::Release(const std::string& id) {
-  link.Send({.type = MessageType::kRelease, .id = id, .fields = {}, .cause = 16, .description = {}});
+  link.Send({.type = MessageType::kRelease, .id = id, .cause = 16});
 }
 
 std::vector<Message> PlatformCaller::For(const std::string& id) const {
--- a/src/lab/platform_stand_ins.h
+++ b/src/lab/platform_stand_ins.h
@@ -6,7 +6,9 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/runtime.h"
@@ -25,6 +27,8 @@
     open = false;
     end = e;
   }
+  // Both sides see a reset; on virtual time, and only while it is open.
+  void Break();
   void Send(const platform::Message& message) { stream->Write(platform::WriteMessage(message)); }
 
   std::unique_ptr<core::Stream> stream;
@@ -74,8 +78,6 @@
   std::vector<std::string> asked;  // the Last-Event-ID of each request
 
  private:
-  struct Reader;
-  core::Runtime* runtime_;
   std::unique_ptr<core::StreamListener> listener_;
   std::list<std::unique_ptr<PlatformLink>> links_;
   std::vector<std::pair<std::uint64_t, std::string>> events_;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -72,11 +72,13 @@
   void Gauges() {
     for (PlatformExchange* const exchange : {&one_, &two_}) {
       for (PlatformLink* const link : exchange->OpenLinks()) {
-        link->Send({.type = MessageType::kGauge, .id = "0000000000000000", .fields = {{"load", "spare:20;total:20"}}, .cause = {}, .description = {}});
+        link->Send({.type = MessageType::kGauge, .id = "0000000000000000", .fields = {{"load", "spare:20;total:20"}}});
       }
     }
     runtime_.RunFor(kMs);
   }
+  // A notice of what has changed.
+  void Tell(std::uint64_t number, const std::vector<json>& targets) { board_.Tell(number, EventJson(number, false, targets)); }
   std::unique_ptr<PlatformCaller> Caller(std::uint32_t host = 0x7f000005) {
     runtime_.SetHost(host);
     auto caller = std::make_unique<PlatformCaller>(&runtime_, kSoftswitch);
@@ -373,7 +375,7 @@
 TEST_F(PlatformTest, ADeadExchangeCutsItsCallsAndALostConnectionDoesNot) {
   const auto caller = Caller();
   Stand(*caller, kCall);
-  for (PlatformLink* const link : one_.OpenLinks()) dynamic_cast<sim::VirtualStream&>(*link->stream).Break();
+  for (PlatformLink* const link : one_.OpenLinks()) link->Break();
   runtime_.RunFor(100 * kMs);
   EXPECT_EQ(caller->For(kCall).size(), 1U);
   ASSERT_FALSE(one_.OpenLinks().empty());
@@ -388,12 +390,12 @@
   const auto caller = Caller();
   caller->SetUp(kCall, 1);
   runtime_.RunFor(5 * kMs);
-  board_.Tell(2, EventJson(2, false, json::array({TargetJson(1, "Gone")})));
+  Tell(2, {TargetJson(1, "Gone")});
   runtime_.RunFor(5 * kMs);
   PlatformExchange::Answer(*one_.OpenLinks()[0], kCall, "at the last moment");
   runtime_.RunFor(5 * kMs);
   ASSERT_EQ(caller->For(kCall).size(), 1U);
-  board_.Tell(3, EventJson(3, false, json::array({TargetJson(2, "Ready")})));
+  Tell(3, {TargetJson(2, "Ready")});
   runtime_.RunFor(5 * kMs);
   one_.Stop();
   runtime_.RunFor(100 * kMs);
@@ -540,7 +542,7 @@
 // ---- the notice board ----
 
 TEST_F(PlatformTest, ADrainToldStopsNewSetUps) {
-  board_.Tell(2, EventJson(2, false, json::array({TargetJson(1, "Terminating")})));
+  Tell(2, {TargetJson(1, "Terminating")});
   runtime_.RunFor(5 * kMs);
   const auto caller = Caller();
   caller->SetUp(kCall, 1);
@@ -550,7 +552,7 @@
 
 TEST_F(PlatformTest, ABrokenOffEventIsAskedForAgainAndNothingIsAppliedTwice) {
   ASSERT_EQ(board_.asked, (std::vector<std::string>{"1"}));
-  board_.Tell(2, EventJson(2, false, json::array({TargetJson(2, "Terminating")})));
+  Tell(2, {TargetJson(2, "Terminating")});
   board_.Write("id: 3\ndata: {\"rev\":3,\"pool\":{\"rev\":3,");
   runtime_.RunFor(5 * kMs);
   board_.Break();
@@ -592,7 +594,7 @@
 TEST_F(PlatformTest, NothingMeantForAnOldExchangeGoesToTheNewOneAtItsAddress) {
   const auto caller = Caller();
   Stand(*caller, kCall);
-  board_.Tell(2, EventJson(2, false, {TargetJson(1, "Gone"), TargetJson(1, "Ready", "s-new")}));
+  Tell(2, {TargetJson(1, "Gone"), TargetJson(1, "Ready", "s-new")});
   runtime_.RunFor(50 * kMs);
   ASSERT_EQ(caller->For(kCall).size(), 2U);
   EXPECT_EQ(caller->For(kCall)[1].cause, 41);
@@ -608,10 +610,7 @@
   std::uint64_t event = 2;
   for (int round = 0; round < 50; ++round) {
     const std::string uid = "s-old-" + std::to_string(round), next = "s-old-" + std::to_string(round + 1);
-    json targets = {TargetJson(1, "Ready", next)};
-    targets.push_back(TargetJson(1, "Gone", round == 0 ? "s-1" : uid));
-    board_.Tell(event, EventJson(event, false, targets));
-    ++event;
+    Tell(event++, {TargetJson(1, "Ready", next), TargetJson(1, "Gone", round == 0 ? "s-1" : uid)});
     runtime_.RunFor(50 * kMs);
     const std::string id = "9b1f03aa5c7e00" + std::to_string(10 + round);
     Stand(*caller, id);
