One signal loop, one Print, endpoints in one place; doors run on the virtual clock

Read once more; behaviour as it was. The loop that waits for a signal again was written four times: edge/signals.h. Addresses to Asio's endpoints and back stood for UDP and TCP: runtime/endpoints.h. lab/doors had an event queue beside VirtualRuntime, and runs on that now; the one in door_test stays, as its evenings begin before the present, which the clock does not allow.

--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -6,7 +6,6 @@
 // Exit codes: 0 stopped in order (SIGTERM, SIGINT), 1 could not start, 2 usage, 3 settings at fault.
 #include <CLI/CLI.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -14,10 +13,12 @@
 #include <functional>
 #include <iostream>
 #include <memory>
+#include <utility>
 
 #include "edge/edge_node.h"
 #include "edge/json_log.h"
 #include "edge/platform_main.h"
+#include "edge/signals.h"
 #include "runtime/asio_runtime.h"
 #include "ws/server.h"
 #include "runtime/posix_disk.h"
@@ -121,27 +122,16 @@
     return all;
   };
 
-  boost::asio::signal_set stop(runtime.context(), SIGTERM, SIGINT);
   bool stopping = false;
-  std::function<void(const boost::system::error_code&, int)> on_stop = [&](const auto& error, int) {
-    if (error) return;
-    if (stopping) return runtime.Stop();  // a second signal: at once
-    stopping = true;
-    stop.async_wait(on_stop);
+  const edge::Signals stop(runtime.context(), {SIGTERM, SIGINT}, [&] {
+    if (std::exchange(stopping, true)) return runtime.Stop();  // a second signal: at once
     node.Stop([&] { runtime.Stop(); });
-  };
-  stop.async_wait(on_stop);
-  boost::asio::signal_set tell(runtime.context(), SIGUSR1);
-  std::function<void(const boost::system::error_code&, int)> on_tell = [&](const auto& error, int) {
-    if (error) return;
-    log.Write(core::LogLevel::kWarning, "metrics", 0, metrics().dump());
-    tell.async_wait(on_tell);
-  };
-  tell.async_wait(on_tell);
+  });
+  const edge::Signals tell(runtime.context(), {SIGUSR1},
+                           [&] { log.Write(core::LogLevel::kWarning, "metrics", 0, metrics().dump()); });
   // The rules alone are read again, by a thread of their own: calls do not wait for it. A file at fault leaves those in
   // force. A signal during that is kept for after it.
   boost::asio::thread_pool reader(1);
-  boost::asio::signal_set reload(runtime.context(), SIGHUP);
   bool reading = false, again = false;
   std::function<void()> read = [&] {
     reading = true;
@@ -165,16 +155,13 @@
       });
     });
   };
-  std::function<void(const boost::system::error_code&, int)> on_reload = [&](const auto& error, int) {
-    if (error) return;
+  const edge::Signals reload(runtime.context(), {SIGHUP}, [&] {
     if (reading) {
       again = true;
     } else {
       read();
     }
-    reload.async_wait(on_reload);
-  };
-  reload.async_wait(on_reload);
+  });
   if (settings.classifier != nullptr) TellNotes(settings.classifier->rules(), &log);
   std::cerr << "croftrun-edge: exchange " << settings.core.module.own_number << " listens on "
             << core::ToString(node.transactions().Local()) << "\n";
--- a/src/edge/platform_main.cpp
+++ b/src/edge/platform_main.cpp
@@ -4,10 +4,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdlib>
-#include <functional>
 #include <iostream>
+#include <utility>
 
 #include "edge/json_log.h"
+#include "edge/signals.h"
 #include "platform/node.h"
 #include "runtime/asio_runtime.h"
 
@@ -34,19 +35,12 @@
 class Reload {
  public:
   Reload(boost::asio::io_context& context, std::string path, platform::Node* node, core::LogSink* log)
-      : signals_(context, SIGHUP), again_(context), path_(std::move(path)), node_(node), log_(log) {
-    Wait();
-  }
+      : again_(context), path_(std::move(path)), node_(node), log_(log), signals_(context, {SIGHUP}, [this] {
+          again_.cancel();
+          Try(kMostReads);
+        }) {}
 
  private:
-  void Wait() {
-    signals_.async_wait([this](const boost::system::error_code& error, int) {
-      if (error) return;
-      again_.cancel();
-      Try(kMostReads);
-      Wait();
-    });
-  }
   void Try(int left) {
     std::vector<config::Mistake> mistakes;
     const platform::NodeConfig config = Read(path_, &mistakes);
@@ -59,11 +53,11 @@
     });
   }
 
-  boost::asio::signal_set signals_;
   boost::asio::steady_timer again_;
   std::string path_;
   platform::Node* node_;
   core::LogSink* log_;
+  Signals signals_;
 };
 
 }  // namespace
@@ -82,17 +76,13 @@
   JsonLog log("info", "", config.module.own_number);
   platform::Node node(config, &runtime, &log);
   Reload reload(runtime.context(), path, &node, &log);
-  boost::asio::signal_set stop(runtime.context(), SIGTERM, SIGINT);
-  stop.async_wait([&](const boost::system::error_code& error, int) {
-    if (!error) node.Stop([&] { runtime.Stop(); });
+  bool stopping = false;
+  const Signals stop(runtime.context(), {SIGTERM, SIGINT}, [&] {
+    // A second one changes nothing: what was taken is still answered.
+    if (!std::exchange(stopping, true)) node.Stop([&] { runtime.Stop(); });
   });
-  boost::asio::signal_set tell(runtime.context(), SIGUSR1);
-  std::function<void(const boost::system::error_code&, int)> on_tell = [&](const auto& error, int) {
-    if (error) return;
-    log.Write(core::LogLevel::kWarning, "metrics", 0, node.Metrics());
-    tell.async_wait(on_tell);
-  };
-  tell.async_wait(on_tell);
+  const Signals tell(runtime.context(), {SIGUSR1},
+                     [&] { log.Write(core::LogLevel::kWarning, "metrics", 0, node.Metrics()); });
   log.Write(core::LogLevel::kInfo, "ready", 0,
             config.name + " on " + core::ToString(config.listen) + ", " + std::to_string(config.sockets) +
                 " descriptors, " + std::to_string(config.memory_mb) + " MB");
--- a/src/flow/shift.cpp
+++ b/src/flow/shift.cpp
@@ -4,25 +4,17 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdarg>
-#include <cstdio>
+
+#include "core/print.h"
 
 namespace croftrun::flow {
 namespace {
 
+using core::Print;
+
 // Of the picture, in its own units.
 constexpr int kLeft = 90, kRight = 20, kWide = 760, kTop = 66, kPanel = 74, kGap = 16, kBottom = 40;
 
-void Print(std::string* out, const char* format, ...) __attribute__((format(printf, 2, 3)));
-void Print(std::string* out, const char* format, ...) {
-  char line[512];
-  va_list values;
-  va_start(values, format);
-  std::vsnprintf(line, sizeof line, format, values);
-  va_end(values);
-  *out += line;
-}
-
 std::string Escaped(const std::string& text) {
   std::string out;
   for (const char c : text) {
--- a/src/lab/day_picture.cpp
+++ b/src/lab/day_picture.cpp
@@ -1,13 +1,15 @@
 #include "lab/day_picture.h"
 
 #include <algorithm>
-#include <cstdarg>
-#include <cstdio>
 #include <functional>
 
+#include "core/print.h"
+
 namespace croftrun::lab {
 namespace {
 
+using core::Print;
+
 constexpr double kLeft = 70, kWide = 820, kHigh = 150, kTop = 20;
 // Groups drawn one by one; the fullest of a larger network.
 constexpr std::size_t kMostGroups = 12;
@@ -15,16 +17,6 @@
                                     "#16a085", "#7f8c8d", "#d35400", "#34495e", "#27ae60",
                                     "#9b59b6", "#e67e22", "#2980b9"};
 
-void Print(std::string* out, const char* format, ...) __attribute__((format(printf, 2, 3)));
-void Print(std::string* out, const char* format, ...) {
-  char line[1024];
-  va_list values;
-  va_start(values, format);
-  std::vsnprintf(line, sizeof line, format, values);
-  va_end(values);
-  *out += line;
-}
-
 std::string Escaped(std::string_view text) {
   std::string out;
   for (const char c : text)
--- a/src/lab/doors.cpp
+++ b/src/lab/doors.cpp
@@ -1,23 +1,24 @@
 #include "lab/doors.h"
 
 #include <algorithm>
-#include <cstdarg>
-#include <cstdio>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <stdexcept>
 #include <tuple>
 #include <unordered_map>
 
+#include "core/print.h"
 #include "door/door.h"
+#include "sim/virtual_runtime.h"
 
 namespace croftrun::lab {
 namespace {
 
+using core::Print;
+
 constexpr TimeUs kSecond = 1'000'000;
 constexpr std::size_t kMostWaiting = 1024;
 
@@ -124,19 +125,11 @@
       clients_.push_back({"quiet " + std::to_string(i), 1, s_.quiet_per_s, 2.0, false});
     for (int i = 0; i < s_.crowd; ++i)
       clients_.push_back({"crowd " + std::to_string(i), 0, s_.crowd_per_s, 1.0, true});
-    for (std::size_t i = 0; i < clients_.size(); ++i)
-      At(now_ + Gap(clients_[i].per_s), [this, i] { Arrive(i); });
-    from_ = now_ + s_.length_us / 4;
-    to_ = now_ + 3 * s_.length_us / 4;
-    if (s_.flood_per_s > 0.0) At(from_, [this] { Flood(); });
-    const TimeUs ends = now_ + s_.length_us;
-    while (!events_.empty() && events_.top().at <= ends) {
-      const Event event = events_.top();
-      events_.pop();
-      now_ = event.at;
-      Carry([this](auto* verdicts) { gate_->OnTime(now_, verdicts); });
-      event.what();
-    }
+    for (std::size_t i = 0; i < clients_.size(); ++i) In(Gap(clients_[i].per_s), [this, i] { Arrive(i); });
+    from_ = Now() + s_.length_us / 4;
+    to_ = Now() + 3 * s_.length_us / 4;
+    if (s_.flood_per_s > 0.0) In(from_ - Now(), [this] { Flood(); });
+    clock_.RunFor(s_.length_us);
     return Figures();
   }
 
@@ -148,12 +141,6 @@
     bool redials = false;
     std::uint64_t calls = 0, stood = 0;
   };
-  struct Event {
-    TimeUs at;
-    std::uint64_t order;
-    std::function<void()> what;
-    bool operator<(const Event& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
-  };
   struct Try {
     int client = -1;  // -1: the flood
     std::string called;
@@ -162,33 +149,40 @@
     bool told = false, counted = false;
   };
 
-  void At(TimeUs at, std::function<void()> what) { events_.push({at, ++order_, std::move(what)}); }
+  TimeUs Now() const { return clock_.Now(); }
+  // The gate is told the time before anything happens.
+  void In(TimeUs delay, std::function<void()> what) {
+    clock_.StartTimer(delay, [this, what = std::move(what)] {
+      Carry([this](auto* verdicts) { gate_->OnTime(Now(), verdicts); });
+      what();
+    });
+  }
   TimeUs Gap(double per_s) {
     return static_cast<TimeUs>(std::exponential_distribution<>(per_s)(random_) * 1e6) + 1;
   }
   // Calls count while the flood runs, a patience short of its end.
-  bool Counts() const { return now_ >= from_ && now_ + s_.patience_us < to_; }
+  bool Counts() const { return Now() >= from_ && Now() + s_.patience_us < to_; }
 
   void Arrive(std::size_t i) {
     Client& client = clients_[i];
     const bool counted = Counts();
     client.calls += counted ? 1 : 0;
     Dial(static_cast<int>(i), "to " + std::to_string(++numbers_), client.redials ? 3 : 0, false, counted);
-    At(now_ + Gap(client.per_s), [this, i] { Arrive(i); });
+    In(Gap(client.per_s), [this, i] { Arrive(i); });
   }
   void Flood() {
-    if (now_ >= to_) return;
+    if (Now() >= to_) return;
     Dial(-1, "1", 0, false, false);
-    At(now_ + std::max<TimeUs>(1, static_cast<TimeUs>(1e6 / s_.flood_per_s)), [this] { Flood(); });
+    In(std::max<TimeUs>(1, static_cast<TimeUs>(1e6 / s_.flood_per_s)), [this] { Flood(); });
   }
   void Dial(int client, const std::string& called, int redials, bool told, bool counted) {
     const CallId call = ++calls_;
-    tries_[call] = {client, called, now_, now_ + s_.patience_us, redials, told, counted};
+    tries_[call] = {client, called, Now(), Now() + s_.patience_us, redials, told, counted};
     const std::string name =
         client < 0 ? "made up " + std::to_string(call) : clients_[static_cast<std::size_t>(client)].name;
     const int customer = client < 0 ? 0 : clients_[static_cast<std::size_t>(client)].customer;
     Carry([&](auto* verdicts) {
-      gate_->OnKnock({call, name, called, customer, 1.0, s_.patience_us}, now_, verdicts);
+      gate_->OnKnock({call, name, called, customer, 1.0, s_.patience_us}, Now(), verdicts);
     });
   }
   void Carry(const std::function<void(std::vector<door::Verdict>*)>& what) {
@@ -204,21 +198,21 @@
     }
   }
   void Admitted(CallId call, const Try& one) {
-    if (one.client >= 0 && one.counted) waits_.push_back(now_ - one.came);
+    if (one.client >= 0 && one.counted) waits_.push_back(Now() - one.came);
     const double crowd = std::max(1.0, static_cast<double>(++in_flight_) / s_.at_once);
-    At(now_ + static_cast<TimeUs>(static_cast<double>(s_.set_up_us) * crowd), [this, call, one] {
+    In(static_cast<TimeUs>(static_cast<double>(s_.set_up_us) * crowd), [this, call, one] {
       --in_flight_;
-      const bool in_time = now_ <= one.until;
+      const bool in_time = Now() <= one.until;
       if (one.client >= 0 && one.counted && in_time) ++clients_[static_cast<std::size_t>(one.client)].stood;
       told_stood_ += one.told && in_time ? 1 : 0;
-      Carry([&](auto* verdicts) { gate_->OnAnswered(call, in_time, now_, verdicts); });
+      Carry([&](auto* verdicts) { gate_->OnAnswered(call, in_time, Now(), verdicts); });
     });
   }
   void Refused(const door::Verdict& verdict, const Try& one) {
     if (one.client < 0 || one.redials == 0) return;
     const bool told = verdict.promised;
     const TimeUs pause = verdict.pause_us > 0 ? verdict.pause_us : 300'000;
-    At(now_ + pause, [this, one, told] {
+    In(pause, [this, one, told] {
       told_ += told ? 1 : 0;
       Dial(one.client, one.called, one.redials - 1, told, one.counted);
     });
@@ -250,29 +244,19 @@
   }
 
   const DoorsSettings s_;
+  sim::VirtualRuntime clock_{1};
   std::unique_ptr<Gate> gate_;
   std::mt19937_64 random_;
   std::vector<Client> clients_;
-  std::priority_queue<Event> events_;
   std::unordered_map<CallId, Try> tries_;
   std::vector<TimeUs> waits_;
   DoorFigures figures_;
-  TimeUs now_ = kSecond, from_ = 0, to_ = 0;
-  std::uint64_t order_ = 0, numbers_ = 0, told_ = 0, told_stood_ = 0;
+  TimeUs from_ = 0, to_ = 0;
+  std::uint64_t numbers_ = 0, told_ = 0, told_stood_ = 0;
   CallId calls_ = 0;
   int in_flight_ = 0;
 };
 
-void Print(std::string* out, const char* format, ...) __attribute__((format(printf, 2, 3)));
-void Print(std::string* out, const char* format, ...) {
-  char line[512];
-  va_list values;
-  va_start(values, format);
-  std::vsnprintf(line, sizeof line, format, values);
-  va_end(values);
-  *out += line;
-}
-
 }  // namespace
 
 const std::vector<std::string>& DoorNames() {
--- a/src/runtime/asio_runtime.cpp
+++ b/src/runtime/asio_runtime.cpp
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "core/runtime.h"
+#include "runtime/endpoints.h"
 
 namespace croftrun::runtime {
 namespace asio = boost::asio;
@@ -36,13 +37,6 @@
 constexpr std::size_t kLargest = 4096;     // octets of a datagram that is not cut (RFC 3435 3.5.4 asks for 4,000)
 constexpr std::size_t kMostQueued = 32 << 20;  // octets waiting in the process; what comes beyond is dropped, counted
 
-udp::endpoint EndpointOf(const core::Address& address) {
-  return {asio::ip::address_v4(address.host), address.port};
-}
-core::Address AddressOf(const udp::endpoint& endpoint) {
-  return {endpoint.address().to_v4().to_uint(), endpoint.port()};
-}
-
 }  // namespace
 
 struct PortState;
@@ -62,7 +56,7 @@
 struct PortState {
   PortState(asio::io_context& context, const core::Address& local, core::DatagramSink* s)
       : socket(context), sink(s) {
-    const udp::endpoint endpoint = EndpointOf(local);
+    const udp::endpoint endpoint = EndpointOf<udp>(local);
     socket.open(endpoint.protocol());
     socket.bind(endpoint);
     socket.non_blocking(true);
--- a/src/runtime/asio_streams.cpp
+++ b/src/runtime/asio_streams.cpp
@@ -19,6 +19,7 @@
 #include <utility>
 
 #include "runtime/asio_runtime.h"
+#include "runtime/endpoints.h"
 
 namespace croftrun::runtime {
 namespace asio = boost::asio;
@@ -31,11 +32,6 @@
 constexpr std::chrono::milliseconds kAcceptPause{20};
 constexpr int kBacklog = 1024;
 
-tcp::endpoint EndpointOf(const core::Address& address) { return {asio::ip::address_v4(address.host), address.port}; }
-core::Address AddressOf(const tcp::endpoint& endpoint) {
-  return {endpoint.address().to_v4().to_uint(), endpoint.port()};
-}
-
 struct StreamState {
   explicit StreamState(tcp::socket s) : socket(std::move(s)), wake(socket.get_executor()) {}
   tcp::socket socket;
@@ -125,7 +121,7 @@
     error_code ignored;
     state->socket.close(ignored);
   });
-  co_await state->socket.async_connect(EndpointOf(state->remote), asio::redirect_error(asio::use_awaitable, error));
+  co_await state->socket.async_connect(EndpointOf<tcp>(state->remote), asio::redirect_error(asio::use_awaitable, error));
   const bool timed_out = late;
   state->open = !error;
   state->wake.cancel();
@@ -179,7 +175,7 @@
 struct ListenerState {
   ListenerState(asio::io_context& context, const core::Address& local, core::StreamAcceptor* a)
       : socket(context), pause(context), acceptor(a) {
-    const tcp::endpoint endpoint = EndpointOf(local);
+    const tcp::endpoint endpoint = EndpointOf<tcp>(local);
     socket.open(endpoint.protocol());
     socket.set_option(asio::socket_base::reuse_address(true));
     socket.bind(endpoint);
