Streams close in order: half-close, bounded lingering read; room is asked before accepting

Cause: ~AsioStream pushed once and closed. What the socket had not taken was gone, and with input unread the kernel sends a reset, which can take a last answer along that the far end has not read (asio_streams.cpp, ~AsioStream; seen in a test: the client read nothing and was told kReset). A connection that found no room was accepted and closed at once, so what it brought was lost (callers.cpp, OnAccept).

Change: one place closes: what is written goes out while the far end reads, this side's half is closed, and input is read and dropped for 100 ms, at most 8 connections and 256 KiB of each; they go first when descriptors run out. The listener asks HasRoom before it accepts; until then a connection waits with the kernel. FarEndGone tells an end that lies unread.

The test ACloseWithOctetsUnreadIsAResetAtTheFarEnd held the old fault as a contract; it is replaced by a stricter one: the far end reads the last answer and sees a close in order, with input unread on both sides.

Ruled out: timers that fell due in a standstill do not run before sockets that became ready in it (asio's reactor takes descriptors first); AfterAStandstillWhatCameIsReadBeforeTimersThatFellDueMeanwhile passes without any change.

--- a/src/core/runtime.h
+++ b/src/core/runtime.h
@@ -64,7 +64,9 @@
 
 inline constexpr std::size_t kMostStreamRead = 16 << 10;
 
-// One connection; closed when destroyed, after what the network takes at once of what was written.
+// One connection; closed in order when destroyed: what was written still goes out, and what the far end sends meanwhile
+// is read and dropped for a short while, as octets left unread would make a reset of the close and take the last answer
+// along. Bounded in time, in octets and in number: see the implementation.
 class Stream {
  public:
   virtual ~Stream() = default;
@@ -74,6 +76,8 @@
   virtual std::size_t Pending() const = 0;
   // Octets have arrived that were not told yet: to close it now would lose them.
   virtual bool Unread() const = 0;
+  // The far end has closed or reset it; its OnEnd is still to come, behind whatever is unread.
+  virtual bool FarEndGone() const = 0;
   // Reading stops and goes on: what arrives meanwhile stays with the network.
   virtual void PauseReading(bool pause) = 0;
   virtual Address Remote() const = 0;
@@ -84,6 +88,8 @@
   virtual ~StreamAcceptor() = default;
   // Returns the sink of the new stream, which the acceptor owns from now on; null: it is closed at once.
   virtual StreamSink* OnAccept(std::unique_ptr<Stream> stream) = 0;
+  // Asked before one that waits is accepted. False: it stays with the network, and is asked for again soon.
+  virtual bool HasRoom() { return true; }
   // No descriptor was left for one that waits; it is tried again soon. A stream may be given up for it.
   virtual void OnNoRoom() {}
 };
--- a/src/runtime/asio_runtime.h
+++ b/src/runtime/asio_runtime.h
@@ -27,6 +27,8 @@
 
 // State that ports and their coroutines share with the runtime.
 struct Turn;
+// Streams that are gone and whose connections are closing in order.
+struct Lingering;
 
 class AsioRuntime final : public core::Runtime {
  public:
@@ -52,6 +54,7 @@
  private:
   struct Waiting;
   void Rearm();
+  static std::shared_ptr<Lingering> MakeLingering();
 
   boost::asio::io_context context_{1};
   std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
@@ -61,6 +64,7 @@
   std::shared_ptr<Waiting> waiting_;
   std::mt19937_64 random_{std::random_device{}()};
   std::shared_ptr<Turn> turn_;
+  std::shared_ptr<Lingering> lingering_ = MakeLingering();
 };
 
 }  // namespace croftrun::runtime
--- a/src/runtime/asio_streams.cpp
+++ b/src/runtime/asio_streams.cpp
@@ -1,5 +1,6 @@
 // Streams of the Asio runtime: TCP without delay, each with one coroutine that reads and one, while there is something to
-// write that the socket did not take, that writes. Both are owned by the state that they share with the stream.
+// write that the socket did not take, that writes. Both are owned by the state that they share with the stream. A stream
+// that is destroyed while it is open half-closes and lingers; the runtime owns those, and bounds them.
 #include <algorithm>
 #include <array>
 #include <boost/asio/awaitable.hpp>
@@ -11,11 +12,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
 #include <chrono>
+#include <deque>
 #include <string>
+#include <system_error>
 #include <utility>
 
 #include "runtime/asio_runtime.h"
@@ -31,6 +35,10 @@
 // The wait before accepting is tried again after the process ran out of descriptors.
 constexpr std::chrono::milliseconds kAcceptPause{20};
 constexpr int kBacklog = 1024;
+// How long a closed connection is still read and written, how many at once, and how much of what comes is read: each is
+// a descriptor, and who sends without end is not worth one.
+constexpr std::chrono::milliseconds kLinger{100};
+constexpr std::size_t kMostLingering = 8, kMostLingerOctets = 256 << 10;
 
 struct StreamState {
   explicit StreamState(tcp::socket s) : socket(std::move(s)), wake(socket.get_executor()) {}
@@ -42,11 +50,14 @@
   std::size_t written = 0;  // of it
   bool open = false, paused = false, writing = false, over = false;
 
-  void End(core::StreamEnd end) {
+  void Close() {
     over = true;
     error_code ignored;
     socket.close(ignored);
     wake.cancel();
+  }
+  void End(core::StreamEnd end) {
+    Close();
     if (core::StreamSink* const told = std::exchange(sink, nullptr)) told->OnEnd(end);
   }
   // Hands over what the socket takes now; false once the connection is broken. The reader tells of the break.
@@ -140,16 +151,78 @@
   co_await Read(state);
 }
 
+}  // namespace
+
+// Connections that are closing in order, the oldest first.
+struct Lingering {
+  std::deque<std::shared_ptr<StreamState>> states;
+
+  // False where there is none.
+  bool CloseOldest() {
+    if (states.empty()) return false;
+    const auto oldest = states.front();
+    states.pop_front();
+    oldest->Close();
+    return true;
+  }
+};
+
+namespace {
+
+// The end of the wait, from now on.
+void CloseAfter(const std::shared_ptr<StreamState>& state) {
+  state->wake.expires_after(kLinger);
+  state->wake.async_wait([state](const error_code& cancelled) {
+    if (!cancelled) state->Close();
+  });
+}
+
+// Writes the rest while the far end goes on reading, closes this side's half, and reads until the far end closes too.
+asio::awaitable<void> CloseInOrder(std::shared_ptr<StreamState> state, std::shared_ptr<Lingering> lingering) {
+  static thread_local std::array<char, core::kMostStreamRead> dropped;
+  error_code error;
+  while (!state->over && state->Push() && !state->output.empty()) {
+    CloseAfter(state);
+    co_await state->socket.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
+  }
+  if (!state->over) {
+    CloseAfter(state);
+    state->socket.shutdown(tcp::socket::shutdown_send, error);
+  }
+  std::size_t octets = 0;
+  while (!state->over && octets < kMostLingerOctets) {
+    co_await state->socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    if (error || state->over) break;
+    const auto got = ::recv(state->socket.native_handle(), dropped.data(), dropped.size(), MSG_DONTWAIT);
+    if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) continue;
+    if (got <= 0) break;
+    octets += static_cast<std::size_t>(got);
+  }
+  state->Close();
+  std::erase(lingering->states, state);
+}
+
+void Linger(const std::shared_ptr<StreamState>& state, const std::shared_ptr<Lingering>& lingering) {
+  if (lingering->states.size() >= kMostLingering) lingering->CloseOldest();
+  lingering->states.push_back(state);
+  state->wake.cancel();  // a reader that is paused finds its sink gone
+  // What can go at once goes now, the close with it, should the process end before the next turn.
+  error_code ignored;
+  if (state->Push() && state->output.empty()) state->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  asio::co_spawn(state->socket.get_executor(), CloseInOrder(state, lingering), asio::detached);
+}
+
 class AsioStream final : public core::Stream {
  public:
-  explicit AsioStream(std::shared_ptr<StreamState> state) : state_(std::move(state)) {}
+  AsioStream(std::shared_ptr<StreamState> state, std::shared_ptr<Lingering> lingering)
+      : state_(std::move(state)), lingering_(std::move(lingering)) {}
   ~AsioStream() override {
     state_->sink = nullptr;
-    if (state_->open && !state_->over) state_->Push();
-    state_->over = true;
-    error_code ignored;
-    state_->socket.close(ignored);
-    state_->wake.cancel();
+    if (state_->open && !state_->over) {
+      Linger(state_, lingering_);
+    } else {
+      state_->Close();
+    }
   }
   void Write(std::string_view bytes) override {
     if (state_->over) return;  // also from within OnAccept, before there is a sink
@@ -162,6 +235,11 @@
     return !state_->over && state_->open &&
            ::recv(state_->socket.native_handle(), &octet, 1, MSG_DONTWAIT | MSG_PEEK) > 0;
   }
+  bool FarEndGone() const override {
+    if (state_->over || !state_->open) return state_->over;
+    pollfd asked{state_->socket.native_handle(), POLLRDHUP, 0};
+    return ::poll(&asked, 1, 0) > 0 && (asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
   void PauseReading(bool pause) override {
     state_->paused = pause;
     if (!pause && state_->open) state_->wake.cancel();
@@ -170,6 +248,7 @@
 
  private:
   std::shared_ptr<StreamState> state_;
+  std::shared_ptr<Lingering> lingering_;
 };
 
 struct ListenerState {
@@ -186,13 +265,21 @@
   core::StreamAcceptor* acceptor;  // null once the listener is gone
 };
 
-asio::awaitable<void> Accept(std::shared_ptr<ListenerState> state) {
+asio::awaitable<void> Accept(std::shared_ptr<ListenerState> state, std::shared_ptr<Lingering> lingering) {
   error_code error;
   while (state->acceptor != nullptr) {
+    co_await state->socket.async_wait(tcp::acceptor::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    if (state->acceptor == nullptr) co_return;
+    // One that cannot be had yet waits where it is: to close it would lose what it brings.
+    if (!state->acceptor->HasRoom()) {
+      state->pause.expires_after(kAcceptPause);
+      co_await state->pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
     tcp::socket socket = co_await state->socket.async_accept(asio::redirect_error(asio::use_awaitable, error));
     if (state->acceptor == nullptr) co_return;
     if (error) {
-      if (error == asio::error::no_descriptors) state->acceptor->OnNoRoom();
+      if (error == asio::error::no_descriptors && !lingering->CloseOldest()) state->acceptor->OnNoRoom();
       state->pause.expires_after(kAcceptPause);
       co_await state->pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
       continue;
@@ -203,7 +290,7 @@
     auto stream = std::make_shared<StreamState>(std::move(socket));
     stream->remote = AddressOf(remote);
     stream->open = true;
-    stream->sink = state->acceptor->OnAccept(std::make_unique<AsioStream>(stream));
+    stream->sink = state->acceptor->OnAccept(std::make_unique<AsioStream>(stream, lingering));
     if (stream->sink == nullptr) continue;
     asio::co_spawn(state->socket.get_executor(), Read(stream), asio::detached);
   }
@@ -211,9 +298,10 @@
 
 class AsioListener final : public core::StreamListener {
  public:
-  AsioListener(asio::io_context& context, const core::Address& local, core::StreamAcceptor* acceptor)
+  AsioListener(asio::io_context& context, const core::Address& local, core::StreamAcceptor* acceptor,
+               std::shared_ptr<Lingering> lingering)
       : state_(std::make_shared<ListenerState>(context, local, acceptor)) {
-    asio::co_spawn(context, Accept(state_), asio::detached);
+    asio::co_spawn(context, Accept(state_, std::move(lingering)), asio::detached);
   }
   ~AsioListener() override {
     state_->acceptor = nullptr;
@@ -229,16 +317,22 @@
 
 }  // namespace
 
+std::shared_ptr<Lingering> AsioRuntime::MakeLingering() { return std::make_shared<Lingering>(); }
+
 std::unique_ptr<core::Stream> AsioRuntime::Connect(const core::Address& to, TimeUs within, core::StreamSink* sink) {
   auto state = std::make_shared<StreamState>(tcp::socket(context_));
   state->remote = to;
   state->sink = sink;
   asio::co_spawn(context_, Open(state, within), asio::detached);
-  return std::make_unique<AsioStream>(state);
+  return std::make_unique<AsioStream>(state, lingering_);
 }
 
 std::unique_ptr<core::StreamListener> AsioRuntime::Listen(const core::Address& local, core::StreamAcceptor* acceptor) {
-  return std::make_unique<AsioListener>(context_, local, acceptor);
+  try {
+    return std::make_unique<AsioListener>(context_, local, acceptor, lingering_);
+  } catch (const boost::system::system_error& error) {
+    throw std::system_error(error.code(), core::ToString(local));
+  }
 }
 
 }  // namespace croftrun::runtime
--- a/src/sim/virtual_runtime.h
+++ b/src/sim/virtual_runtime.h
@@ -28,6 +28,7 @@
   void Write(std::string_view bytes) override;
   std::size_t Pending() const override;
   bool Unread() const override;
+  bool FarEndGone() const override;
   void PauseReading(bool pause) override;
   core::Address Remote() const override { return remote_; }
   // Both sides are told of a reset; what is on its way before it still arrives.
@@ -77,6 +78,8 @@
 
  private:
   friend class VirtualStream;
+  // Tries to have the connection accepted, `after` from now.
+  void ComeUp(const core::Address& to, const core::Address& from, const std::weak_ptr<VirtualStream*>& weak, TimeUs after);
   class Port;
   class Listener;
   TimeUs now_ = 1'000'000;
