Exchanges: no fresh connection in place of a doubtful one, which only comes last

Cause, by a trial that leaves out just this: LinkFor opened a fresh connection where the only free one was doubtful (exchanges.cpp, LinkFor, !best->silent). While a zone is cut off it does not come up, which the module takes for an exchange that died and comes back cold (kConnectFailed). A doubtful connection still comes after all others that are open; the test now has two, and fails without the mend. 173 tests of the platform pass.

--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -280,12 +280,13 @@
 
 Exchanges::Link* Exchanges::LinkFor(Exchange* exchange) {
   Link* best = nullptr;
-  // One on which a set-up was lost may be one behind which nobody listens any more: the others first.
+  // One on which a set-up was lost may be one behind which nobody listens any more: the others first. Not a fresh one for
+  // it: where the whole way is cut that does not come up, and the module takes the exchange for one that died.
   const auto rank = [](const Link& link) { return std::make_tuple(link.silent, link.set_ups.size(), !link.open); };
   for (const auto& link : exchange->links) {
     if (best == nullptr || rank(*link) < rank(*best)) best = link.get();
   }
-  if (best != nullptr && best->set_ups.empty() && !best->silent) return best;
+  if (best != nullptr && best->set_ups.empty()) return best;
   const std::size_t share = settings_.most_links / std::max<std::size_t>(1, by_address_.size());
   if (!exchange->retired && exchange->links.size() < std::max<std::size_t>(1, share)) {
     if (Link* const fresh = OpenLink(exchange)) return fresh;
