Platform: one set of recent names for late words; the unused time of the last set-up goes

NoteGivenUp and NoteDeparted were the same bounded set twice: RecentNames, whose Forget also takes the name out of its order (a name taken back and noted again could be forgotten early).

--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -199,7 +199,6 @@
   offer.session = *message.description;
   link->brought_calls = true;
   ++counters_.set_ups;
-  last_set_up_ = runtime_->Now();
   const CallId call = core_->Reserve();
   calls_.emplace(call, Held{message.id, link, link->host, false});
   by_id_.emplace(message.id, call);
--- a/src/platform/callers.h
+++ b/src/platform/callers.h
@@ -49,8 +49,6 @@
   // Set-ups without a final answer.
   std::size_t unanswered() const { return unanswered_; }
   const CallerCounters& counters() const { return counters_; }
-  // When the last set-up came.
-  TimeUs last_set_up() const { return last_set_up_; }
   // When the last connection came.
   TimeUs last_link() const { return last_link_; }
   // Closes the connections on which nothing is open, half said, unwritten or unread.
@@ -104,7 +102,7 @@
   std::unordered_map<std::string, CallId> by_id_;
   std::deque<End> ends_;  // that wait for a connection of their caller
   std::size_t unanswered_ = 0;
-  TimeUs last_set_up_ = 0, last_link_ = 0;
+  TimeUs last_link_ = 0;
   core::Timer sweep_;
   CallerCounters counters_;
 };
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -101,7 +101,7 @@
 };
 
 Exchanges::Exchanges(const ExchangeSettings& settings, core::Runtime* runtime, core::LogSink* log, core::CallCore* core)
-    : settings_(settings), runtime_(runtime), log_(log), core_(core) {}
+    : settings_(settings), runtime_(runtime), log_(log), core_(core), given_up_(kMostGivenUp), departed_(kMostDeparted) {}
 
 Exchanges::~Exchanges() = default;
 
@@ -147,7 +147,7 @@
     const TimeUs since = TimeOf(target.boot_ms);
     auto& id = by_uid_[target.uid];
     if (id == 0) {
-      if (departed_.count(target.uid) > 0 && Superseded(0, target, since)) {
+      if (departed_.Has(target.uid) && Superseded(0, target, since)) {
         by_uid_.erase(target.uid);  // late word of one that is forgotten
         continue;
       }
@@ -206,20 +206,11 @@
     Exchange& e = *item.second;
     if (!e.retired || !e.links.empty() || !e.standing.empty()) return false;
     by_uid_.erase(e.target.uid);
-    NoteDeparted(e.target.uid);
+    departed_.Note(e.target.uid);
     return true;
   });
 }
 
-void Exchanges::NoteDeparted(const std::string& uid) {
-  if (!departed_.insert(uid).second) return;
-  departed_order_.push_back(uid);
-  if (departed_order_.size() > kMostDeparted) {
-    departed_.erase(departed_order_.front());
-    departed_order_.pop_front();
-  }
-}
-
 void Exchanges::Retire(Exchange* exchange) {
   exchange->retired = true;
   exchange->again.Stop();
@@ -328,7 +319,7 @@
     ++counters_.released;
   } else {
     ++counters_.given_up;
-    NoteGivenUp(leg.id);
+    given_up_.Note(leg.id);
     if (leg.link == nullptr) return;
     leg.link->silent = true;
     // What waits in the stream would be sent once it opens: the stream goes, if nothing else waits there.
@@ -364,15 +355,6 @@
   return newest == exchange.links.rend() ? nullptr : newest->get();
 }
 
-void Exchanges::NoteGivenUp(const std::string& id) {
-  if (!given_up_.insert(id).second) return;
-  given_up_order_.push_back(id);
-  if (given_up_order_.size() > kMostGivenUp) {
-    given_up_.erase(given_up_order_.front());
-    given_up_order_.pop_front();
-  }
-}
-
 void Exchanges::ProbeExchange(ExchangeId exchange) {
   const auto found = exchanges_.find(exchange);
   Link* const link = found == exchanges_.end() ? nullptr : OpenOne(*found->second);
@@ -389,7 +371,7 @@
   if (found == exchanges_.end()) return;
   // What a former set-up of this id left behind is over: its release must not reach the call that is taken over now.
   std::erase(found->second->waiting, id);
-  given_up_.erase(id);
+  given_up_.Forget(id);
   if (const auto former = legs_.find(id); former != legs_.end()) Remove(former);
   legs_[id] = {call, 0, found->second.get(), nullptr, true, runtime_->Now(), id};
   ids_[call] = id;
@@ -438,7 +420,7 @@
 void Exchanges::TakeAnswer(Link* link, const Message& message) {
   const auto found = legs_.find(message.id);
   if (found == legs_.end()) {
-    if (given_up_.count(message.id) == 0) {
+    if (!given_up_.Has(message.id)) {
       ++counters_.unknown_answers;
       return;
     }
@@ -534,7 +516,7 @@
     if (found == legs_.end()) continue;
     const Leg leg = Remove(found);
     ++(ran ? counters_.resets : counters_.never_ran);
-    if (ran) NoteGivenUp(id);
+    if (ran) given_up_.Note(id);
     core_->OnTrunkReleased(leg.call, leg.attempt,
                            ran ? InfoOf(kReset, core::ReleaseCause::kTemporaryFailure)
                                : InfoOf(kNeverRan, core::ReleaseCause::kOutOfOrder));
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -33,6 +33,28 @@
   std::int64_t unix_offset_us = 0;   // Unix time minus the runtime's clock
 };
 
+// The names noted last, so many of them.
+class RecentNames {
+ public:
+  explicit RecentNames(std::size_t most) : most_(most) {}
+  void Note(const std::string& name) {
+    if (!names_.insert(name).second) return;
+    order_.push_back(name);
+    if (order_.size() <= most_) return;
+    names_.erase(order_.front());
+    order_.pop_front();
+  }
+  void Forget(const std::string& name) {
+    if (names_.erase(name) > 0) std::erase(order_, name);
+  }
+  bool Has(const std::string& name) const { return names_.count(name) > 0; }
+
+ private:
+  std::size_t most_;
+  std::deque<std::string> order_;
+  std::unordered_set<std::string> names_;
+};
+
 struct ExchangeCounters {
   std::uint64_t set_ups = 0, shared = 0, answers = 0, refusals = 0, errors = 0, resets = 0, never_ran = 0, given_up = 0;
   std::uint64_t ended = 0, cut = 0, cut_with_exchange = 0, released = 0;
@@ -85,7 +107,6 @@
   DirectoryEntry EntryOf(const Exchange& exchange) const;
   // A newer machine has the address that this notice gives one that was known before it (0: and is forgotten since).
   bool Superseded(ExchangeId before, const Target& target, TimeUs since) const;
-  void NoteDeparted(const std::string& uid);
   // Takes it off everything that knows of it.
   Leg Remove(std::unordered_map<std::string, Leg>::iterator at);
   Link* LinkFor(Exchange* exchange);
@@ -105,7 +126,6 @@
   // The exchange's process is gone: so are the calls that stood there.
   void CutAll(Exchange* exchange, TimeUs before, std::string_view why);
   void Retire(Exchange* exchange);
-  void NoteGivenUp(const std::string& id);
   void SendRelease(Exchange* exchange, Link* link, const std::string& id);
 
   ExchangeSettings settings_;
@@ -119,10 +139,8 @@
   std::size_t link_count_ = 0;
   std::unordered_map<std::string, Leg> legs_;  // by the call's id
   std::unordered_map<CallId, std::string> ids_;
-  std::deque<std::string> given_up_order_;
-  std::unordered_set<std::string> given_up_;
-  std::deque<std::string> departed_order_;
-  std::unordered_set<std::string> departed_;  // names of machines that are forgotten
+  RecentNames given_up_;  // ids of set-ups
+  RecentNames departed_;  // machines that are forgotten
   std::unordered_map<std::string, std::pair<ExchangeId, TimeUs>> probes_;
   ExchangeCounters counters_;
 };
