Platform: log the life of exchange connections and calls by id, gauges of silence

Change: events exchange-connected, exchange-not-reached, exchange-connection-ended (exchange, address, connection number, why, set-ups and standing calls), exchange-lost with the silence before it; by call id at debug: call-taken, set-up-sent, set-up-given-up, set-up-ended, call-stands, call-ended, call-cut, end-told, end-waits, call-answered. CROFTRUN_LOG sets the level, SIGUSR2 switches to debug and back in service. Gauges: unreachable, standing_unreachable, longest_silence_ms, lost_exchanges, ends_waiting, end_waited_longest_ms.

--- a/src/edge/json_log.cpp
+++ b/src/edge/json_log.cpp
@@ -21,6 +21,8 @@
   logger_->flush_on(spdlog::level::info);
 }
 
+void JsonLog::SetLevel(const std::string& level) { logger_->set_level(spdlog::level::from_str(level)); }
+
 JsonLog::~JsonLog() { logger_->flush(); }
 
 namespace {
--- a/src/edge/json_log.h
+++ b/src/edge/json_log.h
@@ -19,6 +19,8 @@
   JsonLog(const std::string& level, const std::string& file, int exchange);
   ~JsonLog() override;
   bool Wants(core::LogLevel level) const override;
+  // From now on; `level` as at the start: debug, info, warning, error.
+  void SetLevel(const std::string& level);
   void Write(core::LogLevel level, std::string_view event, CallId call, std::string_view detail) override;
 
  private:
--- a/src/edge/platform_main.cpp
+++ b/src/edge/platform_main.cpp
@@ -41,7 +41,8 @@
           // A second one changes nothing: what was taken is still answered.
           if (!std::exchange(stopping_, true)) node_->Stop([this] { runtime_.Stop(); });
         }),
-        tell_(runtime_.context(), {SIGUSR1}, [this] { log_->Write(core::LogLevel::kWarning, "metrics", 0, node_->Metrics()); }) {
+        tell_(runtime_.context(), {SIGUSR1}, [this] { log_->Write(core::LogLevel::kWarning, "metrics", 0, node_->Metrics()); }),
+        details_(runtime_.context(), {SIGUSR2}, [this] { log_->SetLevel(log_->Wants(core::LogLevel::kDebug) ? "info" : "debug"); }) {
     std::signal(SIGPIPE, SIG_IGN);
   }
 
@@ -52,7 +53,8 @@
       std::cerr << "croftrun-edge: " << path_ << ":\n" << config::ToString(mistakes);
       return 3;
     }
-    log_ = std::make_unique<JsonLog>("info", "", config.module.own_number);
+    const std::string level = Environment("CROFTRUN_LOG");
+    log_ = std::make_unique<JsonLog>(level.empty() ? "info" : level, "", config.module.own_number);
     node_ = std::make_unique<platform::Node>(config, &runtime_, log_.get());
     log_->Write(core::LogLevel::kInfo, "ready", 0,
                 config.name + " on " + core::ToString(config.listen) + ", " + std::to_string(config.sockets) +
@@ -80,7 +82,7 @@
   std::unique_ptr<JsonLog> log_;
   std::unique_ptr<platform::Node> node_;
   bool stopping_ = false;
-  Signals reload_, stop_, tell_;
+  Signals reload_, stop_, tell_, details_;
 };
 
 }  // namespace
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -78,8 +78,9 @@
   Callers* owner_;
 };
 
-Callers::Callers(const CallerSettings& settings, core::Runtime* runtime, core::CallCore* core, Exchanges* exchanges)
-    : settings_(settings), runtime_(runtime), core_(core), exchanges_(exchanges), sweep_(runtime) {
+Callers::Callers(const CallerSettings& settings, core::Runtime* runtime, core::LogSink* log, core::CallCore* core,
+                 Exchanges* exchanges)
+    : settings_(settings), runtime_(runtime), log_(log), core_(core), exchanges_(exchanges), sweep_(runtime) {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i) classes_.emplace(settings_.classes[i], static_cast<int>(i));
 }
 
@@ -108,8 +109,9 @@
   Link* const link = links_.back().get();
   link->place = std::prev(links_.end());
   // Ends of calls that found no connection of this caller.
-  std::erase_if(ends_, [link](const End& end) {
+  std::erase_if(ends_, [this, link](const End& end) {
     if (end.host != link->host) return false;
+    counters_.end_waited_longest = std::max(counters_.end_waited_longest, runtime_->Now() - end.at);
     link->stream->Write(end.line);
     return true;
   });
@@ -200,6 +202,7 @@
   link->brought_calls = true;
   ++counters_.set_ups;
   const CallId call = core_->Reserve();
+  LogCall("call-taken", call, message.id, "from " + core::ToString(link->stream->Remote()));
   calls_.emplace(call, Held{message.id, link, link->host, false});
   by_id_.emplace(message.id, call);
   link->calls.insert(call);
@@ -209,6 +212,11 @@
   return true;
 }
 
+void Callers::LogCall(std::string_view event, CallId call, std::string_view id, std::string_view detail) {
+  if (!log_->Wants(core::LogLevel::kDebug)) return;
+  log_->Write(core::LogLevel::kDebug, event, call, std::string(id).append(", ").append(detail));
+}
+
 void Callers::Begin(Link* link) {
   for (const auto& [call, offer] : std::exchange(link->fresh, {})) {
     if (calls_.count(call) > 0) core_->Take(offer, this, call);
@@ -265,6 +273,7 @@
     ++(refused ? counters_.refusals : counters_.failures);
     message.cause = refused ? RefusalCause(answer.cause) : kTemporaryFailure;
     if (answer.pause_us > 0) message.fields.emplace_back("wait", std::to_string(answer.pause_us / 1000));
+    LogCall("call-answered", call, message.id, refused ? "refused" : "failed");
     Forget(call);
   }
   if (link != nullptr) Send(link, message);
@@ -278,7 +287,11 @@
   Forget(call);
   const int told = cause == core::ReleaseCause::kNormal ? kNormal : kTemporaryFailure;
   const Message message{.type = MessageType::kRelease, .id = held.id, .cause = told};
-  if (Link* const link = held.link != nullptr ? held.link : AnyLink(held.host)) return Send(link, message);
+  if (Link* const link = held.link != nullptr ? held.link : AnyLink(held.host)) {
+    LogCall("end-told", call, held.id, "to " + core::ToString(link->stream->Remote()));
+    return Send(link, message);
+  }
+  LogCall("end-waits", call, held.id, "no connection of its caller");
   ++counters_.ends_without_link;
   if (ends_.size() >= kMostEnds) {
     ends_.pop_front();
@@ -348,6 +361,8 @@
   }
   if (worst == nullptr) return false;
   ++counters_.links_evicted;
+  LogCall("caller-connection-evicted", 0, core::ToString(worst->stream->Remote()),
+          "calls that stood on it " + std::to_string(worst->standing));
   Drop(worst);
   return true;
 }
--- a/src/platform/callers.h
+++ b/src/platform/callers.h
@@ -34,12 +34,14 @@
   std::uint64_t unreadable = 0, too_long = 0, faulty = 0, repeated_ids = 0;
   std::uint64_t set_ups = 0, given_up = 0, adopted = 0, answers = 0, refusals = 0, failures = 0;
   std::uint64_t ended = 0, released_by_caller = 0, ends_without_link = 0, ends_dropped = 0, tests = 0;
+  TimeUs end_waited_longest = 0;  // of an end, until a connection of its caller was there
 };
 
 class Callers final : public core::Subscriber, public core::StreamAcceptor {
  public:
   // None is owned. `exchanges` is asked for those at which calls stand already.
-  Callers(const CallerSettings& settings, core::Runtime* runtime, core::CallCore* core, Exchanges* exchanges);
+  Callers(const CallerSettings& settings, core::Runtime* runtime, core::LogSink* log, core::CallCore* core,
+          Exchanges* exchanges);
   ~Callers() override;
 
   // Starts listening; throws std::system_error.
@@ -49,6 +51,8 @@
   // Set-ups without a final answer.
   std::size_t unanswered() const { return unanswered_; }
   const CallerCounters& counters() const { return counters_; }
+  // Ends of calls that wait for a connection of their caller.
+  std::size_t waiting_ends() const { return ends_.size(); }
   // When the last connection came.
   TimeUs last_link() const { return last_link_; }
   // Closes the connections on which nothing is open, half said, unwritten or unread.
@@ -90,9 +94,11 @@
   void Send(Link* link, const Message& message);
   void Refuse(Link* link, const std::string& id, int cause);
   void Forget(CallId call);
+  void LogCall(std::string_view event, CallId call, std::string_view id, std::string_view detail);
 
   CallerSettings settings_;
   core::Runtime* runtime_;
+  core::LogSink* log_;
   core::CallCore* core_;
   Exchanges* exchanges_;
   std::unordered_map<std::string, int> classes_;
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -48,6 +48,20 @@
   return info;
 }
 
+std::string_view NameOf(core::StreamEnd end) {
+  switch (end) {
+    case core::StreamEnd::kClosed:
+      return "closed";
+    case core::StreamEnd::kReset:
+      return "reset";
+    case core::StreamEnd::kRefused:
+      return "refused";
+    case core::StreamEnd::kTimedOut:
+      return "not up in time";
+  }
+  return "";
+}
+
 int IndexOf(const std::vector<std::string>& names, const std::string& name) {
   const auto found = std::find(names.begin(), names.end(), name);
   return found == names.end() ? 0 : static_cast<int>(found - names.begin());
@@ -67,6 +81,8 @@
   std::vector<std::string> waiting;          // releases for the next connection
   core::Timer again;
   TimeUs pause = 0;
+  TimeUs heard_at = 0;       // octets came, or a connection opened
+  bool unreachable = false;  // no connection is open, and the last one tried did not open: logged once
 };
 
 class Exchanges::Link final : public core::StreamSink {
@@ -76,10 +92,15 @@
   void OnOpen() override {
     open = true;
     exchange->pause = 0;
+    exchange->heard_at = owner_->runtime_->Now();
+    owner_->LogConnection(exchange->unreachable ? core::LogLevel::kInfo : core::LogLevel::kDebug, "exchange-connected", *this,
+                          std::to_string(exchange->waiting.size()) + " releases wait");
+    exchange->unreachable = false;
     for (const std::string& id : std::exchange(exchange->waiting, {})) owner_->SendRelease(exchange, this, id);
   }
   void OnBytes(std::string_view bytes) override {
     silent = false;
+    exchange->heard_at = owner_->runtime_->Now();
     // Taking a line may end other connections, never the one it came on.
     if (reader.Feed(bytes, [this](std::string_view line) { return owner_->Take(this, line); })) return;
     ++owner_->counters_.spoilt;
@@ -88,6 +109,7 @@
   void OnEnd(core::StreamEnd end) override { owner_->EndLink(this, end); }
 
   Exchange* const exchange;
+  std::uint64_t number = 0;  // in the log
   std::unique_ptr<core::Stream> stream;
   std::list<std::unique_ptr<Link>>::iterator place;
   bool open = false;
@@ -105,6 +127,44 @@
 
 Exchanges::~Exchanges() = default;
 
+std::size_t Exchanges::unreachable() const {
+  return static_cast<std::size_t>(std::count_if(exchanges_.begin(), exchanges_.end(), [](const auto& item) {
+    return !item.second->retired && OpenOne(*item.second) == nullptr;
+  }));
+}
+
+std::size_t Exchanges::standing_unreachable() const {
+  std::size_t calls = 0;
+  for (const auto& [id, exchange] : exchanges_) {
+    if (OpenOne(*exchange) == nullptr) calls += exchange->standing.size();
+  }
+  return calls;
+}
+
+TimeUs Exchanges::longest_silence() const {
+  TimeUs longest = 0;
+  for (const auto& [id, exchange] : exchanges_) {
+    if (!exchange->standing.empty()) longest = std::max(longest, runtime_->Now() - exchange->heard_at);
+  }
+  return longest;
+}
+
+void Exchanges::LogConnection(core::LogLevel level, std::string_view event, const Link& link, std::string_view detail) {
+  if (!log_->Wants(level)) return;
+  const Target& target = link.exchange->target;
+  std::string text = target.uid + " " + core::ToString(target.address) + " connection " + std::to_string(link.number);
+  if (!detail.empty()) text.append(", ").append(detail);
+  log_->Write(level, event, 0, text);
+}
+
+void Exchanges::LogCall(std::string_view event, const Leg& leg, std::string_view detail) {
+  if (!log_->Wants(core::LogLevel::kDebug)) return;
+  std::string text = leg.id + " attempt " + std::to_string(leg.attempt) + " at " + leg.at->target.uid;
+  if (leg.link != nullptr) text += " connection " + std::to_string(leg.link->number);
+  if (!detail.empty()) text.append(", ").append(detail);
+  log_->Write(core::LogLevel::kDebug, event, leg.call, text);
+}
+
 ExchangeId Exchanges::Find(const std::string& uid) const {
   const auto found = by_uid_.find(uid);
   if (found == by_uid_.end()) return 0;
@@ -233,12 +293,16 @@
     if (legs_.at(id).stood_at < before) ids.push_back(id);
   }
   std::sort(ids.begin(), ids.end());
-  if (!ids.empty())
+  if (!ids.empty()) {
+    ++counters_.lost_exchanges;
     log_->Write(core::LogLevel::kInfo, "exchange-lost", 0,
-                exchange->target.uid + " " + std::string(why) + ", calls cut: " + std::to_string(ids.size()));
+                exchange->target.uid + " " + std::string(why) + ", calls cut: " + std::to_string(ids.size()) +
+                    ", silent for " + std::to_string((runtime_->Now() - exchange->heard_at) / 1000) + " ms");
+  }
   for (const std::string& id : ids) {
     const auto found = legs_.find(id);
     if (found == legs_.end()) continue;
+    LogCall("call-cut", found->second, why);
     const Leg leg = Remove(found);
     ++counters_.cut_with_exchange;
     core_->OnTrunkReleased(leg.call, leg.attempt, {core::ReleaseCause::kTemporaryFailure});
@@ -252,6 +316,7 @@
   exchange->links.push_back(std::make_unique<Link>(this, exchange));
   Link* const link = exchange->links.back().get();
   link->place = std::prev(exchange->links.end());
+  link->number = ++last_link_number_;
   link->stream = runtime_->Connect(exchange->target.address, settings_.connect_within_us, link);
   return link;
 }
@@ -305,7 +370,8 @@
                                   InfoOf({Outcome::kError, Cause::kNone}, core::ReleaseCause::kTemporaryFailure));
   }
   ++counters_.set_ups;
-  legs_[id] = {call, set_up.attempt, found->second.get(), link, false, 0, id};
+  const Leg& leg = legs_[id] = {call, set_up.attempt, found->second.get(), link, false, 0, id};
+  LogCall("set-up-sent", leg, std::to_string(set_up.budget_us / 1000) + " ms left");
   ids_[call] = id;
   link->set_ups.insert(id);
   link->stream->Write(line);
@@ -315,6 +381,7 @@
   const auto named = ids_.find(set.call);
   if (named == ids_.end()) return;
   const Leg leg = Remove(legs_.find(named->second));
+  LogCall(leg.stands ? "call-released" : "set-up-given-up", leg, "");
   if (leg.stands) {
     ++counters_.released;
   } else {
@@ -433,6 +500,7 @@
     return;
   }
   ++counters_.answers;
+  LogCall("call-stands", leg, "");
   leg.stands = true;
   leg.stood_at = runtime_->Now();
   link->set_ups.erase(message.id);
@@ -451,8 +519,9 @@
     ++counters_.unknown_ends;
     return;
   }
-  const Leg leg = Remove(found);
   const int cause = message.cause.value_or(kTemporaryFailure);
+  LogCall(found->second.stands ? "call-ended" : "set-up-ended", found->second, "cause " + std::to_string(cause));
+  const Leg leg = Remove(found);
   if (leg.stands) {
     const bool normal = cause == kNormal;
     ++(normal ? counters_.ended : counters_.cut);
@@ -503,6 +572,11 @@
      : end == core::StreamEnd::kTimedOut ? counters_.timed_out
                                          : counters_.broken);
   const bool ran = link->open;  // else nothing was written before it came to this
+  const bool first_failure = !ran && OpenOne(*exchange) == nullptr && !std::exchange(exchange->unreachable, true);
+  LogConnection(first_failure ? core::LogLevel::kInfo : core::LogLevel::kDebug,
+                ran ? "exchange-connection-ended" : "exchange-not-reached", *link,
+                std::string(NameOf(end)) + ", set-ups on it " + std::to_string(link->set_ups.size()) +
+                    ", calls standing there " + std::to_string(exchange->standing.size()));
   std::vector<std::string> ids(link->set_ups.begin(), link->set_ups.end());
   std::sort(ids.begin(), ids.end());
   const std::unique_ptr<Link> kept = std::move(*link->place);
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -59,6 +59,7 @@
   std::uint64_t set_ups = 0, shared = 0, answers = 0, refusals = 0, errors = 0, resets = 0, never_ran = 0, given_up = 0;
   std::uint64_t ended = 0, cut = 0, cut_with_exchange = 0, released = 0;
   std::uint64_t connects = 0, refused = 0, timed_out = 0, broken = 0, spoilt = 0;
+  std::uint64_t lost_exchanges = 0;  // times that calls were cut with their exchange
   std::uint64_t gauges = 0, gauges_heard = 0, second_answers = 0, unknown_answers = 0, late_answers = 0, unknown_ends = 0;
 };
 
@@ -76,6 +77,12 @@
   // Exchanges that are known, those included that are gone and not forgotten yet.
   std::size_t listed() const { return exchanges_.size(); }
   const ExchangeCounters& counters() const { return counters_; }
+  // Exchanges of the list to which no connection is open.
+  std::size_t unreachable() const;
+  // Standing calls on exchanges to which no connection is open.
+  std::size_t standing_unreachable() const;
+  // The longest that an exchange with standing calls has sent nothing; 0 where none stands.
+  TimeUs longest_silence() const;
 
   void SetUp(const core::TrunkSetUp& set_up) override;
   void Release(const core::CircuitSet& set, const core::ReleaseInfo& info) override;
@@ -127,6 +134,9 @@
   void CutAll(Exchange* exchange, TimeUs before, std::string_view why);
   void Retire(Exchange* exchange);
   void SendRelease(Exchange* exchange, Link* link, const std::string& id);
+  // Log lines: each names the exchange, its address and, where there is one, the connection by its number.
+  void LogConnection(core::LogLevel level, std::string_view event, const Link& link, std::string_view detail);
+  void LogCall(std::string_view event, const Leg& leg, std::string_view detail);
 
   ExchangeSettings settings_;
   core::Runtime* runtime_;
@@ -137,6 +147,7 @@
   std::map<core::Address, ExchangeId> by_address_;  // who has it now
   ExchangeId next_ = 1;
   std::size_t link_count_ = 0;
+  std::uint64_t last_link_number_ = 0;  // connections are numbered in the log
   std::unordered_map<std::string, Leg> legs_;  // by the call's id
   std::unordered_map<CallId, std::string> ids_;
   RecentNames given_up_;  // ids of set-ups
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -68,7 +68,7 @@
   to_callers.listen = config.listen;
   to_callers.most_links = room - to_exchanges.most_links;
   to_callers.classes = to_exchanges.classes;
-  callers_ = std::make_unique<Callers>(to_callers, runtime, core_.get(), exchanges_.get());
+  callers_ = std::make_unique<Callers>(to_callers, runtime, log, core_.get(), exchanges_.get());
   board_ = std::make_unique<Board>(runtime, log, config.board, last,
                                    [this](const Notice& notice) { exchanges_->OnNotice(notice); });
   Listen(kMostBinds);
@@ -133,7 +133,8 @@
         {"set_ups", c.set_ups}, {"given_up", c.given_up}, {"adopted", c.adopted}, {"answers", c.answers},
         {"refusals", c.refusals}, {"failures", c.failures}, {"ended", c.ended},
         {"released_by_caller", c.released_by_caller}, {"ends_without_link", c.ends_without_link},
-        {"ends_dropped", c.ends_dropped}, {"tests", c.tests}, {"held", callers_->open_calls()},
+        {"ends_dropped", c.ends_dropped}, {"ends_waiting", callers_->waiting_ends()},
+        {"end_waited_longest_ms", c.end_waited_longest / 1000}, {"tests", c.tests}, {"held", callers_->open_calls()},
         {"unanswered", callers_->unanswered()}}},
       {"exchanges",
        {{"set_ups", e.set_ups}, {"shared", e.shared}, {"answers", e.answers}, {"refusals", e.refusals},
@@ -143,7 +144,10 @@
         {"spoilt", e.spoilt}, {"gauges", e.gauges}, {"gauges_heard", e.gauges_heard},
         {"second_answers", e.second_answers},
         {"unknown_answers", e.unknown_answers}, {"late_answers", e.late_answers}, {"unknown_ends", e.unknown_ends},
-        {"open_links", exchanges_->links()}, {"legs", exchanges_->legs()}, {"listed", exchanges_->listed()}}},
+        {"open_links", exchanges_->links()}, {"legs", exchanges_->legs()}, {"listed", exchanges_->listed()},
+        {"lost_exchanges", e.lost_exchanges}, {"unreachable", exchanges_->unreachable()},
+        {"standing_unreachable", exchanges_->standing_unreachable()},
+        {"longest_silence_ms", exchanges_->longest_silence() / 1000}}},
       {"core",
        {{"offered", k.offered}, {"attempts", k.attempts}, {"timeouts", k.timeouts}, {"overdue", k.overdue},
         {"too_late", k.too_late}, {"refused_full", k.refused_full}, {"stale_answers", k.stale_answers},
