--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "cli/commands.h"
+#include "cli/soak.h"
 
 int main(int argc, char** argv) {
   using namespace croftrun::cli;
@@ -74,6 +75,23 @@
   load_command->add_flag("--json", load.json, "The figures as JSON");
   load_command->callback([&] { code = RunLoad(load); });
 
+  SoakRun soak;
+  soak.edge_program = beside;
+  soak.folder = "lab-out/soak";
+  CLI::App* soak_command = lab->add_subcommand("soak", "Seeded trials of a handful of softswitches on the platform under faults (docs/soak.md)");
+  soak_command->add_option("--edge", soak.edge_program, "The croftrun-edge to start")->capture_default_str();
+  soak_command->add_option("--folder", soak.folder, "For configurations and logs")->capture_default_str();
+  soak_command->add_option("--seed", soak.first_seed, "The first")->capture_default_str();
+  soak_command->add_option("--count", soak.count, "So many seeds")->check(CLI::Range(1, 10'000))->capture_default_str();
+  soak_command->add_option("--jobs", soak.jobs, "Trials at the same time")->check(CLI::Range(1, 16))->capture_default_str();
+  soak_command->add_option("--only", soak.only, "Only this kind of fault; several times");
+  soak_command->add_option("--without", soak.without, "Not this kind of fault; several times");
+  soak_command->add_flag("--shrink", soak.shrink, "Leave out faults of failed trials as long as they fail");
+  soak_command->add_flag("--script", soak.show_script, "Show the faults of every trial");
+  soak_command->add_flag("--json", soak.json, "As JSON");
+  soak_command->add_flag("--quiet", soak.quiet, "Only the summary");
+  soak_command->callback([&] { code = RunSoak(soak); });
+
   std::string path, out;
   CLI::App* verdict = app.add_subcommand("verdict", "Verifies the five rules of the product from a trace alone");
   verdict->add_option("trace", path, "JSON lines")->required();
--- /dev/null
+++ b/src/lab/soak/fault_proxy.cpp
@@ -0,0 +1,281 @@
+#include "lab/soak/fault_proxy.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+
+#include "runtime/endpoints.h"
+
+namespace croftrun::lab::soak {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr int kBacklog = 256;
+// Connections of the proxy's own that make a backlog of one full: one waits in it, the others for a place.
+constexpr int kFillers = 3;
+// How often a pump that may not pass anything looks whether it may again.
+constexpr std::chrono::milliseconds kLookAgain{5};
+constexpr std::size_t kLargestPiece = 40;
+constexpr int kLongestPieceGapMs = 8;
+
+enum class Side : std::uint8_t { kDownstream, kUpstream };
+
+void ResetSocket(tcp::socket& socket) {
+  error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+}  // namespace
+
+// One connection through the proxy.
+struct FaultProxy::Pair {
+  Pair(asio::io_context& context, tcp::socket accepted)
+      : downstream(std::move(accepted)), upstream(context), last_octets(Clock::now()) {}
+  tcp::socket downstream, upstream;
+  Clock::time_point last_octets;
+  bool forgotten = false;  // the upstream side has ended without a word to the downstream side
+  bool over = false;
+  FaultProxy* proxy = nullptr;  // null once the proxy is gone
+
+  void Reset() {
+    if (over) return;
+    over = true;
+    ResetSocket(downstream);
+    ResetSocket(upstream);
+  }
+  void Close() {
+    if (over) return;
+    over = true;
+    error_code ignored;
+    downstream.close(ignored);
+    upstream.close(ignored);
+  }
+  bool Passes(Side from) const {
+    if (proxy == nullptr || proxy->vanished_) return false;
+    return from == Side::kDownstream ? proxy->passing_.to_upstream : proxy->passing_.to_downstream;
+  }
+};
+
+namespace {
+
+// Waits until the pair may pass octets from `from`, or is over.
+template <typename Pair>
+asio::awaitable<void> WaitToPass(std::shared_ptr<Pair> pair, Side from, asio::steady_timer& timer) {
+  error_code ignored;
+  while (!pair->over && pair->proxy != nullptr && !pair->Passes(from)) {
+    timer.expires_after(kLookAgain);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+template <typename Pair>
+asio::awaitable<void> WriteInPieces(std::shared_ptr<Pair> pair, tcp::socket& to, const char* data, std::size_t size,
+                                    std::mt19937_64& random, asio::steady_timer& timer) {
+  error_code error;
+  while (size > 0 && !pair->over) {
+    const std::size_t piece = std::min<std::size_t>(size, 1 + random() % kLargestPiece);
+    co_await asio::async_write(to, asio::buffer(data, piece), asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return;
+    data += piece;
+    size -= piece;
+    timer.expires_after(std::chrono::milliseconds(random() % kLongestPieceGapMs));
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
+// Carries one way of a connection until it ends.
+template <typename Pair>
+asio::awaitable<void> Pump(std::shared_ptr<Pair> pair, Side from_side, std::uint64_t seed, const bool* trickle) {
+  tcp::socket& from = from_side == Side::kDownstream ? pair->downstream : pair->upstream;
+  tcp::socket& to = from_side == Side::kDownstream ? pair->upstream : pair->downstream;
+  std::array<char, 8192> octets{};
+  std::mt19937_64 random(seed);
+  asio::steady_timer timer(from.get_executor());
+  error_code error;
+  while (!pair->over) {
+    const std::size_t got = co_await from.async_read_some(asio::buffer(octets), asio::redirect_error(asio::use_awaitable, error));
+    if (pair->over) co_return;
+    co_await WaitToPass(pair, from_side, timer);
+    if (pair->over || pair->proxy == nullptr) co_return pair->Close();
+    if (pair->forgotten) {
+      // The far end remembers nothing of this connection: whatever is sent on it is answered by a reset.
+      if (from_side == Side::kDownstream) pair->Reset();
+      co_return;
+    }
+    if (error == asio::error::eof) {
+      error_code ignored;
+      to.shutdown(tcp::socket::shutdown_send, ignored);
+      if (!from.is_open() || !to.is_open()) pair->Close();
+      co_return;
+    }
+    if (error) co_return pair->Reset();
+    pair->last_octets = Clock::now();
+    if (*trickle) {
+      co_await WriteInPieces(pair, to, octets.data(), got, random, timer);
+    } else {
+      co_await asio::async_write(to, asio::buffer(octets.data(), got), asio::redirect_error(asio::use_awaitable, error));
+    }
+  }
+}
+
+}  // namespace
+
+FaultProxy::FaultProxy(asio::io_context* context, const core::Address& listen, const core::Address& upstream, std::uint64_t seed)
+    : context_(context), listen_(runtime::EndpointOf<tcp>(listen)), upstream_(runtime::EndpointOf<tcp>(upstream)),
+      random_(seed), hold_timer_(*context) {
+  Listen();
+}
+
+FaultProxy::~FaultProxy() {
+  for (const auto& pair : pairs_) {
+    pair->proxy = nullptr;
+    pair->Reset();
+  }
+}
+
+void FaultProxy::Listen() {
+  acceptor_ = std::make_unique<tcp::acceptor>(*context_);
+  acceptor_->open(tcp::v4());
+  acceptor_->set_option(asio::socket_base::reuse_address(true));
+  acceptor_->bind(listen_);
+  acceptor_->listen(kBacklog);
+  Accept();
+}
+
+void FaultProxy::Accept() {
+  acceptor_->async_accept([this](const error_code& error, tcp::socket socket) {
+    if (error) return;  // the acceptor is closed or gone
+    if (Blocked()) {
+      // It came up in the moment in which the way was cut: nothing passes on it.
+      fillers_.push_back(std::move(socket));
+      return;
+    }
+    Accept();
+    char octet = 0;
+    if (::recv(socket.native_handle(), &octet, 1, MSG_DONTWAIT | MSG_PEEK) == 0) return;  // a filler, or gone already
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto pair = std::make_shared<Pair>(*context_, std::move(socket));
+    pair->proxy = this;
+    std::erase_if(pairs_, [](const auto& old) { return old->over; });
+    pairs_.push_back(pair);
+    pair->upstream.async_connect(upstream_, [this, pair](const error_code& failed) {
+      if (pair->over || pair->proxy == nullptr) return;
+      if (failed) return pair->Reset();
+      error_code none;
+      pair->upstream.set_option(tcp::no_delay(true), none);
+      asio::co_spawn(*context_, Pump(pair, Side::kDownstream, random_(), &trickle_), asio::detached);
+      asio::co_spawn(*context_, Pump(pair, Side::kUpstream, random_(), &trickle_), asio::detached);
+    });
+  });
+}
+
+void FaultProxy::FillBacklog() {
+  if (acceptor_ == nullptr || !fillers_.empty()) return;
+  error_code ignored;
+  acceptor_->cancel(ignored);
+  ::listen(acceptor_->native_handle(), 0);
+  for (int i = 0; i < kFillers; ++i) {
+    tcp::socket& filler = fillers_.emplace_back(*context_);
+    filler.open(tcp::v4(), ignored);
+    filler.non_blocking(true, ignored);
+    ::connect(filler.native_handle(), listen_.data(), static_cast<socklen_t>(listen_.size()));
+  }
+}
+
+void FaultProxy::FreeBacklog() {
+  if (fillers_.empty() || Blocked()) return;
+  fillers_.clear();
+  if (acceptor_ == nullptr) return;
+  ::listen(acceptor_->native_handle(), kBacklog);
+  Accept();
+}
+
+void FaultProxy::Pass(Passing passing) {
+  passing_ = passing;
+  if (Blocked()) {
+    FillBacklog();
+  } else {
+    FreeBacklog();
+  }
+}
+
+void FaultProxy::Vanish() {
+  vanished_ = true;
+  for (const auto& pair : pairs_) {
+    // The upstream side may go; the downstream side stays open, and nothing is read on it.
+    pair->forgotten = true;
+    ResetSocket(pair->upstream);
+  }
+  FillBacklog();
+}
+
+void FaultProxy::Return() {
+  vanished_ = false;
+  FreeBacklog();
+}
+
+void FaultProxy::Refuse(bool refuse) {
+  if (refuse == refusing_) return;
+  refusing_ = refuse;
+  if (refuse) {
+    fillers_.clear();
+    acceptor_.reset();
+  } else {
+    Listen();
+    if (Blocked()) FillBacklog();
+  }
+}
+
+void FaultProxy::ResetAll() {
+  for (const auto& pair : pairs_) pair->Reset();
+  pairs_.clear();
+}
+
+void FaultProxy::CloseIdle(TimeUs idle) {
+  for (const auto& pair : pairs_) {
+    if (Clock::now() - pair->last_octets >= std::chrono::microseconds(idle)) pair->Close();
+  }
+}
+
+void FaultProxy::ForgetIdle(TimeUs idle) {
+  for (const auto& pair : pairs_) {
+    if (pair->over || Clock::now() - pair->last_octets < std::chrono::microseconds(idle)) continue;
+    pair->forgotten = true;
+    ResetSocket(pair->upstream);
+  }
+}
+
+void FaultProxy::HoldConnections(TimeUs time) {
+  held_ = true;
+  FillBacklog();
+  hold_timer_.expires_after(std::chrono::microseconds(time));
+  hold_timer_.async_wait([this](const error_code& cancelled) {
+    if (cancelled) return;
+    held_ = false;
+    FreeBacklog();
+  });
+}
+
+void FaultProxy::HalfCloseAll() {
+  error_code ignored;
+  for (const auto& pair : pairs_) {
+    if (!pair->over) pair->downstream.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+}
+
+}  // namespace croftrun::lab::soak
--- /dev/null
+++ b/src/lab/soak/line_client.cpp
@@ -0,0 +1,119 @@
+#include "lab/soak/line_client.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <utility>
+
+#include "runtime/endpoints.h"
+
+namespace croftrun::lab::soak {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+struct LineClient::State : std::enable_shared_from_this<State> {
+  State(asio::io_context& context, LineClientHandlers h) : socket(context), timer(context), handlers(std::move(h)) {}
+
+  void Read() {
+    socket.async_read_some(asio::buffer(octets), [self = shared_from_this()](const error_code& error, std::size_t got) {
+      if (self->over) return;
+      if (error) return self->End(error == asio::error::eof ? ConnectionEnd::kClosed : ConnectionEnd::kReset);
+      self->text.append(self->octets.data(), got);
+      self->TellLines();
+      if (!self->over) self->Read();
+    });
+  }
+  void TellLines() {
+    std::size_t from = 0;
+    for (std::size_t end = 0; !over && (end = text.find('\n', from)) != std::string::npos; from = end + 1) {
+      handlers.on_line(std::string_view(text).substr(from, end - from));
+    }
+    text.erase(0, from);
+  }
+  void Flush() {
+    if (writing || output.empty() || !open || over) return;
+    writing = true;
+    sending = std::exchange(output, {});
+    asio::async_write(socket, asio::buffer(sending), [self = shared_from_this()](const error_code& error, std::size_t) {
+      self->writing = false;
+      if (self->over || error) return;  // the reader tells of the end
+      if (self->output.empty() && self->handlers.on_written) self->handlers.on_written();
+      self->Flush();
+    });
+  }
+  void End(ConnectionEnd end) {
+    Close();
+    handlers.on_end(end);
+  }
+  void Close() {
+    over = true;
+    open = false;
+    error_code ignored;
+    socket.close(ignored);
+    timer.cancel();
+  }
+
+  tcp::socket socket;
+  asio::steady_timer timer;
+  LineClientHandlers handlers;
+  std::array<char, 8192> octets{};
+  std::string text, output, sending;
+  bool open = false, over = false, writing = false;
+};
+
+LineClient::LineClient(asio::io_context* context, std::uint32_t source, const core::Address& to, LineClientHandlers handlers)
+    : state_(std::make_shared<State>(*context, std::move(handlers))) {
+  error_code error;
+  state_->socket.open(tcp::v4(), error);
+  state_->socket.bind({asio::ip::address_v4(source), 0}, error);
+  state_->socket.async_connect(runtime::EndpointOf<tcp>(to), [state = state_](const error_code& failed) {
+    if (state->over) return;
+    if (failed) return state->End(ConnectionEnd::kRefused);
+    error_code ignored;
+    state->socket.set_option(tcp::no_delay(true), ignored);
+    state->open = true;
+    if (state->handlers.on_open) state->handlers.on_open();
+    if (state->over) return;
+    state->Flush();
+    state->Read();
+  });
+}
+
+LineClient::~LineClient() { state_->Close(); }
+
+bool LineClient::open() const { return state_->open; }
+
+void LineClient::Write(const std::string& octets) {
+  if (state_->over) return;
+  state_->output += octets;
+  state_->Flush();
+}
+
+void LineClient::WriteInPieces(const std::string& octets, TimeUs gap) {
+  const std::size_t half = octets.size() / 2;
+  Write(octets.substr(0, half));
+  state_->timer.expires_after(std::chrono::microseconds(gap));
+  state_->timer.async_wait([state = state_, rest = octets.substr(half)](const error_code& cancelled) {
+    if (cancelled || state->over) return;
+    state->output += rest;
+    state->Flush();
+  });
+}
+
+void LineClient::HalfClose() {
+  error_code ignored;
+  if (!state_->over) state_->socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void LineClient::Reset() {
+  if (state_->over) return;
+  error_code ignored;
+  state_->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  state_->Close();
+}
+
+}  // namespace croftrun::lab::soak
--- /dev/null
+++ b/src/lab/soak/softswitch_process.cpp
@@ -0,0 +1,89 @@
+#include "lab/soak/softswitch_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+extern char** environ;
+
+namespace croftrun::lab::soak {
+namespace {
+
+constexpr long kMegabyte = 1L << 20;
+
+}  // namespace
+
+SoftswitchProcess::SoftswitchProcess(std::string program, std::string folder, std::string name)
+    : program_(std::move(program)), configuration_(folder + "/" + name + ".json"), log_(folder + "/" + name + ".log") {}
+
+SoftswitchProcess::~SoftswitchProcess() { Kill(); }
+
+void SoftswitchProcess::WriteConfiguration(const std::string& json) const {
+  const std::string fresh = configuration_ + ".new";
+  std::ofstream(fresh) << json << "\n";
+  std::filesystem::rename(fresh, configuration_);
+}
+
+void SoftswitchProcess::SpoilConfiguration() const { std::ofstream(configuration_) << "{\"listen\":"; }
+
+void SoftswitchProcess::Start() {
+  std::string option = "--platform";
+  char* const arguments[] = {program_.data(), option.data(), nullptr};
+  std::string configuration = "GW_CONFIG=" + configuration_;
+  std::vector<char*> environment;
+  for (char** variable = environ; *variable != nullptr; ++variable) environment.push_back(*variable);
+  environment.push_back(configuration.data());
+  environment.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  ::posix_spawn_file_actions_init(&actions);
+  ::posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  ::posix_spawn_file_actions_addclosefrom_np(&actions, 3);
+  const int error = ::posix_spawn(&process_, program_.c_str(), &actions, nullptr, arguments, environment.data());
+  ::posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) throw std::runtime_error("cannot start " + program_ + ": error " + std::to_string(error));
+}
+
+void SoftswitchProcess::Signal(int number) const {
+  if (process_ != 0) ::kill(process_, number);
+}
+
+void SoftswitchProcess::Kill() {
+  if (process_ == 0) return;
+  ::kill(process_, SIGKILL);
+  ::waitpid(process_, nullptr, 0);
+  process_ = 0;
+}
+
+std::optional<int> SoftswitchProcess::Exited() {
+  int status = 0;
+  if (process_ == 0 || ::waitpid(process_, &status, WNOHANG) != process_) return std::nullopt;
+  process_ = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+int SoftswitchProcess::Descriptors() const {
+  if (process_ == 0) return 0;
+  std::error_code error;
+  int count = 0;
+  std::filesystem::directory_iterator entries("/proc/" + std::to_string(process_) + "/fd", error);
+  for (; !error && entries != std::filesystem::directory_iterator(); entries.increment(error)) ++count;
+  return count;
+}
+
+int SoftswitchProcess::ResidentMegabytes() const {
+  std::ifstream file("/proc/" + std::to_string(process_) + "/statm");
+  long whole = 0, resident = 0;
+  file >> whole >> resident;
+  return static_cast<int>(resident * ::sysconf(_SC_PAGESIZE) / kMegabyte);
+}
+
+}  // namespace croftrun::lab::soak
