--- a/src/lab/soak/trial.cpp
+++ b/src/lab/soak/trial.cpp
@@ -520,7 +520,7 @@
   settings.release_us = script_.release_us;
   settings.drain_grace_us = script_.drain_grace_us;
   settings.most_descriptors = kDescriptors;
-  settings.most_megabytes = kMegabytes;
+  settings.most_megabytes = options_.most_megabytes;
   for (const FaultKind kind : {FaultKind::kReset, FaultKind::kCutExchange, FaultKind::kCutOneWay}) {
     settings.cuts_may_be_needed = settings.cuts_may_be_needed || script_.Has(kind);
   }
--- a/src/lab/soak/trial.h
+++ b/src/lab/soak/trial.h
@@ -15,6 +15,7 @@
   std::string program;  // croftrun-edge
   std::string folder;   // for configurations and logs; created
   int slot = 0;         // 0 to 63: trials with different slots can run at the same time
+  int most_megabytes = 64;  // of a softswitch; a program built with sanitizers needs more
 };
 
 struct TrialResult {
