Failure detector: calls on an exchange that gives no sign of life are ended in time

Silence, connections that do not come up, and a process replaced at its address meant nothing. Ruled out: ends lost on the way to the caller (the log has none between), a standstill of the process. Change: policy/failure_detector, a pure state machine an exchange: after 2.5 s of silence one connection each 0.5 s is the sign of life (no probe, and it brings releases that no older connection could); calls are given up 7.4 s after the last sign with three unanswered, or when the process is in doubt (last connection reset, or an outage) and nothing shows that it knows them. Connections for it have a reserve and room made; KeepConnected tries again where there was no room; a release that comes before its call is announced is kept.

--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -18,6 +18,12 @@
 constexpr std::size_t kMostDeparted = 1024;
 // Releases that wait for a connection to one exchange.
 constexpr std::size_t kMostWaiting = 1024;
+// Ends of calls that are not known here, or not yet: a caller may still announce the call.
+constexpr std::size_t kMostEarlyEnds = 2048;
+// Connections for signs of life may go beyond the limit by so many: without one, calls that stand would be given up.
+constexpr std::size_t kLivenessReserve = 8;
+// Idle connections to one exchange that are kept when one more came up for a sign of life.
+constexpr std::size_t kIdleKept = 2;
 
 constexpr core::Ended kReset{Outcome::kReset, Cause::kNone};
 constexpr core::Ended kNeverRan{Outcome::kConnectFailed, Cause::kNone};
@@ -48,20 +54,6 @@
   return info;
 }
 
-std::string_view NameOf(core::StreamEnd end) {
-  switch (end) {
-    case core::StreamEnd::kClosed:
-      return "closed";
-    case core::StreamEnd::kReset:
-      return "reset";
-    case core::StreamEnd::kRefused:
-      return "refused";
-    case core::StreamEnd::kTimedOut:
-      return "not up in time";
-  }
-  return "";
-}
-
 int IndexOf(const std::vector<std::string>& names, const std::string& name) {
   const auto found = std::find(names.begin(), names.end(), name);
   return found == names.end() ? 0 : static_cast<int>(found - names.begin());
@@ -70,7 +62,8 @@
 }  // namespace
 
 struct Exchanges::Exchange {
-  explicit Exchange(core::Runtime* runtime) : again(runtime) {}
+  explicit Exchange(core::Runtime* runtime) : again(runtime), detector({}) {}
+  bool InDoubt() const { return detector.doubt_since() != 0; }
   ExchangeId id = 0;
   Target target;
   TimeUs since_us = 0;
@@ -83,6 +76,7 @@
   TimeUs pause = 0;
   TimeUs heard_at = 0;       // octets came, or a connection opened
   bool unreachable = false;  // no connection is open, and the last one tried did not open: logged once
+  policy::FailureDetector detector;  // for as long as calls stand here
 };
 
 class Exchanges::Link final : public core::StreamSink {
@@ -91,28 +85,42 @@
 
   void OnOpen() override {
     open = true;
+    opened_at = owner_->runtime_->Now();
     exchange->pause = 0;
-    exchange->heard_at = owner_->runtime_->Now();
+    exchange->heard_at = opened_at;
+    const bool was_in_doubt = exchange->InDoubt();
+    exchange->detector.OnConnectionOpened(opened_at, exchange->standing.size());
+    owner_->LogDoubt(*exchange, was_in_doubt);
     owner_->LogConnection(exchange->unreachable ? core::LogLevel::kInfo : core::LogLevel::kDebug, "exchange-connected", *this,
                           std::to_string(exchange->waiting.size()) + " releases wait");
     exchange->unreachable = false;
     for (const std::string& id : std::exchange(exchange->waiting, {})) owner_->SendRelease(exchange, this, id);
+    owner_->CloseSpare(exchange);
   }
   void OnBytes(std::string_view bytes) override {
     silent = false;
-    exchange->heard_at = owner_->runtime_->Now();
+    heard_at = owner_->runtime_->Now();
+    exchange->heard_at = heard_at;
+    const bool was_in_doubt = exchange->InDoubt();
+    exchange->detector.OnOctets(heard_at, opened_at);
+    owner_->LogDoubt(*exchange, was_in_doubt);
     // Taking a line may end other connections, never the one it came on.
     if (reader.Feed(bytes, [this](std::string_view line) { return owner_->Take(this, line); })) return;
     ++owner_->counters_.spoilt;
-    owner_->EndLink(this, core::StreamEnd::kReset);
+    owner_->EndLink(this, LinkEnd::kSpoilt);
+  }
+  void OnEnd(core::StreamEnd end) override {
+    constexpr LinkEnd kEnds[] = {LinkEnd::kClosed, LinkEnd::kReset, LinkEnd::kRefused, LinkEnd::kNotUpInTime};
+    owner_->EndLink(this, kEnds[static_cast<std::size_t>(end)]);
   }
-  void OnEnd(core::StreamEnd end) override { owner_->EndLink(this, end); }
 
   Exchange* const exchange;
   std::uint64_t number = 0;  // in the log
   std::unique_ptr<core::Stream> stream;
   std::list<std::unique_ptr<Link>>::iterator place;
+  TimeUs opened_at = 0, heard_at = 0;
   bool open = false;
+  bool for_life = false;  // opened as a sign of life: set-ups do not wait for it
   bool silent = false;  // a set-up was given up on it, and nothing has come since
   std::unordered_set<std::string> set_ups;   // unanswered on it
   std::unordered_set<std::string> standing;  // answered on it, and not over
@@ -123,10 +131,18 @@
 };
 
 Exchanges::Exchanges(const ExchangeSettings& settings, core::Runtime* runtime, core::LogSink* log, core::CallCore* core)
-    : settings_(settings), runtime_(runtime), log_(log), core_(core), given_up_(kMostGivenUp), departed_(kMostDeparted) {}
+    : settings_(settings), runtime_(runtime), log_(log), core_(core), given_up_(kMostGivenUp), departed_(kMostDeparted),
+      early_ends_(kMostEarlyEnds), liveness_(runtime) {
+  WatchLiveness();
+}
 
 Exchanges::~Exchanges() = default;
 
+std::string_view Exchanges::NameOf(LinkEnd end) {
+  constexpr std::string_view kNames[] = {"closed", "reset", "refused", "not up in time", "spoilt", "closed here"};
+  return kNames[static_cast<std::size_t>(end)];
+}
+
 std::size_t Exchanges::unreachable() const {
   return static_cast<std::size_t>(std::count_if(exchanges_.begin(), exchanges_.end(), [](const auto& item) {
     return !item.second->retired && OpenOne(*item.second) == nullptr;
@@ -284,10 +300,10 @@
   for (const auto& link : exchange->links) {
     if (link->set_ups.empty()) idle.push_back(link.get());
   }
-  for (Link* const link : idle) EndLink(link, core::StreamEnd::kClosed);
+  for (Link* const link : idle) EndLink(link, LinkEnd::kClosedHere);
 }
 
-void Exchanges::CutAll(Exchange* exchange, TimeUs before, std::string_view why) {
+void Exchanges::CutAll(Exchange* exchange, TimeUs before, std::string_view why, Remains remains) {
   std::vector<std::string> ids;
   for (const std::string& id : exchange->standing) {
     if (legs_.at(id).stood_at < before) ids.push_back(id);
@@ -305,47 +321,154 @@
     LogCall("call-cut", found->second, why);
     const Leg leg = Remove(found);
     ++counters_.cut_with_exchange;
+    if (remains == Remains::kMayStand) SendRelease(exchange, nullptr, id);
     core_->OnTrunkReleased(leg.call, leg.attempt, {core::ReleaseCause::kTemporaryFailure});
   }
 }
 
-Exchanges::Link* Exchanges::OpenLink(Exchange* exchange) {
-  if (link_count_ >= settings_.most_links) return nullptr;
+void Exchanges::WatchLiveness() {
+  liveness_.Start(policy::kLivenessStep, [this] {
+    for (const auto& [id, exchange] : exchanges_) {
+      if (exchange->standing.empty() || exchange->retired) continue;
+      Act(exchange.get(), exchange->detector.Next(runtime_->Now(), settings_.may_probe));
+    }
+    WatchLiveness();
+  });
+}
+
+void Exchanges::Act(Exchange* exchange, policy::LivenessAction action) {
+  const TimeUs now = runtime_->Now();
+  switch (action) {
+    case policy::LivenessAction::kNone:
+      return;
+    case policy::LivenessAction::kConnect:
+      ++counters_.liveness_connects;
+      OpenLink(exchange, Purpose::kSignOfLife);
+      return;
+    case policy::LivenessAction::kProbe: {
+      const auto oldest = std::find_if(exchange->links.begin(), exchange->links.end(), [](const auto& x) { return x->open; });
+      if (oldest == exchange->links.end()) return;
+      ++counters_.liveness_probes;
+      return SendProbe(oldest->get());
+    }
+    case policy::LivenessAction::kGiveUpSilent:
+      ++counters_.given_up_silent;
+      CutAll(exchange, now + 1, "gives no sign of life", Remains::kMayStand);
+      return exchange->detector.OnGivenUp(now);
+    case policy::LivenessAction::kGiveUpReplaced:
+      ++counters_.given_up_replaced;
+      CutAll(exchange, exchange->detector.doubt_since(), "its process may have been replaced", Remains::kMayStand);
+      return exchange->detector.OnGivenUp(now);
+  }
+}
+
+std::size_t Exchanges::StandingBefore(const std::unordered_map<std::string, Leg>& legs, const Exchange& exchange, TimeUs before) {
+  return static_cast<std::size_t>(std::count_if(exchange.standing.begin(), exchange.standing.end(), [&](const std::string& id) {
+    return legs.at(id).stood_at < before;
+  }));
+}
+
+void Exchanges::CheckCircuits(Link* link, const std::vector<float>& figures) {
+  Exchange* const exchange = link->exchange;
+  if (!exchange->InDoubt() || !settings_.own_circuits) return;
+  const auto figure = [&](std::string_view name) {
+    const auto named = std::find(settings_.figures.begin(), settings_.figures.end(), name);
+    return named == settings_.figures.end() ? -1.0F : figures[static_cast<std::size_t>(named - settings_.figures.begin())];
+  };
+  const float spare = figure("spare"), total = figure("total");
+  if (spare < 0.0F || total < spare) return;
+  const policy::CircuitUse use{static_cast<std::size_t>(total - spare), exchange->standing.size(),
+                               StandingBefore(legs_, *exchange, exchange->detector.doubt_since())};
+  if (exchange->detector.OnCircuits(runtime_->Now(), link->opened_at, use)) {
+    ++counters_.given_up_replaced;
+    CutAll(exchange, exchange->detector.doubt_since(), "its process was replaced, as its circuits are free", Remains::kNothing);
+    exchange->detector.OnGivenUp(runtime_->Now());
+  }
+}
+
+void Exchanges::LogDoubt(const Exchange& exchange, bool was_in_doubt) {
+  if (exchange.InDoubt() == was_in_doubt) return;
+  ++(was_in_doubt ? counters_.doubts_cleared : counters_.doubts);
+  log_->Write(core::LogLevel::kInfo, was_in_doubt ? "exchange-confirmed" : "exchange-doubtful", 0,
+              exchange.target.uid + ", calls standing there " + std::to_string(exchange.standing.size()));
+}
+
+bool Exchanges::MakeRoom(const Exchange* wanted) {
+  Link* spare = nullptr;
+  for (const auto& [id, exchange] : exchanges_) {
+    if (exchange.get() == wanted || exchange->links.size() < 2 || exchange->InDoubt()) continue;
+    for (const auto& link : exchange->links) {
+      if (!link->open || !link->set_ups.empty()) continue;
+      if (spare == nullptr || link->heard_at < spare->heard_at) spare = link.get();
+    }
+  }
+  if (spare == nullptr) return false;
+  EndLink(spare, LinkEnd::kClosedHere);
+  return true;
+}
+
+void Exchanges::CloseSpare(Exchange* exchange) {
+  // In doubt the old ones are what can end it.
+  if (exchange->InDoubt()) return;
+  std::vector<Link*> idle;
+  for (const auto& link : exchange->links) {
+    if (link->open && link->set_ups.empty()) idle.push_back(link.get());
+  }
+  if (idle.size() <= kIdleKept) return;
+  // The least lately heard one may be forgotten at the far end. One at a time: each sign of life brings one.
+  const auto stale = std::min_element(idle.begin(), idle.end() - 1, [](const Link* a, const Link* b) {
+    return std::max(a->heard_at, a->opened_at) < std::max(b->heard_at, b->opened_at);
+  });
+  if (runtime_->Now() >= std::max((*stale)->heard_at, (*stale)->opened_at) + policy::kSignOfLifeWithin)
+    EndLink(*stale, LinkEnd::kClosedHere);
+}
+
+Exchanges::Link* Exchanges::OpenLink(Exchange* exchange, Purpose purpose) {
+  const bool for_life = purpose == Purpose::kSignOfLife;
+  const std::size_t most = settings_.most_links + (for_life ? kLivenessReserve : 0);
+  if (link_count_ >= most && (purpose == Purpose::kSetUp || !MakeRoom(exchange))) {
+    ++counters_.no_room;
+    return nullptr;
+  }
   ++counters_.connects;
   ++link_count_;
   exchange->links.push_back(std::make_unique<Link>(this, exchange));
   Link* const link = exchange->links.back().get();
   link->place = std::prev(exchange->links.end());
   link->number = ++last_link_number_;
-  link->stream = runtime_->Connect(exchange->target.address, settings_.connect_within_us, link);
+  link->for_life = for_life;
+  const TimeUs within = for_life ? std::max(policy::kSignOfLifeWithin, settings_.connect_within_us) : settings_.connect_within_us;
+  link->stream = runtime_->Connect(exchange->target.address, within, link);
   return link;
 }
 
 void Exchanges::KeepConnected(Exchange* exchange) {
   if (exchange->retired || !exchange->links.empty() || exchange->again.Running()) return;
-  if (exchange->pause == 0) {
-    exchange->pause = kFirstPause;
-    OpenLink(exchange);
-    return;
-  }
-  exchange->again.Start(exchange->pause, [this, exchange] {
-    if (exchange->links.empty()) OpenLink(exchange);
+  const TimeUs pause = exchange->pause;
+  exchange->pause = std::clamp(2 * pause, kFirstPause, kLongestPause);
+  if (pause == 0 && OpenLink(exchange, Purpose::kKeep) != nullptr) return;
+  // Also where there was no room: it is tried again.
+  exchange->again.Start(std::max(pause, kFirstPause), [this, exchange] {
+    if (exchange->links.empty() && OpenLink(exchange, Purpose::kKeep) == nullptr) KeepConnected(exchange);
   });
-  exchange->pause = std::min(2 * exchange->pause, kLongestPause);
 }
 
 Exchanges::Link* Exchanges::LinkFor(Exchange* exchange) {
   Link* best = nullptr;
   // One on which a set-up was lost may be one behind which nobody listens any more: the others first. Not a fresh one for
   // it: where the whole way is cut that does not come up, and the module takes the exchange for one that died.
-  const auto rank = [](const Link& link) { return std::make_tuple(link.silent, link.set_ups.size(), !link.open); };
+  // Of those that rest, the one heard last: a connection that rested long may be forgotten at the far end.
+  const auto rank = [](const Link& link) {
+    return std::make_tuple(link.silent, link.set_ups.size(), !link.open, ~std::max(link.heard_at, link.opened_at));
+  };
   for (const auto& link : exchange->links) {
+    if (link->for_life && !link->open) continue;
     if (best == nullptr || rank(*link) < rank(*best)) best = link.get();
   }
   if (best != nullptr && best->set_ups.empty()) return best;
   const std::size_t share = settings_.most_links / std::max<std::size_t>(1, by_address_.size());
   if (!exchange->retired && exchange->links.size() < std::max<std::size_t>(1, share)) {
-    if (Link* const fresh = OpenLink(exchange)) return fresh;
+    if (Link* const fresh = OpenLink(exchange, Purpose::kSetUp)) return fresh;
   }
   if (best != nullptr && !best->set_ups.empty()) ++counters_.shared;
   return best;
@@ -390,7 +513,7 @@
     if (leg.link == nullptr) return;
     leg.link->silent = true;
     // What waits in the stream would be sent once it opens: the stream goes, if nothing else waits there.
-    if (!leg.link->open && leg.link->set_ups.empty()) return EndLink(leg.link, core::StreamEnd::kClosed);
+    if (!leg.link->open && leg.link->set_ups.empty()) return EndLink(leg.link, LinkEnd::kClosedHere);
   }
   SendRelease(leg.at, leg.link, leg.id);
 }
@@ -426,10 +549,14 @@
   const auto found = exchanges_.find(exchange);
   Link* const link = found == exchanges_.end() ? nullptr : OpenOne(*found->second);
   if (link == nullptr) return core_->OnProbeEnded(exchange, Outcome::kConnectFailed, 1, {});
+  SendProbe(link);
+}
+
+void Exchanges::SendProbe(Link* link) {
   char digits[17];
   std::snprintf(digits, sizeof(digits), "%016llx", static_cast<unsigned long long>(runtime_->Random()));
   if (probes_.size() > 256) probes_.clear();
-  probes_[digits] = {exchange, runtime_->Now()};
+  probes_[digits] = {link->exchange->id, runtime_->Now()};
   link->stream->Write(WriteMessage({.type = MessageType::kTest, .id = digits, .cause = 0}));
 }
 
@@ -440,10 +567,27 @@
   std::erase(found->second->waiting, id);
   given_up_.Forget(id);
   if (const auto former = legs_.find(id); former != legs_.end()) Remove(former);
-  legs_[id] = {call, 0, found->second.get(), nullptr, true, runtime_->Now(), id};
+  Exchange* const exchange = found->second.get();
+  legs_[id] = {call, 0, exchange, nullptr, true, runtime_->Now(), id};
   ids_[call] = id;
-  found->second->standing.insert(id);
-  KeepConnected(found->second.get());
+  NoteStanding(exchange, id);
+  KeepConnected(exchange);
+  if (!early_ends_.Has(id)) return;
+  // Its end was told on the first connection to the exchange, before the caller said that it stands: told from the loop,
+  // as the caller is still being read.
+  ++counters_.early_ends;
+  early_ends_.Forget(id);
+  runtime_->StartTimer(0, [this, id] {
+    const auto leg = legs_.find(id);
+    if (leg == legs_.end() || !leg->second.stands) return;
+    const Leg ended = Remove(leg);
+    core_->OnTrunkReleased(ended.call, ended.attempt, {core::ReleaseCause::kNormal});
+  });
+}
+
+void Exchanges::NoteStanding(Exchange* exchange, const std::string& id) {
+  if (exchange->standing.empty()) exchange->detector.OnFirstCall(runtime_->Now());
+  exchange->standing.insert(id);
 }
 
 // ---- what exchanges send ----
@@ -505,7 +649,7 @@
   leg.stood_at = runtime_->Now();
   link->set_ups.erase(message.id);
   link->standing.insert(message.id);
-  leg.at->standing.insert(message.id);
+  NoteStanding(leg.at, message.id);
   const CallId call = leg.call;
   const int attempt = leg.attempt;
   core_->OnTrunkSession(call, attempt, message.description.value_or(std::string()));
@@ -517,8 +661,14 @@
   if (found == legs_.end() || found->second.at != link->exchange ||
       (!found->second.stands && found->second.link != link)) {
     ++counters_.unknown_ends;
+    early_ends_.Note(message.id);
     return;
   }
+  Exchange* const exchange = link->exchange;
+  if (found->second.stands && exchange->InDoubt() && found->second.stood_at < exchange->detector.doubt_since()) {
+    exchange->detector.OnCallKnown(runtime_->Now());
+    LogDoubt(*exchange, true);
+  }
   const int cause = message.cause.value_or(kTemporaryFailure);
   LogCall(found->second.stands ? "call-ended" : "set-up-ended", found->second, "cause " + std::to_string(cause));
   const Leg leg = Remove(found);
@@ -559,18 +709,36 @@
 void Exchanges::TakeGauge(Link* link, const Message& message) {
   ++counters_.gauges;
   const std::string* const load = message.Field("load");
-  if (load == nullptr || *load == link->exchange->told) return;
+  if (load == nullptr) return;
+  if (link->exchange->InDoubt()) CheckCircuits(link, FiguresOf(message));
+  if (*load == link->exchange->told) return;
   link->exchange->told = *load;
   ++counters_.gauges_heard;
   const std::vector<float> figures = FiguresOf(message);
   if (!figures.empty()) core_->OnGauge(link->exchange->id, figures);
 }
 
-void Exchanges::EndLink(Link* link, core::StreamEnd end) {
+void Exchanges::TellDetector(const Link& link, LinkEnd end) {
+  Exchange* const exchange = link.exchange;
+  const TimeUs now = runtime_->Now();
+  const bool was_in_doubt = exchange->InDoubt();
+  if (!link.open) return;
+  if (end == LinkEnd::kClosed) {
+    exchange->detector.OnConnectionClosed(now);
+  } else if (end == LinkEnd::kReset) {
+    const auto others = std::count_if(exchange->links.begin(), exchange->links.end(),
+                                      [&link](const auto& x) { return x->open && x.get() != &link; });
+    exchange->detector.OnConnectionReset(now, static_cast<std::size_t>(others), exchange->standing.size());
+  }
+  LogDoubt(*exchange, was_in_doubt);
+}
+
+void Exchanges::EndLink(Link* link, LinkEnd end) {
   Exchange* const exchange = link->exchange;
-  ++(end == core::StreamEnd::kRefused    ? counters_.refused
-     : end == core::StreamEnd::kTimedOut ? counters_.timed_out
-                                         : counters_.broken);
+  ++(end == LinkEnd::kRefused       ? counters_.refused
+     : end == LinkEnd::kNotUpInTime ? counters_.timed_out
+                                    : counters_.broken);
+  TellDetector(*link, end);
   const bool ran = link->open;  // else nothing was written before it came to this
   const bool first_failure = !ran && OpenOne(*exchange) == nullptr && !std::exchange(exchange->unreachable, true);
   LogConnection(first_failure ? core::LogLevel::kInfo : core::LogLevel::kDebug,
@@ -597,7 +765,7 @@
   }
   // Nothing listens there any more, or it is gone from the list and its last connection with it, on which a set-up may
   // still have been answered: what stood there was cut.
-  if (end == core::StreamEnd::kRefused && exchange->links.empty())
+  if (end == LinkEnd::kRefused && exchange->links.empty())
     CutAll(exchange, runtime_->Now() + 1, "refuses connections");
   if (exchange->retired && exchange->links.empty()) CutAll(exchange, runtime_->Now() + 1, "gone from the list");
   KeepConnected(exchange);
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -21,6 +21,7 @@
 #include "core/runtime.h"
 #include "platform/line_codec.h"
 #include "platform/node_config.h"
+#include "policy/failure_detector.h"
 
 namespace croftrun::platform {
 
@@ -31,6 +32,8 @@
   std::vector<std::string> zones, kinds;
   std::vector<std::string> figures;  // names of a report's figures, in the module's order
   std::int64_t unix_offset_us = 0;   // Unix time minus the runtime's clock
+  bool may_probe = false;            // the deployment allows tests of exchanges
+  bool own_circuits = true;          // a report counts the circuits towards this softswitch alone
 };
 
 // The names noted last, so many of them.
@@ -60,6 +63,11 @@
   std::uint64_t ended = 0, cut = 0, cut_with_exchange = 0, released = 0;
   std::uint64_t connects = 0, refused = 0, timed_out = 0, broken = 0, spoilt = 0;
   std::uint64_t lost_exchanges = 0;  // times that calls were cut with their exchange
+  std::uint64_t liveness_connects = 0, liveness_probes = 0;  // asked for by the failure detector
+  std::uint64_t doubts = 0, doubts_cleared = 0;              // whether the process that holds calls is still there
+  std::uint64_t given_up_silent = 0, given_up_replaced = 0;  // exchanges whose calls the failure detector gave up
+  std::uint64_t no_room = 0;                                 // connections that found no room within the limit
+  std::uint64_t early_ends = 0;                              // ends that came before their call was taken over
   std::uint64_t gauges = 0, gauges_heard = 0, second_answers = 0, unknown_answers = 0, late_answers = 0, unknown_ends = 0;
 };
 
@@ -117,9 +125,28 @@
   // Takes it off everything that knows of it.
   Leg Remove(std::unordered_map<std::string, Leg>::iterator at);
   Link* LinkFor(Exchange* exchange);
+  // Closes an idle connection to an exchange that has others; false where there is none to spare.
+  bool MakeRoom(const Exchange* wanted);
+  // Closes idle connections to it beyond those that are worth keeping.
+  void CloseSpare(Exchange* exchange);
   // The newest open connection; null: there is none.
   static Link* OpenOne(const Exchange& exchange);
-  Link* OpenLink(Exchange* exchange);
+  // What a connection is opened for.
+  enum class Purpose : std::uint8_t {
+    kSetUp,       // within the limit
+    kKeep,        // room is made for it: an exchange without a connection tells nothing
+    kSignOfLife,  // the same, with a reserve, and it is waited for longer
+  };
+  // Null: there is no room.
+  Link* OpenLink(Exchange* exchange, Purpose purpose);
+  // While calls stand somewhere, asks the failure detector of each such exchange what to do.
+  void WatchLiveness();
+  void Act(Exchange* exchange, policy::LivenessAction action);
+  // What the failure detector has to know of a report.
+  void CheckCircuits(Link* link, const std::vector<float>& figures);
+  static std::size_t StandingBefore(const std::unordered_map<std::string, Leg>& legs, const Exchange& exchange, TimeUs before);
+  void NoteStanding(Exchange* exchange, const std::string& id);
+  void LogDoubt(const Exchange& exchange, bool was_in_doubt);
   // Keeps one connection to an exchange that is wanted.
   void KeepConnected(Exchange* exchange);
   // False once the link is of no further use.
@@ -128,10 +155,17 @@
   void TakeAnswer(Link* link, const Message& message);
   void TakeGauge(Link* link, const Message& message);
   std::vector<float> FiguresOf(const Message& message) const;
+  // How a connection came to its end.
+  enum class LinkEnd : std::uint8_t { kClosed, kReset, kRefused, kNotUpInTime, kSpoilt, kClosedHere };
+  static std::string_view NameOf(LinkEnd end);
   // Set-ups out on it never ran if it was never open, else they may have.
-  void EndLink(Link* link, core::StreamEnd end);
-  // The exchange's process is gone: so are the calls that stood there.
-  void CutAll(Exchange* exchange, TimeUs before, std::string_view why);
+  void EndLink(Link* link, LinkEnd end);
+  void TellDetector(const Link& link, LinkEnd end);
+  // Whether calls that are cut may still stand at the exchange, and are to be released there.
+  enum class Remains : std::uint8_t { kNothing, kMayStand };
+  // Calls that stood there before that time are over.
+  void CutAll(Exchange* exchange, TimeUs before, std::string_view why, Remains remains = Remains::kNothing);
+  void SendProbe(Link* link);
   void Retire(Exchange* exchange);
   void SendRelease(Exchange* exchange, Link* link, const std::string& id);
   // Log lines: each names the exchange, its address and, where there is one, the connection by its number.
@@ -152,6 +186,8 @@
   std::unordered_map<CallId, std::string> ids_;
   RecentNames given_up_;  // ids of set-ups
   RecentNames departed_;  // machines that are forgotten
+  RecentNames early_ends_;  // calls whose end came before they were taken over
+  core::Timer liveness_;
   std::unordered_map<std::string, std::pair<ExchangeId, TimeUs>> probes_;
   ExchangeCounters counters_;
 };
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -57,6 +57,8 @@
   to_exchanges.figures = config.figures;
   // Read once: the same Unix time must mean the same time of the module however often it is told.
   to_exchanges.unix_offset_us = runtime->WallUs() - static_cast<std::int64_t>(runtime->Now());
+  to_exchanges.may_probe = config.module.may_probe;
+  to_exchanges.own_circuits = config.module.shape == Shape::kMeshed;
   exchanges_ = std::make_unique<Exchanges>(to_exchanges, runtime, log, core_.get());
   core_->SetTrunks(exchanges_.get());
   std::uint64_t last = config.known_number;
@@ -145,7 +147,10 @@
         {"second_answers", e.second_answers},
         {"unknown_answers", e.unknown_answers}, {"late_answers", e.late_answers}, {"unknown_ends", e.unknown_ends},
         {"open_links", exchanges_->links()}, {"legs", exchanges_->legs()}, {"listed", exchanges_->listed()},
-        {"lost_exchanges", e.lost_exchanges}, {"unreachable", exchanges_->unreachable()},
+        {"lost_exchanges", e.lost_exchanges}, {"liveness_connects", e.liveness_connects},
+        {"liveness_probes", e.liveness_probes}, {"doubts", e.doubts}, {"doubts_cleared", e.doubts_cleared},
+        {"given_up_silent", e.given_up_silent}, {"given_up_replaced", e.given_up_replaced}, {"no_room", e.no_room},
+        {"early_ends", e.early_ends}, {"unreachable", exchanges_->unreachable()},
         {"standing_unreachable", exchanges_->standing_unreachable()},
         {"longest_silence_ms", exchanges_->longest_silence() / 1000}}},
       {"core",
--- /dev/null
+++ b/src/policy/failure_detector.h
@@ -0,0 +1,104 @@
+// The failure detector for one exchange: decides, from what is heard of it, whether the calls that stand there are still
+// known there, when a further sign of life is to be asked for, and when the calls are to be given up.
+//
+// Two things end calls without a word. A machine vanishes: open connections stay open and silent, new ones never come up.
+// A process dies and another takes its address: connections are reset, the next one comes up, and nobody there knows the
+// calls. In both cases the callers have to be told within a fixed time of the end (`detect_within_us`), so the detector
+// needs a sign of life within that time, again and again, for as long as calls stand.
+//
+// A sign of life is any octet, a connection that comes up, or one that is closed in order. A connection that comes up is
+// the sign that is asked for: it costs no probe, and it brings releases that the exchange could send on no older one.
+// Silence counts only together with several connections that stayed down for longer than a late one takes, as single
+// connections get lost, come up late, or find a process that stands still.
+//
+// The process that holds the calls is told from a successor by an unbroken chain of connections: it is in doubt when the
+// last open one was reset, or when the machine was out of reach for a while. What ends the doubt: octets on a connection
+// from before, word of a call from before, or as many circuits in use as calls stand. Otherwise the calls are given up.
+//
+// A connection that the owner is asked for and that is refused is no matter of this class: nothing runs there. One that
+// finds no room counts as one that does not come up: the protocol's time goes before the calls.
+//
+// A pure state machine: the owner gives the times, carries out what Next asks for, and keeps the connections.
+#ifndef CROFTRUN_POLICY_FAILURE_DETECTOR_H_
+#define CROFTRUN_POLICY_FAILURE_DETECTOR_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "croftrun/call_controller.h"
+
+namespace croftrun::policy {
+
+struct FailureDetectorSettings {
+  // The protocol's time from the end of a call that no release told to the word to its caller, less what telling takes.
+  TimeUs detect_within_us = 7'400'000;
+};
+
+enum class LivenessAction : std::uint8_t {
+  kNone,
+  kConnect,          // open one more connection
+  kProbe,            // send a test on the oldest open connection
+  kGiveUpSilent,     // all calls that stand there are over: nothing was heard of the machine
+  kGiveUpReplaced,   // those that stood before `doubt_since` are over: the process there does not know them
+};
+
+enum class LivenessState : std::uint8_t { kAlive, kQuiet, kDoubtful };
+std::string_view NameOf(LivenessState state);
+
+// What a report of the exchange's circuits says about its calls.
+struct CircuitUse {
+  std::size_t used = 0;             // circuits in use, by the exchange's report
+  std::size_t standing = 0;         // calls that stand there by the books of this softswitch
+  std::size_t standing_before = 0;  // those of them that stood before `doubt_since`
+};
+
+class FailureDetector {
+ public:
+  explicit FailureDetector(const FailureDetectorSettings& settings) : settings_(settings) {}
+
+  // The first call stands there: what was before is of no interest.
+  void OnFirstCall(TimeUs now);
+  void OnOctets(TimeUs now, TimeUs connection_opened_at);
+  void OnConnectionOpened(TimeUs now, std::size_t standing);
+  void OnConnectionClosed(TimeUs now);
+  // `others_open`: connections that are still open beside it.
+  void OnConnectionReset(TimeUs now, std::size_t others_open, std::size_t standing);
+  // The exchange told the end of a call that stood before the doubt.
+  void OnCallKnown(TimeUs now);
+  // A report of the circuits came on a connection that was opened at `connection_opened_at`. True: the calls from before
+  // the doubt are not known there any more.
+  bool OnCircuits(TimeUs now, TimeUs connection_opened_at, const CircuitUse& use);
+  // The calls were given up.
+  void OnGivenUp(TimeUs now);
+
+  // What to do now; to be asked every kLivenessStep or so while calls stand. Asking is noted: the same action is not
+  // asked for again at once.
+  LivenessAction Next(TimeUs now, bool may_probe);
+
+  LivenessState state(TimeUs now) const;
+  // Calls that stood before are in doubt; 0: none are.
+  TimeUs doubt_since() const { return doubt_since_; }
+  // When the process that holds the calls was last known to live.
+  TimeUs confirmed_at() const { return confirmed_at_; }
+
+ private:
+  void Confirm(TimeUs now);
+  // Connections that were asked for since the last sign of life, longer ago than a late one takes.
+  std::size_t Unanswered(TimeUs now) const;
+
+  FailureDetectorSettings settings_;
+  TimeUs confirmed_at_ = 0;
+  TimeUs doubt_since_ = 0;
+  std::vector<TimeUs> asked_;  // when connections were asked for, since the last sign of life
+  TimeUs next_probe_ = 0;
+};
+
+inline constexpr TimeUs kLivenessStep = 100'000;
+// How long a connection is waited for that is to show a sign of life: connections may come up a second late.
+inline constexpr TimeUs kSignOfLifeWithin = 1'500'000;
+
+}  // namespace croftrun::policy
+
+#endif  // CROFTRUN_POLICY_FAILURE_DETECTOR_H_
--- /dev/null
+++ b/tests/failure_detector_test.cpp
@@ -0,0 +1,164 @@
+// The failure detector of one exchange: which signs keep its calls, which silence gives them up, and when.
+#include "policy/failure_detector.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace croftrun::policy {
+namespace {
+
+constexpr TimeUs kMs = 1'000, kSecond = 1'000'000;
+constexpr TimeUs kToldWithin = 8 * kSecond;
+
+// An exchange at which calls stand, and the connections that the detector asks for.
+class FailureDetectorTest : public ::testing::Test {
+ protected:
+  enum class Way { kUp, kDown, kLate };
+
+  FailureDetectorTest() : detector_({}) {
+    detector_.OnConnectionOpened(now_, 0);
+    detector_.OnFirstCall(now_);
+  }
+  // Runs until `until`, or until the calls are given up; says what was decided, and leaves the time of it in now_.
+  LivenessAction RunUntil(TimeUs until, Way way, bool may_probe = false) {
+    while (now_ < until) {
+      now_ += kLivenessStep;
+      for (auto at = begun_.begin(); at != begun_.end();) {
+        const bool up = way == Way::kUp || (way == Way::kLate && now_ >= *at + kSecond);
+        if (up) detector_.OnConnectionOpened(now_, kStanding);
+        at = up || now_ >= *at + kSignOfLifeWithin ? begun_.erase(at) : at + 1;
+      }
+      const LivenessAction action = detector_.Next(now_, may_probe);
+      if (action == LivenessAction::kConnect) {
+        begun_.push_back(now_);
+        ++connects_;
+      } else if (action == LivenessAction::kProbe) {
+        ++probes_;
+      } else if (action != LivenessAction::kNone) {
+        return action;
+      }
+    }
+    return LivenessAction::kNone;
+  }
+
+  static constexpr std::size_t kStanding = 3;
+  TimeUs now_ = 100 * kSecond;
+  FailureDetector detector_;
+  std::vector<TimeUs> begun_;
+  int connects_ = 0, probes_ = 0;
+};
+
+TEST_F(FailureDetectorTest, AMachineThatVanishesIsGivenUpWithinTheTimeWheneverItWasHeardLast) {
+  const TimeUs vanished = now_;
+  EXPECT_EQ(RunUntil(vanished + 20 * kSecond, Way::kDown), LivenessAction::kGiveUpSilent);
+  EXPECT_LT(now_, vanished + kToldWithin);
+  EXPECT_GT(now_, vanished + 7 * kSecond);
+}
+
+TEST_F(FailureDetectorTest, ALongHealthySilenceCutsNothingAndCostsTwoConnectionsInFiveSeconds) {
+  EXPECT_EQ(RunUntil(now_ + 300 * kSecond, Way::kUp), LivenessAction::kNone);
+  EXPECT_EQ(probes_, 0);
+  EXPECT_GE(connects_, 100);
+  EXPECT_LE(connects_, 120);
+}
+
+TEST_F(FailureDetectorTest, TrafficCostsNothing) {
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_EQ(RunUntil(now_ + kSecond, Way::kDown), LivenessAction::kNone);
+    detector_.OnOctets(now_, kSecond);
+  }
+  EXPECT_EQ(connects_, 0);
+}
+
+TEST_F(FailureDetectorTest, ConnectionsThatComeUpASecondLateAreSignsOfLife) {
+  EXPECT_EQ(RunUntil(now_ + 100 * kSecond, Way::kLate), LivenessAction::kNone);
+}
+
+TEST_F(FailureDetectorTest, OneConnectionThatNeverComesUpMeansNothing) {
+  const TimeUs quiet = now_ + 2'600 * kMs;
+  RunUntil(quiet, Way::kDown);
+  ASSERT_EQ(connects_, 1);
+  EXPECT_EQ(RunUntil(now_ + 60 * kSecond, Way::kUp), LivenessAction::kNone);
+}
+
+TEST_F(FailureDetectorTest, AnOutageOfThreeSecondsCutsNothingOnceAnOldConnectionSpeaks) {
+  // It begins just before the first sign of life is asked for.
+  RunUntil(now_ + 2'400 * kMs, Way::kUp);
+  RunUntil(now_ + 3 * kSecond, Way::kDown);
+  RunUntil(now_ + 400 * kMs, Way::kUp);
+  detector_.OnOctets(now_, 99 * kSecond);
+  EXPECT_EQ(detector_.state(now_), LivenessState::kAlive);
+  EXPECT_EQ(RunUntil(now_ + 60 * kSecond, Way::kUp), LivenessAction::kNone);
+}
+
+TEST_F(FailureDetectorTest, AMachineThatReturnsAfterAnOutageHasToShowThatItKnowsTheCalls) {
+  const TimeUs vanished = now_;
+  RunUntil(now_ + 4'300 * kMs, Way::kDown);
+  const LivenessAction action = RunUntil(now_ + 20 * kSecond, Way::kUp);
+  EXPECT_EQ(action, LivenessAction::kGiveUpReplaced);
+  EXPECT_LT(now_, vanished + kToldWithin);
+  EXPECT_GT(detector_.doubt_since(), vanished);
+}
+
+TEST_F(FailureDetectorTest, TheLastConnectionResetPutsTheProcessInDoubtAndOthersDoNot) {
+  detector_.OnConnectionReset(now_, 1, kStanding);
+  EXPECT_EQ(detector_.state(now_), LivenessState::kAlive);
+  detector_.OnConnectionReset(now_, 0, kStanding);
+  EXPECT_EQ(detector_.state(now_), LivenessState::kDoubtful);
+  const TimeUs reset = now_;
+  now_ += 20 * kMs;
+  detector_.OnConnectionOpened(now_, kStanding);
+  detector_.OnOctets(now_ + kMs, now_);  // the successor speaks
+  EXPECT_EQ(RunUntil(now_ + 20 * kSecond, Way::kUp), LivenessAction::kGiveUpReplaced);
+  EXPECT_LT(now_, reset + kToldWithin);
+  EXPECT_EQ(detector_.doubt_since(), reset);
+}
+
+TEST_F(FailureDetectorTest, WordOfACallFromBeforeEndsTheDoubt) {
+  detector_.OnConnectionReset(now_, 0, kStanding);
+  detector_.OnCallKnown(now_ + kSecond);
+  EXPECT_EQ(detector_.state(now_ + kSecond), LivenessState::kAlive);
+}
+
+TEST_F(FailureDetectorTest, CircuitsInUseTellTheProcessFromItsSuccessor) {
+  const auto reported = [this](std::size_t used, TimeUs opened_after) {
+    FailureDetector detector = detector_;
+    detector.OnConnectionReset(now_, 0, kStanding);
+    detector.OnConnectionOpened(now_ + opened_after, kStanding);
+    const bool replaced = detector.OnCircuits(now_ + 30 * kMs, now_ + opened_after, {used, kStanding, kStanding});
+    return std::make_pair(replaced, detector.state(now_ + 30 * kMs));
+  };
+  EXPECT_EQ(reported(0, 20 * kMs), std::make_pair(true, LivenessState::kDoubtful));
+  EXPECT_EQ(reported(1, 20 * kMs), std::make_pair(true, LivenessState::kDoubtful));
+  EXPECT_EQ(reported(2, 20 * kMs), std::make_pair(false, LivenessState::kDoubtful));
+  EXPECT_EQ(reported(3, 20 * kMs), std::make_pair(false, LivenessState::kAlive));
+  // A report that is late in time tells nothing for the process: its successor may have calls of its own by then.
+  FailureDetector detector = detector_;
+  detector.OnConnectionReset(now_, 0, kStanding);
+  detector.OnConnectionOpened(now_ + 20 * kMs, kStanding);
+  EXPECT_FALSE(detector.OnCircuits(now_ + 3 * kSecond, now_ + 20 * kMs, {9, kStanding, kStanding}));
+  EXPECT_EQ(detector.state(now_ + 3 * kSecond), LivenessState::kDoubtful);
+}
+
+TEST_F(FailureDetectorTest, ProbesAreSentInDoubtAloneAndOnlyWhereTheyAreAllowed) {
+  RunUntil(now_ + 10 * kSecond, Way::kUp, true);
+  EXPECT_EQ(probes_, 0);
+  FailureDetector before = detector_;
+  RunUntil(now_ + 5 * kSecond, Way::kDown, true);
+  RunUntil(now_ + 1 * kSecond, Way::kUp, true);
+  EXPECT_GT(probes_, 0);
+  detector_ = before;
+  probes_ = 0;
+  RunUntil(now_ + 9 * kSecond, Way::kDown, false);
+  EXPECT_EQ(probes_, 0);
+}
+
+TEST_F(FailureDetectorTest, AStandstillOfTheOwnProcessIsNoSilenceOfTheExchange) {
+  now_ += 30 * kSecond;
+  // Whatever lies unread is looked at after the timers: nothing may be given up before it was asked for.
+  EXPECT_EQ(RunUntil(now_ + 2 * kSecond, Way::kUp), LivenessAction::kNone);
+}
+
+}  // namespace
+}  // namespace croftrun::policy
