--- a/src/lab/soak/exchange_stand_in.h
+++ b/src/lab/soak/exchange_stand_in.h
@@ -42,7 +42,7 @@
   ExchangeTraits& traits() { return traits_; }
   // Its calls are over and nothing is told; connections are the proxies' business. Another machine may take its place.
   void Die();
-  // Nothing is read or written for so long.
+  // Nothing is written for so long, and what falls due waits; what arrives is noted when it arrives.
   void Hang(TimeUs time);
   std::size_t standing() const { return calls_.size(); }
 
--- a/src/lab/soak/fault_proxy.cpp
+++ b/src/lab/soak/fault_proxy.cpp
@@ -47,6 +47,8 @@
       : downstream(std::move(accepted)), upstream(context), last_octets(Clock::now()) {}
   tcp::socket downstream, upstream;
   Clock::time_point last_octets;
+  TimeUs waited = 0;       // the octets that were last handed upstream
+  std::uint16_t upstream_port = 0;
   bool forgotten = false;  // the upstream side has ended without a word to the downstream side
   bool over = false;
   FaultProxy* proxy = nullptr;  // null once the proxy is gone
@@ -109,7 +111,11 @@
   while (!pair->over) {
     const std::size_t got = co_await from.async_read_some(asio::buffer(octets), asio::redirect_error(asio::use_awaitable, error));
     if (pair->over) co_return;
+    const Clock::time_point arrived = Clock::now();
     co_await WaitToPass(pair, from_side, timer);
+    if (from_side == Side::kDownstream) {
+      pair->waited = static_cast<TimeUs>(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - arrived).count());
+    }
     if (pair->over || pair->proxy == nullptr) co_return pair->Close();
     if (pair->forgotten) {
       // The far end remembers nothing of this connection: whatever is sent on it is answered by a reset.
@@ -178,6 +184,7 @@
       if (failed) return pair->Reset();
       error_code none;
       pair->upstream.set_option(tcp::no_delay(true), none);
+      pair->upstream_port = pair->upstream.local_endpoint(none).port();
       asio::co_spawn(*context_, Pump(pair, Side::kDownstream, random_(), &trickle_), asio::detached);
       asio::co_spawn(*context_, Pump(pair, Side::kUpstream, random_(), &trickle_), asio::detached);
     });
@@ -246,6 +253,12 @@
   pairs_.clear();
 }
 
+TimeUs FaultProxy::WaitedOf(std::uint16_t upstream_port) const {
+  const auto found =
+      std::find_if(pairs_.begin(), pairs_.end(), [upstream_port](const auto& pair) { return pair->upstream_port == upstream_port; });
+  return found == pairs_.end() ? 0 : (*found)->waited;
+}
+
 void FaultProxy::CloseIdle(TimeUs idle) {
   for (const auto& pair : pairs_) {
     if (Clock::now() - pair->last_octets >= std::chrono::microseconds(idle)) pair->Close();
--- a/src/lab/soak/fault_proxy.h
+++ b/src/lab/soak/fault_proxy.h
@@ -54,7 +54,9 @@
   void HalfCloseAll();
   // Octets go in small pieces, with pauses.
   void Trickle(bool on) { trickle_ = on; }
-  std::size_t connections() const { return pairs_.size(); }
+  // How long the octets that were last handed upstream had waited here; the connection is known by the port from which it
+  // was made. What arrives late by a fault was sent in time.
+  TimeUs WaitedOf(std::uint16_t upstream_port) const;
 
  private:
   struct Pair;
--- a/src/lab/soak/judge.cpp
+++ b/src/lab/soak/judge.cpp
@@ -145,7 +145,8 @@
   };
   switch (event.kind) {
     case EventKind::kAttemptArrived:
-      call.attempts.push_back({event.at, event.exchange, {}, false});
+      // It was sent so much earlier than it arrived.
+      call.attempts.push_back({event.at - std::min(event.at, static_cast<TimeUs>(event.value)), event.exchange, {}, false});
       break;
     case EventKind::kAttemptAnswered:
       call.answered_there = true;
--- a/src/lab/soak/traffic.h
+++ b/src/lab/soak/traffic.h
@@ -29,7 +29,7 @@
   kBadClientServed,   // it was answered or closed; `value`: its number
   kUnreadable,        // a line that is no message reached a client
   // Exchanges.
-  kAttemptArrived,    // a set-up arrived whole; `exchange`
+  kAttemptArrived,    // a set-up arrived whole; `exchange`; `value`: microseconds that a fault on its way held it back
   kAttemptAnswered,   // the exchange wrote that the call stands
   kAttemptRefused,    // the exchange wrote a release before the answer
   kAttemptGivenUp,    // the softswitch gave the set-up up, or its connection ended
