Platform: ends of calls reach their caller; connections stay while calls stand in a drain

Change: PendingReleases: told on a connection that brings calls, or one that only listens for 0.5 s; told again where the connection breaks under it or the host acknowledges others and not this one. In a drain each connection is closed as nothing is left on it, those with standing calls stay until 0.25 s before the kill may come; CallCore::FinishBy answers everything by then. Announced calls that the exchange's report of its circuits denies are ended.

--- a/src/cli/soak.cpp
+++ b/src/cli/soak.cpp
@@ -214,7 +214,7 @@
     }
   };
   std::vector<std::thread> workers;
-  for (int slot = 0; slot < options.jobs; ++slot) workers.emplace_back(work, slot);
+  for (int slot = 0; slot < options.jobs; ++slot) workers.emplace_back(work, options.first_slot + slot);
   for (std::thread& worker : workers) worker.join();
   if (options.shrink) {
     for (const Played& played : trials) {
--- a/src/cli/soak.h
+++ b/src/cli/soak.h
@@ -13,6 +13,7 @@
   std::uint64_t first_seed = 1;
   int count = 10;
   int jobs = 2;                            // trials at the same time
+  int first_slot = 0;                      // the first of their address ranges
   std::vector<std::string> only, without;  // kinds of faults
   bool shrink = false, json = false, quiet = false, show_script = false;
 };
--- a/src/core/call_core.cpp
+++ b/src/core/call_core.cpp
@@ -49,7 +49,8 @@
 }  // namespace
 
 CallCore::CallCore(const CoreSettings& settings, Runtime* runtime, LogSink* log)
-    : settings_(settings), runtime_(runtime), log_(log), gate_(settings.overload), chance_(settings.seed | 1U) {
+    : settings_(settings), runtime_(runtime), log_(log), gate_(settings.overload), chance_(settings.seed | 1U),
+      finish_(runtime) {
   for (const GroupSettings& group : settings_.groups) {
     groups_.emplace(group.number, CircuitGroup(group.circuits, own_number() < group.number));
   }
@@ -313,6 +314,10 @@
 
 void CallCore::Begin(CallId id) {
   Call& call = calls_[id];
+  if (finish_by_ != 0) {
+    const TimeUs now = runtime_->Now();
+    call.offer.patience_us = std::min(call.offer.patience_us, finish_by_ > now ? finish_by_ - now : 0);
+  }
   if (log_->Wants(LogLevel::kDebug))
     log_->Write(LogLevel::kDebug, "taken", id, call.offer.calling + " to " + call.offer.called + UnderRules(call.offer));
   const TimeUs margin = std::min(settings_.answer_margin_us, call.offer.patience_us / 2);
@@ -361,6 +366,12 @@
   }
   ++counters_.overdue;
   log_->Write(LogLevel::kError, "overdue", id, "no final answer from the module in time");
+  FailUnanswered(id);
+}
+
+void CallCore::FailUnanswered(CallId id) {
+  Call* call = Find(id);
+  if (call == nullptr || call->answered) return;
   if (call->attempt) EndAttempt(id, *call, Outcome::kTimeout, Cause::kNone, {ReleaseCause::kTimerExpiry}, false);
   if ((call = Find(id)) != nullptr && !call->answered) {
     Feed(CallerGone{id});
@@ -685,12 +696,30 @@
   }
 }
 
-void CallCore::EndAll(ReleaseCause cause) {
-  stopping_ = true;
+std::vector<CallId> CallCore::SortedCalls() const {
   std::vector<CallId> ids;
   for (const auto& [id, call] : calls_) ids.push_back(id);
   std::sort(ids.begin(), ids.end());  // the same order on every run
-  for (const CallId id : ids) {
+  return ids;
+}
+
+void CallCore::FinishBy(TimeUs at) {
+  finish_by_ = at;
+  const TimeUs now = runtime_->Now();
+  finish_.Start(at > now ? at - now : 0, [this] {
+    StopTaking();
+    for (const CallId id : SortedCalls()) {
+      const Call* const call = Find(id);
+      if (call == nullptr || call->answered) continue;
+      ++counters_.failed_at_end;
+      FailUnanswered(id);
+    }
+  });
+}
+
+void CallCore::EndAll(ReleaseCause cause) {
+  stopping_ = true;
+  for (const CallId id : SortedCalls()) {
     Call* call = Find(id);
     if (call == nullptr) continue;
     if (!call->answered) {
--- a/src/core/call_core.h
+++ b/src/core/call_core.h
@@ -217,6 +217,7 @@
   std::uint64_t offered = 0, incoming = 0, terminating = 0;
   std::uint64_t stands = 0, refused = 0, failed = 0, hung_up = 0;
   std::uint64_t attempts = 0, moot = 0, timeouts = 0, cut = 0, ended = 0;
+  std::uint64_t failed_at_end = 0;  // had no final answer when the process was to end
   std::uint64_t refused_full = 0, refused_stopping = 0, refused_overload = 0, refused_door = 0, overdue = 0, stale_answers = 0;
   // Seizures by the far end that were sent back: it met one of ours or a call; the circuit is out of service here.
   std::uint64_t glare = 0, not_in_service = 0;
@@ -278,6 +279,9 @@
 
   // From now on calls are refused at once; those taken go on.
   void StopTaking() { stopping_ = true; }
+  // The process is going to end: what has no final answer by `at` fails then, and calls that are taken from now on are
+  // set up within that time.
+  void FinishBy(TimeUs at);
   // Ends what is left: calls without a final answer fail, standing ones are released.
   void EndAll(ReleaseCause cause);
 
@@ -340,6 +344,9 @@
   // The caller's time is over; counted.
   bool TooLate(const Call& call);
   void OnDeadline(CallId id);
+  // Ends its attempt and gives its final answer.
+  void FailUnanswered(CallId id);
+  std::vector<CallId> SortedCalls() const;
   void OnAttemptTimeout(CallId id, int attempt);
   // Ends the attempt: lets the circuits go and tells the module and the observers.
   void EndAttempt(CallId id, Call& call, Outcome outcome, Cause cause, const ReleaseInfo& info, bool terminal);
@@ -380,6 +387,8 @@
   std::uint64_t chance_;  // state of the gate's own draws
   bool draining_ = false;
   bool stopping_ = false;
+  TimeUs finish_by_ = 0;  // 0: no end is in sight
+  Timer finish_;
   CallId next_call_ = 1;
   CoreCounters counters_;
   std::unique_ptr<Decider> decider_;
--- a/src/lab/soak/client_stand_in.cpp
+++ b/src/lab/soak/client_stand_in.cpp
@@ -15,6 +15,8 @@
 // Between two set-ups of a connection that is kept busy through a shutdown.
 constexpr TimeUs kBusyEvery = 15'000;
 constexpr TimeUs kTestWithin = 400'000, kTestEvery = 100'000;
+// A set-up that crosses the close of its connection within this time is sent once more.
+constexpr TimeUs kCrossing = 50'000;
 constexpr int kCauseNormal = 16;
 // A bad client that was not served by then has told what there is to tell.
 constexpr TimeUs kBadClientStays = 5'000'000;
@@ -159,6 +161,7 @@
   OpenCall& call = open_[id];
   call.connection = connection;
   call.call_class = call_class;
+  call.line = line;
   call.cancel = std::make_unique<core::Timer>(runtime_);
   connection->calls.insert(id);
   connection->last_call = runtime_->Now();
@@ -263,6 +266,13 @@
   for (const std::string& id : connection->calls) {
     const auto found = open_.find(id);
     if (found == open_.end()) continue;
+    if (end == ConnectionEnd::kRefused) {
+      // Nobody is there: the set-up was not taken.
+      if (found->second.sent_at != 0) Note(EventKind::kSetUpCancelled, connection->host, id);
+      open_.erase(found);
+      continue;
+    }
+    if (Resend(id, &found->second, connection->host)) continue;
     if (found->second.sent_at != 0) Note(EventKind::kClosedOnSetUp, connection->host, id, 0, kNames[static_cast<int>(end)]);
     open_.erase(found);
   }
@@ -271,6 +281,17 @@
   if (end != ConnectionEnd::kRefused) Note(EventKind::kClientClosed, connection->host, "");
 }
 
+bool ClientStandIn::Resend(const std::string& id, OpenCall* call, std::uint32_t host) {
+  const bool crossed = call->sent_at != 0 && runtime_->Now() <= call->sent_at + kCrossing;
+  if (!crossed || call->resent) return false;
+  call->resent = true;
+  Connection* const fresh = Connect(static_cast<int>(host - hosts_from_));
+  fresh->calls.insert(id);
+  call->connection = fresh;
+  fresh->client->Write(call->line);
+  return true;
+}
+
 void ClientStandIn::Sweep() {
   sweep_.Start(kSweepEvery, [this] {
     const TimeUs now = runtime_->Now();
--- a/src/lab/soak/client_stand_in.h
+++ b/src/lab/soak/client_stand_in.h
@@ -64,6 +64,8 @@
     Connection* connection = nullptr;
     int call_class = 0;
     TimeUs sent_at = 0;  // 0: not whole yet
+    std::string line;
+    bool resent = false;  // once, as it crossed the end of its connection
     std::unique_ptr<core::Timer> cancel;
   };
   struct StandingCall {
@@ -83,6 +85,8 @@
   void OnAnswer(const platform::Message& message, Connection* connection);
   void OnRelease(const platform::Message& message, Connection* connection);
   void OnEnd(Connection* connection, ConnectionEnd end);
+  // A set-up that crossed the end of its connection goes once more on a new one; false where it did not cross it.
+  bool Resend(const std::string& id, OpenCall* call, std::uint32_t host);
   void Cancel(const std::string& id, bool close_connection);
   void Sweep();
   void Busy();
--- a/src/lab/soak/fault_proxy.cpp
+++ b/src/lab/soak/fault_proxy.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <system_error>
 
 #include "runtime/endpoints.h"
 
@@ -28,6 +29,8 @@
 constexpr int kFillers = 3;
 // How often a pump that may not pass anything looks whether it may again.
 constexpr std::chrono::milliseconds kLookAgain{5};
+// Octets that took longer than this to pass were held back.
+constexpr TimeUs kLongPass = 4'000;
 constexpr std::size_t kLargestPiece = 40;
 constexpr int kLongestPieceGapMs = 8;
 
@@ -48,11 +51,21 @@
   tcp::socket downstream, upstream;
   Clock::time_point last_octets;
   TimeUs waited = 0;       // the octets that were last handed upstream
+  std::size_t held = 0;    // octets that lay unread when a stall ended: they waited as long
   std::uint16_t upstream_port = 0;
   bool forgotten = false;  // the upstream side has ended without a word to the downstream side
   bool over = false;
   FaultProxy* proxy = nullptr;  // null once the proxy is gone
 
+  void NoteWait(std::size_t octets, TimeUs time) {
+    if (held > 0) {
+      held -= std::min(held, octets);
+      return;
+    }
+    waited = time;
+    error_code ignored;
+    if (time > kLongPass) held = downstream.available(ignored);
+  }
   void Reset() {
     if (over) return;
     over = true;
@@ -114,7 +127,8 @@
     const Clock::time_point arrived = Clock::now();
     co_await WaitToPass(pair, from_side, timer);
     if (from_side == Side::kDownstream) {
-      pair->waited = static_cast<TimeUs>(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - arrived).count());
+      const auto waited = static_cast<TimeUs>(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - arrived).count());
+      pair->NoteWait(got, waited);
     }
     if (pair->over || pair->proxy == nullptr) co_return pair->Close();
     if (pair->forgotten) {
@@ -157,7 +171,9 @@
   acceptor_ = std::make_unique<tcp::acceptor>(*context_);
   acceptor_->open(tcp::v4());
   acceptor_->set_option(asio::socket_base::reuse_address(true));
-  acceptor_->bind(listen_);
+  error_code error;
+  acceptor_->bind(listen_, error);
+  if (error) throw std::system_error(error.value(), std::system_category(), core::ToString(runtime::AddressOf(listen_)));
   acceptor_->listen(kBacklog);
   Accept();
 }
--- a/src/lab/soak/fault_proxy.h
+++ b/src/lab/soak/fault_proxy.h
@@ -26,7 +26,7 @@
 
 class FaultProxy {
  public:
-  // Listens at `listen` and connects to `upstream`. Throws boost::system::system_error where it cannot listen.
+  // Listens at `listen` and connects to `upstream`. Throws std::system_error where it cannot listen.
   FaultProxy(boost::asio::io_context* context, const core::Address& listen, const core::Address& upstream, std::uint64_t seed);
   ~FaultProxy();
   FaultProxy(const FaultProxy&) = delete;
--- a/src/lab/soak/judge.h
+++ b/src/lab/soak/judge.h
@@ -37,6 +37,9 @@
   // Faults after which a cut of a call that stands may be the best that can be done: resets without a death, ways cut for
   // long. Where none is in the script, every such cut counts.
   bool cuts_may_be_needed = false;
+  // Exchanges report their circuits. Without reports nobody can tell that a call was over before the process began to which
+  // it is announced.
+  bool reports = true;
 };
 
 struct Finding {
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -16,9 +16,11 @@
 constexpr TimeUs kSweepEvery = 200'000;
 // For want of room a connection may go that brought nothing for this long: since its last use, or since it came.
 constexpr TimeUs kIdleFor = 200'000, kSilentFor = 100'000;
-// Ends of calls wait this long for a connection of their caller, this many at once.
-constexpr TimeUs kEndKept = 15'000'000;
-constexpr std::size_t kMostEnds = 4096;
+// A connection on which nothing was said for this long is taken for a caller's that listens: a test comes at once.
+constexpr TimeUs kListens = 500'000;
+// At the end of the process a connection is left alone for so long after its last use: what is just being sent on it would
+// cross the close.
+constexpr TimeUs kQuietBeforeClose = 50'000;
 // Octets that wait for a caller who does not read.
 constexpr std::size_t kMostPending = 256 << 10;
 constexpr double kLongestPatienceMs = 600'000;
@@ -39,11 +41,12 @@
 
 class Callers::Link final : public core::StreamSink {
  public:
-  Link(Callers* owner, std::unique_ptr<core::Stream> s, TimeUs now)
-      : stream(std::move(s)), host(stream->Remote().host), since(now), last_use(now), owner_(owner) {}
+  Link(Callers* owner, std::unique_ptr<core::Stream> s, TimeUs now, ConnectionNumber n)
+      : stream(std::move(s)), number(n), host(stream->Remote().host), since(now), last_use(now), last_octets(now), owner_(owner) {}
 
   void OnBytes(std::string_view bytes) override {
     const bool had = reader.partial();
+    last_octets = owner_->runtime_->Now();
     // Taking a line never ends the connection it came on, nor sends a call on: a later line may take it back.
     if (!reader.Feed(bytes, [this](std::string_view line) { return owner_->Take(this, line); })) {
       owner_->counters_.too_long += reader.too_long() ? 1 : 0;
@@ -52,9 +55,10 @@
     // A line that began before these octets and still goes on keeps its beginning.
     const bool went_on = had && reader.partial() && bytes.find('\n') == std::string_view::npos;
     if (!went_on) partial_since = owner_->runtime_->Now();
+    if (brought_calls) owner_->TellPending(this);
     owner_->Begin(this);
   }
-  void OnEnd(core::StreamEnd) override { owner_->Drop(this); }
+  void OnEnd(core::StreamEnd end) override { owner_->Drop(this, end == core::StreamEnd::kReset); }
 
   void Use() {
     of_use = true;
@@ -62,9 +66,11 @@
   }
 
   std::unique_ptr<core::Stream> stream;
+  const ConnectionNumber number;
   const std::uint32_t host;
   const TimeUs since;
-  TimeUs last_use;
+  TimeUs last_use, last_octets;
+  bool spoke = false;  // a whole line came
   TimeUs partial_since = 0;
   bool of_use = false, brought_calls = false;
   std::size_t set_ups = 0;   // open on it
@@ -105,19 +111,22 @@
 core::StreamSink* Callers::OnAccept(std::unique_ptr<core::Stream> stream) {
   ++counters_.links;
   last_link_ = runtime_->Now();
-  links_.push_back(std::make_unique<Link>(this, std::move(stream), runtime_->Now()));
+  links_.push_back(std::make_unique<Link>(this, std::move(stream), runtime_->Now(), ++last_number_));
   Link* const link = links_.back().get();
   link->place = std::prev(links_.end());
-  // Ends of calls that found no connection of this caller.
-  std::erase_if(ends_, [this, link](const End& end) {
-    if (end.host != link->host) return false;
-    counters_.end_waited_longest = std::max(counters_.end_waited_longest, runtime_->Now() - end.at);
-    link->stream->Write(end.line);
-    return true;
-  });
   return link;
 }
 
+void Callers::TellPending(Link* link) {
+  if (link->stream->FarEndGone()) return;
+  for (const PendingRelease& release : releases_.TakeFor(link->host, link->number, runtime_->Now())) {
+    counters_.end_waited_longest = std::max(counters_.end_waited_longest, runtime_->Now() - release.since);
+    counters_.ends_told_again += release.tried.size() > 1 ? 1 : 0;
+    LogCall("end-told", 0, release.id, "to " + core::ToString(link->stream->Remote()) + ", it waited");
+    link->stream->Write(release.line);
+  }
+}
+
 bool Callers::Take(Link* link, std::string_view line) {
   if (line.find_first_not_of(" \t\r") == std::string_view::npos) return true;
   const auto message = ParseMessage(line);
@@ -125,6 +134,7 @@
     ++counters_.unreadable;
     return false;
   }
+  link->spoke = true;
   const bool of_a_call = message->type == MessageType::kSetUp || message->type == MessageType::kRelease;
   if (of_a_call && message->id.empty()) {
     ++counters_.faulty;
@@ -142,8 +152,11 @@
       ++counters_.tests;
       Send(link, {.type = MessageType::kTested, .id = message->id, .cause = 1});
       return true;
-    case MessageType::kWait:
     case MessageType::kHeard:
+      ++counters_.acknowledged;
+      releases_.OnAcknowledged(link->host, message->id);
+      return true;
+    case MessageType::kWait:
     case MessageType::kTested:
     case MessageType::kGauge:
       return true;
@@ -228,6 +241,7 @@
   const CallId call = exchange != 0 ? core_->Adopt(offer, this, exchange) : 0;
   if (call == 0) return Refuse(link, message.id, kTemporaryFailure);
   ++counters_.adopted;
+  link->brought_calls = true;
   calls_.emplace(call, Held{message.id, link, link->host, true});
   link->calls.insert(call);
   ++link->standing;
@@ -244,6 +258,7 @@
     if (!held.stands && held.link != link) return;
     ++(held.stands ? counters_.released_by_caller : counters_.given_up);
     link->Use();
+    link->brought_calls = true;
     const bool stood = held.stands;
     Forget(call);
     core_->HangUp(call);
@@ -287,27 +302,26 @@
   Forget(call);
   const int told = cause == core::ReleaseCause::kNormal ? kNormal : kTemporaryFailure;
   const Message message{.type = MessageType::kRelease, .id = held.id, .cause = told};
-  if (Link* const link = held.link != nullptr ? held.link : AnyLink(held.host)) {
-    LogCall("end-told", call, held.id, "to " + core::ToString(link->stream->Remote()));
-    return Send(link, message);
-  }
-  LogCall("end-waits", call, held.id, "no connection of its caller");
-  ++counters_.ends_without_link;
-  if (ends_.size() >= kMostEnds) {
-    ends_.pop_front();
-    ++counters_.ends_dropped;
+  const TimeUs now = runtime_->Now();
+  PendingRelease release{.host = held.host, .id = held.id, .line = WriteMessage(message), .since = now};
+  Link* link = held.link != nullptr && !held.link->stream->FarEndGone() ? held.link : AnyLink(held.host);
+  if (link == nullptr) {
+    LogCall("end-waits", call, held.id, "no connection of its caller");
+    ++counters_.ends_without_link;
+    return releases_.Wait(std::move(release));
   }
-  ends_.push_back({held.host, runtime_->Now(), WriteMessage(message)});
+  LogCall("end-told", call, held.id, "to " + core::ToString(link->stream->Remote()));
+  link->stream->Write(release.line);
+  releases_.Written(std::move(release), link->number, now);
 }
 
-// The connection of this caller that brought set-ups, the latest used; one that never did may be the front's, which only
+// The connection of this caller that brought calls, the latest used; one that never did may be the front's, which only
 // tests, or a stranger's from the same host.
 Callers::Link* Callers::AnyLink(std::uint32_t host) {
   Link* best = nullptr;
   for (const auto& link : links_) {
-    if (link->host != host) continue;
-    const auto rank = [](const Link& x) { return std::make_tuple(x.brought_calls, x.of_use, x.last_use); };
-    if (best == nullptr || rank(*best) <= rank(*link)) best = link.get();
+    if (link->host != host || !link->brought_calls || link->stream->FarEndGone()) continue;
+    if (best == nullptr || best->last_use <= link->last_use) best = link.get();
   }
   return best;
 }
@@ -331,7 +345,9 @@
 
 void Callers::Send(Link* link, const Message& message) { link->stream->Write(WriteMessage(message)); }
 
-void Callers::Drop(Link* link) {
+void Callers::Drop(Link* link, bool reset) {
+  releases_.OnConnectionEnded(link->number, reset, runtime_->Now());
+  const std::uint32_t host = link->host;
   // Its calls first: what the core does about them must not find it any more.
   std::vector<CallId> given_up;
   for (const CallId call : link->calls) {
@@ -341,6 +357,10 @@
   }
   std::sort(given_up.begin(), given_up.end());
   links_.erase(link->place);
+  // What it may have taken along is told on another connection of the caller, if there is one.
+  if (releases_.WaitsFor(host)) {
+    if (Link* const other = AnyLink(host)) TellPending(other);
+  }
   for (const CallId call : given_up) {
     ++counters_.given_up;
     Forget(call);
@@ -367,11 +387,14 @@
   return true;
 }
 
-void Callers::CloseIdle() {
+void Callers::CloseIdle(bool all) {
+  const TimeUs now = runtime_->Now();
   std::vector<Link*> idle;
   for (const auto& link : links_) {
-    if (link->set_ups == 0 && link->stream->Pending() == 0 && !link->reader.partial() && !link->stream->Unread())
-      idle.push_back(link.get());
+    const bool nothing_open = link->set_ups == 0 && link->stream->Pending() == 0;
+    if (!nothing_open || link->reader.partial() || link->stream->Unread()) continue;
+    const bool nothing_left = link->standing == 0 && now >= link->last_octets + kQuietBeforeClose;
+    if (all || nothing_left) idle.push_back(link.get());
   }
   for (Link* const link : idle) Drop(link);
 }
@@ -390,10 +413,12 @@
       closed.push_back(link.get());
     }
   }
+  // None of them ends another: what the core does about their calls writes on connections, and closes none.
   for (Link* const link : closed) Drop(link);
-  while (!ends_.empty() && now >= ends_.front().at + kEndKept) {
-    ends_.pop_front();
-    ++counters_.ends_dropped;
+  counters_.ends_dropped += releases_.Expire(now);
+  for (const auto& link : links_) {
+    const bool listens = !link->spoke && !link->reader.partial() && now >= link->since + kListens;
+    if ((link->brought_calls || listens) && releases_.WaitsFor(link->host)) TellPending(link.get());
   }
   sweep_.Start(kSweepEvery, [this] { Sweep(); });
 }
--- a/src/platform/callers.h
+++ b/src/platform/callers.h
@@ -7,7 +7,6 @@
 #define CROFTRUN_PLATFORM_CALLERS_H_
 
 #include <cstdint>
-#include <deque>
 #include <list>
 #include <memory>
 #include <string>
@@ -19,6 +18,7 @@
 #include "core/runtime.h"
 #include "platform/exchanges.h"
 #include "platform/line_codec.h"
+#include "platform/pending_releases.h"
 
 namespace croftrun::platform {
 
@@ -34,6 +34,7 @@
   std::uint64_t unreadable = 0, too_long = 0, faulty = 0, repeated_ids = 0;
   std::uint64_t set_ups = 0, given_up = 0, adopted = 0, answers = 0, refusals = 0, failures = 0;
   std::uint64_t ended = 0, released_by_caller = 0, ends_without_link = 0, ends_dropped = 0, tests = 0;
+  std::uint64_t ends_told_again = 0, acknowledged = 0;
   TimeUs end_waited_longest = 0;  // of an end, until a connection of its caller was there
 };
 
@@ -52,11 +53,12 @@
   std::size_t unanswered() const { return unanswered_; }
   const CallerCounters& counters() const { return counters_; }
   // Ends of calls that wait for a connection of their caller.
-  std::size_t waiting_ends() const { return ends_.size(); }
+  std::size_t waiting_ends() const { return releases_.waiting(); }
   // When the last connection came.
   TimeUs last_link() const { return last_link_; }
-  // Closes the connections on which nothing is open, half said, unwritten or unread.
-  void CloseIdle();
+  // Closes the connections on which nothing is left: no set-up, nothing half said, unwritten or unread, and no call that
+  // stands, whose end may come on no other. `all`: also those with standing calls, and those that were just used.
+  void CloseIdle(bool all);
 
   core::StreamSink* OnAccept(std::unique_ptr<core::Stream> stream) override;
   void OnNoRoom() override { Evict(); }
@@ -74,11 +76,6 @@
     std::uint32_t host = 0;  // of the caller
     bool stands = false;
   };
-  struct End {
-    std::uint32_t host = 0;
-    TimeUs at = 0;
-    std::string line;
-  };
 
   bool Take(Link* link, std::string_view line);
   // Offers the core what the last octets brought and did not take back.
@@ -87,7 +84,9 @@
   void Release(Link* link, const Message& message);
   void Adopt(Link* link, const Message& message, const core::Offer& offer, const std::string& at);
   // Ends the link and what depends on it.
-  void Drop(Link* link);
+  void Drop(Link* link, bool reset = false);
+  // Releases that wait for the caller of this link.
+  void TellPending(Link* link);
   bool Evict();
   void Sweep();
   Link* AnyLink(std::uint32_t host);
@@ -106,7 +105,8 @@
   Links links_;
   std::unordered_map<CallId, Held> calls_;
   std::unordered_map<std::string, CallId> by_id_;
-  std::deque<End> ends_;  // that wait for a connection of their caller
+  PendingReleases releases_;  // that wait for a connection of their caller, or may not have been read
+  ConnectionNumber last_number_ = 0;
   std::size_t unanswered_ = 0;
   TimeUs last_link_ = 0;
   core::Timer sweep_;
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t kMostEarlyEnds = 2048;
 // Connections for signs of life may go beyond the limit by so many: without one, calls that stand would be given up.
 constexpr std::size_t kLivenessReserve = 8;
+// After a call was announced, its exchange is asked for by its last report: others are announced at the same time.
+constexpr TimeUs kAnnouncedTogether = 500'000;
 // Idle connections to one exchange that are kept when one more came up for a sign of life.
 constexpr std::size_t kIdleKept = 2;
 
@@ -62,7 +64,7 @@
 }  // namespace
 
 struct Exchanges::Exchange {
-  explicit Exchange(core::Runtime* runtime) : again(runtime), detector({}) {}
+  explicit Exchange(core::Runtime* runtime) : again(runtime), detector({}), check_announced(runtime) {}
   bool InDoubt() const { return detector.doubt_since() != 0; }
   ExchangeId id = 0;
   Target target;
@@ -77,6 +79,8 @@
   TimeUs heard_at = 0;       // octets came, or a connection opened
   bool unreachable = false;  // no connection is open, and the last one tried did not open: logged once
   policy::FailureDetector detector;  // for as long as calls stand here
+  std::size_t announced = 0;         // of the calls that stand here
+  core::Timer check_announced;
 };
 
 class Exchanges::Link final : public core::StreamSink {
@@ -308,6 +312,10 @@
   for (const std::string& id : exchange->standing) {
     if (legs_.at(id).stood_at < before) ids.push_back(id);
   }
+  Cut(exchange, std::move(ids), why, remains);
+}
+
+void Exchanges::Cut(Exchange* exchange, std::vector<std::string> ids, std::string_view why, Remains remains) {
   std::sort(ids.begin(), ids.end());
   if (!ids.empty()) {
     ++counters_.lost_exchanges;
@@ -370,14 +378,10 @@
 
 void Exchanges::CheckCircuits(Link* link, const std::vector<float>& figures) {
   Exchange* const exchange = link->exchange;
-  if (!exchange->InDoubt() || !settings_.own_circuits) return;
-  const auto figure = [&](std::string_view name) {
-    const auto named = std::find(settings_.figures.begin(), settings_.figures.end(), name);
-    return named == settings_.figures.end() ? -1.0F : figures[static_cast<std::size_t>(named - settings_.figures.begin())];
-  };
-  const float spare = figure("spare"), total = figure("total");
-  if (spare < 0.0F || total < spare) return;
-  const policy::CircuitUse use{static_cast<std::size_t>(total - spare), exchange->standing.size(),
+  if (!exchange->InDoubt()) return;
+  const auto used = CircuitsUsed(figures);
+  if (!used) return;
+  const policy::CircuitUse use{*used, exchange->standing.size(),
                                StandingBefore(legs_, *exchange, exchange->detector.doubt_since())};
   if (exchange->detector.OnCircuits(runtime_->Now(), link->opened_at, use)) {
     ++counters_.given_up_replaced;
@@ -386,6 +390,29 @@
   }
 }
 
+std::optional<std::size_t> Exchanges::CircuitsUsed(const std::vector<float>& figures) const {
+  if (!settings_.own_circuits) return std::nullopt;
+  const auto figure = [&](std::string_view name) {
+    const auto named = std::find(settings_.figures.begin(), settings_.figures.end(), name);
+    if (named == settings_.figures.end() || figures.empty()) return -1.0F;
+    return figures[static_cast<std::size_t>(named - settings_.figures.begin())];
+  };
+  const float spare = figure("spare"), total = figure("total");
+  if (spare < 0.0F || total < spare) return std::nullopt;
+  return static_cast<std::size_t>(total - spare);
+}
+
+void Exchanges::CheckAnnounced(Exchange* exchange) {
+  if (exchange->announced == 0 || exchange->told.empty()) return;
+  const auto used = CircuitsUsed(FiguresOf(exchange->told));
+  if (!used || !policy::DeniesCalls(*used, exchange->standing.size())) return;
+  std::vector<std::string> ids;
+  for (const std::string& id : exchange->standing) {
+    if (legs_.at(id).announced) ids.push_back(id);
+  }
+  Cut(exchange, std::move(ids), "its circuits are free, it does not know the calls that were announced", Remains::kNothing);
+}
+
 void Exchanges::LogDoubt(const Exchange& exchange, bool was_in_doubt) {
   if (exchange.InDoubt() == was_in_doubt) return;
   ++(was_in_doubt ? counters_.doubts_cleared : counters_.doubts);
@@ -533,6 +560,7 @@
   legs_.erase(at);
   ids_.erase(leg.call);
   leg.at->standing.erase(leg.id);
+  leg.at->announced -= leg.announced ? 1 : 0;
   if (leg.link != nullptr) {
     leg.link->set_ups.erase(leg.id);
     leg.link->standing.erase(leg.id);
@@ -570,7 +598,11 @@
   Exchange* const exchange = found->second.get();
   legs_[id] = {call, 0, exchange, nullptr, true, runtime_->Now(), id};
   ids_[call] = id;
+  legs_[id].announced = true;
+  ++exchange->announced;
   NoteStanding(exchange, id);
+  if (OpenOne(*exchange) == nullptr) exchange->detector.OnUnconfirmedCall(runtime_->Now());
+  if (!exchange->check_announced.Running()) exchange->check_announced.Start(kAnnouncedTogether, [this, exchange] { CheckAnnounced(exchange); });
   KeepConnected(exchange);
   if (!early_ends_.Has(id)) return;
   // Its end was told on the first connection to the exchange, before the caller said that it stands: told from the loop,
@@ -693,9 +725,12 @@
 // "spare:205;total:205", by the names of the settings; -1 for a figure that did not come.
 std::vector<float> Exchanges::FiguresOf(const Message& message) const {
   const std::string* const load = message.Field("load");
-  if (load == nullptr) return {};
+  return load == nullptr ? std::vector<float>() : FiguresOf(*load);
+}
+
+std::vector<float> Exchanges::FiguresOf(const std::string& load) const {
   std::vector<float> figures(settings_.figures.size(), -1.0F);
-  ForEachFigure(*load, [&](std::string_view name, std::string_view text) {
+  ForEachFigure(load, [&](std::string_view name, std::string_view text) {
     const auto named = std::find(settings_.figures.begin(), settings_.figures.end(), name);
     const auto value = ParseNumber(text, -1.0, 1e9);
     if (named != settings_.figures.end() && value)
@@ -710,11 +745,12 @@
   ++counters_.gauges;
   const std::string* const load = message.Field("load");
   if (load == nullptr) return;
-  if (link->exchange->InDoubt()) CheckCircuits(link, FiguresOf(message));
+  if (link->exchange->InDoubt()) CheckCircuits(link, FiguresOf(*load));
   if (*load == link->exchange->told) return;
   link->exchange->told = *load;
   ++counters_.gauges_heard;
-  const std::vector<float> figures = FiguresOf(message);
+  CheckAnnounced(link->exchange);
+  const std::vector<float> figures = FiguresOf(*load);
   if (!figures.empty()) core_->OnGauge(link->exchange->id, figures);
 }
 
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -11,6 +11,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -115,6 +116,7 @@
     bool stands = false;
     TimeUs stood_at = 0;
     std::string id;
+    bool announced = false;  // it was set up by a former process, and announced by its caller
   };
 
   // A time of the runtime's clock, never 0; 0 for 0.
@@ -144,6 +146,10 @@
   void Act(Exchange* exchange, policy::LivenessAction action);
   // What the failure detector has to know of a report.
   void CheckCircuits(Link* link, const std::vector<float>& figures);
+  // Circuits in use by these figures; nothing where they do not tell.
+  std::optional<std::size_t> CircuitsUsed(const std::vector<float>& figures) const;
+  // Gives up announced calls that the exchange's last report denies.
+  void CheckAnnounced(Exchange* exchange);
   static std::size_t StandingBefore(const std::unordered_map<std::string, Leg>& legs, const Exchange& exchange, TimeUs before);
   void NoteStanding(Exchange* exchange, const std::string& id);
   void LogDoubt(const Exchange& exchange, bool was_in_doubt);
@@ -155,6 +161,7 @@
   void TakeAnswer(Link* link, const Message& message);
   void TakeGauge(Link* link, const Message& message);
   std::vector<float> FiguresOf(const Message& message) const;
+  std::vector<float> FiguresOf(const std::string& load) const;
   // How a connection came to its end.
   enum class LinkEnd : std::uint8_t { kClosed, kReset, kRefused, kNotUpInTime, kSpoilt, kClosedHere };
   static std::string_view NameOf(LinkEnd end);
@@ -165,6 +172,8 @@
   enum class Remains : std::uint8_t { kNothing, kMayStand };
   // Calls that stood there before that time are over.
   void CutAll(Exchange* exchange, TimeUs before, std::string_view why, Remains remains = Remains::kNothing);
+  // The same for these calls.
+  void Cut(Exchange* exchange, std::vector<std::string> ids, std::string_view why, Remains remains);
   void SendProbe(Link* link);
   void Retire(Exchange* exchange);
   void SendRelease(Exchange* exchange, Link* link, const std::string& id);
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -18,8 +18,10 @@
 // is answered the callers' connections are closed in order, and what crossed that comes again within the second time.
 constexpr TimeUs kStopTakes = 750'000, kStopCrossing = 100'000;
 constexpr TimeUs kStopCheck = 20'000;
-// A line that has begun, an answer that is not read: the end waits for them, but not for ever.
-constexpr TimeUs kStopWaits = 3'000'000;
+// The platform kills the process no earlier than the longest deadline (at most the first) plus the second after SIGTERM. By
+// then every call has its answer (so much before) and the connections are closed (so much before).
+constexpr TimeUs kLongestKillWait = 3'000'000, kKillMargin = 700'000;
+constexpr TimeUs kAnswersBeforeKill = 350'000, kClosedBeforeKill = 250'000;
 // An address that is still bound is tried again at this gap, so many times.
 constexpr TimeUs kBindAgain = 50'000;
 constexpr int kMostBinds = 200;
@@ -47,6 +49,9 @@
 Node::Node(const NodeConfig& config, core::Runtime* runtime, core::LogSink* log)
     : runtime_(runtime), log_(log), figures_(runtime), end_(runtime), bind_(runtime), settings_(config.settings) {
   core_ = std::make_unique<core::CallCore>(CoreSettingsOf(config), runtime, log);
+  for (const CallClass& call_class : config.module.classes) {
+    longest_deadline_ = std::max(longest_deadline_, call_class.deadline_us > 0 ? call_class.deadline_us : kLongestKillWait);
+  }
   const std::size_t room = config.sockets - std::min(config.sockets / 2, kOwnDescriptors);
   ExchangeSettings to_exchanges;
   to_exchanges.most_links = room * kExchangesShare / 100;
@@ -103,21 +108,27 @@
 void Node::Stop(std::function<void()> done) {
   done_ = std::move(done);
   stopping_since_ = runtime_->Now();
+  const TimeUs kill_at = stopping_since_ + std::min(longest_deadline_, kLongestKillWait) + kKillMargin;
+  last_moment_ = kill_at - kClosedBeforeKill;
+  core_->FinishBy(kill_at - kAnswersBeforeKill);
   log_->Write(core::LogLevel::kInfo, "stopping", 0, Metrics());
   WaitForEnd();
 }
 
-// Serving, then (kStopTakes) refusing, then closing: over once nothing is owed, half said, unread or unwritten, and
-// nothing has come for the time in which something may still cross a close.
+// Serving, then (kStopTakes) refusing, then closing each connection as nothing is left on it: over once nothing is owed,
+// half said, unread or unwritten, no call stands, and nothing has come for the time in which something may still cross a
+// close. In the last moment before the kill may come, connections are closed though calls stand on them.
 void Node::WaitForEnd() {
-  const TimeUs now = runtime_->Now(), closing = stopping_since_ + kStopTakes;
+  const TimeUs now = runtime_->Now(), closing = std::min(stopping_since_ + kStopTakes, last_moment_);
   if (now >= closing) {
     core_->StopTaking();
     if (callers_->unanswered() > 0 || callers_->links() > 0) last_open_ = now;
-    if (callers_->unanswered() == 0) callers_->CloseIdle();
+    callers_->CloseIdle(now >= last_moment_);
     const TimeUs quiet_since = std::max({closing, last_open_, callers_->last_link()});
     const bool quiet = now >= quiet_since + kStopCrossing;
-    if (callers_->unanswered() == 0 && (quiet || now >= closing + kStopWaits)) return done_();
+    const bool nothing_stands = callers_->open_calls() == 0 || now >= last_moment_;
+    const bool late = now >= last_moment_ + kStopCrossing;
+    if (callers_->unanswered() == 0 && ((quiet && nothing_stands) || late)) return done_();
   }
   end_.Start(kStopCheck, [this] { WaitForEnd(); });
 }
@@ -136,6 +147,7 @@
         {"refusals", c.refusals}, {"failures", c.failures}, {"ended", c.ended},
         {"released_by_caller", c.released_by_caller}, {"ends_without_link", c.ends_without_link},
         {"ends_dropped", c.ends_dropped}, {"ends_waiting", callers_->waiting_ends()},
+        {"ends_told_again", c.ends_told_again}, {"acknowledged", c.acknowledged},
         {"end_waited_longest_ms", c.end_waited_longest / 1000}, {"tests", c.tests}, {"held", callers_->open_calls()},
         {"unanswered", callers_->unanswered()}}},
       {"exchanges",
@@ -155,7 +167,7 @@
         {"longest_silence_ms", exchanges_->longest_silence() / 1000}}},
       {"core",
        {{"offered", k.offered}, {"attempts", k.attempts}, {"timeouts", k.timeouts}, {"overdue", k.overdue},
-        {"too_late", k.too_late}, {"refused_full", k.refused_full}, {"stale_answers", k.stale_answers},
+        {"too_late", k.too_late}, {"refused_full", k.refused_full}, {"failed_at_end", k.failed_at_end}, {"stale_answers", k.stale_answers},
         {"open", core_->open_calls()}}},
       {"board",
        {{"connects", b.connects}, {"breaks", b.breaks}, {"silences", b.silences}, {"gaps", b.gaps}, {"events", b.events},
--- a/src/platform/node.h
+++ b/src/platform/node.h
@@ -43,7 +43,9 @@
   std::unique_ptr<Callers> callers_;
   std::unique_ptr<Board> board_;
   core::Timer figures_, end_, bind_;
+  TimeUs longest_deadline_ = 0;  // of all classes
   TimeUs stopping_since_ = 0, last_open_ = 0;
+  TimeUs last_moment_ = 0;  // of a stop: connections are closed though calls stand on them
   std::string settings_;  // as they were read at the start
   std::function<void()> done_;
 };
--- a/src/policy/failure_detector.cpp
+++ b/src/policy/failure_detector.cpp
@@ -31,9 +31,12 @@
   return "";
 }
 
+bool DeniesCalls(std::size_t used, std::size_t standing) { return 2 * used < standing; }
+
 void FailureDetector::Confirm(TimeUs now) {
   confirmed_at_ = std::max(confirmed_at_, now);
   doubt_since_ = 0;
+  unconfirmed_since_ = 0;
   asked_.clear();
 }
 
@@ -50,9 +53,10 @@
 
 void FailureDetector::OnConnectionOpened(TimeUs now, std::size_t standing) {
   if (doubt_since_ != 0) return;
-  if (Unanswered(now) >= kUnansweredOfOutage && standing > 0) {
-    // It was out of reach: another process may be there by now.
-    doubt_since_ = confirmed_at_ + 1;
+  const bool announced_long_ago = unconfirmed_since_ != 0 && now >= unconfirmed_since_ + kLongerThanLate;
+  if ((Unanswered(now) >= kUnansweredOfOutage || announced_long_ago) && standing > 0) {
+    // It was out of reach: another process may be there by now. Whatever stands there stood before this connection.
+    doubt_since_ = now;
     next_probe_ = now;
     return;
   }
@@ -68,12 +72,15 @@
   doubt_since_ = now;
 }
 
+void FailureDetector::OnUnconfirmedCall(TimeUs now) {
+  if (unconfirmed_since_ == 0) unconfirmed_since_ = now;
+}
+
 void FailureDetector::OnCallKnown(TimeUs now) { Confirm(now); }
 
 bool FailureDetector::OnCircuits(TimeUs now, TimeUs connection_opened_at, const CircuitUse& use) {
   if (doubt_since_ == 0 || connection_opened_at < doubt_since_) return false;
-  // Some may just have ended, and word of it be on its way on another connection: not so of more than half of them.
-  if (2 * use.used < use.standing_before) return true;
+  if (DeniesCalls(use.used, use.standing_before)) return true;
   if (use.used >= use.standing && now - connection_opened_at <= kReportIsFresh) Confirm(now);
   return false;
 }
--- a/src/policy/failure_detector.h
+++ b/src/policy/failure_detector.h
@@ -54,6 +54,10 @@
   std::size_t standing_before = 0;  // those of them that stood before `doubt_since`
 };
 
+// Whether an exchange with so many circuits in use does not know the calls that stand there by the books. Some may just have
+// ended, and word of it be on its way on another connection: not so of more than half of them.
+bool DeniesCalls(std::size_t used, std::size_t standing);
+
 class FailureDetector {
  public:
   explicit FailureDetector(const FailureDetectorSettings& settings) : settings_(settings) {}
@@ -65,6 +69,9 @@
   void OnConnectionClosed(TimeUs now);
   // `others_open`: connections that are still open beside it.
   void OnConnectionReset(TimeUs now, std::size_t others_open, std::size_t standing);
+  // A call was announced that stood before this process began, and no connection is open that could tell of it. It is in
+  // doubt if the next one takes longer than a late one does.
+  void OnUnconfirmedCall(TimeUs now);
   // The exchange told the end of a call that stood before the doubt.
   void OnCallKnown(TimeUs now);
   // A report of the circuits came on a connection that was opened at `connection_opened_at`. True: the calls from before
@@ -91,6 +98,7 @@
   FailureDetectorSettings settings_;
   TimeUs confirmed_at_ = 0;
   TimeUs doubt_since_ = 0;
+  TimeUs unconfirmed_since_ = 0;  // a call was announced while no connection was open; 0: none
   std::vector<TimeUs> asked_;  // when connections were asked for, since the last sign of life
   TimeUs next_probe_ = 0;
 };
