--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -84,7 +84,7 @@
   soak_command->add_option("--seed", soak.first_seed, "The first")->capture_default_str();
   soak_command->add_option("--count", soak.count, "So many seeds")->check(CLI::Range(1, 10'000))->capture_default_str();
   soak_command->add_option("--jobs", soak.jobs, "Trials at the same time")->check(CLI::Range(1, 16))->capture_default_str();
-  soak_command->add_option("--slot", soak.first_slot, "First address range, 127.(32 + slot); apart from that of another soak")->check(CLI::Range(0, 63))->capture_default_str();
+  soak_command->add_option("--slot", soak.first_slot, "First address range, 127.(32 + slot); taken ones are passed over")->check(CLI::Range(0, 63))->capture_default_str();
   soak_command->add_option("--most-mb", soak.most_megabytes, "Memory of a softswitch; sanitized builds need more")->check(CLI::Range(1, 4096))->capture_default_str();
   soak_command->add_option("--only", soak.only, "Only this kind of fault; several times");
   soak_command->add_option("--without", soak.without, "Not this kind of fault; several times");
--- a/src/lab/soak/trial.cpp
+++ b/src/lab/soak/trial.cpp
@@ -17,6 +17,7 @@
 #include "lab/soak/discovery_stand_in.h"
 #include "lab/soak/exchange_stand_in.h"
 #include "lab/soak/fault_proxy.h"
+#include "lab/soak/slot_lease.h"
 #include "lab/soak/softswitch_process.h"
 #include "runtime/asio_runtime.h"
 
@@ -539,11 +540,14 @@
 }  // namespace
 
 TrialResult RunTrial(const Script& script, const TrialOptions& options) {
+  const SlotLease lease(options.slot);
+  TrialOptions own = options;
+  own.slot = lease.slot();
   // A child that another thread is just starting holds copies of all descriptors for a moment: an address may stay bound.
   for (int tries = 0;; ++tries) {
     std::unique_ptr<Trial> trial;
     try {
-      trial = std::make_unique<Trial>(script, options);
+      trial = std::make_unique<Trial>(script, own);
     } catch (const std::system_error& error) {
       if (error.code() != std::errc::address_in_use || tries == kMostTries) throw;
       std::this_thread::sleep_for(std::chrono::milliseconds(kTryAgainMs));
--- a/tests/soak_trial_test.cpp
+++ b/tests/soak_trial_test.cpp
@@ -62,5 +62,96 @@
   ExpectNothingBroken(result);
 }
 
+TEST_F(SoakTrialTest, CallsOnAnExchangeThatVanishesAfterALongQuietTimeEndInTime) {
+  script_.clients.calls_per_s = 0.4;
+  script_.exchange.hold_mean = 60 * kSecond;
+  script_.exchange.tells_gauges = script_.exchange.greets = false;
+  script_.length = 24 * kSecond;
+  script_.faults = {{10 * kSecond, FaultKind::kDiscoverySilent, 0, 14 * kSecond},
+                    {14 * kSecond, FaultKind::kVanish, 1, 0},
+                    {14'500 * kMs, FaultKind::kVanish, 2, 0}};
+  ExpectNothingBroken(Run());
+}
+
+TEST_F(SoakTrialTest, CallsOnAProcessThatIsReplacedAtItsAddressEndInTimeWhileDiscoveryIsSilent) {
+  script_.faults = {{2 * kSecond, FaultKind::kDiscoverySilent, 0, 12 * kSecond},
+                    {3 * kSecond, FaultKind::kReplace, 1, 0},
+                    {3'200 * kMs, FaultKind::kReplace, 3, 0}};
+  const TrialResult result = Run();
+  EXPECT_GT(Checked(result, Rule::kStandingEnd), 5U);
+  ExpectNothingBroken(result);
+}
+
+TEST_F(SoakTrialTest, TheSameWithoutAnyReportOfCircuits) {
+  script_.exchange.tells_gauges = script_.exchange.greets = false;
+  script_.faults = {{2 * kSecond, FaultKind::kDiscoverySilent, 0, 12 * kSecond}, {3 * kSecond, FaultKind::kReplace, 1, 0}};
+  ExpectNothingBroken(Run());
+}
+
+TEST_F(SoakTrialTest, EndsOfCallsArriveThoughExchangesForgetIdleConnectionsWithoutAWord) {
+  script_.clients.calls_per_s = 1.0;
+  script_.exchange.hold_mean = 4 * kSecond;
+  for (int slot = 0; slot < script_.exchanges; ++slot) {
+    script_.faults.push_back({3 * kSecond, FaultKind::kForgetIdle, slot, 0});
+    script_.faults.push_back({8 * kSecond, FaultKind::kForgetIdle, slot, 0});
+  }
+  const TrialResult result = Run();
+  EXPECT_GT(Checked(result, Rule::kStandingEnd), 5U);
+  ExpectNothingBroken(result);
+}
+
+TEST_F(SoakTrialTest, NoCallIsCutForAHangOfThreeSecondsOrForLateConnections) {
+  script_.probes = false;
+  script_.clients.calls_per_s = 1.0;
+  script_.exchange.tells_gauges = script_.exchange.greets = false;
+  script_.faults = {{2 * kSecond, FaultKind::kHang, 1, 3 * kSecond},
+                    {2 * kSecond, FaultKind::kLateConnections, 2, 900 * kMs},
+                    {6 * kSecond, FaultKind::kLateConnections, 3, 900 * kMs},
+                    {7 * kSecond, FaultKind::kHang, 3, 3 * kSecond},
+                    {9 * kSecond, FaultKind::kHalfClose, 2, 0},
+                    {10 * kSecond, FaultKind::kCloseIdle, 0, 0}};
+  const TrialResult result = Run();
+  EXPECT_EQ(result.verdict.needless_cuts, 0U);
+  ExpectNothingBroken(result);
+}
+
+TEST_F(SoakTrialTest, ShutdownsWithShortDeadlinesAndAHangingExchangeLoseNoAnswerAndNoEnd) {
+  script_.deadlines = {400 * kMs};  // the kill comes 1.1 s after SIGTERM
+  script_.clients.waits = script_.deadlines;
+  script_.exchange.hold_mean = 2 * kSecond;
+  script_.faults = {{3 * kSecond, FaultKind::kHang, 3, 3 * kSecond},
+                    {3'500 * kMs, FaultKind::kTerminate, 0, 0},
+                    {4 * kSecond, FaultKind::kTerminate, 1, 0},
+                    {5 * kSecond, FaultKind::kTerminate, 2, 0}};
+  const TrialResult result = Run();
+  EXPECT_GT(Checked(result, Rule::kShutdown), 50U);
+  ExpectNothingBroken(result);
+}
+
+TEST_F(SoakTrialTest, EndsThatComeBeforeTheKillAreToldOnConnectionsThatStay) {
+  script_.deadlines = {3 * kSecond};  // 3.7 s
+  script_.clients.waits = script_.deadlines;
+  script_.exchange.hold_mean = 1'500 * kMs;
+  script_.faults = {{3 * kSecond, FaultKind::kTerminate, 0, 0}, {3'300 * kMs, FaultKind::kTerminate, 1, 0}};
+  const TrialResult result = Run();
+  std::size_t told_meanwhile = 0;
+  for (const TrafficEvent& event : result.events) {
+    const bool meanwhile = event.at > result.started + 4 * kSecond && event.at < result.started + 6 * kSecond;
+    told_meanwhile += meanwhile && event.kind == EventKind::kReleaseRead && event.softswitch == 0 && event.value == 16 ? 1 : 0;
+  }
+  EXPECT_GT(told_meanwhile, 2U);
+  ExpectNothingBroken(result);
+}
+
+TEST_F(SoakTrialTest, ThreeConfigurationsInARowWithDrainsCloseToTheReturnOfDiscovery) {
+  script_.exchange.hold_mean = 3 * kSecond;
+  script_.faults = {{2 * kSecond, FaultKind::kReconfigure, 0, 0},     {2'100 * kMs, FaultKind::kDrain, 1, 3 * kSecond},
+                    {3 * kSecond, FaultKind::kReconfigure, 1, 0},     {4 * kSecond, FaultKind::kDiscoveryDown, 0, 4 * kSecond},
+                    {7'500 * kMs, FaultKind::kDrain, 2, 3 * kSecond}, {8'100 * kMs, FaultKind::kReconfigure, 2, 0}};
+  const TrialResult result = Run();
+  EXPECT_GT(Checked(result, Rule::kDrain), 5U);
+  ExpectNothingBroken(result);
+}
+
 }  // namespace
 }  // namespace croftrun::lab::soak
