--- a/bench/expr_bench.cpp
+++ b/bench/expr_bench.cpp
@@ -28,22 +28,28 @@
 std::string Text(int rules) {
   std::string text;
   for (int i = 0; i < rules; ++i) {
-    text += "rule r" + std::to_string(i) + " when called starts_with \"" + Area(i) + "\" and class == " +
-            (i % 2 == 0 ? "slot-hold" : "slot-check") + " and (line default 0 > " + std::to_string(i % 7) + " or patience < 2s) then tag \"a\";\n";
+    text += "rule r" + std::to_string(i) + " when called starts_with \"" + Area(i) +
+            "\" and class == " + (i % 2 == 0 ? "slot-hold" : "slot-check") + " and (line default 0 > " +
+            std::to_string(i % 7) + " or patience < 2s) then tag \"a\";\n";
   }
   return text;
 }
 
 std::vector<std::string> Numbers(int rules) {
   std::vector<std::string> numbers;
-  for (int i = 0; i < 256; ++i) numbers.push_back(Area((i * 7919) % (rules + rules / 4 + 1)) + "00017");  // a fifth match no area
+  for (int i = 0; i < 256; ++i)
+    numbers.push_back(Area((i * 7919) % (rules + rules / 4 + 1)) + "00017");  // a fifth match no area
   return numbers;
 }
 
 std::vector<Input> Inputs(const std::vector<std::string>& numbers) {
   std::vector<Input> inputs;
   for (std::size_t i = 0; i < numbers.size(); ++i)
-    inputs.push_back({{static_cast<std::int64_t>(i % 2), {}, true}, {0, {}, true}, {0, numbers[i], true}, {static_cast<std::int64_t>(i % 9), {}, true}, {3'000'000, {}, true}});
+    inputs.push_back({{static_cast<std::int64_t>(i % 2), {}, true},
+                      {0, {}, true},
+                      {0, numbers[i], true},
+                      {static_cast<std::int64_t>(i % 9), {}, true},
+                      {3'000'000, {}, true}});
   return inputs;
 }
 
@@ -97,8 +103,9 @@
 
 void BM_OneExpression(benchmark::State& state) {
   std::vector<Mistake> mistakes;
-  const auto program = CompileExpression(
-      "called starts_with \"10000\" and class == slot-hold and (line default 0 > 3 or patience < 2s)", Calls(), {}, &mistakes);
+  const auto program =
+      CompileExpression("called starts_with \"10000\" and class == slot-hold and (line default 0 > 3 or patience < 2s)",
+                        Calls(), {}, &mistakes);
   const auto numbers = Numbers(1);
   const auto inputs = Inputs(numbers);
   std::size_t at = 0;
--- a/bench/flow_bench.cpp
+++ b/bench/flow_bench.cpp
@@ -103,7 +103,9 @@
   std::uint64_t calls = 0;
   Decoder decoder;
   for (auto _ : state) {
-    for (const std::string& message : messages) decoder.Message(message, [&](const DecodedRecord&) { ++calls; }, nullptr);
+    for (const std::string& message : messages)
+      decoder.Message(
+          message, [&](const DecodedRecord&) { ++calls; }, nullptr);
   }
   benchmark::DoNotOptimize(calls);
   state.SetItemsProcessed(static_cast<std::int64_t>(state.iterations()) * 1000);
@@ -134,7 +136,8 @@
     for (; spool.Front() != nullptr; spool.Pop()) {
     }
   }
-  state.SetItemsProcessed(static_cast<std::int64_t>(state.iterations()) * 100 * static_cast<std::int64_t>(Spool::kFrameRecords));
+  state.SetItemsProcessed(static_cast<std::int64_t>(state.iterations()) * 100 *
+                          static_cast<std::int64_t>(Spool::kFrameRecords));
 }
 BENCHMARK(SpoolWriteAndRead);
 
--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/platform_fuzz.cpp
@@ -1,5 +1,5 @@
-// The platform's protocol, of any octets: as lines, as the answer of the notice board, as a configuration. What is read as a
-// message and written again must read as the same.
+// The platform's protocol, of any octets: as lines, as the answer of the notice board, as a configuration. What is read
+// as a message and written again must read as the same.
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
--- a/fuzz/rules_fuzz.cpp
+++ b/fuzz/rules_fuzz.cpp
@@ -1,5 +1,5 @@
-// Rule files of any octets: they are refused with a mistake, or every run keeps its bound. The first octet chooses: also
-// byte code of any kind, which the verifier must refuse or which must run.
+// Rule files of any octets: they are refused with a mistake, or every run keeps its bound. The first octet chooses:
+// also byte code of any kind, which the verifier must refuse or which must run.
 #include <cstdlib>
 
 #include "edge/classifier.h"
@@ -47,7 +47,8 @@
   std::vector<croftrun::expr::Mistake> mistakes;
   croftrun::expr::Limits limits;
   limits.most_keys = 4096;
-  const auto rules = croftrun::expr::CompileRules({reinterpret_cast<const char*>(data), size}, Words(), limits, &mistakes);
+  const auto rules =
+      croftrun::expr::CompileRules({reinterpret_cast<const char*>(data), size}, Words(), limits, &mistakes);
   if (rules.has_value() != mistakes.empty()) std::abort();
   if (!rules) return 0;
   croftrun::expr::RuleState state(*rules, 1);
--- a/include/croftrun/call_controller.h
+++ b/include/croftrun/call_controller.h
@@ -152,8 +152,7 @@
   std::vector<float> report = {};
 };
 
-using Event =
-    std::variant<DirectoryUpdate, CallOffered, AttemptEnded, CallStands, CallerGone, TimerDue, ReportHeard>;
+using Event = std::variant<DirectoryUpdate, CallOffered, AttemptEnded, CallStands, CallerGone, TimerDue, ReportHeard>;
 
 // ---- actions ----
 struct Send {
--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -158,7 +158,7 @@
   unsigned losses = 0;  // in a row
   TimeUs last_send = 0;
   TimeUs stood_sent = 0;  // when the latest set-up was sent that stood
-  TimeUs lost_at = 0;  // a failed connect or a death noticed from here: its start, if it is back
+  TimeUs lost_at = 0;     // a failed connect or a death noticed from here: its start, if it is back
   Fading sent{kRateTau};
   Leg direct{kRateTau};            // set-ups to it that stood, failed or broke
   Leg as_tandem;                   // over this tandem, wherever to
@@ -269,8 +269,8 @@
   // One health per exchange, from its symptoms: the share of set-ups to be kept from it.
   double CutFor(Exchange& e) {
     const double silence = AsDouble(OldestUnanswered(e)) / AsDouble(shortest_aim_);
-    return std::min(1.0, std::max({e.cut.At(now_), e.reported_cut.At(now_), e.allowed_cut.At(now_),
-                                   1.0 - Warmth(e), silence > kPressed ? silence : 0.0}));
+    return std::min(1.0, std::max({e.cut.At(now_), e.reported_cut.At(now_), e.allowed_cut.At(now_), 1.0 - Warmth(e),
+                                   silence > kPressed ? silence : 0.0}));
   }
 
   void MoveCut(Fading& cut, double step) {
@@ -354,8 +354,7 @@
 
   bool MayBeTandem(const Call& call, Exchange& e) {
     return call.tandems < 2 && !Own(e) && MayUse(call, e) && MaySendTo(call, e) &&
-           call.tried.count(e.entry.exchange) == 0 &&
-           (settings_.shape != Shape::kMeshed || CutFor(e) <= kCutStep);
+           call.tried.count(e.entry.exchange) == 0 && (settings_.shape != Shape::kMeshed || CutFor(e) <= kCutStep);
   }
 
   // The ranking ignores the second leg, which nobody tells: the chance that it lets a call through, from what
@@ -428,10 +427,8 @@
     Exchange* destination = ByNumber(call.offer.destination);
     const bool meshed = settings_.shape == Shape::kMeshed;
     if (meshed && (destination == nullptr || Own(*destination))) return Answer(id, call, false);
-    if (call.attempts >= settings_.most_attempts || LateAnyway(call))
-      return Answer(id, call, call.attempts > 0);
-    const bool direct_open =
-        destination != nullptr && MayUse(call, *destination) && MaySendTo(call, *destination);
+    if (call.attempts >= settings_.most_attempts || LateAnyway(call)) return Answer(id, call, call.attempts > 0);
+    const bool direct_open = destination != nullptr && MayUse(call, *destination) && MaySendTo(call, *destination);
     if (call.offer.in_transit) return RouteTransit(id, call, direct_open ? destination : nullptr);
     if (!call.admitted) {
       if (!Admit(call, destination)) return Answer(id, call, false);
@@ -447,8 +444,7 @@
       // To a pressed exchange one set-up at a time: a further one would only lengthen its queue.
       const bool busy = CutFor(*destination) > kPressed && !destination->unanswered.empty();
       const bool room = !busy && (destination->spare < 0.0 || destination->spare >= call.offer.width);
-      if (room && !WaitsBehind(call, *destination) && TakeCold(*destination))
-        return SendTo(id, call, *destination);
+      if (room && !WaitsBehind(call, *destination) && TakeCold(*destination)) return SendTo(id, call, *destination);
       if (room && Warmth(*destination) < 1.0) return Answer(id, call, false);
     }
     Exchange* tandem = PickTandem(call, destination);
@@ -464,8 +460,7 @@
   // group, or a tandem or pool that is wide enough and may be sent to. Once that is gone it is answered.
   bool CanStillServe(const Call& call, const Exchange* destination, bool direct) {
     return direct || std::any_of(exchanges_.begin(), exchanges_.end(), [&](auto& x) {
-             return &x.second != destination && x.second.total > call.offer.width &&
-                    MayBeTandem(call, x.second);
+             return &x.second != destination && x.second.total > call.offer.width && MayBeTandem(call, x.second);
            });
   }
 
@@ -479,8 +474,7 @@
   // Nothing has room: held for a circuit while a set-up could still stand within the aim.
   void HoldOrRefuse(CallId id, Call& call, const Exchange* destination, bool direct) {
     const double set_up = destination != nullptr ? ExpectedDelay(*destination) : 0.0;
-    const double longest =
-        std::min(kHoldShare * AsDouble(Aim(call)), AsDouble(Aim(call)) - kSetUpMargin * set_up);
+    const double longest = std::min(kHoldShare * AsDouble(Aim(call)), AsDouble(Aim(call)) - kSetUpMargin * set_up);
     const TimeUs until = call.arrived + static_cast<TimeUs>(std::max(0.0, longest));
     const bool waits = call.hold_until > 0 ? now_ < call.hold_until : held_.size() < kMostHeld;
     if (!waits || now_ >= until || !CanStillServe(call, destination, direct)) return Answer(id, call, false);
@@ -541,8 +535,7 @@
 
   double Worth(const Call& call) const {
     return ClassOf(call).worth * (call.planned ? kPlannedWork : 1.0) *
-           (call.over_quota ? settings_.over_quota_worth : 1.0) *
-           (call.late ? ClassOf(call).late_worth : 1.0);
+           (call.over_quota ? settings_.over_quota_worth : 1.0) * (call.late ? ClassOf(call).late_worth : 1.0);
   }
 
   // Loss control (RFC 7339) by worth: of the calls offered lately the least worth go first.
@@ -589,8 +582,7 @@
 
   // Drains, and whether a repeat is legal there.
   bool MaySendTo(const Call& call, const Exchange& e) const {
-    if (e.entry.status != ExchangeStatus::kReady || now_ < e.full_until || now_ < own_down_until_)
-      return false;
+    if (e.entry.status != ExchangeStatus::kReady || now_ < e.full_until || now_ < own_down_until_) return false;
     if (!call.may_have_run) return true;
     const CallClass& c = ClassOf(call);
     if (c.repeat == Repeat::kIdempotent) return true;
@@ -741,8 +733,8 @@
     }
     NoteRedial(call);
     // One draw for a caller's tries: whoever dials a dozen times must not get a dozen draws.
-    call.draw = offer.number_called == 0 ? random_.Unit()
-                                         : Random(seed_ ^ offer.number_called ^ call.arrived << 20U).Unit();
+    call.draw =
+        offer.number_called == 0 ? random_.Unit() : Random(seed_ ^ offer.number_called ^ call.arrived << 20U).Unit();
     const auto customer = static_cast<std::size_t>(offer.customer);
     if (!offer.in_transit && customer < quota_.size()) {
       quota_[customer].Add(now_, 1.0);
@@ -796,8 +788,7 @@
   void NoteLeg(const Call& call, Exchange& tandem, Fading Leg::*what) {
     Exchange* to = ByNumber(call.offer.destination);
     if (to == nullptr) return;
-    for (Leg* leg : {&to->legs[tandem.entry.exchange], &tandem.as_tandem, &over_})
-      (leg->*what).Add(now_, 1.0);
+    for (Leg* leg : {&to->legs[tandem.entry.exchange], &tandem.as_tandem, &over_}) (leg->*what).Add(now_, 1.0);
   }
 
   void NoteNumber(std::uint64_t number, bool busy) {
@@ -848,8 +839,7 @@
     if (cut <= kPressed || (e.logged_at > 0 && now_ < e.logged_at + kLogGap)) return;
     e.logged_at = now_;
     char text[160];
-    std::snprintf(text, sizeof(text),
-                  "exchange number %d pressed: keeping back %.0f%%, delay %.0f ms, %zu unanswered",
+    std::snprintf(text, sizeof(text), "exchange number %d pressed: keeping back %.0f%%, delay %.0f ms, %zu unanswered",
                   e.entry.number, 100.0 * cut, e.delay / 1000.0, e.unanswered.size());
     actions_->push_back(Log{text});
   }
@@ -873,8 +863,7 @@
       case Outcome::kTimeout:
         // Lost on its way: set-ups sent after it stood.
         if (sent_at <= e.stood_sent && sent_at > 0) break;
-        if (direct && AsDouble(ended.elapsed_us) > ExpectedDelay(e))
-          SmoothDelay(e, AsDouble(ended.elapsed_us));
+        if (direct && AsDouble(ended.elapsed_us) > ExpectedDelay(e)) SmoothDelay(e, AsDouble(ended.elapsed_us));
         lost_.Add(now_, weight);
         MoveCut(e.cut, (direct ? kLostSteps : 1.0) * kCutStep * weight);
         if (direct && weight > kRowWeight) Rest(e, 0);
@@ -922,8 +911,7 @@
   }
 
   static bool FailedOrBroke(const AttemptEnded& ended) {
-    return ended.outcome == Outcome::kReset ||
-           (ended.outcome == Outcome::kError && ended.cause == Cause::kNone);
+    return ended.outcome == Outcome::kReset || (ended.outcome == Outcome::kError && ended.cause == Cause::kNone);
   }
 
   // The attempt is over without a final answer: another route, the same one again, or an answer.
@@ -989,8 +977,7 @@
   double delay_ = 0.0, usual_delay_ = 0.0;       // smoothed set-up delay to all exchanges
 };
 
-CallController::CallController(const Settings& settings, std::uint64_t seed, TimeUs now,
-                               std::vector<Action>* actions)
+CallController::CallController(const Settings& settings, std::uint64_t seed, TimeUs now, std::vector<Action>* actions)
     : impl_(std::make_unique<Impl>(settings, seed, now, actions)) {}
 CallController::~CallController() = default;
 CallController::CallController(CallController&&) noexcept = default;
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -104,8 +104,13 @@
 
 nlohmann::json AccountJson(const reach::Account& account) {
   nlohmann::json lost = nlohmann::json::object();
-  for (std::size_t i = 0; i < reach::kLost; ++i) lost[std::string(reach::Name(static_cast<reach::Lost>(i)))] = account.lost[i];
-  return {{"tries", account.tries}, {"in_time", account.in_time}, {"late", account.late}, {"lost", lost}, {"exact", account.Exact()}};
+  for (std::size_t i = 0; i < reach::kLost; ++i)
+    lost[std::string(reach::Name(static_cast<reach::Lost>(i)))] = account.lost[i];
+  return {{"tries", account.tries},
+          {"in_time", account.in_time},
+          {"late", account.late},
+          {"lost", lost},
+          {"exact", account.Exact()}};
 }
 
 double WorthServed(const lab::Scenario& scenario, const reach::Ledger& ledger) {
@@ -118,17 +123,26 @@
   return worth;
 }
 
-nlohmann::json AccountsJson(const lab::Scenario& scenario, const lab::DayAccounts& accounts, const reach::Bound& bound) {
+nlohmann::json AccountsJson(const lab::Scenario& scenario, const lab::DayAccounts& accounts,
+                            const reach::Bound& bound) {
   const reach::Ledger& ledger = accounts.ledger();
   nlohmann::json json = {{"total", AccountJson(ledger.Total())},
                          {"circuit_refusals", ledger.refusals()},
                          {"refusals_of_one_circuit_running", ledger.most_running()},
                          {"wasted", {{"count", ledger.wasted()}, {"examples", ledger.examples()}}},
-                         {"within_reach", {{"solved", bound.solved}, {"worth", bound.worth}, {"offered", bound.offered}, {"by_tandem", bound.by_tandem},
-                                           {"share_of_offered", bound.Share()}, {"columns", bound.columns}, {"rows", bound.rows},
-                                           {"per_cent_more_circuits", bound.for_circuits}, {"per_cent_more_processing", bound.for_processors}}}};
+                         {"within_reach",
+                          {{"solved", bound.solved},
+                           {"worth", bound.worth},
+                           {"offered", bound.offered},
+                           {"by_tandem", bound.by_tandem},
+                           {"share_of_offered", bound.Share()},
+                           {"columns", bound.columns},
+                           {"rows", bound.rows},
+                           {"per_cent_more_circuits", bound.for_circuits},
+                           {"per_cent_more_processing", bound.for_processors}}}};
   if (bound.solved && bound.worth > 0.0) json["share_of_reach"] = WorthServed(scenario, ledger) / bound.worth;
-  for (std::size_t i = 0; i < scenario.classes.size(); ++i) json["classes"][scenario.classes[i].name] = AccountJson(ledger.accounts()[i]);
+  for (std::size_t i = 0; i < scenario.classes.size(); ++i)
+    json["classes"][scenario.classes[i].name] = AccountJson(ledger.accounts()[i]);
   return json;
 }
 
@@ -140,22 +154,26 @@
     std::printf("within reach: the bound was not solved\n");
   } else {
     std::printf("within reach: at most %.3f of the worth offered (%s); of that, served: %.3f\n", bound.Share(),
-                bound.by_tandem ? "tandems told apart" : "tandems together", bound.worth > 0.0 ? WorthServed(scenario, ledger) / bound.worth : 1.0);
-    std::printf("  1%% more circuits would have been worth %.1f, 1%% more processing %.1f, of %.0f\n", bound.for_circuits, bound.for_processors, bound.worth);
+                bound.by_tandem ? "tandems told apart" : "tandems together",
+                bound.worth > 0.0 ? WorthServed(scenario, ledger) / bound.worth : 1.0);
+    std::printf("  1%% more circuits would have been worth %.1f, 1%% more processing %.1f, of %.0f\n",
+                bound.for_circuits, bound.for_processors, bound.worth);
   }
   std::printf("where %llu tries went: %llu in time, %llu late", n(total.tries), n(total.in_time), n(total.late));
   for (std::size_t i = 0; i < reach::kLost; ++i) {
-    if (total.lost[i] > 0) std::printf(", %llu %s", n(total.lost[i]), std::string(reach::Name(static_cast<reach::Lost>(i))).c_str());
+    if (total.lost[i] > 0)
+      std::printf(", %llu %s", n(total.lost[i]), std::string(reach::Name(static_cast<reach::Lost>(i))).c_str());
   }
   std::printf("%s\n", total.Exact() ? "" : " (the sums do NOT agree)");
-  std::printf("circuits refused: %llu times, one at most %u times in a row\n", n(ledger.refusals()), ledger.most_running());
+  std::printf("circuits refused: %llu times, one at most %u times in a row\n", n(ledger.refusals()),
+              ledger.most_running());
   std::printf("plainly wasted: %llu\n", n(ledger.wasted()));
   for (const std::string& example : ledger.examples()) std::printf("    %s\n", example.c_str());
 }
 
 void PrintReport(const lab::Scenario& scenario, const lab::DayReport& report) {
-  std::printf("%-16s %8s %8s %8s %8s %8s %8s %8s %10s %6s\n", "class", "offered", "tries", "in time", "late",
-              "refused", "failed", "hung up", "unanswered", "cut");
+  std::printf("%-16s %8s %8s %8s %8s %8s %8s %8s %10s %6s\n", "class", "offered", "tries", "in time", "late", "refused",
+              "failed", "hung up", "unanswered", "cut");
   for (std::size_t i = 0; i < report.classes.size(); ++i) {
     const lab::ClassOutcome& o = report.classes[i];
     const auto n = [](std::uint64_t value) { return static_cast<unsigned long long>(value); };
@@ -186,8 +204,8 @@
       one->collector.StartTcp(lab::Collector::Mode::kRead);
     }
   }
-  // Three counts of the same: on the sockets, by the softswitch itself, and received. `true` if they agree; of an edge that
-  // was killed its own count is of its last life only, and what it had not sent is told as the difference.
+  // Three counts of the same: on the sockets, by the softswitch itself, and received. `true` if they agree; of an edge
+  // that was killed its own count is of its last life only, and what it had not sent is told as the difference.
   nlohmann::json Compare(const lab::RuleChecker& rules, const lab::Scenario& scenario, bool* agree) {
     std::set<int> killed;
     for (const lab::Fault& fault : scenario.faults) {
@@ -203,23 +221,33 @@
       const int number = static_cast<int>(i);
       std::ifstream metrics_file(folder_ + "/edge-" + std::to_string(i) + ".metrics.json");
       const nlohmann::json metrics = nlohmann::json::parse(metrics_file, nullptr, false);
-      const nlohmann::json own = metrics.is_object() ? metrics.value("flow", nlohmann::json::object()) : nlohmann::json::object();
+      const nlohmann::json own =
+          metrics.is_object() ? metrics.value("flow", nlohmann::json::object()) : nlohmann::json::object();
       const auto truth = work.count(number) > 0 ? work.at(number) : lab::RuleChecker::Work{};
-      const std::uint64_t dropped = own.value("dropped_calls", std::uint64_t{0}) + own.value("dropped_attempts", std::uint64_t{0});
+      const std::uint64_t dropped =
+          own.value("dropped_calls", std::uint64_t{0}) + own.value("dropped_attempts", std::uint64_t{0});
       // Attempts that found no circuit to seize are told as such and never were on the sockets.
-      const nlohmann::json core = metrics.is_object() ? metrics.value("calls", nlohmann::json::object()) : nlohmann::json::object();
+      const nlohmann::json core =
+          metrics.is_object() ? metrics.value("calls", nlohmann::json::object()) : nlohmann::json::object();
       // So are seizures that crossed one of the edge's own: they were sent back and are no calls of this edge.
-      const std::uint64_t glare = core.value("glare", std::uint64_t{0}) + core.value("not_in_service", std::uint64_t{0});
+      const std::uint64_t glare =
+          core.value("glare", std::uint64_t{0}) + core.value("not_in_service", std::uint64_t{0});
       const std::uint64_t own_calls = own.value("calls", std::uint64_t{0});
       const std::uint64_t own_set_ups = core.value("attempts", std::uint64_t{0}) - core.value("moot", std::uint64_t{0});
       const std::uint64_t calls = one.collector.calls, set_ups = one.collector.set_ups;
-      const bool same = killed.count(number) > 0 ? calls <= truth.calls && set_ups <= truth.set_ups && calls >= own_calls
-                                                 : calls + glare == truth.calls && set_ups == truth.set_ups && calls == own_calls && set_ups == own_set_ups;
+      const bool same = killed.count(number) > 0
+                            ? calls <= truth.calls && set_ups <= truth.set_ups && calls >= own_calls
+                            : calls + glare == truth.calls && set_ups == truth.set_ups && calls == own_calls &&
+                                  set_ups == own_set_ups;
       *agree = *agree && same && dropped == 0;
-      all.push_back({{"edge", number}, {"killed", killed.count(number) > 0}, {"agree", same},
-                     {"sockets", {{"calls", truth.calls}, {"set_ups", truth.set_ups}}},
-                     {"own", {{"calls", own_calls}, {"glare", glare}, {"set_ups", own_set_ups}, {"dropped", dropped}}},
-                     {"received", {{"calls", calls}, {"set_ups", set_ups}, {"possibly_repeated", one.collector.possibly_repeated.load()}}}});
+      all.push_back(
+          {{"edge", number},
+           {"killed", killed.count(number) > 0},
+           {"agree", same},
+           {"sockets", {{"calls", truth.calls}, {"set_ups", truth.set_ups}}},
+           {"own", {{"calls", own_calls}, {"glare", glare}, {"set_ups", own_set_ups}, {"dropped", dropped}}},
+           {"received",
+            {{"calls", calls}, {"set_ups", set_ups}, {"possibly_repeated", one.collector.possibly_repeated.load()}}}});
     }
     return all;
   }
@@ -246,7 +274,8 @@
   std::optional<DayCollectors> collectors;
   if (options.flow) {
     scenario.flow_folder = options.folder;
-    for (int i = 0; i < scenario.edges; ++i) std::filesystem::remove_all(options.folder + "/spool-" + std::to_string(i));
+    for (int i = 0; i < scenario.edges; ++i)
+      std::filesystem::remove_all(options.folder + "/spool-" + std::to_string(i));
     collectors.emplace(scenario, options.folder);
   }
 
@@ -288,8 +317,10 @@
   if (collectors) flows = collectors->Compare(rules, scenario, &agree);
 
   if (options.json) {
-    nlohmann::json json = {{"report", ReportJson(scenario, report)}, {"verdict", RulesJson(rules)},
-                           {"accounts", AccountsJson(scenario, accounts, bound)}, {"edges_exited_clean", clean}};
+    nlohmann::json json = {{"report", ReportJson(scenario, report)},
+                           {"verdict", RulesJson(rules)},
+                           {"accounts", AccountsJson(scenario, accounts, bound)},
+                           {"edges_exited_clean", clean}};
     if (collectors) json["flows"] = flows;
     std::cout << json.dump(1) << "\n";
   } else {
@@ -301,10 +332,14 @@
     PrintReport(scenario, report);
     PrintAccounts(scenario, accounts, bound);
     for (const auto& f : flows)
-      std::printf("flows of edge %s: on the sockets %s calls, %s set-ups; own count %s (and %s lost to glare), %s; received %s, %s: %s%s\n", f["edge"].dump().c_str(),
-                  f["sockets"]["calls"].dump().c_str(), f["sockets"]["set_ups"].dump().c_str(), f["own"]["calls"].dump().c_str(),
-                  f["own"]["glare"].dump().c_str(), f["own"]["set_ups"].dump().c_str(), f["received"]["calls"].dump().c_str(), f["received"]["set_ups"].dump().c_str(),
-                  f["agree"].get<bool>() ? "they agree" : "they do NOT agree", f["killed"].get<bool>() ? " (it was killed)" : "");
+      std::printf(
+          "flows of edge %s: on the sockets %s calls, %s set-ups; own count %s (and %s lost to glare), %s; received "
+          "%s, %s: %s%s\n",
+          f["edge"].dump().c_str(), f["sockets"]["calls"].dump().c_str(), f["sockets"]["set_ups"].dump().c_str(),
+          f["own"]["calls"].dump().c_str(), f["own"]["glare"].dump().c_str(), f["own"]["set_ups"].dump().c_str(),
+          f["received"]["calls"].dump().c_str(), f["received"]["set_ups"].dump().c_str(),
+          f["agree"].get<bool>() ? "they agree" : "they do NOT agree",
+          f["killed"].get<bool>() ? " (it was killed)" : "");
     std::printf("edges stopped in order: %s\n", clean ? "yes" : "NO");
     std::printf("trace, page of the day (day.html), settings, logs and metrics in %s\n", options.folder.c_str());
   }
@@ -317,7 +352,8 @@
   std::sort(curve.floods.begin(), curve.floods.end());
   nlohmann::json all = nlohmann::json::array();
   if (!options.json)
-    std::printf("%-14s %8s %10s %8s %8s %8s %10s %10s %8s\n", "door", "flood/s", "worth/s", "quiet", "worst", "crowd", "p99 wait", "as told", "waiting");
+    std::printf("%-14s %8s %10s %8s %8s %8s %10s %10s %8s\n", "door", "flood/s", "worth/s", "quiet", "worst", "crowd",
+                "p99 wait", "as told", "waiting");
   for (const std::string& name : lab::DoorNames()) {
     auto& row = curve.by_door.emplace_back();
     for (const double flood : curve.floods) {
@@ -326,11 +362,19 @@
       settings.flood_per_s = flood;
       row.push_back(lab::PlayDoor(name, settings));
       const lab::DoorFigures& f = row.back();
-      all.push_back({{"door", f.door}, {"flood_per_s", flood}, {"worth_per_s", f.goodput}, {"quiet_share", f.quiet_share}, {"worst_client", f.worst_client},
-                     {"crowd_share", f.crowd_share}, {"p99_wait_ms", f.p99_wait_ms}, {"as_told_kept", f.told_kept}, {"most_waiting", f.most_waiting}});
+      all.push_back({{"door", f.door},
+                     {"flood_per_s", flood},
+                     {"worth_per_s", f.goodput},
+                     {"quiet_share", f.quiet_share},
+                     {"worst_client", f.worst_client},
+                     {"crowd_share", f.crowd_share},
+                     {"p99_wait_ms", f.p99_wait_ms},
+                     {"as_told_kept", f.told_kept},
+                     {"most_waiting", f.most_waiting}});
       if (!options.json)
-        std::printf("%-14s %8.0f %10.1f %8.3f %8.3f %8.3f %7.0f ms %10.3f %8llu\n", f.door.c_str(), flood, f.goodput, f.quiet_share, f.worst_client, f.crowd_share,
-                    f.p99_wait_ms, f.told_kept, static_cast<unsigned long long>(f.most_waiting));
+        std::printf("%-14s %8.0f %10.1f %8.3f %8.3f %8.3f %7.0f ms %10.3f %8llu\n", f.door.c_str(), flood, f.goodput,
+                    f.quiet_share, f.worst_client, f.crowd_share, f.p99_wait_ms, f.told_kept,
+                    static_cast<unsigned long long>(f.most_waiting));
     }
   }
   if (options.json) std::cout << all.dump(1) << "\n";
@@ -374,7 +418,8 @@
   nlohmann::json all = nlohmann::json::array();
   bool kept = true;
   if (!options.json)
-    std::printf("%-34s %-20s %7s %7s %8s %8s  %s\n", "day (on virtual time)", "decider", "service", "reach", "refused", "tries", "rules broken; where the rest went");
+    std::printf("%-34s %-20s %7s %7s %8s %8s  %s\n", "day (on virtual time)", "decider", "service", "reach", "refused",
+                "tries", "rules broken; where the rest went");
   for (const std::string& path : options.scenarios) {
     std::vector<config::Mistake> mistakes;
     const std::string text = config::ReadFile(path, kMostBytes, &mistakes);
@@ -389,23 +434,32 @@
         day.Play();
         const reach::Bound bound = accounts.Bound();
         const reach::Account total = accounts.ledger().Total();
-        const double share = bound.solved && bound.worth > 0.0 ? WorthServed(scenario, accounts.ledger()) / bound.worth : -1.0;
-        const auto refused = static_cast<double>(total.tries - total.in_time - total.late) / std::max(1.0, static_cast<double>(total.tries));
+        const double share =
+            bound.solved && bound.worth > 0.0 ? WorthServed(scenario, accounts.ledger()) / bound.worth : -1.0;
+        const auto refused = static_cast<double>(total.tries - total.in_time - total.late) /
+                             std::max(1.0, static_cast<double>(total.tries));
         if (name == "module") kept = kept && day.rules.Kept();
         if (options.json) {
-          all.push_back({{"scenario", path}, {"seed", scenario.seed}, {"decider", name}, {"report", ReportJson(scenario, day.report)},
-                         {"verdict", RulesJson(day.rules)}, {"accounts", AccountsJson(scenario, accounts, bound)}});
+          all.push_back({{"scenario", path},
+                         {"seed", scenario.seed},
+                         {"decider", name},
+                         {"report", ReportJson(scenario, day.report)},
+                         {"verdict", RulesJson(day.rules)},
+                         {"accounts", AccountsJson(scenario, accounts, bound)}});
           continue;
         }
         std::string rest;
         for (std::size_t r = 0; r < lab::kRules; ++r) {
-          if (day.rules.Finding(static_cast<lab::Rule>(r)).broken > 0) rest += std::string(lab::Name(static_cast<lab::Rule>(r))) + "! ";
+          if (day.rules.Finding(static_cast<lab::Rule>(r)).broken > 0)
+            rest += std::string(lab::Name(static_cast<lab::Rule>(r))) + "! ";
         }
         for (std::size_t l = 0; l < reach::kLost; ++l) {
-          if (total.lost[l] > 0) rest += std::string(reach::Name(static_cast<reach::Lost>(l))) + " " + std::to_string(total.lost[l]) + ", ";
+          if (total.lost[l] > 0)
+            rest += std::string(reach::Name(static_cast<reach::Lost>(l))) + " " + std::to_string(total.lost[l]) + ", ";
         }
         if (accounts.ledger().wasted() > 0) rest += "plainly wasted " + std::to_string(accounts.ledger().wasted());
-        std::printf("%-34s %-20s %7.3f %7.3f %7.1f%% %8llu  %s\n", (scenario.name + " #" + std::to_string(scenario.seed)).c_str(), name.c_str(), day.report.service,
+        std::printf("%-34s %-20s %7.3f %7.3f %7.1f%% %8llu  %s\n",
+                    (scenario.name + " #" + std::to_string(scenario.seed)).c_str(), name.c_str(), day.report.service,
                     share, 100.0 * refused, static_cast<unsigned long long>(total.tries), rest.c_str());
         std::fflush(stdout);
       }
@@ -463,7 +517,8 @@
   std::vector<std::string> left_out, notes;
   std::string scenario;
   if (mistakes.empty())
-    scenario = lab::ConvertDay(text, {static_cast<std::size_t>(most_edges), most_calls_per_s}, &left_out, &notes, &mistakes);
+    scenario =
+        lab::ConvertDay(text, {static_cast<std::size_t>(most_edges), most_calls_per_s}, &left_out, &notes, &mistakes);
   if (mistakes.empty()) lab::ParseScenario(scenario, &mistakes);
   if (!Fine(mistakes, path)) return kBadInput;
   for (const std::string& note : notes) std::cerr << note << "\n";
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -50,12 +50,12 @@
   int lines = 0;  // 0: what the rate needs
   int edge_cpu = -1, own_cpu = -1;
   std::string rules;  // a file for the edge; empty: none
-  // udp, tcp, dead, stall: where flow records go; spool: to none, with a spool; outage: over TCP with a spool, to one that
-  // is away for a time; empty: nowhere.
+  // udp, tcp, dead, stall: where flow records go; spool: to none, with a spool; outage: over TCP with a spool, to one
+  // that is away for a time; empty: nowhere.
   std::string flow;
   int outage_s = 60;
   double strangers_per_s = 0.0;  // datagrams from an address that is no gateway of the edge, at most 200,000 a second
-  int reload_ms = 0;  // the edge is told to read it again as often; 0: never
+  int reload_ms = 0;             // the edge is told to read it again as often; 0: never
   bool json = false, echo = true;
 };
 int RunLoad(const LoadRun& options);
@@ -82,7 +82,7 @@
   std::string svg, title;                     // of the report, as a picture
   std::uint64_t bin_ms = 1000;
   std::vector<std::string> marks;  // "SECONDS=TEXT", from the first attempt on
-  int seconds = 10;  // of listening
+  int seconds = 10;                // of listening
   std::uint32_t enterprise = 32473;
   std::uint64_t split_ms = 0;  // of the report: Unix time in milliseconds; or
   double split_s = 0.0;        // seconds after the first attempt
--- a/src/cli/flow.cpp
+++ b/src/cli/flow.cpp
@@ -27,9 +27,11 @@
   for (const flow::DecodedField& field : record.fields) {
     flow::Element element;
     const bool v9_own = field.enterprise == 0 && field.id > flow::kV9Own;
-    const bool known = v9_own ? flow::FindElement(enterprise, static_cast<std::uint16_t>(field.id - flow::kV9Own), enterprise, &element)
+    const bool known = v9_own ? flow::FindElement(enterprise, static_cast<std::uint16_t>(field.id - flow::kV9Own),
+                                                  enterprise, &element)
                               : flow::FindElement(field.enterprise, field.id, enterprise, &element);
-    const std::string name = known ? std::string(element.name) : std::to_string(field.enterprise) + "/" + std::to_string(field.id);
+    const std::string name =
+        known ? std::string(element.name) : std::to_string(field.enterprise) + "/" + std::to_string(field.id);
     if (known && element.type == flow::DataType::kString) {
       const auto text = field.octets.substr(0, field.octets.find('\0'));
       std::string printable;
@@ -94,9 +96,9 @@
   std::this_thread::sleep_for(std::chrono::seconds(options.seconds));
   collector.Stop();
   const auto& counters = collector.decoder().counters();
-  std::fprintf(stderr, "%llu messages, %llu records, %llu lost, %llu malformed\n", static_cast<unsigned long long>(counters.messages),
-               static_cast<unsigned long long>(records), static_cast<unsigned long long>(counters.lost),
-               static_cast<unsigned long long>(counters.malformed));
+  std::fprintf(stderr, "%llu messages, %llu records, %llu lost, %llu malformed\n",
+               static_cast<unsigned long long>(counters.messages), static_cast<unsigned long long>(records),
+               static_cast<unsigned long long>(counters.lost), static_cast<unsigned long long>(counters.malformed));
   return counters.malformed == 0 ? kDone : kVerdictAgainst;
 }
 
@@ -104,7 +106,9 @@
   flow::Shift shift;
   if (!ReadFlowFile(options.from, [&](const DecodedRecord& record) { shift.Add(record); })) return kBadInput;
   const std::uint64_t first = shift.begins();
-  const auto after_first = [&](double seconds) { return first + static_cast<std::uint64_t>(std::max(0.0, seconds) * 1000.0); };
+  const auto after_first = [&](double seconds) {
+    return first + static_cast<std::uint64_t>(std::max(0.0, seconds) * 1000.0);
+  };
   const std::uint64_t split = options.split_ms > 0 ? options.split_ms : after_first(options.split_s);
   const auto groups = shift.Groups(split, options.bin_ms);
   if (!options.svg.empty()) {
@@ -127,21 +131,24 @@
     }
   }
   if (options.json) {
-    json out = {{"attempts", shift.attempts()}, {"repeated", shift.repeated()}, {"split_ms", split}, {"groups", json::array()}};
+    json out = {
+        {"attempts", shift.attempts()}, {"repeated", shift.repeated()}, {"split_ms", split}, {"groups", json::array()}};
     const auto part = [](const flow::Shift::Sums& s) {
       return json{{"sent", s.sent()}, {"stood", s.direct + s.by_way_of}, {"by_way_of", s.by_way_of}};
     };
     for (const auto& g : groups)
-      out["groups"].push_back({{"exchange", g.exchange}, {"group", g.group}, {"before", part(g.before)}, {"after", part(g.after)}});
+      out["groups"].push_back(
+          {{"exchange", g.exchange}, {"group", g.group}, {"before", part(g.before)}, {"after", part(g.after)}});
     std::cout << out.dump(1) << "\n";
     return kDone;
   }
-  std::printf("%-8s %-8s %10s %10s %10s   %10s %10s %10s\n", "exchange", "group", "sent", "stood", "by way of", "sent", "stood", "by way of");
+  std::printf("%-8s %-8s %10s %10s %10s   %10s %10s %10s\n", "exchange", "group", "sent", "stood", "by way of", "sent",
+              "stood", "by way of");
   for (const auto& g : groups) {
     const auto n = [](std::uint64_t value) { return static_cast<unsigned long long>(value); };
-    std::printf("%-8llu %-8llu %10llu %10llu %10llu   %10llu %10llu %10llu\n", n(g.exchange), n(g.group), n(g.before.sent()),
-                n(g.before.direct + g.before.by_way_of), n(g.before.by_way_of), n(g.after.sent()), n(g.after.direct + g.after.by_way_of),
-                n(g.after.by_way_of));
+    std::printf("%-8llu %-8llu %10llu %10llu %10llu   %10llu %10llu %10llu\n", n(g.exchange), n(g.group),
+                n(g.before.sent()), n(g.before.direct + g.before.by_way_of), n(g.before.by_way_of), n(g.after.sent()),
+                n(g.after.direct + g.after.by_way_of), n(g.after.by_way_of));
   }
   return kDone;
 }
--- a/src/cli/load.cpp
+++ b/src/cli/load.cpp
@@ -39,8 +39,7 @@
   cpu_set_t set;
   CPU_ZERO(&set);
   CPU_SET(static_cast<std::size_t>(cpu), &set);
-  if (::sched_setaffinity(process, sizeof(set), &set) != 0)
-    std::fprintf(stderr, "processor %d was not granted\n", cpu);
+  if (::sched_setaffinity(process, sizeof(set), &set) != 0) std::fprintf(stderr, "processor %d was not granted\n", cpu);
 }
 
 // Seconds of processor time a process has used, and its resident memory in bytes.
@@ -89,7 +88,9 @@
     if (passed > options.seconds + 30.0) break;
     const auto due = static_cast<std::uint64_t>(passed * options.strangers_per_s);
     for (; sent < due; ++sent) {
-      const std::string text = "NTFY " + std::to_string(sent % 999'999'999 + 1) + " aaln/" + std::to_string(sent % 500 + 1) + "@load.lab MGCP 1.0\r\nX: 1\r\nO: L/hd, D/1, D/2, D/3\r\n";
+      const std::string text = "NTFY " + std::to_string(sent % 999'999'999 + 1) + " aaln/" +
+                               std::to_string(sent % 500 + 1) +
+                               "@load.lab MGCP 1.0\r\nX: 1\r\nO: L/hd, D/1, D/2, D/3\r\n";
       socket.send_to(asio::buffer(text), to, 0, error);
     }
     while (socket.receive(asio::buffer(buffer), 0, error) > 0 && !error) {
@@ -155,23 +156,32 @@
   return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
 }
 
-std::string EdgeSettings(const lab::LoadSettings& load, std::size_t circuits, const std::string& rules, const std::string& collector,
-                         const std::string& folder) {
+std::string EdgeSettings(const lab::LoadSettings& load, std::size_t circuits, const std::string& rules,
+                         const std::string& collector, const std::string& folder) {
   nlohmann::json json = {
       {"exchange", {{"number", 0}}},
       {"agent",
-       {{"listen", core::ToString(load.edge)}, {"most_calls", 200'000}, {"answer_margin_ms", 50}, {"shutdown_limit_ms", 3000}, {"seed", 1}}},
+       {{"listen", core::ToString(load.edge)},
+        {"most_calls", 200'000},
+        {"answer_margin_ms", 50},
+        {"shutdown_limit_ms", 3000},
+        {"seed", 1}}},
       {"gateway", {{"address", core::ToString(load.gateway)}, {"domain", load.domain}}},
       {"lines", {{"count", load.lines}, {"number_prefix", ""}, {"digit_map", "xxxxxxxxx"}}},
       {"groups", {{{"exchange", 1}, {"circuits", circuits}}}},
-      {"classes", {{{"name", "load"}, {"aim_ms", 1500}, {"give_up_ms", load.patience_us / 1000}, {"holding_ms", load.hold_us / 1000}}}},
+      {"classes",
+       {{{"name", "load"},
+         {"aim_ms", 1500},
+         {"give_up_ms", load.patience_us / 1000},
+         {"holding_ms", load.hold_us / 1000}}}},
       {"plan", {{{"prefix", lab::Prefix(0, 0, 1)}, {"exchange", 1}, {"class", "load"}}}},
       {"roster", {{"server", core::ToString(load.roster)}, {"listen", core::ToString(load.edge_roster)}}},
       {"network", {{"release_ms", 300}, {"drain_grace_ms", 500}, {"most_attempts", 4}, {"may_cancel", true}}},
       {"log", {{"level", "warning"}}}};
   if (!rules.empty()) json["rules_file"] = rules;
   if (!collector.empty()) {
-    nlohmann::json to = {{"address", "127.30.0.4:4739"}, {"transport", collector == "udp" ? "udp" : "tcp"}, {"queue", 65'536}};
+    nlohmann::json to = {
+        {"address", "127.30.0.4:4739"}, {"transport", collector == "udp" ? "udp" : "tcp"}, {"queue", 65'536}};
     if (collector == "spool" || collector == "outage") to["spool"] = {{"folder", folder + "/spool"}};
     if (collector == "outage") to["longest_wait_ms"] = 2000;
     json["flow"] = {{"collectors", {to}}};
@@ -239,17 +249,21 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(options.seconds * 250));
       collector.Stop();
       std::this_thread::sleep_for(std::chrono::seconds(options.outage_s));
-      back_at = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+      back_at =
+          std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch())
+              .count();
       collector.StartTcp(lab::Collector::Mode::kRead);
     });
   }
   std::uint64_t strangers_sent = 0;
   std::jthread strangers;
   if (options.strangers_per_s > 0.0) {
-    strangers = std::jthread([&](const std::stop_token& stop) { strangers_sent = Strangers(load.edge, options, stop); });
+    strangers =
+        std::jthread([&](const std::stop_token& stop) { strangers_sent = Strangers(load.edge, options, stop); });
   }
   const Usage before = UsageOf(edge);
-  lab::LoadFigures f = line.Run([](void* p) { static_cast<Peak*>(p)->usage = UsageOf(static_cast<Peak*>(p)->edge); }, &peak);
+  lab::LoadFigures f =
+      line.Run([](void* p) { static_cast<Peak*>(p)->usage = UsageOf(static_cast<Peak*>(p)->edge); }, &peak);
   if (strangers.joinable()) {
     strangers.request_stop();
     strangers.join();
@@ -288,7 +302,10 @@
       {"echo_datagrams_per_s", echo.datagrams_per_s},
       {"echo_datagrams_per_cpu_s", echo.datagrams_per_cpu_s},
       {"share_of_echo", echo.datagrams_per_cpu_s > 0.0 ? calls_per_cpu_s * per_call / echo.datagrams_per_cpu_s : 0.0},
-      {"added_ms", {{"median", At(f.added_us, 0.5) / 1000.0}, {"p99", At(f.added_us, 0.99) / 1000.0}, {"p999", At(f.added_us, 0.999) / 1000.0}}},
+      {"added_ms",
+       {{"median", At(f.added_us, 0.5) / 1000.0},
+        {"p99", At(f.added_us, 0.99) / 1000.0},
+        {"p999", At(f.added_us, 0.999) / 1000.0}}},
       {"answer_ms", {{"median", At(f.answer_us, 0.5) / 1000.0}, {"p99", At(f.answer_us, 0.99) / 1000.0}}},
       {"most_up", f.most_up},
       {"bytes_per_call_up", bytes},
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -31,16 +31,20 @@
   run_command->callback([&] { code = RunDay(run); });
 
   LabCompare compare;
-  CLI::App* compare_command = lab->add_subcommand("compare", "Plays days on virtual time with the module and with baselines in its place");
+  CLI::App* compare_command =
+      lab->add_subcommand("compare", "Plays days on virtual time with the module and with baselines in its place");
   compare_command->add_option("scenarios", compare.scenarios, "JSON (schemas/scenario.schema.json)")->required();
   compare_command->add_option("--decider", compare.deciders, "Only these; several times")
       ->check(CLI::IsMember({"module", "direct-only", "direct-then-random", "least-loaded"}));
-  compare_command->add_option("--seeds", compare.seeds, "Each day with so many seeds")->check(CLI::Range(1, 1000))->capture_default_str();
+  compare_command->add_option("--seeds", compare.seeds, "Each day with so many seeds")
+      ->check(CLI::Range(1, 1000))
+      ->capture_default_str();
   compare_command->add_flag("--json", compare.json, "As JSON");
   compare_command->callback([&] { code = CompareDeciders(compare); });
 
   LabDoors doors;
-  CLI::App* doors_command = lab->add_subcommand("doors", "Compares the fair door with others under a flood of made-up identities, on virtual time");
+  CLI::App* doors_command = lab->add_subcommand(
+      "doors", "Compares the fair door with others under a flood of made-up identities, on virtual time");
   doors_command->add_option("--flood", doors.floods, "Identities a second; several")->check(CLI::Range(0.0, 100'000.0));
   doors_command->add_option("--seed", doors.seed, "Of the evening")->capture_default_str();
   doors_command->add_option("--svg", doors.svg, "Also as a picture, there");
@@ -60,16 +64,26 @@
   load_command->add_option("--edge", load.edge_program, "The croftrun-edge to start")->capture_default_str();
   load_command->add_option("--folder", load.folder, "For settings and metrics")->capture_default_str();
   load_command->add_option("--rate", load.calls_per_s, "Calls a second")->capture_default_str();
-  load_command->add_option("--seconds", load.seconds, "For so long, 300 at most")->check(CLI::Range(1, 300))->capture_default_str();
+  load_command->add_option("--seconds", load.seconds, "For so long, 300 at most")
+      ->check(CLI::Range(1, 300))
+      ->capture_default_str();
   load_command->add_option("--hold-ms", load.hold_ms, "A call that stands is held so long")->capture_default_str();
   load_command->add_option("--lines", load.lines, "Lines; 0: what the rate needs")->capture_default_str();
   load_command->add_option("--edge-cpu", load.edge_cpu, "Ask for this processor for the edge")->capture_default_str();
   load_command->add_option("--own-cpu", load.own_cpu, "Ask for this processor for the load")->capture_default_str();
   load_command->add_option("--rules", load.rules, "Rules for the edge (the only class is load)");
-  load_command->add_option("--flow", load.flow, "Flow records go to a collector that reads, or does not")->check(CLI::IsMember({"udp", "tcp", "dead", "stall", "spool", "outage"}));
-  load_command->add_option("--outage-s", load.outage_s, "The collector of outage is away for so long, from a quarter of the time on")->check(CLI::Range(1, 200))->capture_default_str();
-  load_command->add_option("--reload-ms", load.reload_ms, "Have the edge read them again as often")->check(CLI::Range(10, 60'000));
-  load_command->add_option("--strangers", load.strangers_per_s, "Meanwhile so many NTFY a second of made-up transactions from an address that is no gateway")
+  load_command->add_option("--flow", load.flow, "Flow records go to a collector that reads, or does not")
+      ->check(CLI::IsMember({"udp", "tcp", "dead", "stall", "spool", "outage"}));
+  load_command
+      ->add_option("--outage-s", load.outage_s,
+                   "The collector of outage is away for so long, from a quarter of the time on")
+      ->check(CLI::Range(1, 200))
+      ->capture_default_str();
+  load_command->add_option("--reload-ms", load.reload_ms, "Have the edge read them again as often")
+      ->check(CLI::Range(10, 60'000));
+  load_command
+      ->add_option("--strangers", load.strangers_per_s,
+                   "Meanwhile so many NTFY a second of made-up transactions from an address that is no gateway")
       ->check(CLI::Range(0, 200'000));
   load_command->add_flag("!--no-echo", load.echo, "Leave the raw echo out");
   load_command->add_flag("--json", load.json, "The figures as JSON");
@@ -78,14 +92,22 @@
   SoakRun soak;
   soak.edge_program = beside;
   soak.folder = "lab-out/soak";
-  CLI::App* soak_command = lab->add_subcommand("soak", "Seeded trials of a handful of softswitches on the platform under faults (docs/soak.md)");
+  CLI::App* soak_command = lab->add_subcommand(
+      "soak", "Seeded trials of a handful of softswitches on the platform under faults (docs/soak.md)");
   soak_command->add_option("--edge", soak.edge_program, "The croftrun-edge to start")->capture_default_str();
   soak_command->add_option("--folder", soak.folder, "For configurations and logs")->capture_default_str();
   soak_command->add_option("--seed", soak.first_seed, "The first")->capture_default_str();
   soak_command->add_option("--count", soak.count, "So many seeds")->check(CLI::Range(1, 10'000))->capture_default_str();
-  soak_command->add_option("--jobs", soak.jobs, "Trials at the same time")->check(CLI::Range(1, 16))->capture_default_str();
-  soak_command->add_option("--slot", soak.first_slot, "First address range, 127.(32 + slot); taken ones are passed over")->check(CLI::Range(0, 63))->capture_default_str();
-  soak_command->add_option("--most-mb", soak.most_megabytes, "Memory of a softswitch; sanitized builds need more")->check(CLI::Range(1, 4096))->capture_default_str();
+  soak_command->add_option("--jobs", soak.jobs, "Trials at the same time")
+      ->check(CLI::Range(1, 16))
+      ->capture_default_str();
+  soak_command
+      ->add_option("--slot", soak.first_slot, "First address range, 127.(32 + slot); taken ones are passed over")
+      ->check(CLI::Range(0, 63))
+      ->capture_default_str();
+  soak_command->add_option("--most-mb", soak.most_megabytes, "Memory of a softswitch; sanitized builds need more")
+      ->check(CLI::Range(1, 4096))
+      ->capture_default_str();
   soak_command->add_option("--only", soak.only, "Only this kind of fault; several times");
   soak_command->add_option("--without", soak.without, "Not this kind of fault; several times");
   soak_command->add_flag("--shrink", soak.shrink, "Leave out faults of failed trials as long as they fail");
@@ -106,7 +128,8 @@
   const auto add_rules = [&](const char* name, const char* what, int (*run_it)(const RulesRun&)) {
     CLI::App* command = rules->add_subcommand(name, what);
     command->add_option("file", of_rules.file, "The rules")->required();
-    command->add_option("--settings", of_rules.settings, "Settings of the edge, for its classes and customers")->required();
+    command->add_option("--settings", of_rules.settings, "Settings of the edge, for its classes and customers")
+        ->required();
     command->add_flag("--json", of_rules.json, "As JSON");
     command->callback([&code, &of_rules, run_it] { code = run_it(of_rules); });
     return command;
@@ -114,25 +137,33 @@
   add_rules("check", "Tells every mistake, and rules that are never reached", CheckRuleFile)
       ->add_flag("--overlaps", of_rules.overlaps, "Also rules that may match the same call and differ");
   CLI::App* explain = add_rules("explain", "Shows which rule matches a call, and why the others do not", ExplainCall);
-  explain->add_option("--call", of_rules.call, "As in an example: called = \"2100\", customer = crew-leads, line = 7")->required();
+  explain->add_option("--call", of_rules.call, "As in an example: called = \"2100\", customer = crew-leads, line = 7")
+      ->required();
   explain->add_option("--at", of_rules.at, "As in an example: 2026-12-24 18:30");
   add_rules("test", "Runs the examples that stand beside the rules", TestRules);
   add_rules("bench", "Measures the rules on their examples", BenchRules)
-      ->add_option("--calls", of_rules.calls, "So many")->check(CLI::Range(1, 100'000'000))->capture_default_str();
+      ->add_option("--calls", of_rules.calls, "So many")
+      ->check(CLI::Range(1, 100'000'000))
+      ->capture_default_str();
 
   FlowRun of_flow;
   CLI::App* flow = app.add_subcommand("flow", "Flow records (docs/flow-export.md)");
   flow->require_subcommand(1);
   CLI::App* decode = flow->add_subcommand("decode", "Shows records as JSON lines");
-  decode->add_option("from", of_flow.from, "A file of IPFIX messages, or an address to listen at, 127.0.0.1:4739")->required();
+  decode->add_option("from", of_flow.from, "A file of IPFIX messages, or an address to listen at, 127.0.0.1:4739")
+      ->required();
   decode->add_flag("--tcp", of_flow.tcp, "Listen for TCP, not UDP");
-  CLI::Option* certificate = decode->add_option("--certificate", of_flow.certificate, "Listen for TLS, with this certificate (PEM)");
+  CLI::Option* certificate =
+      decode->add_option("--certificate", of_flow.certificate, "Listen for TLS, with this certificate (PEM)");
   CLI::Option* key = decode->add_option("--key", of_flow.key, "Its key (PEM)");
   certificate->needs(key);
   key->needs(certificate);
-  decode->add_option("--authorities", of_flow.authorities, "Let in only who shows a certificate of these (PEM)")->needs(certificate);
+  decode->add_option("--authorities", of_flow.authorities, "Let in only who shows a certificate of these (PEM)")
+      ->needs(certificate);
   decode->add_option("-o,--out", of_flow.out, "Keep the messages there, as they came");
-  decode->add_option("--seconds", of_flow.seconds, "Listen for so long")->check(CLI::Range(1, 3600))->capture_default_str();
+  decode->add_option("--seconds", of_flow.seconds, "Listen for so long")
+      ->check(CLI::Range(1, 3600))
+      ->capture_default_str();
   decode->add_option("--enterprise", of_flow.enterprise, "Number of our enterprise elements")->capture_default_str();
   decode->callback([&] { code = DecodeFlow(of_flow); });
   CLI::App* report = flow->add_subcommand("report", "How attempts went by group before and after a time");
@@ -141,7 +172,9 @@
   report->add_option("--split-s", of_flow.split_s, "Or seconds after the first attempt")->excludes(split_ms);
   report->add_option("--svg", of_flow.svg, "Also as a picture over time, there");
   report->add_option("--title", of_flow.title, "Of the picture");
-  report->add_option("--bin-ms", of_flow.bin_ms, "Of the picture's columns")->check(CLI::Range(1, 86'400'000))->capture_default_str();
+  report->add_option("--bin-ms", of_flow.bin_ms, "Of the picture's columns")
+      ->check(CLI::Range(1, 86'400'000))
+      ->capture_default_str();
   report->add_option("--mark", of_flow.marks, "SECONDS=TEXT, drawn there; several times");
   report->add_flag("--json", of_flow.json, "As JSON");
   report->callback([&] { code = ReportFlow(of_flow); });
@@ -164,7 +197,8 @@
   convert->add_option("day", path, "JSON, as drawn by the bench")->required();
   convert->add_option("-o,--out", out, "The scenario; left out: standard output");
   convert->add_option("--edges", most_edges, "Exchanges at most")->check(CLI::Range(2, 128))->capture_default_str();
-  convert->add_option("--rate", most_calls, "Calls a second at most; fewer exchanges are kept until it holds")->capture_default_str();
+  convert->add_option("--rate", most_calls, "Calls a second at most; fewer exchanges are kept until it holds")
+      ->capture_default_str();
   convert->callback([&] { code = ConvertDayFile(path, out, most_edges, most_calls); });
 
   try {
--- a/src/cli/rules.cpp
+++ b/src/cli/rules.cpp
@@ -50,7 +50,8 @@
 int TellMistakes(const RulesRun& options, const Loaded& loaded) {
   if (options.json) {
     json list = json::array();
-    for (const expr::Mistake& m : loaded.mistakes) list.push_back({{"line", m.line}, {"column", m.column}, {"text", m.text}, {"shown", m.shown}});
+    for (const expr::Mistake& m : loaded.mistakes)
+      list.push_back({{"line", m.line}, {"column", m.column}, {"text", m.text}, {"shown", m.shown}});
     std::cout << json{{"fine", false}, {"mistakes", list}}.dump(1) << "\n";
   } else {
     std::cerr << options.file << ":\n" << expr::ToString(loaded.mistakes);
@@ -67,10 +68,14 @@
   return input;
 }
 
-std::string NameOf(const expr::Rule& rule) { return rule.name.empty() ? "line " + std::to_string(rule.line) : rule.name; }
+std::string NameOf(const expr::Rule& rule) {
+  return rule.name.empty() ? "line " + std::to_string(rule.line) : rule.name;
+}
 
 std::string WordsOf(const Loaded& loaded, const expr::Outcome& outcome) {
-  const auto word = [&](const char* enumeration, int index) { return loaded.schema.enumerations.at(enumeration)[static_cast<std::size_t>(index)]; };
+  const auto word = [&](const char* enumeration, int index) {
+    return loaded.schema.enumerations.at(enumeration)[static_cast<std::size_t>(index)];
+  };
   std::string words;
   const auto add = [&](const std::string& text) { words += (words.empty() ? "" : ", ") + text; };
   if (outcome.call_class) add("class = " + word("class", *outcome.call_class));
@@ -107,9 +112,10 @@
               << "\n";
     return kDone;
   }
-  for (const expr::Note& note : notes) std::printf("%s:%zu: note: %s\n", options.file.c_str(), note.line, note.text.c_str());
-  std::printf("fine: %zu rules, %zu counters, %zu examples, cost at most %llu a call\n", rules.rules.size(), rules.counters.size(),
-              rules.examples.size(), static_cast<unsigned long long>(rules.cost_bound));
+  for (const expr::Note& note : notes)
+    std::printf("%s:%zu: note: %s\n", options.file.c_str(), note.line, note.text.c_str());
+  std::printf("fine: %zu rules, %zu counters, %zu examples, cost at most %llu a call\n", rules.rules.size(),
+              rules.counters.size(), rules.examples.size(), static_cast<unsigned long long>(rules.cost_bound));
   return kDone;
 }
 
@@ -134,7 +140,8 @@
   }
   const std::string words = WordsOf(loaded, outcome);
   if (options.json) {
-    std::cout << json{{"rule", outcome.rule < 0 ? json() : json(NameOf(rules.rules[static_cast<std::size_t>(outcome.rule)]))},
+    std::cout << json{{"rule",
+                       outcome.rule < 0 ? json() : json(NameOf(rules.rules[static_cast<std::size_t>(outcome.rule)]))},
                       {"effects", words},
                       {"steps", steps},
                       {"tried", tried}}
@@ -171,7 +178,8 @@
   } else {
     for (const json& f : failures)
       std::printf("%s:%zu: example \"%s\": expected %s, found %s\n", options.file.c_str(), f["line"].get<std::size_t>(),
-                  f["example"].get<std::string>().c_str(), f["expected"].get<std::string>().c_str(), f["found"].get<std::string>().c_str());
+                  f["example"].get<std::string>().c_str(), f["expected"].get<std::string>().c_str(),
+                  f["found"].get<std::string>().c_str());
     std::printf("%zu of %zu examples hold\n", rules.examples.size() - failures.size(), rules.examples.size());
   }
   return failures.empty() ? kDone : kVerdictAgainst;
@@ -193,17 +201,26 @@
     steps += one;
   }
   const auto began = std::chrono::steady_clock::now();
-  for (int i = 0; i < options.calls; ++i) matched += rules.Match(inputs[static_cast<std::size_t>(i) % inputs.size()]) >= 0 ? 1 : 0;
-  const double ns = std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - began).count() / options.calls;
-  const json figures = {{"rules", rules.rules.size()}, {"calls", options.calls}, {"different_calls", inputs.size()},
-                        {"ns_a_call", ns},           {"load_ms", loaded.load_ms}, {"steps_a_call", static_cast<double>(steps) / static_cast<double>(inputs.size())},
-                        {"most_steps", most},        {"cost_bound", rules.cost_bound}};
+  for (int i = 0; i < options.calls; ++i)
+    matched += rules.Match(inputs[static_cast<std::size_t>(i) % inputs.size()]) >= 0 ? 1 : 0;
+  const double ns =
+      std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - began).count() / options.calls;
+  const json figures = {{"rules", rules.rules.size()},
+                        {"calls", options.calls},
+                        {"different_calls", inputs.size()},
+                        {"ns_a_call", ns},
+                        {"load_ms", loaded.load_ms},
+                        {"steps_a_call", static_cast<double>(steps) / static_cast<double>(inputs.size())},
+                        {"most_steps", most},
+                        {"cost_bound", rules.cost_bound}};
   if (options.json) {
     std::cout << figures.dump(1) << "\n";
   } else {
-    std::printf("%zu rules loaded in %.1f ms; %.0f ns a call over %d calls of %zu kinds; at most %llu steps, the bound is %llu\n",
-                rules.rules.size(), loaded.load_ms, ns, options.calls, inputs.size(), static_cast<unsigned long long>(most),
-                static_cast<unsigned long long>(rules.cost_bound));
+    std::printf(
+        "%zu rules loaded in %.1f ms; %.0f ns a call over %d calls of %zu kinds; at most %llu steps, the bound is "
+        "%llu\n",
+        rules.rules.size(), loaded.load_ms, ns, options.calls, inputs.size(), static_cast<unsigned long long>(most),
+        static_cast<unsigned long long>(rules.cost_bound));
   }
   return kDone;
 }
--- a/src/cli/soak.cpp
+++ b/src/cli/soak.cpp
@@ -71,10 +71,12 @@
   if (!played.result) return line + "could not be run: " + played.error;
   const Verdict& verdict = played.result->verdict;
   char figures[200];
-  std::snprintf(figures, sizeof(figures), "%d softswitches, %d exchanges, %zu faults, %zu calls, %.0f%% stood, %zu cut needlessly, ",
-                played.script.softswitches, played.script.exchanges, played.script.faults.size(), verdict.offered,
-                verdict.offered == 0 ? 0.0 : 100.0 * static_cast<double>(verdict.answered) / static_cast<double>(verdict.offered),
-                verdict.needless_cuts);
+  std::snprintf(
+      figures, sizeof(figures),
+      "%d softswitches, %d exchanges, %zu faults, %zu calls, %.0f%% stood, %zu cut needlessly, ",
+      played.script.softswitches, played.script.exchanges, played.script.faults.size(), verdict.offered,
+      verdict.offered == 0 ? 0.0 : 100.0 * static_cast<double>(verdict.answered) / static_cast<double>(verdict.offered),
+      verdict.needless_cuts);
   line += figures;
   if (verdict.findings.empty()) return line + "nothing broken";
   std::map<std::string_view, int> broken;
@@ -109,8 +111,9 @@
     Script fewer = script;
     fewer.faults.erase(fewer.faults.begin() + static_cast<std::ptrdiff_t>(i));
     const Played played = PlayScript(fewer, options, slot);
-    const bool same = played.result && std::any_of(played.result->verdict.findings.begin(), played.result->verdict.findings.end(),
-                                                   [&](const Finding& finding) { return rules.count(finding.rule) > 0; });
+    const bool same =
+        played.result && std::any_of(played.result->verdict.findings.begin(), played.result->verdict.findings.end(),
+                                     [&](const Finding& finding) { return rules.count(finding.rule) > 0; });
     if (same) {
       script = fewer;
     } else {
@@ -153,8 +156,10 @@
 }
 
 void ShowSummary(const Summary& summary, std::size_t trials) {
-  std::printf("%zu trials, %d with something broken; %zu calls, %zu stood, %zu cut needlessly; %zu connections to exchanges, %zu probes\n", trials,
-              summary.failed, summary.offered, summary.answered, summary.cuts, summary.connections, summary.probes);
+  std::printf(
+      "%zu trials, %d with something broken; %zu calls, %zu stood, %zu cut needlessly; %zu connections to exchanges, "
+      "%zu probes\n",
+      trials, summary.failed, summary.offered, summary.answered, summary.cuts, summary.connections, summary.probes);
   for (std::size_t i = 0; i < kRules; ++i) {
     const std::string name(NameOf(static_cast<Rule>(i)));
     if (summary.checked[i] == 0) {
@@ -165,18 +170,22 @@
   }
   for (const auto& [kind, count] : summary.faults) {
     const auto failed = summary.failed_with.find(kind);
-    std::printf("  fault %-18s played %4d, in %d failed trials\n", kind.c_str(), count, failed == summary.failed_with.end() ? 0 : failed->second);
+    std::printf("  fault %-18s played %4d, in %d failed trials\n", kind.c_str(), count,
+                failed == summary.failed_with.end() ? 0 : failed->second);
   }
 }
 
 json JsonOf(const std::vector<Played>& trials, const Summary& summary) {
-  json out = {{"trials", json::array()}, {"failed", summary.failed}, {"offered", summary.offered}, {"answered", summary.answered},
-              {"needless_cuts", summary.cuts}, {"connections", summary.connections}, {"probes", summary.probes}};
+  json out = {{"trials", json::array()},      {"failed", summary.failed},      {"offered", summary.offered},
+              {"answered", summary.answered}, {"needless_cuts", summary.cuts}, {"connections", summary.connections},
+              {"probes", summary.probes}};
   for (std::size_t i = 0; i < kRules; ++i) {
-    out["rules"][std::string(NameOf(static_cast<Rule>(i)))] = {{"checked", summary.checked[i]}, {"broken", summary.broken[i]}};
+    out["rules"][std::string(NameOf(static_cast<Rule>(i)))] = {{"checked", summary.checked[i]},
+                                                               {"broken", summary.broken[i]}};
   }
   for (const Played& played : trials) {
-    json trial = {{"seed", played.script.seed}, {"error", played.error}, {"faults", json::array()}, {"findings", json::array()}};
+    json trial = {
+        {"seed", played.script.seed}, {"error", played.error}, {"faults", json::array()}, {"findings", json::array()}};
     for (const Fault& fault : played.script.faults) trial["faults"].push_back(lab::soak::ToString(fault));
     if (played.result) {
       for (const Finding& finding : played.result->verdict.findings) {
--- a/src/cli/soak.h
+++ b/src/cli/soak.h
@@ -19,8 +19,8 @@
   bool shrink = false, json = false, quiet = false, show_script = false;
 };
 
-// Plays the seeds and prints a line for each, findings with the timeline of the first call, and a summary by rule and by
-// kind of fault. Returns an ExitCode of cli/commands.h.
+// Plays the seeds and prints a line for each, findings with the timeline of the first call, and a summary by rule and
+// by kind of fault. Returns an ExitCode of cli/commands.h.
 int RunSoak(const SoakRun& options);
 
 }  // namespace croftrun::cli
--- a/src/core/call_core.cpp
+++ b/src/core/call_core.cpp
@@ -49,7 +49,11 @@
 }  // namespace
 
 CallCore::CallCore(const CoreSettings& settings, Runtime* runtime, LogSink* log)
-    : settings_(settings), runtime_(runtime), log_(log), gate_(settings.overload), chance_(settings.seed | 1U),
+    : settings_(settings),
+      runtime_(runtime),
+      log_(log),
+      gate_(settings.overload),
+      chance_(settings.seed | 1U),
       finish_(runtime) {
   for (const GroupSettings& group : settings_.groups) {
     groups_.emplace(group.number, CircuitGroup(group.circuits, own_number() < group.number));
@@ -57,8 +61,7 @@
   const TimeUs now = runtime_->Now();
   decider_ = settings_.decider ? settings_.decider(settings_.module, settings_.seed, now, &actions_)
                                : std::make_unique<ModuleDecider>(settings_.module, settings_.seed, now, &actions_);
-  for (const Action& action : std::exchange(actions_, {}))
-    std::visit([this](const auto& a) { Carry(a); }, action);
+  for (const Action& action : std::exchange(actions_, {})) std::visit([this](const auto& a) { Carry(a); }, action);
 }
 
 CallCore::~CallCore() {
@@ -164,8 +167,8 @@
   const TimeUs end = call->taken_at + call->offer.patience_us - settings_.answer_margin_us;
   const TimeUs left = end > now ? end - now : 0;
   const TimeUs timeout = send.timeout_us == 0 ? left : std::min(send.timeout_us, left);
-  call->attempt->timeout = runtime_->StartTimer(
-      timeout, [this, id = send.call, index] { OnAttemptTimeout(id, index); });
+  call->attempt->timeout =
+      runtime_->StartTimer(timeout, [this, id = send.call, index] { OnAttemptTimeout(id, index); });
   const TrunkSetUp set_up{call->out, index, send.exchange, &call->offer, call->origin, timeout};
   trunks_->SetUp(set_up);
   TellSpare(number);
@@ -173,8 +176,7 @@
 
 void CallCore::Carry(const Cancel& cancel) {
   Call* call = Find(cancel.call);
-  if (call == nullptr || !call->attempt || call->attempt->index != cancel.attempt ||
-      call->state != State::kRouting)
+  if (call == nullptr || !call->attempt || call->attempt->index != cancel.attempt || call->state != State::kRouting)
     return;
   EndAttempt(cancel.call, *call, Outcome::kCancelled, Cause::kNone, {}, false);
 }
@@ -319,15 +321,15 @@
     call.offer.patience_us = std::min(call.offer.patience_us, finish_by_ > now ? finish_by_ - now : 0);
   }
   if (log_->Wants(LogLevel::kDebug))
-    log_->Write(LogLevel::kDebug, "taken", id, call.offer.calling + " to " + call.offer.called + UnderRules(call.offer));
+    log_->Write(LogLevel::kDebug, "taken", id,
+                call.offer.calling + " to " + call.offer.called + UnderRules(call.offer));
   const TimeUs margin = std::min(settings_.answer_margin_us, call.offer.patience_us / 2);
   const TimeUs budget = call.offer.patience_us - margin;
   if (call.offer.destination == own_number() && !settings_.network_counts) {
     ++counters_.terminating;
     call.state = State::kRinging;
     call.deadline = runtime_->StartTimer(budget, [this, id] { OnDeadline(id); });
-    const ReleaseCause cause =
-        terminator_ != nullptr ? terminator_->Ring(id, call.offer) : ReleaseCause::kUnallocated;
+    const ReleaseCause cause = terminator_ != nullptr ? terminator_->Ring(id, call.offer) : ReleaseCause::kUnallocated;
     if (cause != ReleaseCause::kNormal) OnRingReleased(id, cause);
     return;
   }
@@ -339,7 +341,8 @@
   offered.call = id;
   offered.call_class = call.offer.call_class;
   offered.customer = call.offer.customer;
-  offered.number_called = call.offer.key != 0 || settings_.network_counts ? call.offer.key : NumberKey(call.offer.called);
+  offered.number_called =
+      call.offer.key != 0 || settings_.network_counts ? call.offer.key : NumberKey(call.offer.called);
   offered.budget_us = budget;
   offered.destination = call.offer.destination;
   offered.width = static_cast<double>(call.offer.width);
@@ -464,7 +467,8 @@
   }
   NoteRefusal(call->out, {});
   // This process stood still past the caller's time, and the answer lay in its queue: there is nobody to tell any more.
-  if (TooLate(*call)) return EndAttempt(id, *call, Outcome::kTimeout, Cause::kNone, {ReleaseCause::kTimerExpiry}, false);
+  if (TooLate(*call))
+    return EndAttempt(id, *call, Outcome::kTimeout, Cause::kNone, {ReleaseCause::kTimerExpiry}, false);
   // Nobody would release what stands for a caller who left.
   if (call->subscriber != nullptr && call->subscriber->Left(id)) return HangUp(id);
   runtime_->CancelTimer(std::exchange(call->attempt->timeout, kNoTimer));
@@ -499,15 +503,13 @@
 
 void CallCore::OnAttemptTimeout(CallId id, int index) {
   Call* call = Find(id);
-  if (call == nullptr || !call->attempt || call->attempt->index != index || call->state != State::kRouting)
-    return;
+  if (call == nullptr || !call->attempt || call->attempt->index != index || call->state != State::kRouting) return;
   call->attempt->timeout = kNoTimer;
   ++counters_.timeouts;
   EndAttempt(id, *call, Outcome::kTimeout, Cause::kNone, {ReleaseCause::kTimerExpiry}, false);
 }
 
-void CallCore::EndAttempt(CallId id, Call& call, Outcome outcome, Cause cause, const ReleaseInfo& info,
-                          bool terminal) {
+void CallCore::EndAttempt(CallId id, Call& call, Outcome outcome, Cause cause, const ReleaseInfo& info, bool terminal) {
   const Attempt attempt = *std::exchange(call.attempt, std::nullopt);
   runtime_->CancelTimer(attempt.timeout);
   const TimeUs now = runtime_->Now();
@@ -515,16 +517,9 @@
   call.last_release = info;
   const std::size_t circuits = call.out.circuits.size();
   if (circuits > 0 || settings_.network_counts) ReleaseSet(&call.out, {ReleaseCause::kNormal, own_number()});
-  const AttemptRecord record{id,
-                             attempt.index,
-                             number,
-                             number != call.offer.destination,
-                             outcome,
-                             cause,
-                             attempt.sent_at,
-                             attempt.stood_at,
-                             now,
-                             circuits};
+  const AttemptRecord record{id,      attempt.index, number,          number != call.offer.destination,
+                             outcome, cause,         attempt.sent_at, attempt.stood_at,
+                             now,     circuits};
   for (Observer* observer : observers_) observer->OnAttempt(record);
   if (log_->Wants(LogLevel::kDebug))
     log_->Write(LogLevel::kDebug, "attempt-ended", id,
@@ -555,7 +550,8 @@
                                           : counters_.failed);
   if (log_->Wants(LogLevel::kDebug)) {
     constexpr std::string_view kKinds[] = {"stands", "refused", "failed"};
-    log_->Write(LogLevel::kDebug, "final", id, std::string(kKinds[static_cast<std::size_t>(answer.kind)]) + UnderRules(call.offer));
+    log_->Write(LogLevel::kDebug, "final", id,
+                std::string(kKinds[static_cast<std::size_t>(answer.kind)]) + UnderRules(call.offer));
   }
   if (answer.kind == FinalKind::kStands) {
     for (Observer* observer : observers_) observer->OnStands(RecordOf(id, call));
@@ -585,9 +581,15 @@
 }
 
 CallRecord CallCore::RecordOf(CallId id, const Call& call) const {
-  return {id,          &call.offer,   call.subscriber == nullptr && call.origin != own_number(),
-          call.origin, call.attempts, call.answer,
-          call.taken_at, call.answered_at, runtime_->Now(),
+  return {id,
+          &call.offer,
+          call.subscriber == nullptr && call.origin != own_number(),
+          call.origin,
+          call.attempts,
+          call.answer,
+          call.taken_at,
+          call.answered_at,
+          runtime_->Now(),
           call.in.circuits.empty() ? -1 : call.in.group};
 }
 
@@ -664,8 +666,8 @@
 
 void CallCore::OnProbed(int number, bool answered, TimeUs elapsed_us, const LoadReport& load) {
   if (const auto found = by_number_.find(number); found != by_number_.end() && !found->second.empty()) {
-    ReportHeard heard{found->second.front(), answered ? Outcome::kOk : Outcome::kTimeout, std::max<TimeUs>(elapsed_us, 1),
-                      Figures(number)};
+    ReportHeard heard{found->second.front(), answered ? Outcome::kOk : Outcome::kTimeout,
+                      std::max<TimeUs>(elapsed_us, 1), Figures(number)};
     heard.report.insert(heard.report.end(), load.begin(), load.end());
     return Feed(std::move(heard));
   }
@@ -675,7 +677,8 @@
   if (directory_.count(exchange) > 0) Feed(ReportHeard{.exchange = exchange, .report = figures});
 }
 
-void CallCore::OnProbeEnded(ExchangeId exchange, Outcome outcome, TimeUs elapsed_us, const std::vector<float>& figures) {
+void CallCore::OnProbeEnded(ExchangeId exchange, Outcome outcome, TimeUs elapsed_us,
+                            const std::vector<float>& figures) {
   Feed(ReportHeard{exchange, outcome, std::max<TimeUs>(elapsed_us, 1), figures});
 }
 
--- a/src/core/call_core.h
+++ b/src/core/call_core.h
@@ -36,7 +36,7 @@
   kNormal = 16,
   kUserBusy = 17,
   kNoAnswer = 19,
-  kOutOfOrder = 27,        // the far exchange is down or unreachable: the set-up never ran
+  kOutOfOrder = 27,  // the far exchange is down or unreachable: the set-up never ran
   kUnallocated = 1,
   kNoCircuit = 34,         // no circuit onward
   kOwnOutOfOrder = 38,     // the own exchange's processor is down: the set-up never left
@@ -74,10 +74,10 @@
   std::size_t width = 1;
   TimeUs patience_us = 0;  // until the caller gives up this try
   bool redialled = false;
-  int advice = -1;  // the centre's tandem, by number
-  int priority = 0;        // by the rules; higher is more
-  std::uint64_t key = 0;   // by the rules: what the call is held by in place of the number called; 0: the number
-  std::uint32_t rules = 0; // version of the rules that classified it; 0: none
+  int advice = -1;          // the centre's tandem, by number
+  int priority = 0;         // by the rules; higher is more
+  std::uint64_t key = 0;    // by the rules: what the call is held by in place of the number called; 0: the number
+  std::uint32_t rules = 0;  // version of the rules that classified it; 0: none
   // Where the network counts the circuits, set-ups in transit come by the front too.
   bool in_transit = false;   // may only go to its destination; `advice` is where it comes from
   bool cut_before = false;   // it stood, was cut and comes again
@@ -101,7 +101,8 @@
   virtual void OnTaken(CallId) {}
   virtual void OnFinal(CallId call, const FinalAnswer& answer) = 0;
   virtual void OnEnded(CallId call, ReleaseCause cause) = 0;
-  // Asked before each attempt and at its answer: the caller is known to have gone, though the word of it is still to come.
+  // Asked before each attempt and at its answer: the caller is known to have gone, though the word of it is still to
+  // come.
   virtual bool Left(CallId) const { return false; }
 };
 
@@ -124,7 +125,7 @@
 struct TrunkSetUp {
   CircuitSet set;
   int attempt = 0;
-  ExchangeId to = 0;  // by which a number is told from the one that had it before
+  ExchangeId to = 0;             // by which a number is told from the one that had it before
   const Offer* offer = nullptr;  // valid during the call
   int origin = -1;               // number of the exchange where the call began
   TimeUs budget_us = 0;          // until this attempt is given up
@@ -172,7 +173,7 @@
   Outcome outcome = Outcome::kOk;
   Cause cause = Cause::kNone;
   TimeUs sent_at = 0, stood_at = 0, ended_at = 0;  // stood_at 0: never
-  std::size_t circuits = 0;  // that it held; 0: there was none to seize, and no set-up left
+  std::size_t circuits = 0;                        // that it held; 0: there was none to seize, and no set-up left
 };
 struct CallRecord {
   CallId call = 0;
@@ -201,16 +202,17 @@
 struct CoreSettings {
   Settings module;
   std::vector<GroupSettings> groups;
-  std::size_t most_calls = 20'000;    // open at once, standing ones included
-  TimeUs answer_margin_us = 20'000;   // the final answer leaves this much before the caller's time is up
+  std::size_t most_calls = 20'000;   // open at once, standing ones included
+  TimeUs answer_margin_us = 20'000;  // the final answer leaves this much before the caller's time is up
   OverloadSettings overload;
   std::uint64_t seed = 1;
-  MakeDecider decider = {};  // empty: the module
+  MakeDecider decider = {};         // empty: the module
   std::size_t most_session = 1024;  // octets of a media description that are carried through
   // The network has the circuits: nothing is seized here, what is free is what OnGauge was told, calls in transit are
   // offered by the front, and no call ends here.
   bool network_counts = false;
-  TimeUs net_after_us = 0;  // a call that the module forgot fails this much later; for sites that count answers until then
+  TimeUs net_after_us =
+      0;  // a call that the module forgot fails this much later; for sites that count answers until then
 };
 
 struct CoreCounters {
@@ -218,10 +220,12 @@
   std::uint64_t stands = 0, refused = 0, failed = 0, hung_up = 0;
   std::uint64_t attempts = 0, moot = 0, timeouts = 0, cut = 0, ended = 0;
   std::uint64_t failed_at_end = 0;  // had no final answer when the process was to end
-  std::uint64_t refused_full = 0, refused_stopping = 0, refused_overload = 0, refused_door = 0, overdue = 0, stale_answers = 0;
+  std::uint64_t refused_full = 0, refused_stopping = 0, refused_overload = 0, refused_door = 0, overdue = 0,
+                stale_answers = 0;
   // Seizures by the far end that were sent back: it met one of ours or a call; the circuit is out of service here.
   std::uint64_t glare = 0, not_in_service = 0;
-  std::uint64_t too_late = 0;  // answers of the far end found in the queue after the caller's time: the process had stood still
+  std::uint64_t too_late =
+      0;  // answers of the far end found in the queue after the caller's time: the process had stood still
   // Seizures of ours that were refused, and circuits suspected for it.
   std::uint64_t refused_by_far_end = 0, suspected = 0;
 };
@@ -316,7 +320,7 @@
     TimeUs taken_at = 0, answered_at = 0;
     std::optional<FinalAnswer> answer;
     ReleaseInfo last_release;  // why the last attempt ended: told to who sent a transit call
-    std::string session;  // of the answering side
+    std::string session;       // of the answering side
     CircuitSet in, out;
     std::optional<Attempt> attempt;
     TimerId deadline = kNoTimer;
@@ -375,8 +379,8 @@
   std::map<int, CircuitGroup> groups_;  // by the number of the far exchange
   std::unordered_map<CallId, Call> calls_;
   std::map<ExchangeId, DirectoryEntry> directory_;
-  // Who has a number now, gone ones left out: the free circuits of a group are told at each seizure and release, and the
-  // directory is as large as the network.
+  // Who has a number now, gone ones left out: the free circuits of a group are told at each seizure and release, and
+  // the directory is as large as the network.
   std::unordered_map<int, std::vector<ExchangeId>> by_number_;
   std::unordered_map<std::uint32_t, TimerId> rests_;  // of suspected circuits, by group and circuit
   std::unordered_set<TimerId> module_timers_;
--- a/src/core/circuits.h
+++ b/src/core/circuits.h
@@ -9,8 +9,8 @@
 //   kSeizedOut   taken by a call of ours                          Release
 //   kSeizedIn    taken by the far end                             Release, once the far end let go
 //   kReleasing   given up, the far end has not confirmed          Confirm (release complete), or an audit
-//   kSuspect     idle here, but the far end refused it twice      Rested (its pause is over), SeizedByFarEnd, out of service
-//   kOutOfService  blocked, or the gateway said so                InService
+//   kSuspect     idle here, but the far end refused it twice      Rested (its pause is over), SeizedByFarEnd, out of
+//   service kOutOfService  blocked, or the gateway said so                InService
 #ifndef CROFTRUN_CORE_CIRCUITS_H_
 #define CROFTRUN_CORE_CIRCUITS_H_
 
@@ -45,8 +45,8 @@
   CircuitState State(CircuitNumber circuit) const { return circuits_[circuit].state; }
   Holder HeldBy(CircuitNumber circuit) const { return circuits_[circuit].holder; }
 
-  // Takes `width` idle circuits for `holder`, all or none; appends them to `taken`. Those at the back of the choice (the
-  // far end refused them) come last.
+  // Takes `width` idle circuits for `holder`, all or none; appends them to `taken`. Those at the back of the choice
+  // (the far end refused them) come last.
   bool Seize(std::size_t width, Holder holder, std::vector<CircuitNumber>* taken);
   // The far end took this circuit. False if it is not idle: out-seized is glare, anything else is stale knowledge.
   bool SeizedByFarEnd(CircuitNumber circuit, Holder holder);
--- a/src/core/roster.cpp
+++ b/src/core/roster.cpp
@@ -19,8 +19,8 @@
     // whoever erred: its state is believed, its start is not.
     if (fresh) {
       Known known{entry.incarnation, 0};
-      // Started before this clock began: long ago (0), not at its first moment, or an edge that is young itself would take
-      // every exchange that was ever replaced for a cold one.
+      // Started before this clock began: long ago (0), not at its first moment, or an edge that is young itself would
+      // take every exchange that was ever replaced for a cold one.
       if (entry.incarnation > 0) known.since_us = now > entry.age_us ? now - entry.age_us : 0;
       known_[entry.exchange] = known;
     }
--- a/src/core/runtime.h
+++ b/src/core/runtime.h
@@ -116,8 +116,8 @@
   virtual void CancelTimer(TimerId timer) = 0;
   // Throws std::system_error where the address cannot be bound.
   virtual std::unique_ptr<DatagramPort> OpenPort(const Address& local, DatagramSink* sink) = 0;
-  // Opens a stream to `to`; what becomes of it is told to `sink`, never from within this call. A runtime that carries no
-  // streams throws std::system_error from both, as the second does where the address cannot be bound.
+  // Opens a stream to `to`; what becomes of it is told to `sink`, never from within this call. A runtime that carries
+  // no streams throws std::system_error from both, as the second does where the address cannot be bound.
   virtual std::unique_ptr<Stream> Connect(const Address& to, TimeUs within, StreamSink* sink);
   virtual std::unique_ptr<StreamListener> Listen(const Address& local, StreamAcceptor* acceptor);
   virtual std::uint64_t Random() = 0;
--- a/src/door/clients.h
+++ b/src/door/clients.h
@@ -1,7 +1,7 @@
 // What is remembered of clients, in fixed memory however many there are or are made up. No I/O, no clock.
 //
-// Four places a set; a newcomer takes that of whoever was seen longest ago, of those who never showed themselves first. Who
-// came back as told, or was served and comes again a while later, has shown itself.
+// Four places a set; a newcomer takes that of whoever was seen longest ago, of those who never showed themselves first.
+// Who came back as told, or was served and comes again a while later, has shown itself.
 #ifndef CROFTRUN_DOOR_CLIENTS_H_
 #define CROFTRUN_DOOR_CLIENTS_H_
 
@@ -18,8 +18,8 @@
 
 struct ClientSettings {
   std::size_t most = 16'384;
-  TimeUs prove_us = 10'000'000;       // served so long ago, it has shown itself when it comes again
-  TimeUs forget_us = 600'000'000;     // not seen for so long, it is a stranger again
+  TimeUs prove_us = 10'000'000;        // served so long ago, it has shown itself when it comes again
+  TimeUs forget_us = 600'000'000;      // not seen for so long, it is a stranger again
   BucketSettings limit = {0.0, 10.0};  // of each that has shown itself
 };
 
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -68,19 +68,23 @@
     // Not before what waits now is served; as many in a span as the limit then lets through.
     const double rate = std::max(1.0, limiter_.rate());
     const TimeUs behind = static_cast<TimeUs>(static_cast<double>(waiting()) / rate * 1e6);
-    const double a_span = rate * static_cast<double>(settings_.promises.span_us) / 1e6 * (one.stranger ? settings_.strangers_share : settings_.promised_share);
-    const auto at = promises_.Make(one.what, now + std::max(settings_.least_pause_us, behind), now + settings_.longest_pause_us, a_span, Draw(), now);
+    const double a_span = rate * static_cast<double>(settings_.promises.span_us) / 1e6 *
+                          (one.stranger ? settings_.strangers_share : settings_.promised_share);
+    const auto at = promises_.Make(one.what, now + std::max(settings_.least_pause_us, behind),
+                                   now + settings_.longest_pause_us, a_span, Draw(), now);
     if (at) ++counters_.promised;
     // With nothing left to promise, it is to stay away for about as long as may be said.
     promised = at.has_value();
-    pause = at ? *at - now : static_cast<TimeUs>(static_cast<double>(settings_.longest_pause_us) * (0.5 + Draw() / 2.0));
+    pause =
+        at ? *at - now : static_cast<TimeUs>(static_cast<double>(settings_.longest_pause_us) * (0.5 + Draw() / 2.0));
   }
   verdicts->push_back({one.call, false, pause, promised});
 }
 
 void Door::OnKnock(const Knock& knock, TimeUs now, std::vector<Verdict>* verdicts) {
   ++counters_.knocks;
-  const std::uint64_t who = Hash(static_cast<std::uint64_t>(knock.customer), knock.client), what = Hash(who, knock.called);
+  const std::uint64_t who = Hash(static_cast<std::uint64_t>(knock.customer), knock.client),
+                      what = Hash(who, knock.called);
   Clients::Client& client = clients_.Come(who, now);
   TimeUs at = 0;
   const Promises::Comes comes = promises_.Look(what, now, &at);
@@ -103,7 +107,8 @@
   }
   const auto customer = static_cast<std::size_t>(knock.customer);
   const bool within = (as_told || one.stranger || clients_.TakeToken(client, now)) &&
-                      (knock.customer < 0 || customer >= of_customer_.size() || of_customer_[customer].Take(settings_.customers[customer].limit, now)) &&
+                      (knock.customer < 0 || customer >= of_customer_.size() ||
+                       of_customer_[customer].Take(settings_.customers[customer].limit, now)) &&
                       all_.Take(settings_.all, now);
   if (!within) {
     ++counters_.over_limit;
--- a/src/door/door.h
+++ b/src/door/door.h
@@ -1,7 +1,8 @@
 // The door: who is looked at, who waits and who is told to come back when, before the module spends work on a call.
 //
-// It decides nothing about routes or about the network's room: that is the module's, which may refuse whom the door let in.
-// One call is refused once: by the door before the module knows of it, or by the module. No I/O, no clock, fixed memory.
+// It decides nothing about routes or about the network's room: that is the module's, which may refuse whom the door let
+// in. One call is refused once: by the door before the module knows of it, or by the module. No I/O, no clock, fixed
+// memory.
 #ifndef CROFTRUN_DOOR_DOOR_H_
 #define CROFTRUN_DOOR_DOOR_H_
 
@@ -42,8 +43,8 @@
   std::string_view client;
   std::string_view called;  // a call to the same number again is the same call, come back
   int customer = 0;
-  double cost = 1.0;        // circuits
-  TimeUs patience_us = 0;   // until the caller gives up
+  double cost = 1.0;       // circuits
+  TimeUs patience_us = 0;  // until the caller gives up
 };
 
 struct Verdict {
@@ -56,7 +57,8 @@
 class Door {
  public:
   struct Counters {
-    std::uint64_t knocks = 0, admitted = 0, waited = 0, refused = 0, early = 0, overdue = 0, gave_way = 0, over_limit = 0;
+    std::uint64_t knocks = 0, admitted = 0, waited = 0, refused = 0, early = 0, overdue = 0, gave_way = 0,
+                  over_limit = 0;
     std::uint64_t promised = 0, as_told = 0, as_told_admitted = 0;
   };
 
--- a/src/door/fair_queue.h
+++ b/src/door/fair_queue.h
@@ -1,5 +1,5 @@
-// Calls that wait at the door, fairly: deficit round robin over customers by weight, within each over its clients (Shreedhar
-// and Varghese, 1996). Bounded; when full, the longest queue gives up its newest. No I/O, no clock.
+// Calls that wait at the door, fairly: deficit round robin over customers by weight, within each over its clients
+// (Shreedhar and Varghese, 1996). Bounded; when full, the longest queue gives up its newest. No I/O, no clock.
 #ifndef CROFTRUN_DOOR_FAIR_QUEUE_H_
 #define CROFTRUN_DOOR_FAIR_QUEUE_H_
 
@@ -21,8 +21,8 @@
   std::uint64_t who = 0, what = 0;  // the client; its call
   int customer = 0;
   TimeUs since = 0;
-  TimeUs until = 0;    // its answer is of use until then
-  double cost = 1.0;   // circuits
+  TimeUs until = 0;   // its answer is of use until then
+  double cost = 1.0;  // circuits
   bool stranger = false;
 };
 
@@ -53,7 +53,7 @@
   };
   struct Customer {
     double deficit = 0.0;
-    bool turn = false;  // it has had its quantum of this turn
+    bool turn = false;      // it has had its quantum of this turn
     std::list<Flow> flows;  // those with somebody waiting, in the order of their turns
     std::unordered_map<std::uint64_t, std::list<Flow>::iterator> by_key;
     std::size_t waiting = 0;
--- a/src/door/limiter.h
+++ b/src/door/limiter.h
@@ -1,8 +1,8 @@
 // How many calls may be in set-up at once: found from the set-up delay itself. No I/O, no clock.
 //
-// The least delay seen lately is what an idle network takes; a delay well above it means that calls queue somewhere behind
-// the door, where nobody can be served before another. The limit then shrinks by a tenth a span, else it grows by what was
-// used of it (after TCP Vegas; Brakmo and Peterson, 1995).
+// The least delay seen lately is what an idle network takes; a delay well above it means that calls queue somewhere
+// behind the door, where nobody can be served before another. The limit then shrinks by a tenth a span, else it grows
+// by what was used of it (after TCP Vegas; Brakmo and Peterson, 1995).
 #ifndef CROFTRUN_DOOR_LIMITER_H_
 #define CROFTRUN_DOOR_LIMITER_H_
 
@@ -14,8 +14,8 @@
 
 struct LimiterSettings {
   double least = 8.0, most = 4096.0, first = 64.0;
-  double queued = 2.0;        // a delay of so many times the least one is a queue
-  TimeUs span_us = 100'000;   // judged over this long
+  double queued = 2.0;            // a delay of so many times the least one is a queue
+  TimeUs span_us = 100'000;       // judged over this long
   TimeUs forget_us = 30'000'000;  // the least delay is of this long at most
 };
 
--- a/src/door/promises.cpp
+++ b/src/door/promises.cpp
@@ -30,7 +30,8 @@
   return Comes::kUnpromised;
 }
 
-std::optional<TimeUs> Promises::Make(std::uint64_t who, TimeUs earliest, TimeUs latest, double a_span, double draw, TimeUs now) {
+std::optional<TimeUs> Promises::Make(std::uint64_t who, TimeUs earliest, TimeUs latest, double a_span, double draw,
+                                     TimeUs now) {
   Entry* room = nullptr;
   for (std::size_t i = 0; i < kProbes; ++i) {
     Entry& entry = entries_[(Start(who) + i) & (entries_.size() - 1)];
@@ -39,7 +40,8 @@
   }
   if (room == nullptr) return std::nullopt;
   latest = std::min(latest, now + settings_.horizon_us);
-  for (std::uint64_t number = (earliest + settings_.span_us - 1) / settings_.span_us; number * settings_.span_us <= latest; ++number) {
+  for (std::uint64_t number = (earliest + settings_.span_us - 1) / settings_.span_us;
+       number * settings_.span_us <= latest; ++number) {
     Span& span = SpanOf(number);
     // Of less than one a span, one every so many spans.
     const bool sparse = a_span < 1.0 && number % static_cast<std::uint64_t>(1.0 / std::max(a_span, 1e-3)) != 0;
--- a/src/door/promises.h
+++ b/src/door/promises.h
@@ -1,5 +1,5 @@
-// Times at which refused callers were told to come back: as many in each span as can be served then, remembered in fixed
-// memory. No I/O, no clock.
+// Times at which refused callers were told to come back: as many in each span as can be served then, remembered in
+// fixed memory. No I/O, no clock.
 #ifndef CROFTRUN_DOOR_PROMISES_H_
 #define CROFTRUN_DOOR_PROMISES_H_
 
@@ -12,9 +12,9 @@
 namespace croftrun::door {
 
 struct PromiseSettings {
-  std::size_t most = 16'384;       // remembered at once
-  TimeUs span_us = 100'000;        // callers come back spread over spans of this long
-  TimeUs horizon_us = 30'000'000;  // no promise is for later
+  std::size_t most = 16'384;                       // remembered at once
+  TimeUs span_us = 100'000;                        // callers come back spread over spans of this long
+  TimeUs horizon_us = 30'000'000;                  // no promise is for later
   TimeUs early_us = 100'000, late_us = 1'000'000;  // who comes within this of the time has come as told
 };
 
@@ -25,8 +25,9 @@
   enum class Comes : std::uint8_t { kUnpromised, kAsTold, kEarly };
   // Somebody comes; kept, the promise is taken out. `*at`: of an early one, its time.
   Comes Look(std::uint64_t who, TimeUs now, TimeUs* at);
-  // Makes one, not before `earliest`, in the first span with less than `a_span` promised. Nothing: there is none within the
-  // horizon and `latest`, or no memory for it. `draw`: a chance number under 1, that spreads callers within the span.
+  // Makes one, not before `earliest`, in the first span with less than `a_span` promised. Nothing: there is none within
+  // the horizon and `latest`, or no memory for it. `draw`: a chance number under 1, that spreads callers within the
+  // span.
   std::optional<TimeUs> Make(std::uint64_t who, TimeUs earliest, TimeUs latest, double a_span, double draw, TimeUs now);
   std::size_t bytes() const { return entries_.size() * sizeof(Entry) + spans_.size() * sizeof(Span); }
 
--- a/src/edge/classifier.cpp
+++ b/src/edge/classifier.cpp
@@ -21,8 +21,8 @@
 
 }  // namespace
 
-expr::Schema Classifier::SchemaFor(const std::vector<std::string>& classes,
-                                   const std::vector<std::string>& customers, const std::vector<Place>& places) {
+expr::Schema Classifier::SchemaFor(const std::vector<std::string>& classes, const std::vector<std::string>& customers,
+                                   const std::vector<Place>& places) {
   using expr::Type;
   expr::Schema schema;
   schema.enumerations = {{"class", classes}, {"customer", customers}};
--- a/src/edge/classifier.h
+++ b/src/edge/classifier.h
@@ -17,9 +17,9 @@
 
 // What the front knows of a call beside its offer.
 struct CallFacts {
-  int line = 0;              // 0: none
+  int line = 0;               // 0: none
   std::uint32_t gateway = 0;  // IPv4 address, host order
-  double overload = 0.0;     // share of new calls that this edge refuses for its own overload
+  double overload = 0.0;      // share of new calls that this edge refuses for its own overload
 };
 
 // An exchange that the settings give a name, and the zone it lies in.
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -16,8 +16,8 @@
 
 const std::map<std::string, ReportField>& ReportFields() {
   static const std::map<std::string, ReportField> kFields = {
-      {"busy", ReportField::kBusy},       {"pending", ReportField::kPending}, {"cpu_share", ReportField::kCpuShare},
-      {"wait_ms", ReportField::kWaitMs},  {"allowed", ReportField::kAllowed}, {"cut_by", ReportField::kCutBy}};
+      {"busy", ReportField::kBusy},      {"pending", ReportField::kPending}, {"cpu_share", ReportField::kCpuShare},
+      {"wait_ms", ReportField::kWaitMs}, {"allowed", ReportField::kAllowed}, {"cut_by", ReportField::kCutBy}};
   return kFields;
 }
 
@@ -105,8 +105,7 @@
       c.repeat = repeat == "deduplicated"   ? Repeat::kDeduplicated
                  : repeat == "at-most-once" ? Repeat::kAtMostOnce
                                             : Repeat::kIdempotent;
-      if (c.aim_us > c.deadline_us)
-        Mistake(path + "/aim_ms", "expected at most give_up_ms, found more");
+      if (c.aim_us > c.deadline_us) Mistake(path + "/aim_ms", "expected at most give_up_ms, found more");
       s->class_names.push_back(c.name);
       s->core.module.classes.push_back(c);
       ++index;
@@ -162,10 +161,12 @@
     std::size_t place_index = 0;
     for (const json& entry : file.value("places", json::array())) {
       const std::string where = "/places/" + std::to_string(place_index++);
-      Place place{entry.at("exchange").get<int>(), entry.at("name").get<std::string>(), entry.at("zone").get<std::string>()};
+      Place place{entry.at("exchange").get<int>(), entry.at("name").get<std::string>(),
+                  entry.at("zone").get<std::string>()};
       for (const Place& known : s->places) {
         if (known.exchange == place.exchange || known.name == place.name)
-          Mistake(where, "expected each exchange and each name once, found " + place.name + " for exchange " + std::to_string(place.exchange));
+          Mistake(where, "expected each exchange and each name once, found " + place.name + " for exchange " +
+                             std::to_string(place.exchange));
       }
       s->places.push_back(std::move(place));
     }
@@ -188,7 +189,8 @@
     std::vector<expr::Mistake> faults;
     s->classifier = Classifier::Make(text, s->class_names, CustomerNames(*s), &faults, s->places);
     for (const expr::Mistake& fault : faults)
-      Mistake(path + std::to_string(fault.line - (lines_of_list ? 1 : 0)), "column " + std::to_string(fault.column) + ": " + fault.text + "\n" + fault.shown);
+      Mistake(path + std::to_string(fault.line - (lines_of_list ? 1 : 0)),
+              "column " + std::to_string(fault.column) + ": " + fault.text + "\n" + fault.shown);
   }
 
   void ReadApi(const json& a, EdgeSettings* s) {
@@ -208,7 +210,8 @@
     if (!api.token_keys_file.empty()) {
       std::vector<config::Mistake> mistakes;
       api.desk.token_keys = ReadTokenKeys(api.token_keys_file, &mistakes);
-      for (const config::Mistake& mistake : mistakes) Mistake("/api/token_keys_file", mistake.path + ": " + mistake.text);
+      for (const config::Mistake& mistake : mistakes)
+        Mistake("/api/token_keys_file", mistake.path + ": " + mistake.text);
     }
     s->api = std::move(api);
   }
@@ -229,7 +232,8 @@
     Value(d, "client_burst", &door.clients.limit.burst);
     Time(d, "prove_ms", &door.clients.prove_us);
     Time(d, "least_pause_ms", &door.least_pause_us);
-    if (door.limiter.least > door.limiter.most) Mistake("/door/least_limit", "expected no more than most_limit, found more");
+    if (door.limiter.least > door.limiter.most)
+      Mistake("/door/least_limit", "expected no more than most_limit, found more");
     // A pause is stated as the site allows, or not at all.
     const Settings& m = s->core.module;
     door.longest_pause_us = m.honours_pause ? m.longest_pause_us : 0;
@@ -247,7 +251,8 @@
 
   void ReadTls(const json& entry, const std::string& path, const std::string& transport, flow::TlsFiles* tls) {
     if (entry.contains("tls") != (transport == "tls")) {
-      Mistake(path + "/tls", transport == "tls" ? "expected authorities at least, found nothing" : "expected transport tls beside it, found " + transport);
+      Mistake(path + "/tls", transport == "tls" ? "expected authorities at least, found nothing"
+                                                : "expected transport tls beside it, found " + transport);
       return;
     }
     if (!entry.contains("tls")) return;
@@ -256,7 +261,8 @@
     Value(t, "certificate", &tls->certificate);
     Value(t, "key", &tls->key);
     Value(t, "name", &tls->name);
-    if (tls->certificate.empty() != tls->key.empty()) Mistake(path + "/tls", "expected certificate and key together, found one of them");
+    if (tls->certificate.empty() != tls->key.empty())
+      Mistake(path + "/tls", "expected certificate and key together, found one of them");
   }
 
   void ReadSpool(const json& entry, flow::CollectorSettings* c) {
@@ -293,9 +299,12 @@
       const std::string path = "/flow/collectors/" + std::to_string(index++);
       flow::CollectorSettings c;
       if (!core::ParseAddress(entry.at("address").get<std::string>(), &c.address))
-        Mistake(path + "/address", "expected an address as 127.0.0.1:4739, found \"" + entry.at("address").get<std::string>() + "\"");
+        Mistake(path + "/address",
+                "expected an address as 127.0.0.1:4739, found \"" + entry.at("address").get<std::string>() + "\"");
       const std::string transport = entry.value("transport", "udp");
-      c.transport = transport == "tcp" ? flow::Transport::kTcp : transport == "tls" ? flow::Transport::kTls : flow::Transport::kUdp;
+      c.transport = transport == "tcp"   ? flow::Transport::kTcp
+                    : transport == "tls" ? flow::Transport::kTls
+                                         : flow::Transport::kUdp;
       c.protocol = entry.value("protocol", "ipfix") == "netflow9" ? flow::Protocol::kNetflow9 : flow::Protocol::kIpfix;
       if (c.transport != flow::Transport::kUdp && c.protocol == flow::Protocol::kNetflow9)
         Mistake(path + "/protocol", "expected ipfix over " + transport + ", found netflow9, which goes over udp only");
@@ -309,7 +318,8 @@
       ReadSpool(entry, &c);
       for (const flow::CollectorSettings& other : flow.exporter.collectors) {
         if (c.spool && other.spool && c.spool->folder == other.spool->folder)
-          Mistake(path + "/spool/folder", "expected a folder of its own, found \"" + c.spool->folder + "\", which another collector has");
+          Mistake(path + "/spool/folder",
+                  "expected a folder of its own, found \"" + c.spool->folder + "\", which another collector has");
       }
       flow.exporter.collectors.push_back(c);
     }
@@ -378,11 +388,14 @@
   for (std::size_t number = 1; std::getline(text, line); ++number) {
     if (line.empty() || line[0] == '#') continue;
     if (line.size() < kShortest)
-      mistakes->push_back({file + ":" + std::to_string(number), "expected a key of at least " + std::to_string(kShortest) + " octets, found " + std::to_string(line.size())});
+      mistakes->push_back({file + ":" + std::to_string(number), "expected a key of at least " +
+                                                                    std::to_string(kShortest) + " octets, found " +
+                                                                    std::to_string(line.size())});
     keys.push_back(line);
   }
   if (mistakes->empty() && (keys.empty() || keys.size() > kMostKeys))
-    mistakes->push_back({file, "expected 1 to " + std::to_string(kMostKeys) + " keys, found " + std::to_string(keys.size())});
+    mistakes->push_back(
+        {file, "expected 1 to " + std::to_string(kMostKeys) + " keys, found " + std::to_string(keys.size())});
   return keys;
 }
 
--- a/src/edge/intake.cpp
+++ b/src/edge/intake.cpp
@@ -5,7 +5,8 @@
 
 namespace croftrun::edge {
 
-Intake::Intake(const std::optional<door::DoorSettings>& door, TimeUs answer_margin_us, core::Runtime* runtime, core::CallCore* core)
+Intake::Intake(const std::optional<door::DoorSettings>& door, TimeUs answer_margin_us, core::Runtime* runtime,
+               core::CallCore* core)
     : runtime_(runtime), core_(core), margin_us_(answer_margin_us), timer_(runtime) {
   if (!door) return;
   door::DoorSettings settings = *door;
@@ -20,7 +21,8 @@
   waiting_[call] = {offer, runtime_->Now()};
   // The final answer leaves before the caller's time is up, so the door's time ends before it.
   const TimeUs patience = offer.patience_us - std::min(offer.patience_us, margin_us_);
-  door_->OnKnock({call, client, offer.called, offer.customer, static_cast<double>(offer.width), patience}, runtime_->Now(), &verdicts_);
+  door_->OnKnock({call, client, offer.called, offer.customer, static_cast<double>(offer.width), patience},
+                 runtime_->Now(), &verdicts_);
   Carry();
   // It waits: taken all the same, and owed its answer.
   if (waiting_.count(call) > 0) subscriber->OnTaken(call);
--- a/src/edge/intake.h
+++ b/src/edge/intake.h
@@ -1,5 +1,5 @@
-// Between the fronts and the core: what all fronts share. With a door, a call waits here until the door lets it in; without
-// one it goes straight through. A front uses it as it would use the core, with the core's ids.
+// Between the fronts and the core: what all fronts share. With a door, a call waits here until the door lets it in;
+// without one it goes straight through. A front uses it as it would use the core, with the core's ids.
 #ifndef CROFTRUN_EDGE_INTAKE_H_
 #define CROFTRUN_EDGE_INTAKE_H_
 
@@ -16,7 +16,8 @@
 class Intake final : public core::Subscriber {
  public:
   // `door`: nothing for none. Runtime and core outlive it.
-  Intake(const std::optional<door::DoorSettings>& door, TimeUs answer_margin_us, core::Runtime* runtime, core::CallCore* core);
+  Intake(const std::optional<door::DoorSettings>& door, TimeUs answer_margin_us, core::Runtime* runtime,
+         core::CallCore* core);
 
   // As CallCore::Take. `client`: who calls, as the door tells clients apart.
   CallId Take(const core::Offer& offer, core::Subscriber* subscriber, std::string_view client);
@@ -48,8 +49,8 @@
   core::CallCore* core_;
   TimeUs margin_us_;
   std::optional<door::Door> door_;
-  std::unordered_map<CallId, Waiting> waiting_;                 // at the door
-  std::unordered_map<CallId, core::Subscriber*> subscribers_;   // of calls at the door or beyond it
+  std::unordered_map<CallId, Waiting> waiting_;                // at the door
+  std::unordered_map<CallId, core::Subscriber*> subscribers_;  // of calls at the door or beyond it
   std::vector<door::Verdict> verdicts_;
   bool carrying_ = false, stopping_ = false;
   core::Timer timer_;
--- a/src/edge/line_front.cpp
+++ b/src/edge/line_front.cpp
@@ -50,7 +50,8 @@
   rule_state_.emplace(classifier_->rules(), rule_seed_);
 }
 
-Classifier::Verdict LineFront::Prepare(const core::NumberMeaning& meaning, TimeUs patience_us, int line, core::Offer* offer) {
+Classifier::Verdict LineFront::Prepare(const core::NumberMeaning& meaning, TimeUs patience_us, int line,
+                                       core::Offer* offer) {
   offer->call_class = meaning.call_class;
   if (offer->customer < 0 || line > 0) offer->customer = meaning.customer;
   offer->destination = meaning.destination;
@@ -71,7 +72,8 @@
   }
   if (verdict.rule != nullptr) take_class();  // width and patience follow the class
   if (verdict.outcome.budget_us)
-    offer->patience_us = std::min(offer->patience_us, static_cast<TimeUs>(std::max<std::int64_t>(1, *verdict.outcome.budget_us)));
+    offer->patience_us =
+        std::min(offer->patience_us, static_cast<TimeUs>(std::max<std::int64_t>(1, *verdict.outcome.budget_us)));
   return verdict;
 }
 
@@ -81,8 +83,10 @@
   const expr::Moment moment{runtime_->Now(), classifier_->rules().calendar.empty() ? 0 : runtime_->WallUs()};
   const Classifier::Verdict verdict = classifier_->Apply(offer, facts, moment, &*rule_state_);
   if (verdict.rule != nullptr && log_->Wants(core::LogLevel::kDebug)) {
-    std::string detail = offer->calling + ": rule " + (verdict.rule->name.empty() ? std::to_string(verdict.rule->line) : verdict.rule->name);
-    for (std::size_t i = 0; i < verdict.outcome.tag_count; ++i) detail += (i == 0 ? ", tags " : " ") + *verdict.outcome.tags[i];
+    std::string detail = offer->calling + ": rule " +
+                         (verdict.rule->name.empty() ? std::to_string(verdict.rule->line) : verdict.rule->name);
+    for (std::size_t i = 0; i < verdict.outcome.tag_count; ++i)
+      detail += (i == 0 ? ", tags " : " ") + *verdict.outcome.tags[i];
     log_->Write(core::LogLevel::kDebug, "classified", 0, detail + ", rules " + std::to_string(rules_version_));
   }
   return verdict;
@@ -151,8 +155,8 @@
 }
 
 void LineFront::Send(int number, Verb verb, std::string body, mgcp::Transactions::OnAnswer on_answer) {
-  transactions_->Send(settings_.gateway, {verb, wire_names::Line(number, settings_.domain), std::move(body),
-                                          std::move(on_answer)});
+  transactions_->Send(settings_.gateway,
+                      {verb, wire_names::Line(number, settings_.domain), std::move(body), std::move(on_answer)});
 }
 
 int LineFront::CallingLine(CallId call) const {
@@ -241,7 +245,8 @@
   offer.called = digits;
   offer.calling = std::string(wire_names::kLines) + std::to_string(number);
   const auto patience = wire_names::Number<std::uint32_t>(message.Get(wire_names::kPatience));
-  if (const Classifier::Verdict verdict = Prepare(*meaning, patience ? TimeUs{*patience} * 1000 : 0, number, &offer); verdict.refuse) {
+  if (const Classifier::Verdict verdict = Prepare(*meaning, patience ? TimeUs{*patience} * 1000 : 0, number, &offer);
+      verdict.refuse) {
     Acknowledge();
     return Tone(number, line, "G/cg", "refused", verdict.pause_us);
   }
@@ -275,8 +280,11 @@
       Acknowledge();  // a tone goes to a call that was taken
     }
     const bool busy = answer.cause == core::ReleaseCause::kUserBusy;
-    return Tone(number, line, refused ? "G/cg" : busy ? "L/bz" : "L/ro", refused ? "refused" : "failed",
-                answer.pause_us);
+    return Tone(number, line,
+                refused ? "G/cg"
+                : busy  ? "L/bz"
+                        : "L/ro",
+                refused ? "refused" : "failed", answer.pause_us);
   }
   line.state = State::kTalking;
   line.connected = true;
@@ -338,8 +346,8 @@
   Unbind(line);
   if (call != 0 && state != State::kTone) {
     if (line.called) {
-      core_->OnRingReleased(call, state == State::kRinging ? core::ReleaseCause::kTemporaryFailure
-                                                           : core::ReleaseCause::kNormal);
+      core_->OnRingReleased(
+          call, state == State::kRinging ? core::ReleaseCause::kTemporaryFailure : core::ReleaseCause::kNormal);
     } else {
       intake_->HangUp(call);
     }
@@ -374,8 +382,8 @@
     Unbind(rung);
     rung.state = State::kIdle;
     rung.connected = false;
-    core_->OnRingReleased(call, answered.code() == mgcp::kAlreadyOffHook ? core::ReleaseCause::kUserBusy
-                                                                          : core::ReleaseCause::kNoAnswer);
+    core_->OnRingReleased(
+        call, answered.code() == mgcp::kAlreadyOffHook ? core::ReleaseCause::kUserBusy : core::ReleaseCause::kNoAnswer);
   });
   return core::ReleaseCause::kNormal;
 }
@@ -396,8 +404,7 @@
   if (mgcp::EqualsIgnoringCase(method, "graceful") || mgcp::EqualsIgnoringCase(method, "cancel-graceful")) return;
   if (!mgcp::EqualsIgnoringCase(method, "disconnected")) {
     for (std::size_t i = 1; i < lines_.size(); ++i) {
-      if (!mgcp::EndpointMatches(message.endpoint.local, std::string(wire_names::kLines) + std::to_string(i)))
-        continue;
+      if (!mgcp::EndpointMatches(message.endpoint.local, std::string(wire_names::kLines) + std::to_string(i))) continue;
       lines_[i].connected = false;  // the gateway has forgotten it
       if (lines_[i].state != State::kIdle) OnHook(static_cast<int>(i), lines_[i]);
     }
--- a/src/edge/line_front.h
+++ b/src/edge/line_front.h
@@ -49,8 +49,9 @@
   core::ReleaseCause Ring(CallId call, const core::Offer& offer) override;
   void StopRinging(CallId call, core::ReleaseCause cause) override;
 
-  // What every front does to a call before it is offered: class, destination, width, time and rules. `patience_us` 0: the
-  // class's. `line` 0: it comes from none, and keeps the customer it has unless that is -1. Refused by a rule: only that counts.
+  // What every front does to a call before it is offered: class, destination, width, time and rules. `patience_us` 0:
+  // the class's. `line` 0: it comes from none, and keeps the customer it has unless that is -1. Refused by a rule: only
+  // that counts.
   Classifier::Verdict Prepare(const core::NumberMeaning& meaning, TimeUs patience_us, int line, core::Offer* offer);
   // From off hook to on hook.
   bool InUse(int line) const {
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -20,8 +20,8 @@
 #include "edge/platform_main.h"
 #include "edge/signals.h"
 #include "runtime/asio_runtime.h"
-#include "ws/server.h"
 #include "runtime/posix_disk.h"
+#include "ws/server.h"
 
 namespace {
 
@@ -46,9 +46,11 @@
   edge::EdgeSettings fresh;
   if (result.faults.empty()) fresh = edge::ParseEdgeSettings(text, &result.faults);
   if (result.faults.empty() && fresh.class_names != in_force.class_names)
-    result.faults.push_back({"/classes", "expected the classes in force, found others; restart the edge to change them"});
+    result.faults.push_back(
+        {"/classes", "expected the classes in force, found others; restart the edge to change them"});
   if (result.faults.empty() && edge::CustomerNames(fresh) != edge::CustomerNames(in_force))
-    result.faults.push_back({"/customers", "expected the customers in force, found others; restart the edge to change them"});
+    result.faults.push_back(
+        {"/customers", "expected the customers in force, found others; restart the edge to change them"});
   result.classifier = std::move(fresh.classifier);
   if (fresh.door) result.customers = fresh.door->customers;
   if (fresh.api) result.token_keys = fresh.api->desk.token_keys;
@@ -57,16 +59,35 @@
 
 nlohmann::json FlowMetrics(const croftrun::flow::Ring& ring, const croftrun::flow::Exporter& exporter) {
   using croftrun::flow::RecordKind;
-  nlohmann::json json = {{"calls", ring.pushed(RecordKind::kCall)},       {"attempts", ring.pushed(RecordKind::kAttempt)},
-                         {"intervals", ring.pushed(RecordKind::kInterval)}, {"dropped_calls", ring.dropped(RecordKind::kCall)},
-                         {"dropped_attempts", ring.dropped(RecordKind::kAttempt)}, {"dropped_intervals", ring.dropped(RecordKind::kInterval)},
-                         {"ring_bytes", ring.bytes()},                     {"collectors", nlohmann::json::array()}};
+  nlohmann::json json = {{"calls", ring.pushed(RecordKind::kCall)},
+                         {"attempts", ring.pushed(RecordKind::kAttempt)},
+                         {"intervals", ring.pushed(RecordKind::kInterval)},
+                         {"dropped_calls", ring.dropped(RecordKind::kCall)},
+                         {"dropped_attempts", ring.dropped(RecordKind::kAttempt)},
+                         {"dropped_intervals", ring.dropped(RecordKind::kInterval)},
+                         {"ring_bytes", ring.bytes()},
+                         {"collectors", nlohmann::json::array()}};
   for (const auto& c : exporter.Figures())
-    json["collectors"].push_back({{"name", c.name}, {"up", c.up}, {"taken", c.taken}, {"sent", c.sent}, {"queue_full", c.queue_full},
-                                  {"send_failed", c.send_failed}, {"waiting", c.waiting}, {"messages", c.messages}, {"connects", c.connects},
-                                  {"failures", c.failures}, {"stalls", c.stalls}, {"unsure", c.unsure}, {"spooled", c.spooled},
-                                  {"spool_octets", c.spool_octets}, {"recovered", c.recovered}, {"spool_full", c.spool_full},
-                                  {"spool_damaged", c.spool_damaged}, {"spool_errors", c.spool_errors}, {"last_error", c.last_error}, {"spool_error", c.spool_error}});
+    json["collectors"].push_back({{"name", c.name},
+                                  {"up", c.up},
+                                  {"taken", c.taken},
+                                  {"sent", c.sent},
+                                  {"queue_full", c.queue_full},
+                                  {"send_failed", c.send_failed},
+                                  {"waiting", c.waiting},
+                                  {"messages", c.messages},
+                                  {"connects", c.connects},
+                                  {"failures", c.failures},
+                                  {"stalls", c.stalls},
+                                  {"unsure", c.unsure},
+                                  {"spooled", c.spooled},
+                                  {"spool_octets", c.spool_octets},
+                                  {"recovered", c.recovered},
+                                  {"spool_full", c.spool_full},
+                                  {"spool_damaged", c.spool_damaged},
+                                  {"spool_errors", c.spool_errors},
+                                  {"last_error", c.last_error},
+                                  {"spool_error", c.spool_error}});
   return json;
 }
 
@@ -74,7 +95,8 @@
   std::size_t told = 0;
   for (const auto& note : rules.Report(false, kMostPairs)) {
     if (++told > kMostNotes) break;
-    log->Write(croftrun::core::LogLevel::kWarning, "rules-note", 0, "line " + std::to_string(note.line) + ": " + note.text);
+    log->Write(croftrun::core::LogLevel::kWarning, "rules-note", 0,
+               "line " + std::to_string(note.line) + ": " + note.text);
   }
 }
 
@@ -100,7 +122,8 @@
     recorder = std::make_unique<flow::Recorder>(settings.flow->recorder, &runtime, ring.get());
     const auto on_event = [&](const std::string& collector, const std::string& what) {
       boost::asio::post(runtime.context(), [&log, collector, what] {
-        log.Write(what == "reached" ? core::LogLevel::kInfo : core::LogLevel::kWarning, "collector", 0, collector + ": " + what);
+        log.Write(what == "reached" ? core::LogLevel::kInfo : core::LogLevel::kWarning, "collector", 0,
+                  collector + ": " + what);
       });
     };
     exporter = std::make_unique<flow::Exporter>(settings.flow->exporter, ring.get(), &disk, on_event);
@@ -181,7 +204,8 @@
   std::string path, metrics_path;
   bool on_platform = false;
   auto* const settings = app.add_option("settings", path, "JSON settings (schemas/edge.schema.json)");
-  app.add_flag("--platform", on_platform, "In service on the platform: its protocol, configured by the file GW_CONFIG names")
+  app.add_flag("--platform", on_platform,
+               "In service on the platform: its protocol, configured by the file GW_CONFIG names")
       ->excludes(settings);
   app.add_option("--metrics", metrics_path, "Write all counters there at the end, as JSON");
   try {
--- a/src/edge/platform_main.cpp
+++ b/src/edge/platform_main.cpp
@@ -30,19 +30,23 @@
   return platform::ParseNodeConfig(text, Environment("GW_NAME"), Environment("GW_LISTEN"), mistakes);
 }
 
-// The process from its first moment on. Signals are caught before anything else is done and acted on from the loop, which
-// runs once the softswitch stands: one that comes during the start waits, and none is lost.
+// The process from its first moment on. Signals are caught before anything else is done and acted on from the loop,
+// which runs once the softswitch stands: one that comes during the start waits, and none is lost.
 class Process {
  public:
   explicit Process(std::string path)
-      : path_(std::move(path)), again_(&runtime_),
+      : path_(std::move(path)),
+        again_(&runtime_),
         reload_(runtime_.context(), {SIGHUP}, [this] { Reload(kMostReads); }),
-        stop_(runtime_.context(), {SIGTERM, SIGINT}, [this] {
-          // A second one changes nothing: what was taken is still answered.
-          if (!std::exchange(stopping_, true)) node_->Stop([this] { runtime_.Stop(); });
-        }),
-        tell_(runtime_.context(), {SIGUSR1}, [this] { log_->Write(core::LogLevel::kWarning, "metrics", 0, node_->Metrics()); }),
-        details_(runtime_.context(), {SIGUSR2}, [this] { log_->SetLevel(log_->Wants(core::LogLevel::kDebug) ? "info" : "debug"); }) {
+        stop_(runtime_.context(), {SIGTERM, SIGINT},
+              [this] {
+                // A second one changes nothing: what was taken is still answered.
+                if (!std::exchange(stopping_, true)) node_->Stop([this] { runtime_.Stop(); });
+              }),
+        tell_(runtime_.context(), {SIGUSR1},
+              [this] { log_->Write(core::LogLevel::kWarning, "metrics", 0, node_->Metrics()); }),
+        details_(runtime_.context(), {SIGUSR2},
+                 [this] { log_->SetLevel(log_->Wants(core::LogLevel::kDebug) ? "info" : "debug"); }) {
     std::signal(SIGPIPE, SIG_IGN);
   }
 
--- a/src/edge/roster_client.cpp
+++ b/src/edge/roster_client.cpp
@@ -46,9 +46,8 @@
 }
 
 void RosterClient::Ask() {
-  const nlohmann::json ask = {{"ask", "roster"},
-                              {"exchange", core_->own_number()},
-                              {"have", want_full_ ? 0 : view_.version()}};
+  const nlohmann::json ask = {
+      {"ask", "roster"}, {"exchange", core_->own_number()}, {"have", want_full_ ? 0 : view_.version()}};
   port_->Send(settings_.server, ask.dump());
   ask_.Start(settings_.ask_us, [this] { Ask(); });
 }
@@ -64,9 +63,9 @@
     case core::RosterView::Verdict::kApplied:
       ++counters_.updates;
       want_full_ = false;
-      log_->Write(core::LogLevel::kInfo, "roster", 0,
-                  "version " + std::to_string(update->version) + ", " +
-                      std::to_string(update->entries.size()) + " entries");
+      log_->Write(
+          core::LogLevel::kInfo, "roster", 0,
+          "version " + std::to_string(update->version) + ", " + std::to_string(update->entries.size()) + " entries");
       return core_->OnDirectory(directory);
     case core::RosterView::Verdict::kOld:
       ++counters_.old;
--- a/src/edge/trunk_gateway.cpp
+++ b/src/edge/trunk_gateway.cpp
@@ -29,8 +29,8 @@
   if (!number) return parameters.empty() ? ReleaseCause::kNormal : ReleaseCause::kTemporaryFailure;
   for (const ReleaseCause cause :
        {ReleaseCause::kUnallocated, ReleaseCause::kNormal, ReleaseCause::kUserBusy, ReleaseCause::kNoAnswer,
-        ReleaseCause::kOutOfOrder, ReleaseCause::kNoCircuit, ReleaseCause::kTemporaryFailure,
-        ReleaseCause::kCongestion, ReleaseCause::kGlare, ReleaseCause::kNotInService, ReleaseCause::kTimerExpiry}) {
+        ReleaseCause::kOutOfOrder, ReleaseCause::kNoCircuit, ReleaseCause::kTemporaryFailure, ReleaseCause::kCongestion,
+        ReleaseCause::kGlare, ReleaseCause::kNotInService, ReleaseCause::kTimerExpiry}) {
     if (static_cast<int>(cause) == *number) return cause;
   }
   return ReleaseCause::kTemporaryFailure;
@@ -131,11 +131,9 @@
       writer.Line(wire_names::kPatience, std::to_string(set_up.budget_us / 1000));
       if (!others.empty()) writer.Line(wire_names::kCircuitList, others);
     }
-    const std::uint32_t transaction =
-        Send(key, Verb::kCrcx, std::move(body),
-             [this, key, call = leg.call, attempt = leg.attempt](const Answered& answered) {
-               OnSeized(key, call, attempt, answered);
-             });
+    const std::uint32_t transaction = Send(key, Verb::kCrcx, std::move(body),
+                                           [this, key, call = leg.call, attempt = leg.attempt](
+                                               const Answered& answered) { OnSeized(key, call, attempt, answered); });
     // A callback that came at once (too many transactions) may have taken the leg away.
     if (const auto found = legs_.find(key); found != legs_.end()) found->second.seizure = transaction;
   }
@@ -293,8 +291,9 @@
     const bool acknowledged = held->second.seizure == 0;
     held->second.refused = true;
     const Leg lost = held->second;
-    core_->OnTrunkReleased(lost.call, lost.attempt,
-                           {acknowledged ? ReleaseCause::kTemporaryFailure : ReleaseCause::kGlare, core_->own_number()});
+    core_->OnTrunkReleased(
+        lost.call, lost.attempt,
+        {acknowledged ? ReleaseCause::kTemporaryFailure : ReleaseCause::kGlare, core_->own_number()});
   }
   for (const core::CircuitNumber circuit : circuits) {
     const Key at = KeyOf(GroupOf(key), circuit);
@@ -339,8 +338,8 @@
   // so nothing is cleared on this word: the circuit is looked at. An incoming call is under the request that its
   // seizure was told by, until it is answered.
   const auto armed = armed_.find(key);
-  const bool incoming = found != legs_.end() && found->second.attempt < 0 &&
-                        (armed == armed_.end() || request == armed->second);
+  const bool incoming =
+      found != legs_.end() && found->second.attempt < 0 && (armed == armed_.end() || request == armed->second);
   if (found == legs_.end() || (request != found->second.request && !incoming)) {
     ++counters_.stale_events;
     return Audit(key);
@@ -571,8 +570,8 @@
       if (legs_.count(key) > 0) doubtful_.insert(key);
       Audit(key);
     } else {
-      // restart, forced: what was on it is cut, and the request it had is forgotten there (RFC 3435 4.4.5, as known): until
-      // it has answered a new one, which clearing may give it, a seizure is told under none.
+      // restart, forced: what was on it is cut, and the request it had is forgotten there (RFC 3435 4.4.5, as known):
+      // until it has answered a new one, which clearing may give it, a seizure is told under none.
       armed_[key] = 0;
       unarmed_.insert(key);
       TakeOut(key);
@@ -588,8 +587,7 @@
 
 void TrunkGateway::Probe(int group) {
   const TimeUs sent = runtime_->Now();
-  const std::string endpoint =
-      std::string(wire_names::kFar) + std::to_string(group) + "@" + settings_.domain;
+  const std::string endpoint = std::string(wire_names::kFar) + std::to_string(group) + "@" + settings_.domain;
   transactions_->Send(settings_.gateway, {Verb::kAuep, endpoint, "F: ES\r\n", [this, group, sent](const Answered& a) {
                                             core_->OnProbed(group, a.ok(), runtime_->Now() - sent,
                                                             a.ok() ? LoadOf(*a.message) : core::LoadReport{});
--- a/src/edge/trunk_gateway.h
+++ b/src/edge/trunk_gateway.h
@@ -23,7 +23,8 @@
  public:
   struct Counters {
     std::uint64_t seized = 0, released = 0, incoming = 0, refused_incoming = 0, audits = 0, cleared = 0;
-    std::uint64_t late_seizures = 0, stale_events = 0, restarts = 0, out_of_service = 0, unknown_events = 0, signs_of_life = 0;
+    std::uint64_t late_seizures = 0, stale_events = 0, restarts = 0, out_of_service = 0, unknown_events = 0,
+                  signs_of_life = 0;
   };
 
   TrunkGateway(const EdgeSettings& settings, core::Runtime* runtime, core::CallCore* core,
@@ -107,12 +108,12 @@
   // its word. One that is in use stays so until its call ends.
   std::unordered_set<Key> withdrawn_;
   std::deque<Key> to_audit_;
-  std::unordered_set<Key> doubtful_;  // in use when the gateway was cut off, and not looked at since
-  std::unordered_set<Key> auditing_;  // in to_audit_ or asked
-  std::unordered_set<Key> look_again_;  // something was heard of it while the look was on its way
+  std::unordered_set<Key> doubtful_;              // in use when the gateway was cut off, and not looked at since
+  std::unordered_set<Key> auditing_;              // in to_audit_ or asked
+  std::unordered_set<Key> look_again_;            // something was heard of it while the look was on its way
   std::unordered_map<Key, std::uint32_t> armed_;  // the request under which a seizure is told, given in this life
-  std::unordered_set<Key> unarmed_;  // restarted, and no request given since is known to have arrived
-  std::unordered_map<Key, TimeUs> seen_seized_;  // by the far end, without a call here: since when
+  std::unordered_set<Key> unarmed_;               // restarted, and no request given since is known to have arrived
+  std::unordered_map<Key, TimeUs> seen_seized_;   // by the far end, without a call here: since when
   std::size_t audits_out_ = 0;
   std::uint32_t next_request_ = 1;
   std::uint32_t sweeps_ = 0;
--- a/src/edge/wire_names.h
+++ b/src/edge/wire_names.h
@@ -16,16 +16,17 @@
 inline constexpr std::string_view kFar = "far/";
 
 // Extension lines (RFC 3435 3.2.2: X- and X+ names; these may be ignored by who does not know them).
-inline constexpr std::string_view kPatience = "X-Patience";  // ms until the caller gives up this try
-inline constexpr std::string_view kClass = "X-Class";        // name of the class of call
-inline constexpr std::string_view kOrigin = "X-Origin";      // number of the exchange where the call began
+inline constexpr std::string_view kPatience = "X-Patience";     // ms until the caller gives up this try
+inline constexpr std::string_view kClass = "X-Class";           // name of the class of call
+inline constexpr std::string_view kOrigin = "X-Origin";         // number of the exchange where the call began
 inline constexpr std::string_view kCircuitList = "X-Circuits";  // further circuits of a wide call
-inline constexpr std::string_view kAt = "X-At";              // number of the exchange that gave the cause
-inline constexpr std::string_view kWait = "X-Wait";          // ms, stated by a full processor
-inline constexpr std::string_view kLoad = "X-Load";          // figures of the far processor
-inline constexpr std::string_view kState = "X-State";        // of a circuit: idle, seized, seized-in, far-released, releasing, blocked
-inline constexpr std::string_view kPause = "X-Pause";        // ms the caller should stay away
-inline constexpr std::string_view kAnswer = "X-Answer";      // refused or failed, for a tone alone does not tell
+inline constexpr std::string_view kAt = "X-At";                 // number of the exchange that gave the cause
+inline constexpr std::string_view kWait = "X-Wait";             // ms, stated by a full processor
+inline constexpr std::string_view kLoad = "X-Load";             // figures of the far processor
+inline constexpr std::string_view kState =
+    "X-State";  // of a circuit: idle, seized, seized-in, far-released, releasing, blocked
+inline constexpr std::string_view kPause = "X-Pause";    // ms the caller should stay away
+inline constexpr std::string_view kAnswer = "X-Answer";  // refused or failed, for a tone alone does not tell
 
 inline std::string Circuit(int group, unsigned circuit, std::string_view domain) {
   return std::string(kCircuits) + std::to_string(group) + "/" + std::to_string(circuit) + "@" + std::string(domain);
--- a/src/expr/calendar.cpp
+++ b/src/expr/calendar.cpp
@@ -15,7 +15,8 @@
 bool Find(const std::string& name, absl::TimeZone* zone) {
   const bool legal = !name.empty() && name.size() <= 64 && name[0] != '/' && name.find("..") == std::string::npos &&
                      std::all_of(name.begin(), name.end(), [](unsigned char c) {
-                       return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '/' || c == '_' || c == '-' || c == '+';
+                       return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '/' ||
+                              c == '_' || c == '-' || c == '+';
                      });
   return legal && absl::LoadTimeZone(name, zone);
 }
--- a/src/expr/calendar.h
+++ b/src/expr/calendar.h
@@ -1,4 +1,5 @@
-// Local time of a named zone from Unix time, from a table made once: no lock, no allocation and no file on the call path.
+// Local time of a named zone from Unix time, from a table made once: no lock, no allocation and no file on the call
+// path.
 #ifndef CROFTRUN_EXPR_CALENDAR_H_
 #define CROFTRUN_EXPR_CALENDAR_H_
 
--- a/src/expr/check.cpp
+++ b/src/expr/check.cpp
@@ -56,7 +56,9 @@
   }
   Attribute attribute;
   attribute.name = "(calendar " + std::to_string(calendar.size()) + ")";  // no name of the language
-  attribute.type = kind == CalendarKind::kWeekday ? Type::kEnum : kind == CalendarKind::kTime ? Type::kTime : Type::kDate;
+  attribute.type = kind == CalendarKind::kWeekday ? Type::kEnum
+                   : kind == CalendarKind::kTime  ? Type::kTime
+                                                  : Type::kDate;
   if (kind == CalendarKind::kWeekday) attribute.enumeration = "weekday";
   inputs.push_back(attribute);
   calendar.push_back({kind, zone_name, inputs.size() - 1, nullptr});
@@ -87,7 +89,8 @@
   for (Tree& part : node.parts) {
     if (!Close(*part, parameters)) return false;
   }
-  const bool name = node.shape == Shape::kName && std::find(parameters.begin(), parameters.end(), node.token.text) == parameters.end();
+  const bool name = node.shape == Shape::kName &&
+                    std::find(parameters.begin(), parameters.end(), node.token.text) == parameters.end();
   if ((!name && node.shape != Shape::kCall) || node.closed) return true;
   const auto function = scope_->functions.find(std::string(node.token.text));
   if (function != scope_->functions.end() && function->second.parameters.size() == node.parts.size())
@@ -125,7 +128,8 @@
     const bool legal = digits.size() >= 2 && digits.size() <= 16 && digits[0] == '+' &&
                        digits.find_first_not_of("0123456789", 1) == std::string::npos;
     if (!legal) {
-      reporter_->Say(node.at, "expected a number of E.164, + and 1 to 15 digits, found \"" + digits.substr(0, 40) + "\"");
+      reporter_->Say(node.at,
+                     "expected a number of E.164, + and 1 to 15 digits, found \"" + digits.substr(0, 40) + "\"");
       return false;
     }
     node.type = Type::kE164;
@@ -144,7 +148,8 @@
 // `peer`: what it is compared with, by which a word of an enumeration is understood. False: a mistake was told.
 bool Checker::Visit(Node& node, const Node* peer, const Present& present) {
   if (++depth_ > kDeeper * limits_.deepest) {
-    reporter_->Say(node.at, "expected definitions that nest at most " + std::to_string(kDeeper * limits_.deepest) + " levels, found more");
+    reporter_->Say(node.at, "expected definitions that nest at most " + std::to_string(kDeeper * limits_.deepest) +
+                                " levels, found more");
     --depth_;
     return false;
   }
@@ -216,7 +221,8 @@
     }
     case Shape::kMatches:
       node.type = Type::kBool;
-      return Visit(*node.parts[0], nullptr, present) && (IsText(node.parts[0]->type) || Want(*node.parts[0], Type::kString));
+      return Visit(*node.parts[0], nullptr, present) &&
+             (IsText(node.parts[0]->type) || Want(*node.parts[0], Type::kString));
     case Shape::kRange:
     case Shape::kIn:
       return VisitIn(node, present);
@@ -271,7 +277,8 @@
     node.enumeration = attribute.enumeration;
     node.longest = attribute.longest;
     if (!attribute.optional || absent_allowed || present.count(i) > 0) return true;
-    reporter_->Say(node.at, "expected a check, has(" + name + ") and ..., or '" + name + " default ...': it may be absent");
+    reporter_->Say(node.at,
+                   "expected a check, has(" + name + ") and ..., or '" + name + " default ...': it may be absent");
     return false;
   }
   if (peer != nullptr && peer->type == Type::kEnum) {
@@ -283,7 +290,8 @@
       node.constant = true;
       node.number = found - words.begin();
       if (found != words.end()) return true;
-      reporter_->Say(node.at, "expected a word of " + peer->enumeration + ", found '" + name + "'" + Suggest(name, words));
+      reporter_->Say(node.at,
+                     "expected a word of " + peer->enumeration + ", found '" + name + "'" + Suggest(name, words));
       return false;
     }
   }
@@ -318,10 +326,12 @@
   const std::string_view name = node.token.text;
   const auto means = [&](const auto& known) { return std::find(known.begin(), known.end(), name) != known.end(); };
   // Definitions before this one are written out already; of the rest, a word may belong to any enumeration.
-  const bool known = means(parameters) || name == "weekday" || name == "time" || name == "date" || name == "true" || name == "false" ||
-                     scope_->lists.count(std::string(name)) > 0 || scope_->functions.count(std::string(name)) > 0 ||
-                     std::any_of(scope_->inputs.begin(), scope_->inputs.end(), [&](const Attribute& a) { return a.name == name; }) ||
-                     std::any_of(scope_->enumerations.begin(), scope_->enumerations.end(), [&](const auto& e) { return means(e.second); });
+  const bool known =
+      means(parameters) || name == "weekday" || name == "time" || name == "date" || name == "true" || name == "false" ||
+      scope_->lists.count(std::string(name)) > 0 || scope_->functions.count(std::string(name)) > 0 ||
+      std::any_of(scope_->inputs.begin(), scope_->inputs.end(), [&](const Attribute& a) { return a.name == name; }) ||
+      std::any_of(scope_->enumerations.begin(), scope_->enumerations.end(),
+                  [&](const auto& e) { return means(e.second); });
   if (!known) UnknownName(node);
   return fine && known;
 }
@@ -332,7 +342,8 @@
     return false;
   }
   if (!IsZone(zone)) {
-    reporter_->Say(node.at, "expected the name of a time zone as \"Europe/Vienna\", found \"" + zone.substr(0, 40) + "\"");
+    reporter_->Say(node.at,
+                   "expected the name of a time zone as \"Europe/Vienna\", found \"" + zone.substr(0, 40) + "\"");
     return false;
   }
   node.shape = Shape::kName;
@@ -350,7 +361,8 @@
   Substitute(*body, function.parameters, node.parts);
   scope_->nodes += Size(*body);
   if (scope_->nodes > kMostNodes) {
-    reporter_->Say(node.at, "expected definitions that come to at most " + std::to_string(kMostNodes) + " parts written out, found more");
+    reporter_->Say(node.at, "expected definitions that come to at most " + std::to_string(kMostNodes) +
+                                " parts written out, found more");
     return false;
   }
   node = std::move(*body);
@@ -361,8 +373,8 @@
   const std::string name(node.token.text);
   const auto arity = [&](std::size_t least, std::size_t most) {
     if (node.parts.size() >= least && node.parts.size() <= most) return true;
-    reporter_->Say(node.at, "expected " + std::to_string(least) + (most > least ? " or more" : "") + " arguments of " + name + ", found " +
-                                std::to_string(node.parts.size()));
+    reporter_->Say(node.at, "expected " + std::to_string(least) + (most > least ? " or more" : "") + " arguments of " +
+                                name + ", found " + std::to_string(node.parts.size()));
     return false;
   };
   if (const auto function = scope_->functions.find(name); function != scope_->functions.end() && !node.closed) {
@@ -377,7 +389,10 @@
       return false;
     }
     const std::string zone_name = zone.token.value;
-    return CalendarCall(node, name == "weekday" ? CalendarKind::kWeekday : name == "time" ? CalendarKind::kTime : CalendarKind::kDate,
+    return CalendarCall(node,
+                        name == "weekday" ? CalendarKind::kWeekday
+                        : name == "time"  ? CalendarKind::kTime
+                                          : CalendarKind::kDate,
                         zone_name);
   }
   if (name == "hash" || name == "bucket") {
@@ -400,7 +415,8 @@
     if (!Visit(text, nullptr, present) || !(IsText(text.type) || Want(text, Type::kString))) return false;
     if (!Visit(octets, nullptr, present) || !Want(octets, Type::kInt)) return false;
     node.longest = text.longest;
-    if (octets.constant) node.longest = std::min(node.longest, static_cast<std::size_t>(std::max<std::int64_t>(0, octets.number)));
+    if (octets.constant)
+      node.longest = std::min(node.longest, static_cast<std::size_t>(std::max<std::int64_t>(0, octets.number)));
     return true;
   }
   std::vector<std::string> names = {"hash", "bucket", "first", "last", "length", "has", "weekday", "time", "date"};
@@ -414,7 +430,8 @@
   if (map == scope_->maps.end()) {
     std::vector<std::string> names;
     for (const auto& [known, value] : scope_->maps) names.push_back(known);
-    reporter_->Say(node.at, "expected a map, found '" + std::string(node.token.text.substr(0, 40)) + "'" + Suggest(node.token.text, names));
+    reporter_->Say(node.at, "expected a map, found '" + std::string(node.token.text.substr(0, 40)) + "'" +
+                                Suggest(node.token.text, names));
     return false;
   }
   Node like;
@@ -428,10 +445,11 @@
 }
 
 bool Checker::IsInput(const Node& node) const {
-  return node.shape != Shape::kName || std::any_of(scope_->inputs.begin(), scope_->inputs.end(),
-                                                   [&](const Attribute& a) { return a.name == node.token.text; }) ||
-         scope_->functions.count(std::string(node.token.text)) > 0 || node.token.text == "weekday" || node.token.text == "time" ||
-         node.token.text == "date";
+  return node.shape != Shape::kName ||
+         std::any_of(scope_->inputs.begin(), scope_->inputs.end(),
+                     [&](const Attribute& a) { return a.name == node.token.text; }) ||
+         scope_->functions.count(std::string(node.token.text)) > 0 || node.token.text == "weekday" ||
+         node.token.text == "time" || node.token.text == "date";
 }
 
 bool Checker::VisitBinary(Node& node, const Present& present) {
@@ -466,7 +484,8 @@
   }
   if (!Want(other, known.type)) return false;
   if (known.enumeration != other.enumeration) {
-    reporter_->Say(node.at, "expected two of one enumeration, found " + known.enumeration + " and " + other.enumeration);
+    reporter_->Say(node.at,
+                   "expected two of one enumeration, found " + known.enumeration + " and " + other.enumeration);
     return false;
   }
   if (node.sign != "==" && node.sign != "!=" && !IsOrdered(known.type)) {
@@ -503,13 +522,15 @@
     if (list == scope_->lists.end()) {
       std::vector<std::string> names;
       for (const auto& [known, tree] : scope_->lists) names.push_back(known);
-      reporter_->Say(node.token.at, "expected a list, found '" + std::string(node.token.text.substr(0, 40)) + "'" + Suggest(node.token.text, names));
+      reporter_->Say(node.token.at, "expected a list, found '" + std::string(node.token.text.substr(0, 40)) + "'" +
+                                        Suggest(node.token.text, names));
       return false;
     }
     for (std::size_t i = 1; i < list->second->parts.size(); ++i) node.parts.push_back(Clone(*list->second->parts[i]));
     scope_->nodes += node.parts.size();
     if (scope_->nodes > kMostNodes) {
-      reporter_->Say(node.at, "expected lists that come to at most " + std::to_string(kMostNodes) + " items written out, found more");
+      reporter_->Say(node.at, "expected lists that come to at most " + std::to_string(kMostNodes) +
+                                  " items written out, found more");
       return false;
     }
   }
--- a/src/expr/check.h
+++ b/src/expr/check.h
@@ -52,13 +52,14 @@
 
 class Checker {
  public:
-  Checker(Scope* scope, const Limits& limits, Reporter* reporter) : scope_(scope), limits_(limits), reporter_(reporter) {}
+  Checker(Scope* scope, const Limits& limits, Reporter* reporter)
+      : scope_(scope), limits_(limits), reporter_(reporter) {}
   // `expected`: nothing where any type will do. False: mistakes were told.
   bool Check(Node& node, std::optional<Type> expected);
   // Makes the body of a definition: those before it are written out, so that none can come to refer to itself.
   bool Close(Node& node, const std::vector<std::string>& parameters);
-  // Whether each name in the body of a definition means something, so that a slip of the pen in one that nothing uses (yet)
-  // is told as well. `parameters`: mean what the caller gives.
+  // Whether each name in the body of a definition means something, so that a slip of the pen in one that nothing uses
+  // (yet) is told as well. `parameters`: mean what the caller gives.
   bool Resolve(const Node& node, const std::vector<std::string>& parameters);
   // A constant of the type of `like`, as in a list of values to compare it with.
   bool CheckConstant(Node& node, const Node& like);
--- a/src/expr/compile.cpp
+++ b/src/expr/compile.cpp
@@ -1,5 +1,5 @@
-// Rule files and single expressions: text to rules. Each stage goes on after a mistake where it can, so that all mistakes
-// of a file are told at once.
+// Rule files and single expressions: text to rules. Each stage goes on after a mistake where it can, so that all
+// mistakes of a file are told at once.
 #include <algorithm>
 #include <limits>
 #include <map>
@@ -24,7 +24,8 @@
 
 bool SizeFits(std::string_view text, const Limits& limits, Reporter* reporter) {
   if (text.size() <= limits.most_octets) return true;
-  reporter->Say(0, "expected at most " + std::to_string(limits.most_octets) + " octets, found " + std::to_string(text.size()));
+  reporter->Say(
+      0, "expected at most " + std::to_string(limits.most_octets) + " octets, found " + std::to_string(text.size()));
   return false;
 }
 
@@ -53,7 +54,8 @@
       auto of_left = Options(left), of_right = Options(right);
       if (node.sign == "and") {
         options = std::move(of_left);
-        options.insert(options.end(), std::make_move_iterator(of_right.begin()), std::make_move_iterator(of_right.end()));
+        options.insert(options.end(), std::make_move_iterator(of_right.begin()),
+                       std::make_move_iterator(of_right.end()));
       } else if (!of_left.empty() && !of_right.empty()) {
         const auto fewer = [](const auto& a, const auto& b) { return a.size() < b.size(); };
         RuleIndex::Option either = *std::min_element(of_left.begin(), of_left.end(), fewer);
@@ -130,12 +132,15 @@
     const Node& input = *node.parts[turned ? 1 : 0];
     const Node& bound = *node.parts[turned ? 0 : 1];
     if (IsInput(input) && bound.constant && !IsText(input.type) && input.type != Type::kDouble) {
-      constexpr auto kLeast = std::numeric_limits<std::int64_t>::min(), kMost = std::numeric_limits<std::int64_t>::max();
+      constexpr auto kLeast = std::numeric_limits<std::int64_t>::min(),
+                     kMost = std::numeric_limits<std::int64_t>::max();
       const bool below = (node.sign[0] == '<') != turned;
       const bool strict = node.sign.size() == 1;
       c.input = input.attribute;
       c.kind = strict && bound.number == (below ? kLeast : kMost) ? Of::kNever : Of::kRange;
-      const std::int64_t edge = c.kind == Of::kNever || !strict ? bound.number : below ? bound.number - 1 : bound.number + 1;
+      const std::int64_t edge = c.kind == Of::kNever || !strict ? bound.number
+                                : below                         ? bound.number - 1
+                                                                : bound.number + 1;
       c.numbers = below ? std::vector<std::int64_t>{kLeast, edge} : std::vector<std::int64_t>{edge, kMost};
     }
   }
@@ -146,7 +151,8 @@
 
 class FileReader {
  public:
-  FileReader(std::string_view text, Parser* parser, Scope* scope, const Limits& limits, Reporter* reporter, RuleSet* set)
+  FileReader(std::string_view text, Parser* parser, Scope* scope, const Limits& limits, Reporter* reporter,
+             RuleSet* set)
       : text_(text), parser_(*parser), scope_(*scope), limits_(limits), reporter_(*reporter), set_(*set) {}
 
   void Read() {
@@ -158,7 +164,8 @@
       if (!whole) Skip(from);
     }
     if (set_.rules.size() > limits_.most_rules)
-      reporter_.Say(0, "expected at most " + std::to_string(limits_.most_rules) + " rules, found " + std::to_string(set_.rules.size()));
+      reporter_.Say(0, "expected at most " + std::to_string(limits_.most_rules) + " rules, found " +
+                           std::to_string(set_.rules.size()));
     CheckExamples();
     Make();
   }
@@ -171,8 +178,8 @@
 
   // After a mistake: to the next item, which may be where the parser stands.
   void Skip(std::size_t from) {
-    if (parser_.Next().at > from && (parser_.Is("rule") || parser_.Is("table") || parser_.Is("let") || parser_.Is("fn") ||
-                                     parser_.Is("counter") || parser_.Is("example")))
+    if (parser_.Next().at > from && (parser_.Is("rule") || parser_.Is("table") || parser_.Is("let") ||
+                                     parser_.Is("fn") || parser_.Is("counter") || parser_.Is("example")))
       return;
     parser_.SkipItem();
   }
@@ -202,7 +209,8 @@
 
   std::size_t LineAt(std::size_t at) {
     // Items come in the order of the text: counted on from the last one.
-    line_ += static_cast<std::size_t>(std::count(text_.begin() + static_cast<std::ptrdiff_t>(counted_), text_.begin() + static_cast<std::ptrdiff_t>(at), '\n'));
+    line_ += static_cast<std::size_t>(std::count(text_.begin() + static_cast<std::ptrdiff_t>(counted_),
+                                                 text_.begin() + static_cast<std::ptrdiff_t>(at), '\n'));
     counted_ = at;
     return line_;
   }
@@ -211,7 +219,8 @@
   void FreshRule(const Token& name, std::size_t line) {
     const auto [first, fresh] = rule_names_.emplace(std::string(name.text), line);
     if (!fresh)
-      reporter_.Say(name.at, "expected a name that no rule has yet, found '" + std::string(name.text.substr(0, 40)) + "' of line " + std::to_string(first->second));
+      reporter_.Say(name.at, "expected a name that no rule has yet, found '" + std::string(name.text.substr(0, 40)) +
+                                 "' of line " + std::to_string(first->second));
   }
   std::map<std::string, std::size_t> rule_names_;  // to the line
 
@@ -259,7 +268,8 @@
       column.operand = parser_.Operand();
       if (column.operand == nullptr) return false;
       column.at = parser_.Next().at;
-      static constexpr std::string_view kSigns[] = {"==", "!=", "<", "<=", ">", ">=", "starts_with", "ends_with", "contains", "matches", "in"};
+      static constexpr std::string_view kSigns[] = {
+          "==", "!=", "<", "<=", ">", ">=", "starts_with", "ends_with", "contains", "matches", "in"};
       const auto sign = std::find_if(std::begin(kSigns), std::end(kSigns), [&](auto s) { return parser_.Is(s); });
       if (sign == std::end(kSigns)) {
         parser_.Wrong("a sign that the column compares by");
@@ -359,7 +369,8 @@
     }
     if (!parser_.Expect("=")) return false;
     function.body = parser_.Expression();
-    if (function.body == nullptr || !Checker(&scope_, limits_, &reporter_).Close(*function.body, function.parameters)) return false;
+    if (function.body == nullptr || !Checker(&scope_, limits_, &reporter_).Close(*function.body, function.parameters))
+      return false;
     const bool resolved = Checker(&scope_, limits_, &reporter_).Resolve(*function.body, function.parameters);
     // A let without faults has a type by itself; a function's follows from what it is called with. A word of an
     // enumeration alone is understood where it is used.
@@ -374,9 +385,10 @@
   // A name that means nothing yet.
   bool Fresh(const Token& name) {
     const std::string text(name.text);
-    const bool taken = scope_.functions.count(text) + scope_.lists.count(text) + scope_.maps.count(text) > 0 || text == "weekday" ||
-                       text == "time" || text == "date" ||
-                       std::any_of(scope_.inputs.begin(), scope_.inputs.end(), [&](const Attribute& a) { return a.name == text; });
+    const bool taken =
+        scope_.functions.count(text) + scope_.lists.count(text) + scope_.maps.count(text) > 0 || text == "weekday" ||
+        text == "time" || text == "date" ||
+        std::any_of(scope_.inputs.begin(), scope_.inputs.end(), [&](const Attribute& a) { return a.name == text; });
     if (taken) reporter_.Say(name.at, "expected a name that means nothing yet, found '" + text.substr(0, 40) + "'");
     return !taken;
   }
@@ -404,7 +416,8 @@
     key.shape = Shape::kName;
     key.at = by.at;
     key.token = by;
-    const auto attribute = std::find_if(scope_.inputs.begin(), scope_.inputs.end(), [&](const Attribute& a) { return a.name == by.text; });
+    const auto attribute =
+        std::find_if(scope_.inputs.begin(), scope_.inputs.end(), [&](const Attribute& a) { return a.name == by.text; });
     if (attribute == scope_.inputs.end() || attribute->type == Type::kAddress) {
       reporter_.Say(by.at, "expected an attribute to look up by, found '" + std::string(by.text.substr(0, 40)) + "'");
       return false;
@@ -414,7 +427,9 @@
     if (!parser_.Expect("default")) return false;
     Checker checker(&scope_, limits_, &reporter_);
     Tree otherwise = parser_.Sign();
-    if (otherwise == nullptr || !checker.Check(*otherwise, std::nullopt) || !checker.CheckConstant(*otherwise, *otherwise)) return false;
+    if (otherwise == nullptr || !checker.Check(*otherwise, std::nullopt) ||
+        !checker.CheckConstant(*otherwise, *otherwise))
+      return false;
     auto values = std::make_shared<ConstantMap>();
     Scope::Map map;
     map.number = scope_.map_values.size();
@@ -467,7 +482,8 @@
     }
     const Token zone = parser_.TakeAny();
     if (!IsZone(zone.value)) {
-      reporter_.Say(zone.at, "expected the name of a time zone as \"Europe/Vienna\", found \"" + zone.value.substr(0, 40) + "\"");
+      reporter_.Say(
+          zone.at, "expected the name of a time zone as \"Europe/Vienna\", found \"" + zone.value.substr(0, 40) + "\"");
     } else {
       scope_.zone = zone.value;
     }
@@ -551,7 +567,8 @@
       if (attribute == scope_.schema.attributes.end()) {
         std::vector<std::string> names;
         for (const Attribute& a : scope_.schema.attributes) names.push_back(a.name);
-        reporter_.Say(name.at, "expected an attribute, found '" + std::string(name.text.substr(0, 40)) + "'" + Suggest(name.text, names));
+        reporter_.Say(name.at, "expected an attribute, found '" + std::string(name.text.substr(0, 40)) + "'" +
+                                   Suggest(name.text, names));
         return false;
       }
       Node like;
@@ -601,7 +618,8 @@
     for (const Rule& rule : set_.rules) names.insert(rule.name);
     for (const auto& [at, name] : expected_) {
       if (name.empty() || names.count(name) > 0) continue;
-      reporter_.Say(at, "expected the name of a rule, found '" + name + "'" + Suggest(name, {names.begin(), names.end()}));
+      reporter_.Say(at,
+                    "expected the name of a rule, found '" + name + "'" + Suggest(name, {names.begin(), names.end()}));
     }
   }
 
@@ -613,8 +631,8 @@
     const auto& known = words == scope_.enumerations.end() ? kNone : words->second;
     const auto found = std::find(known.begin(), known.end(), token.text);
     if (found == known.end()) {
-      reporter_.Say(token.at, "expected a word of " + std::string(enumeration) + ", found '" + std::string(token.text.substr(0, 40)) +
-                                  "'" + Suggest(token.text, known));
+      reporter_.Say(token.at, "expected a word of " + std::string(enumeration) + ", found '" +
+                                  std::string(token.text.substr(0, 40)) + "'" + Suggest(token.text, known));
       return true;  // the rest of the rule can still be read
     }
     *index = static_cast<int>(found - known.begin());
@@ -658,13 +676,15 @@
     }
     if (parser_.Take("tag")) {
       if (parser_.Next().kind != Kind::kText || effects->tags.size() >= kMostTagsOfRule) {
-        parser_.Wrong(effects->tags.size() >= kMostTagsOfRule ? "at most " + std::to_string(kMostTagsOfRule) + " tags" : "a text");
+        parser_.Wrong(effects->tags.size() >= kMostTagsOfRule ? "at most " + std::to_string(kMostTagsOfRule) + " tags"
+                                                              : "a text");
         return false;
       }
       effects->tags.push_back(parser_.TakeAny().value);
       return true;
     }
-    parser_.Wrong("an effect (class = ..., customer = ..., priority = ..., budget = ..., key = ..., refuse, redial, tag ...)");
+    parser_.Wrong(
+        "an effect (class = ..., customer = ..., priority = ..., budget = ..., key = ..., refuse, redial, tag ...)");
     return false;
   }
 
@@ -714,7 +734,8 @@
       // Keys are worked out by themselves.
       // A rule that broke off behind its key was not kept; there was a mistake then, and nothing comes of the file.
       if (effect.rule >= set_.rules.size()) continue;
-      if (auto program = Generator(scope_, limits_, &reporter_).Make(*effect.key)) set_.rules[effect.rule].effects.key = std::move(*program);
+      if (auto program = Generator(scope_, limits_, &reporter_).Make(*effect.key))
+        set_.rules[effect.rule].effects.key = std::move(*program);
     }
     set_.attributes = scope_.schema.attributes.size();
     set_.inputs = scope_.inputs.size();
--- a/src/expr/counters.cpp
+++ b/src/expr/counters.cpp
@@ -10,7 +10,9 @@
 namespace croftrun::expr {
 namespace {
 
-std::uint64_t Sets(std::size_t keys, std::size_t ways) { return std::bit_ceil(std::max<std::uint64_t>(1, (keys + ways - 1) / ways)); }
+std::uint64_t Sets(std::size_t keys, std::size_t ways) {
+  return std::bit_ceil(std::max<std::uint64_t>(1, (keys + ways - 1) / ways));
+}
 
 }  // namespace
 
@@ -83,8 +85,10 @@
     zeros += rank == 0 ? 1 : 0;
   }
   constexpr double kCount = kRegisters;
-  const double estimate = 0.709 * kCount * kCount / std::ldexp(static_cast<double>(sum), -(kUnit - 6));  // the constant for 64 registers
-  if (estimate <= 2.5 * kCount && zeros > 0) return static_cast<std::uint32_t>(std::lround(kCount * std::log(kCount / static_cast<double>(zeros))));
+  const double estimate =
+      0.709 * kCount * kCount / std::ldexp(static_cast<double>(sum), -(kUnit - 6));  // the constant for 64 registers
+  if (estimate <= 2.5 * kCount && zeros > 0)
+    return static_cast<std::uint32_t>(std::lround(kCount * std::log(kCount / static_cast<double>(zeros))));
   return static_cast<std::uint32_t>(std::min(estimate, 4e9));
 }
 
--- a/src/expr/counters.h
+++ b/src/expr/counters.h
@@ -2,8 +2,8 @@
 //
 // A key has one place among the eight of its set. A new key in a full set takes the place that counted least in the
 // window, of equals the one that came last; its own count starts at one. Made-up keys, each seen once, so displace each
-// other, not those that are counted for being busy or were there before the flood; what comes during a flood that is larger
-// than the table may be counted short, never over. No I/O, no clock, nothing allocated after the start.
+// other, not those that are counted for being busy or were there before the flood; what comes during a flood that is
+// larger than the table may be counted short, never over. No I/O, no clock, nothing allocated after the start.
 #ifndef CROFTRUN_EXPR_COUNTERS_H_
 #define CROFTRUN_EXPR_COUNTERS_H_
 
@@ -31,7 +31,7 @@
  private:
   static constexpr std::size_t kWays = 8, kSlices = 9;  // eight slices are a window; the ninth is the one that fills
   struct Entry {
-    std::uint64_t key = 0;  // 0: none
+    std::uint64_t key = 0;    // 0: none
     std::uint64_t slice = 0;  // the last one counted in
     std::uint32_t order = 0;  // of coming, to tell the last
     std::array<std::uint16_t, kSlices> counts{};
@@ -46,8 +46,9 @@
   Figures figures_;
 };
 
-// How many different items a key was seen with, by a sketch of 64 registers (HyperLogLog, Flajolet and others 2007, with
-// linear counting below 160): exact enough to tell 5 from 50, an eighth off above. Covers one window at least, two at most.
+// How many different items a key was seen with, by a sketch of 64 registers (HyperLogLog, Flajolet and others 2007,
+// with linear counting below 160): exact enough to tell 5 from 50, an eighth off above. Covers one window at least, two
+// at most.
 class DistinctTable {
  public:
   DistinctTable(std::size_t keys, std::uint64_t window_us, std::uint64_t seed);
--- a/src/expr/expr.h
+++ b/src/expr/expr.h
@@ -1,8 +1,9 @@
 // Package expr: a small typed language for matching calls, compiled once, with a cost bound known at load.
 //
-// An expression is refused at load or it cannot fail: types, names and absent attributes are checked, every operation is
-// total (integers saturate, x / 0 and x % 0 are 0), jumps only go forward, and the bound covers the worst input within the
-// declared sizes. Evaluation allocates nothing and reads no clock. Grammar and cost model: docs/expressions.md.
+// An expression is refused at load or it cannot fail: types, names and absent attributes are checked, every operation
+// is total (integers saturate, x / 0 and x % 0 are 0), jumps only go forward, and the bound covers the worst input
+// within the declared sizes. Evaluation allocates nothing and reads no clock. Grammar and cost model:
+// docs/expressions.md.
 #ifndef CROFTRUN_EXPR_EXPR_H_
 #define CROFTRUN_EXPR_EXPR_H_
 
@@ -68,19 +69,46 @@
   kAttribute,  // push input[a]
   kHas,        // push whether input[a] is present
   kShared,     // push what shared program a gives, worked out once a call
-  kNot, kNegate, kAdd, kSubtract, kMultiply, kDivide, kModulo,
-  kEqual, kNotEqual, kLess, kLessEqual,
-  kToDouble, kNegateDouble, kAddDouble, kSubtractDouble, kMultiplyDouble, kDivideDouble, kLessDouble, kLessEqualDouble,
-  kTextEqual, kTextNotEqual, kTextLess, kStartsWith, kEndsWith, kContains, kLength, kFirst, kLast,
-  kHashNumber, kHashText, kHashBoth,  // of one value; of two hashes
+  kNot,
+  kNegate,
+  kAdd,
+  kSubtract,
+  kMultiply,
+  kDivide,
+  kModulo,
+  kEqual,
+  kNotEqual,
+  kLess,
+  kLessEqual,
+  kToDouble,
+  kNegateDouble,
+  kAddDouble,
+  kSubtractDouble,
+  kMultiplyDouble,
+  kDivideDouble,
+  kLessDouble,
+  kLessEqualDouble,
+  kTextEqual,
+  kTextNotEqual,
+  kTextLess,
+  kStartsWith,
+  kEndsWith,
+  kContains,
+  kLength,
+  kFirst,
+  kLast,
+  kHashNumber,
+  kHashText,
+  kHashBoth,   // of one value; of two hashes
   kInNumbers,  // number lists[a]
   kInRanges,   // the same, in pairs of first and last
   kInTexts,
-  kLookupNumber, kLookupText,  // maps[a]
+  kLookupNumber,
+  kLookupText,   // maps[a]
   kMatches,      // patterns[a]
   kJumpIfFalse,  // to a, keeping the value; else it is popped
   kJumpIfTrue,
-  kBranch,       // pops; to a if false
+  kBranch,  // pops; to a if false
   kJump,
 };
 struct Instruction {
@@ -186,8 +214,8 @@
 
 // What is known when a call is looked at.
 struct Moment {
-  std::uint64_t now_us = 0;   // of a clock that never steps: counters
-  std::int64_t wall_us = 0;   // Unix time: the calendar
+  std::uint64_t now_us = 0;  // of a clock that never steps: counters
+  std::int64_t wall_us = 0;  // Unix time: the calendar
 };
 
 // What the rules make of a call.
--- a/src/expr/generate.cpp
+++ b/src/expr/generate.cpp
@@ -100,7 +100,8 @@
 }
 
 std::size_t Generator::Put(Op op, std::size_t a, std::uint64_t cost) {
-  program_.code_.push_back({op, static_cast<std::uint32_t>(a), static_cast<std::uint32_t>(std::min<std::uint64_t>(cost, 1U << 30))});
+  program_.code_.push_back(
+      {op, static_cast<std::uint32_t>(a), static_cast<std::uint32_t>(std::min<std::uint64_t>(cost, 1U << 30))});
   return program_.code_.size() - 1;
 }
 
@@ -156,7 +157,8 @@
       for (std::size_t n = map->numbers.size() + map->texts.size(); n > 0; n /= 2) ++steps;
       const bool texts = IsText(node.parts[0]->type);
       program_.maps_.push_back(map);
-      Put(texts ? Op::kLookupText : Op::kLookupNumber, program_.maps_.size() - 1, texts ? steps * (1 + node.parts[0]->longest / 8) : steps);
+      Put(texts ? Op::kLookupText : Op::kLookupNumber, program_.maps_.size() - 1,
+          texts ? steps * (1 + node.parts[0]->longest / 8) : steps);
       return;
     }
     case Shape::kOr: {
@@ -303,7 +305,8 @@
   std::vector<std::int64_t> list;
   if (value.type == Type::kAddress) {
     std::vector<std::pair<std::int64_t, std::int64_t>> ranges;
-    for (std::size_t i = 1; i < node.parts.size(); ++i) ranges.emplace_back(node.parts[i]->number, node.parts[i]->token.last);
+    for (std::size_t i = 1; i < node.parts.size(); ++i)
+      ranges.emplace_back(node.parts[i]->number, node.parts[i]->token.last);
     std::sort(ranges.begin(), ranges.end());
     for (const auto& [from, last] : ranges) {
       if (!list.empty() && from <= list.back()) {
@@ -334,8 +337,9 @@
     return;
   }
   if (pattern->ProgramSize() > limits_.largest_pattern) {
-    reporter_->Say(node.token.at, "expected a regular expression of at most " + std::to_string(limits_.largest_pattern) +
-                                      " states, found " + std::to_string(pattern->ProgramSize()));
+    reporter_->Say(node.token.at, "expected a regular expression of at most " +
+                                      std::to_string(limits_.largest_pattern) + " states, found " +
+                                      std::to_string(pattern->ProgramSize()));
     failed_ = true;
     return;
   }
--- a/src/expr/hash.h
+++ b/src/expr/hash.h
@@ -2,11 +2,11 @@
 #ifndef CROFTRUN_EXPR_HASH_H_
 #define CROFTRUN_EXPR_HASH_H_
 
+#include <xxhash.h>
+
 #include <cstdint>
 #include <string_view>
 
-#include <xxhash.h>
-
 namespace croftrun::expr {
 
 inline std::uint64_t HashText(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
--- a/src/expr/index.cpp
+++ b/src/expr/index.cpp
@@ -20,7 +20,8 @@
   if (b.kind == Kind::kRange)
     return (a.kind == Kind::kRange || a.kind == Kind::kNumbers) && Within(a, b.numbers[0], b.numbers[1]);
   if (b.kind == Kind::kNumbers)
-    return a.kind == Kind::kNumbers && std::includes(b.numbers.begin(), b.numbers.end(), a.numbers.begin(), a.numbers.end());
+    return a.kind == Kind::kNumbers &&
+           std::includes(b.numbers.begin(), b.numbers.end(), a.numbers.begin(), a.numbers.end());
   if (b.kind == Kind::kPrefix)
     return (a.kind == Kind::kPrefix || a.kind == Kind::kTexts) &&
            std::all_of(a.texts.begin(), a.texts.end(), [&](const std::string& t) { return t.starts_with(b.texts[0]); });
@@ -40,7 +41,8 @@
   if (a.kind == Kind::kRange) return a.numbers[1] < b.numbers[0] || b.numbers[1] < a.numbers[0];
   if (a.kind == Kind::kTexts) {
     return std::none_of(a.texts.begin(), a.texts.end(), [&](const std::string& t) {
-      return b.kind == Kind::kPrefix ? t.starts_with(b.texts[0]) : std::binary_search(b.texts.begin(), b.texts.end(), t);
+      return b.kind == Kind::kPrefix ? t.starts_with(b.texts[0])
+                                     : std::binary_search(b.texts.begin(), b.texts.end(), t);
     });
   }
   return !a.texts[0].starts_with(b.texts[0]) && !b.texts[0].starts_with(a.texts[0]);
--- a/src/expr/lex.cpp
+++ b/src/expr/lex.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
-// Where the first octet stands that is no UTF-8 (RFC 3629: shortest form, no surrogates, up to U+10FFFF); size() if none.
+// Where the first octet stands that is no UTF-8 (RFC 3629: shortest form, no surrogates, up to U+10FFFF); size() if
+// none.
 std::size_t FirstNotUtf8(std::string_view text) {
   const auto octet = [&](std::size_t i) { return static_cast<unsigned char>(text[i]); };
   for (std::size_t at = 0; at < text.size();) {
@@ -43,7 +44,8 @@
   for (std::size_t i = 1; i <= a.size(); ++i) {
     std::size_t diagonal = std::exchange(row[0], i);
     for (std::size_t j = 1; j <= b.size(); ++j)
-      diagonal = std::exchange(row[j], std::min({row[j] + 1, row[j - 1] + 1, diagonal + (a[i - 1] == b[j - 1] ? 0 : 1)}));
+      diagonal =
+          std::exchange(row[j], std::min({row[j] + 1, row[j - 1] + 1, diagonal + (a[i - 1] == b[j - 1] ? 0 : 1)}));
   }
   return row[b.size()];
 }
@@ -97,8 +99,9 @@
     std::size_t end = at_ + 1;
     if (IsNameStart(c)) {
       // Words of enumerations may hold dashes: slot-check. A minus sign therefore needs a space before it.
-      while (end < source_.size() && (IsNameStart(source_[end]) || IsDigit(source_[end]) ||
-                                      (source_[end] == '-' && end + 1 < source_.size() && IsNameStart(source_[end + 1]))))
+      while (end < source_.size() &&
+             (IsNameStart(source_[end]) || IsDigit(source_[end]) ||
+              (source_[end] == '-' && end + 1 < source_.size() && IsNameStart(source_[end + 1]))))
         ++end;
       token.kind = Kind::kName;
     } else if (IsDigit(c)) {
@@ -143,7 +146,8 @@
       return end;
     }
     if (const std::size_t end = Extent("-"); end - at_ == 10) {
-      if (const auto parts = Parts<3>(source_.substr(at_, 10), '-', 2, 4, &count); parts && count == 3 && source_[at_ + 4] == '-') {
+      if (const auto parts = Parts<3>(source_.substr(at_, 10), '-', 2, 4, &count);
+          parts && count == 3 && source_[at_ + 4] == '-') {
         token->kind = Kind::kDate;
         const std::chrono::year_month_day date{std::chrono::year(static_cast<int>((*parts)[0])),
                                                std::chrono::month(static_cast<unsigned>((*parts)[1])),
@@ -164,7 +168,8 @@
       token->kind = Kind::kDouble;
       double value = 0.0;
       const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-      if (error != std::errc() || stop != text.data() + text.size()) reporter_->Say(at_, "expected a number, found a larger one");
+      if (error != std::errc() || stop != text.data() + text.size())
+        reporter_->Say(at_, "expected a number, found a larger one");
       token->number = std::bit_cast<std::int64_t>(value);
       return end;
     }
@@ -177,7 +182,8 @@
       end = static_cast<std::size_t>(stop - source_.data());
       if (error != std::errc()) length = 33;
     }
-    const bool legal = parts && count == 4 && length <= 32 && std::all_of(parts->begin(), parts->end(), [](auto p) { return p <= 255; });
+    const bool legal = parts && count == 4 && length <= 32 &&
+                       std::all_of(parts->begin(), parts->end(), [](auto p) { return p <= 255; });
     if (!legal) {
       reporter_->Say(at_, "expected an address like 10.1.2.3 or a prefix like 10.1.0.0/16, found another form");
       return end;
@@ -185,7 +191,8 @@
     for (const std::int64_t part : *parts) token->number = token->number * 256 + part;
     const std::int64_t size = std::int64_t{1} << (32 - length);
     if (token->number % size != 0)
-      reporter_->Say(at_, "expected a prefix whose address ends in zeros behind its " + std::to_string(length) + " bits, found another");
+      reporter_->Say(at_, "expected a prefix whose address ends in zeros behind its " + std::to_string(length) +
+                              " bits, found another");
     token->last = token->number + size - 1;
     return end;
   }
@@ -195,14 +202,20 @@
     while (end < source_.size() && IsDigit(source_[end])) ++end;
     token->kind = Kind::kInt;
     const auto [stop, error] = std::from_chars(source_.data() + at_, source_.data() + end, token->number);
-    if (error != std::errc()) reporter_->Say(at_, "expected a whole number up to 9223372036854775807, found a larger one");
+    if (error != std::errc())
+      reporter_->Say(at_, "expected a whole number up to 9223372036854775807, found a larger one");
     const std::size_t digits = end;
     while (end < source_.size() && IsNameStart(source_[end])) ++end;
     if (end == digits) return end;
     const auto unit = source_.substr(digits, end - digits);
-    const std::int64_t scale = unit == "ms" ? 1'000 : unit == "s" ? 1'000'000 : unit == "min" ? 60'000'000 : unit == "h" ? 3'600'000'000 : 0;
+    const std::int64_t scale = unit == "ms"    ? 1'000
+                               : unit == "s"   ? 1'000'000
+                               : unit == "min" ? 60'000'000
+                               : unit == "h"   ? 3'600'000'000
+                                               : 0;
     token->kind = Kind::kDuration;
-    if (scale == 0) reporter_->Say(digits, "expected a unit (ms, s, min, h), found '" + std::string(unit.substr(0, 20)) + "'");
+    if (scale == 0)
+      reporter_->Say(digits, "expected a unit (ms, s, min, h), found '" + std::string(unit.substr(0, 20)) + "'");
     if (__builtin_mul_overflow(token->number, scale, &token->number))
       reporter_->Say(at_, "expected a duration that can be counted in microseconds, found a longer one");
     return end;
@@ -261,18 +274,21 @@
   // What is missing at the end is shown behind the last thing that is there, not on the empty line after it.
   if (at == source_.size()) at = source_.find_last_not_of(" \t\r\n", at) + 1;  // npos + 1 is 0
   Mistake mistake;
-  mistake.line = 1 + static_cast<std::size_t>(std::count(source_.begin(), source_.begin() + static_cast<std::ptrdiff_t>(at), '\n'));
+  mistake.line = 1 + static_cast<std::size_t>(
+                         std::count(source_.begin(), source_.begin() + static_cast<std::ptrdiff_t>(at), '\n'));
   const std::size_t begin = at == 0 ? 0 : source_.rfind('\n', at - 1) + 1;  // npos + 1 is 0
   mistake.column = at - begin + 1;
   mistake.text = std::move(text);
-  // A window of the line around the place, a line may be megabytes long: marked where it is cut, the place always in it.
+  // A window of the line around the place, a line may be megabytes long: marked where it is cut, the place always in
+  // it.
   constexpr std::size_t kBefore = 60, kWidth = 120;
   const std::size_t from = at - begin > kBefore ? at - kBefore : begin;
   const std::size_t end = std::min(source_.find('\n', at), source_.size());
   const std::size_t to = std::min(end, from + kWidth);
   const std::string_view left = from > begin ? "..." : "", right = to < end ? "..." : "";
   mistake.shown = left;
-  for (const char c : source_.substr(from, to - from)) mistake.shown += c == '\t' ? ' ' : c >= ' ' && c <= '~' ? c : '?';
+  for (const char c : source_.substr(from, to - from))
+    mistake.shown += c == '\t' ? ' ' : c >= ' ' && c <= '~' ? c : '?';
   mistake.shown += std::string(right) + "\n" + std::string(left.size() + at - from, ' ') + "^";
   mistakes_->push_back(std::move(mistake));
 }
@@ -290,7 +306,8 @@
 
 std::vector<Token> Lex(std::string_view source, const Limits& limits, Reporter* reporter) {
   if (const std::size_t at = FirstNotUtf8(source); at < source.size())
-    reporter->Say(at, "expected UTF-8, found octet " + std::to_string(static_cast<unsigned char>(source[at])) + " where none may stand");
+    reporter->Say(at, "expected UTF-8, found octet " + std::to_string(static_cast<unsigned char>(source[at])) +
+                          " where none may stand");
   return Lexer(source, limits, reporter).All();
 }
 
--- a/src/expr/machine.cpp
+++ b/src/expr/machine.cpp
@@ -17,7 +17,8 @@
 
 template <typename Pairs, typename Key>
 const Value& Lookup(const Pairs& pairs, const Key& key, const Value& otherwise) {
-  const auto found = std::lower_bound(pairs.begin(), pairs.end(), key, [](const auto& pair, const Key& k) { return pair.first < k; });
+  const auto found =
+      std::lower_bound(pairs.begin(), pairs.end(), key, [](const auto& pair, const Key& k) { return pair.first < k; });
   return found != pairs.end() && found->first == key ? found->second : otherwise;
 }
 
@@ -158,7 +159,8 @@
         second.number = static_cast<std::int64_t>(HashText(second.text()));
         break;
       case Op::kHashBoth:
-        binary(static_cast<std::int64_t>(HashBoth(static_cast<std::uint64_t>(first.number), static_cast<std::uint64_t>(second.number))));
+        binary(static_cast<std::int64_t>(
+            HashBoth(static_cast<std::uint64_t>(first.number), static_cast<std::uint64_t>(second.number))));
         break;
       case Op::kInNumbers: {
         const auto& list = numbers_[i.a];
@@ -171,7 +173,8 @@
         const auto& list = numbers_[i.a];
         spent += i.cost - 1;
         const auto after = std::upper_bound(list.begin(), list.end(), second.number) - list.begin();
-        second.number = after % 2 == 1 || (after > 0 && list[static_cast<std::size_t>(after) - 1] == second.number) ? 1 : 0;
+        second.number =
+            after % 2 == 1 || (after > 0 && list[static_cast<std::size_t>(after) - 1] == second.number) ? 1 : 0;
         break;
       }
       case Op::kInTexts: {
@@ -185,7 +188,8 @@
         const ConstantMap& map = *maps_[i.a];
         spent += i.cost - 1;
         --top;
-        push(i.op == Op::kLookupNumber ? Lookup(map.numbers, second.number, map.otherwise) : Lookup(map.texts, second.text(), map.otherwise));
+        push(i.op == Op::kLookupNumber ? Lookup(map.numbers, second.number, map.otherwise)
+                                       : Lookup(map.texts, second.text(), map.otherwise));
         break;
       }
       case Op::kMatches:
--- a/src/expr/parse.cpp
+++ b/src/expr/parse.cpp
@@ -7,9 +7,10 @@
 namespace croftrun::expr {
 namespace {
 
-const std::set<std::string_view> kKeywords = {
-    "and",  "or",      "not",     "in",       "has",         "if",        "then", "else", "true",    "false",  "when", "rule",
-    "table", "default", "matches", "contains", "starts_with", "ends_with", "let",  "fn",   "counter", "example"};
+const std::set<std::string_view> kKeywords = {"and",   "or",      "not",     "in",       "has",         "if",
+                                              "then",  "else",    "true",    "false",    "when",        "rule",
+                                              "table", "default", "matches", "contains", "starts_with", "ends_with",
+                                              "let",   "fn",      "counter", "example"};
 
 }  // namespace
 
@@ -42,7 +43,8 @@
 void Parser::Wrong(const std::string& expected) {
   const Token& found = Next();
   reporter_->Say(found.at, "expected " + expected + ", found " +
-                               (found.kind == Kind::kEnd ? std::string("the end") : "'" + std::string(found.text.substr(0, 40)) + "'"));
+                               (found.kind == Kind::kEnd ? std::string("the end")
+                                                         : "'" + std::string(found.text.substr(0, 40)) + "'"));
 }
 
 void Parser::SkipItem() {
@@ -51,7 +53,8 @@
 
 bool Parser::Deeper() {
   if (++depth_ <= limits_.deepest) return true;
-  if (!too_deep_) reporter_->Say(Next().at, "expected at most " + std::to_string(limits_.deepest) + " levels, found deeper nesting");
+  if (!too_deep_)
+    reporter_->Say(Next().at, "expected at most " + std::to_string(limits_.deepest) + " levels, found deeper nesting");
   too_deep_ = true;
   --depth_;
   return false;
@@ -155,7 +158,8 @@
   if (!Take("[")) {
     Tree low = Sum();
     if (low == nullptr) return false;
-    if (!Is("..") && (low->shape == Shape::kName || (low->shape == Shape::kConstant && low->token.kind == Kind::kAddress))) {
+    if (!Is("..") &&
+        (low->shape == Shape::kName || (low->shape == Shape::kConstant && low->token.kind == Kind::kAddress))) {
       node->token = low->token;
       if (low->shape == Shape::kConstant) node->parts.push_back(std::move(low));
       return true;
@@ -241,7 +245,8 @@
   }
   const bool word = Next().kind == Kind::kName;
   const bool truth = Is("true") || Is("false");
-  if (Next().kind == Kind::kEnd || Next().kind == Kind::kSymbol || (word && !truth && kKeywords.count(Next().text) > 0)) {
+  if (Next().kind == Kind::kEnd || Next().kind == Kind::kSymbol ||
+      (word && !truth && kKeywords.count(Next().text) > 0)) {
     Wrong("a value");
     return nullptr;
   }
--- a/src/expr/render.cpp
+++ b/src/expr/render.cpp
@@ -16,7 +16,8 @@
       return text.substr(0, text.find_last_not_of('0') + 1);
     }
     case Type::kDuration:
-      return node.number % 1'000'000 == 0 ? std::to_string(node.number / 1'000'000) + "s" : std::to_string(node.number / 1'000) + "ms";
+      return node.number % 1'000'000 == 0 ? std::to_string(node.number / 1'000'000) + "s"
+                                          : std::to_string(node.number / 1'000) + "ms";
     case Type::kTime: {
       const std::int64_t seconds = node.number / 1'000'000;
       const std::string text = std::to_string(seconds / 3600) + ":" + Two(seconds / 60 % 60);
--- a/src/expr/rule_set.cpp
+++ b/src/expr/rule_set.cpp
@@ -15,13 +15,15 @@
 
 bool Covers(const Rule& a, const Rule& b) {
   return std::all_of(a.constraints.begin(), a.constraints.end(), [&](const Constraint& wanted) {
-    return std::any_of(b.constraints.begin(), b.constraints.end(), [&](const Constraint& holds) { return Implies(holds, wanted); });
+    return std::any_of(b.constraints.begin(), b.constraints.end(),
+                       [&](const Constraint& holds) { return Implies(holds, wanted); });
   });
 }
 
 bool Apart(const Rule& a, const Rule& b) {
   return std::any_of(a.constraints.begin(), a.constraints.end(), [&](const Constraint& one) {
-    return std::any_of(b.constraints.begin(), b.constraints.end(), [&](const Constraint& other) { return Excludes(one, other); });
+    return std::any_of(b.constraints.begin(), b.constraints.end(),
+                       [&](const Constraint& other) { return Excludes(one, other); });
   });
 }
 
@@ -36,8 +38,9 @@
 }
 
 bool SameEffects(const Effects& a, const Effects& b) {
-  return a.call_class == b.call_class && a.customer == b.customer && a.priority == b.priority && a.budget_us == b.budget_us &&
-         !a.key && !b.key && a.refuse == b.refuse && a.pause_us == b.pause_us && a.redial == b.redial && a.tags == b.tags;
+  return a.call_class == b.call_class && a.customer == b.customer && a.priority == b.priority &&
+         a.budget_us == b.budget_us && !a.key && !b.key && a.refuse == b.refuse && a.pause_us == b.pause_us &&
+         a.redial == b.redial && a.tags == b.tags;
 }
 
 std::string Called(const Rule& rule) {
@@ -122,17 +125,20 @@
     }
     for (std::size_t i = 0; i < j; ++i) {
       if (++pairs > most_pairs) {
-        notes.push_back({later.line, "from here on rules were not compared with those before them (" + std::to_string(most_pairs) + " pairs looked at)"});
+        notes.push_back({later.line, "from here on rules were not compared with those before them (" +
+                                         std::to_string(most_pairs) + " pairs looked at)"});
         return notes;
       }
       const Rule& earlier = rules[i];
       const bool ends = !all || earlier.effects.refuse;
       if (ends && Covers(earlier, later)) {
-        notes.push_back({later.line, Called(later) + " is never reached: whatever it matches, " + Called(earlier) + " matches before"});
+        notes.push_back({later.line, Called(later) + " is never reached: whatever it matches, " + Called(earlier) +
+                                         " matches before"});
         break;
       }
       if (overlaps && ends && !Apart(earlier, later) && !SameEffects(earlier.effects, later.effects))
-        notes.push_back({later.line, Called(later) + " and " + Called(earlier) + " may match the same call; the earlier one decides"});
+        notes.push_back({later.line, Called(later) + " and " + Called(earlier) +
+                                         " may match the same call; the earlier one decides"});
     }
   }
   return notes;
--- a/src/expr/tree.h
+++ b/src/expr/tree.h
@@ -13,7 +13,19 @@
 namespace croftrun::expr {
 
 enum class Shape : std::uint8_t {
-  kConstant, kName, kUnary, kBinary, kIn, kRange, kMatches, kHas, kOr, kIf, kLength, kCall, kLookup,
+  kConstant,
+  kName,
+  kUnary,
+  kBinary,
+  kIn,
+  kRange,
+  kMatches,
+  kHas,
+  kOr,
+  kIf,
+  kLength,
+  kCall,
+  kLookup,
   kToDouble  // put in by the checker
 };
 
@@ -29,7 +41,7 @@
   std::size_t attribute = 0;  // or the number of a list or map
   std::size_t longest = 0;    // octets of a text
   bool constant = false;
-  bool closed = false;  // of a definition: no definition is meant by its name
+  bool closed = false;      // of a definition: no definition is meant by its name
   std::int64_t number = 0;  // of a constant; of an address constant `token.last` is the end of its prefix
   std::uint32_t id = 0;     // the same for parts that mean the same (Sharing)
 };
--- a/src/expr/value.h
+++ b/src/expr/value.h
@@ -8,9 +8,7 @@
 
 namespace croftrun::expr {
 
-enum class Type : std::uint8_t {
-  kBool, kInt, kDouble, kString, kE164, kDuration, kTime, kDate, kAddress, kEnum
-};
+enum class Type : std::uint8_t { kBool, kInt, kDouble, kString, kE164, kDuration, kTime, kDate, kAddress, kEnum };
 
 // Whether values of the type are in `text`, not in `number`.
 inline bool IsText(Type type) { return type == Type::kString || type == Type::kE164; }
--- a/src/flow/catch_up.h
+++ b/src/flow/catch_up.h
@@ -1,8 +1,8 @@
 // Which record goes next, one that has just come or one of the spool; and what of the memory goes to disk. No I/O.
 //
-// What comes goes ahead, so that an outage does not make the present old; but while it never ceases, one message in kShare
-// is the spool's, so that the catch-up ends. The spool sends within a budget besides, as a collector that comes back after
-// an outage is met by all exporters at once.
+// What comes goes ahead, so that an outage does not make the present old; but while it never ceases, one message in
+// kShare is the spool's, so that the catch-up ends. The spool sends within a budget besides, as a collector that comes
+// back after an outage is met by all exporters at once.
 #ifndef CROFTRUN_FLOW_CATCH_UP_H_
 #define CROFTRUN_FLOW_CATCH_UP_H_
 
@@ -43,8 +43,8 @@
     return now + 1 + static_cast<std::uint64_t>((1.0 - tokens_) * 1e6 / static_cast<double>(settings_.records_per_s));
   }
 
-  // How many of the records in memory are to go to disk. Up and keeping pace, none; up and falling behind, down to half the
-  // queue before any is dropped; away, all.
+  // How many of the records in memory are to go to disk. Up and keeping pace, none; up and falling behind, down to half
+  // the queue before any is dropped; away, all.
   std::size_t ToDisk(bool up, std::uint64_t down_for_us, std::size_t waiting, std::size_t queue) const {
     if (!up && (down_for_us >= settings_.away_us || waiting >= queue / 2)) return waiting;
     if (waiting >= queue - queue / 4) return waiting - queue / 2;
--- a/src/flow/decode.cpp
+++ b/src/flow/decode.cpp
@@ -6,7 +6,9 @@
 constexpr std::size_t kMostTemplates = 4096, kMostFields = 512, kMostDomains = 4096;
 constexpr std::uint16_t kEnterpriseBit = 0x8000;
 
-std::uint64_t At(std::string_view octets, std::size_t at, std::size_t size) { return UnsignedOf(octets.substr(at, size)); }
+std::uint64_t At(std::string_view octets, std::size_t at, std::size_t size) {
+  return UnsignedOf(octets.substr(at, size));
+}
 
 // Takes so many octets off the front; false if there are not so many.
 bool Take(std::string_view* rest, std::size_t size, std::string_view* taken) {
@@ -84,9 +86,11 @@
   Context context;
   context.protocol = version == 10 ? Protocol::kIpfix : Protocol::kNetflow9;
   const bool ipfix = version == 10;
-  if (!ipfix && octets.size() < 20) return Fail(error, "expected a header of 20 octets, found " + std::to_string(octets.size()));
+  if (!ipfix && octets.size() < 20)
+    return Fail(error, "expected a header of 20 octets, found " + std::to_string(octets.size()));
   if (ipfix && At(octets, 2, 2) != octets.size())
-    return Fail(error, "expected " + std::to_string(At(octets, 2, 2)) + " octets, found " + std::to_string(octets.size()));
+    return Fail(error,
+                "expected " + std::to_string(At(octets, 2, 2)) + " octets, found " + std::to_string(octets.size()));
   ++counters_.messages;
   const auto sequence = static_cast<std::uint32_t>(At(octets, ipfix ? 8 : 12, 4));
   context.domain = static_cast<std::uint32_t>(At(octets, ipfix ? 12 : 16, 4));
@@ -107,7 +111,8 @@
     id = At(rest, 0, 2);
     length = At(rest, 2, 2);
     if (length < 4 || !Take(&rest, length, &set)) {
-      fine = Fail(error, "expected a set of " + std::to_string(length) + " octets at octet " + std::to_string(octets.size() - rest.size()) + ", found fewer");
+      fine = Fail(error, "expected a set of " + std::to_string(length) + " octets at octet " +
+                             std::to_string(octets.size() - rest.size()) + ", found fewer");
       break;
     }
     fine = Set(set.substr(4), static_cast<std::uint16_t>(id), &context, on_record, error);
@@ -117,7 +122,8 @@
   return fine;
 }
 
-bool Decoder::Set(std::string_view set, std::uint16_t id, Context* context, const OnRecord& on_record, std::string* error) {
+bool Decoder::Set(std::string_view set, std::uint16_t id, Context* context, const OnRecord& on_record,
+                  std::string* error) {
   const bool ipfix = context->protocol == Protocol::kIpfix;
   if (id == (ipfix ? 2 : 0)) return Templates(set, false, *context, error);
   if (id == (ipfix ? 3 : 1)) return Templates(set, true, *context, error);
@@ -149,32 +155,41 @@
         count = (scope_octets + scopes) / 4;
         scopes = scope_octets / 4;
       }
-      if (scopes == 0 || scopes > count) return Fail(error, "expected 1 to " + std::to_string(count) + " scopes, found " + std::to_string(scopes));
+      if (scopes == 0 || scopes > count)
+        return Fail(error, "expected 1 to " + std::to_string(count) + " scopes, found " + std::to_string(scopes));
     }
-    if (count > kMostFields) return Fail(error, "expected at most " + std::to_string(kMostFields) + " fields, found " + std::to_string(count));
+    if (count > kMostFields)
+      return Fail(error, "expected at most " + std::to_string(kMostFields) + " fields, found " + std::to_string(count));
     Known known;
     known.scopes = scopes;
     std::size_t least = 0;
     for (std::uint64_t i = 0; i < count; ++i) {
       std::uint64_t field = 0, length = 0, enterprise = 0;
-      if (!TakeNumber(&set, 2, &field) || !TakeNumber(&set, 2, &length)) return Fail(error, "expected a field of a template, found the end of the set");
-      if (ipfix && (field & kEnterpriseBit) != 0 && !TakeNumber(&set, 4, &enterprise)) return Fail(error, "expected an enterprise number, found the end of the set");
+      if (!TakeNumber(&set, 2, &field) || !TakeNumber(&set, 2, &length))
+        return Fail(error, "expected a field of a template, found the end of the set");
+      if (ipfix && (field & kEnterpriseBit) != 0 && !TakeNumber(&set, 4, &enterprise))
+        return Fail(error, "expected an enterprise number, found the end of the set");
       // The scope "system" of v9 is no element.
       const bool v9_scope = !ipfix && options && i < scopes;
-      known.fields.push_back({static_cast<std::uint32_t>(enterprise), static_cast<std::uint16_t>(v9_scope ? 0 : ipfix ? field & ~std::uint64_t{kEnterpriseBit} : field),
+      known.fields.push_back({static_cast<std::uint32_t>(enterprise),
+                              static_cast<std::uint16_t>(v9_scope ? 0
+                                                         : ipfix  ? field & ~std::uint64_t{kEnterpriseBit}
+                                                                  : field),
                               static_cast<std::uint16_t>(length)});
       least += length == kVariable && ipfix ? 1 : length;
     }
     if (least == 0) return Fail(error, "expected a record of some octets, found a template of none");
     ++counters_.templates;
     const std::pair key{context.domain, static_cast<std::uint16_t>(id)};
-    if (templates_.size() >= kMostTemplates && templates_.count(key) == 0) return Fail(error, "expected at most " + std::to_string(kMostTemplates) + " templates, found more");
+    if (templates_.size() >= kMostTemplates && templates_.count(key) == 0)
+      return Fail(error, "expected at most " + std::to_string(kMostTemplates) + " templates, found more");
     templates_[key] = std::move(known);
   }
   return true;
 }
 
-bool Decoder::Data(std::string_view set, const Known& known, std::uint16_t id, Context* context, const OnRecord& on_record, std::string* error) {
+bool Decoder::Data(std::string_view set, const Known& known, std::uint16_t id, Context* context,
+                   const OnRecord& on_record, std::string* error) {
   const bool ipfix = context->protocol == Protocol::kIpfix;
   std::size_t least = 0;
   for (const Spec& spec : known.fields) least += spec.length == kVariable && ipfix ? 1 : spec.length;
@@ -191,7 +206,8 @@
           return Fail(error, "expected the length of a value, found the end of the set");
       }
       std::string_view octets;
-      if (!Take(&set, length, &octets)) return Fail(error, "expected a value of " + std::to_string(length) + " octets, found fewer");
+      if (!Take(&set, length, &octets))
+        return Fail(error, "expected a value of " + std::to_string(length) + " octets, found fewer");
       record.fields.push_back({spec.enterprise, spec.id, octets});
     }
     ++context->records;
--- a/src/flow/decode.h
+++ b/src/flow/decode.h
@@ -44,8 +44,8 @@
 
   // One whole message. False: `error` says what was wrong and at which octet; records before that were given.
   bool Message(std::string_view octets, const OnRecord& on_record, std::string* error);
-  // The length of the message that begins a stream; 0: more is needed to tell; nothing of a stream can follow octets that
-  // are no header, for which 1 is returned.
+  // The length of the message that begins a stream; 0: more is needed to tell; nothing of a stream can follow octets
+  // that are no header, for which 1 is returned.
   static std::size_t LengthOfNext(std::string_view stream);
   const Counters& counters() const { return counters_; }
   // As a collector that was restarted: templates and sequence numbers are forgotten.
@@ -67,7 +67,8 @@
   };
   bool Set(std::string_view set, std::uint16_t id, Context* context, const OnRecord& on_record, std::string* error);
   bool Templates(std::string_view set, bool options, const Context& context, std::string* error);
-  bool Data(std::string_view set, const Known& known, std::uint16_t id, Context* context, const OnRecord& on_record, std::string* error);
+  bool Data(std::string_view set, const Known& known, std::uint16_t id, Context* context, const OnRecord& on_record,
+            std::string* error);
   bool Fail(std::string* error, std::string text);
 
   std::map<std::pair<std::uint32_t, std::uint16_t>, Known> templates_;  // by domain and id
