--- a/src/flow/elements.cpp
+++ b/src/flow/elements.cpp
@@ -31,59 +31,99 @@
     {Source::kInfoName, {341, false, D::kString, S::kDefault, "informationElementName", ""}},
     {Source::kInfoDescription, {340, false, D::kString, S::kDefault, "informationElementDescription", ""}},
     {Source::kTried, {291, false, D::kBasicList, S::kDefault, "basicList", ""}},
-    {Source::kExchange, {1, true, D::kUnsigned32, S::kIdentifier, "exchange", "Number of the exchange whose softswitch exports"}},
+    {Source::kExchange,
+     {1, true, D::kUnsigned32, S::kIdentifier, "exchange", "Number of the exchange whose softswitch exports"}},
     {Source::kOrigin, {2, true, D::kUnsigned32, S::kIdentifier, "originExchange", "Exchange where the call began"}},
-    {Source::kDestination, {3, true, D::kUnsigned32, S::kIdentifier, "destinationExchange", "Exchange that the call is for, or an attempt was sent to"}},
+    {Source::kDestination,
+     {3, true, D::kUnsigned32, S::kIdentifier, "destinationExchange",
+      "Exchange that the call is for, or an attempt was sent to"}},
     {Source::kCalled, {4, true, D::kString, S::kDefault, "calledNumber", "Digits called"}},
     {Source::kCalling, {5, true, D::kString, S::kDefault, "callingEndpoint", "Line or trunk that calls"}},
-    {Source::kClass, {6, true, D::kString, S::kDefault, "callClass", "Class of the call, by the rules or the number plan"}},
+    {Source::kClass,
+     {6, true, D::kString, S::kDefault, "callClass", "Class of the call, by the rules or the number plan"}},
     {Source::kCustomer, {7, true, D::kUnsigned16, S::kIdentifier, "customer", "Customer, by number in the settings"}},
-    {Source::kAnswer, {8, true, D::kUnsigned8, S::kIdentifier, "finalAnswer", "0 hung up before, 1 stands, 2 refused, 3 failed"}},
-    {Source::kOutcome, {9, true, D::kUnsigned8, S::kIdentifier, "attemptOutcome", "Outcome of the attempt, as the decision module numbers it"}},
-    {Source::kCause, {10, true, D::kUnsigned8, S::kIdentifier, "releaseCause", "Of a call: Q.850 cause; of an attempt: cause as the decision module numbers it"}},
-    {Source::kSetUp, {11, true, D::kUnsigned32, S::kQuantity, "setUpDelayMicroseconds", "From the digits or seizure to the answer; 0 if it never stood"}},
+    {Source::kAnswer,
+     {8, true, D::kUnsigned8, S::kIdentifier, "finalAnswer", "0 hung up before, 1 stands, 2 refused, 3 failed"}},
+    {Source::kOutcome,
+     {9, true, D::kUnsigned8, S::kIdentifier, "attemptOutcome",
+      "Outcome of the attempt, as the decision module numbers it"}},
+    {Source::kCause,
+     {10, true, D::kUnsigned8, S::kIdentifier, "releaseCause",
+      "Of a call: Q.850 cause; of an attempt: cause as the decision module numbers it"}},
+    {Source::kSetUp,
+     {11, true, D::kUnsigned32, S::kQuantity, "setUpDelayMicroseconds",
+      "From the digits or seizure to the answer; 0 if it never stood"}},
     {Source::kAttempts, {12, true, D::kUnsigned8, S::kQuantity, "attemptCount", "Attempts made for the call"}},
-    {Source::kAttemptNumber, {13, true, D::kUnsigned8, S::kIdentifier, "attemptNumber", "Of the attempts of its call, from 0"}},
+    {Source::kAttemptNumber,
+     {13, true, D::kUnsigned8, S::kIdentifier, "attemptNumber", "Of the attempts of its call, from 0"}},
     {Source::kTandem, {14, true, D::kBoolean, S::kDefault, "viaTandem", "The attempt went to a tandem"}},
-    {Source::kInTransit, {15, true, D::kBoolean, S::kDefault, "inTransit", "This exchange is the tandem: its attempt is the second leg"}},
-    {Source::kWidth, {16, true, D::kUnsigned8, S::kQuantity, "circuitCount", "Of a call: circuits that it takes on each group; of an attempt: that it held, 0 if there was none to seize and no set-up left"}},
+    {Source::kInTransit,
+     {15, true, D::kBoolean, S::kDefault, "inTransit", "This exchange is the tandem: its attempt is the second leg"}},
+    {Source::kWidth,
+     {16, true, D::kUnsigned8, S::kQuantity, "circuitCount",
+      "Of a call: circuits that it takes on each group; of an attempt: that it held, 0 if there was none to seize and "
+      "no set-up left"}},
     {Source::kPriority, {17, true, D::kUnsigned8, S::kIdentifier, "callPriority", "Priority by the rules"}},
-    {Source::kRules, {18, true, D::kUnsigned32, S::kIdentifier, "rulesVersion", "Version of the rules that classified the call; 0 for none"}},
+    {Source::kRules,
+     {18, true, D::kUnsigned32, S::kIdentifier, "rulesVersion",
+      "Version of the rules that classified the call; 0 for none"}},
     {Source::kSent, {377, false, D::kUnsigned64, S::kDeltaCounter, "originalFlowsCompleted", ""}},
     {Source::kStood, {20, true, D::kUnsigned64, S::kDeltaCounter, "attemptsStood", "Of these, stood"}},
-    {Source::kTurnedBack, {21, true, D::kUnsigned64, S::kDeltaCounter, "attemptsTurnedBack", "Of these, turned away as full"}},
-    {Source::kLost, {22, true, D::kUnsigned64, S::kDeltaCounter, "attemptsLost", "Of these, timed out, reset or could not be sent"}},
-    {Source::kReplay, {27, true, D::kUnsigned8, S::kIdentifier, "replayed", "0 told as it happened; 1 from the spool; 2 possibly told before"}},
+    {Source::kTurnedBack,
+     {21, true, D::kUnsigned64, S::kDeltaCounter, "attemptsTurnedBack", "Of these, turned away as full"}},
+    {Source::kLost,
+     {22, true, D::kUnsigned64, S::kDeltaCounter, "attemptsLost", "Of these, timed out, reset or could not be sent"}},
+    {Source::kReplay,
+     {27, true, D::kUnsigned8, S::kIdentifier, "replayed",
+      "0 told as it happened; 1 from the spool; 2 possibly told before"}},
     {Source::kSelector, {390, false, D::kUnsigned16, S::kIdentifier, "flowSelectorAlgorithm", ""}},
     {Source::kObserved, {394, false, D::kUnsigned64, S::kTotalCounter, "selectorIDTotalFlowsObserved", ""}},
     {Source::kSelected, {395, false, D::kUnsigned64, S::kTotalCounter, "selectorIDTotalFlowsSelected", ""}},
-    {Source::kRingFull, {23, true, D::kUnsigned64, S::kTotalCounter, "droppedRingFull", "Records not taken as the ring to the exporter was full"}},
-    {Source::kQueueFull, {24, true, D::kUnsigned64, S::kTotalCounter, "droppedQueueFull", "Records dropped as the collector's queue was full"}},
-    {Source::kSpoolFull, {25, true, D::kUnsigned64, S::kTotalCounter, "droppedSpoolFull", "Records dropped as the spool was full or failed"}},
-    {Source::kSendFailed, {26, true, D::kUnsigned64, S::kTotalCounter, "droppedSendFailed", "Records of messages that could not be sent, or were cut off"}},
+    {Source::kRingFull,
+     {23, true, D::kUnsigned64, S::kTotalCounter, "droppedRingFull",
+      "Records not taken as the ring to the exporter was full"}},
+    {Source::kQueueFull,
+     {24, true, D::kUnsigned64, S::kTotalCounter, "droppedQueueFull",
+      "Records dropped as the collector's queue was full"}},
+    {Source::kSpoolFull,
+     {25, true, D::kUnsigned64, S::kTotalCounter, "droppedSpoolFull",
+      "Records dropped as the spool was full or failed"}},
+    {Source::kSendFailed,
+     {26, true, D::kUnsigned64, S::kTotalCounter, "droppedSendFailed",
+      "Records of messages that could not be sent, or were cut off"}},
 };
 
-constexpr Field kCall[] = {{Source::kCall, 8}, {Source::kStart, 8}, {Source::kEnd, 8}, {Source::kEndReason, 1}, {Source::kGroupIn, 4},
-                           {Source::kExchange, 4}, {Source::kOrigin, 4}, {Source::kDestination, 4}, {Source::kCalled, 32},
-                           {Source::kCalling, 64}, {Source::kClass, 32}, {Source::kCustomer, 2}, {Source::kAnswer, 1}, {Source::kCause, 1},
-                           {Source::kSetUp, 4}, {Source::kAttempts, 1}, {Source::kInTransit, 1}, {Source::kWidth, 1}, {Source::kPriority, 1},
-                           {Source::kRules, 4}, {Source::kReplay, 1}, {Source::kTried, 0}};
-constexpr Field kAttempt[] = {{Source::kCall, 8}, {Source::kAttemptNumber, 1}, {Source::kStart, 8}, {Source::kEnd, 8}, {Source::kEndReason, 1},
-                              {Source::kGroupIn, 4}, {Source::kGroupOut, 4}, {Source::kExchange, 4}, {Source::kDestination, 4}, {Source::kTandem, 1},
-                              {Source::kInTransit, 1}, {Source::kOutcome, 1}, {Source::kCause, 1}, {Source::kSetUp, 4}, {Source::kWidth, 1}, {Source::kReplay, 1}};
-constexpr Field kInterval[] = {{Source::kCall, 8}, {Source::kStart, 8}, {Source::kEnd, 8}, {Source::kEndReason, 1}, {Source::kExchange, 4},
-                               {Source::kOrigin, 4}, {Source::kDestination, 4}, {Source::kClass, 32}, {Source::kWidth, 1}, {Source::kReplay, 1}};
-constexpr Field kGroup[] = {{Source::kExchange, 4}, {Source::kGroupOut, 4}, {Source::kStart, 8}, {Source::kEnd, 8}, {Source::kSent, 8},
-                            {Source::kStood, 8}, {Source::kTurnedBack, 8}, {Source::kLost, 8}, {Source::kReplay, 1}};
-constexpr Field kCounts[] = {{Source::kExchange, 4}, {Source::kExportedRecords, 8}, {Source::kNotSent, 8}, {Source::kRingFull, 8},
-                             {Source::kQueueFull, 8}, {Source::kSpoolFull, 8}, {Source::kSendFailed, 8}};
-constexpr Field kTypes[] = {{Source::kInfoEnterprise, 0}, {Source::kInfoElement, 0}, {Source::kInfoType, 0}, {Source::kInfoSemantics, 0},
-                            {Source::kInfoName, 0}, {Source::kInfoDescription, 0}};
-
-constexpr Field kSamples[] = {{Source::kExchange, 4}, {Source::kSelector, 2}, {Source::kObserved, 8}, {Source::kSelected, 8}};
-
-constexpr Template kTemplates[] = {{kCallTemplate, 0, kCall}, {kAttemptTemplate, 0, kAttempt}, {kIntervalTemplate, 0, kInterval},
-                                   {kGroupTemplate, 0, kGroup}, {kCountsTemplate, 1, kCounts}, {kTypesTemplate, 2, kTypes},
+constexpr Field kCall[] = {
+    {Source::kCall, 8},      {Source::kStart, 8},    {Source::kEnd, 8},      {Source::kEndReason, 1},
+    {Source::kGroupIn, 4},   {Source::kExchange, 4}, {Source::kOrigin, 4},   {Source::kDestination, 4},
+    {Source::kCalled, 32},   {Source::kCalling, 64}, {Source::kClass, 32},   {Source::kCustomer, 2},
+    {Source::kAnswer, 1},    {Source::kCause, 1},    {Source::kSetUp, 4},    {Source::kAttempts, 1},
+    {Source::kInTransit, 1}, {Source::kWidth, 1},    {Source::kPriority, 1}, {Source::kRules, 4},
+    {Source::kReplay, 1},    {Source::kTried, 0}};
+constexpr Field kAttempt[] = {
+    {Source::kCall, 8},        {Source::kAttemptNumber, 1}, {Source::kStart, 8},     {Source::kEnd, 8},
+    {Source::kEndReason, 1},   {Source::kGroupIn, 4},       {Source::kGroupOut, 4},  {Source::kExchange, 4},
+    {Source::kDestination, 4}, {Source::kTandem, 1},        {Source::kInTransit, 1}, {Source::kOutcome, 1},
+    {Source::kCause, 1},       {Source::kSetUp, 4},         {Source::kWidth, 1},     {Source::kReplay, 1}};
+constexpr Field kInterval[] = {{Source::kCall, 8},        {Source::kStart, 8},    {Source::kEnd, 8},
+                               {Source::kEndReason, 1},   {Source::kExchange, 4}, {Source::kOrigin, 4},
+                               {Source::kDestination, 4}, {Source::kClass, 32},   {Source::kWidth, 1},
+                               {Source::kReplay, 1}};
+constexpr Field kGroup[] = {{Source::kExchange, 4},   {Source::kGroupOut, 4}, {Source::kStart, 8},
+                            {Source::kEnd, 8},        {Source::kSent, 8},     {Source::kStood, 8},
+                            {Source::kTurnedBack, 8}, {Source::kLost, 8},     {Source::kReplay, 1}};
+constexpr Field kCounts[] = {{Source::kExchange, 4},  {Source::kExportedRecords, 8}, {Source::kNotSent, 8},
+                             {Source::kRingFull, 8},  {Source::kQueueFull, 8},       {Source::kSpoolFull, 8},
+                             {Source::kSendFailed, 8}};
+constexpr Field kTypes[] = {{Source::kInfoEnterprise, 0}, {Source::kInfoElement, 0}, {Source::kInfoType, 0},
+                            {Source::kInfoSemantics, 0},  {Source::kInfoName, 0},    {Source::kInfoDescription, 0}};
+
+constexpr Field kSamples[] = {
+    {Source::kExchange, 4}, {Source::kSelector, 2}, {Source::kObserved, 8}, {Source::kSelected, 8}};
+
+constexpr Template kTemplates[] = {{kCallTemplate, 0, kCall},         {kAttemptTemplate, 0, kAttempt},
+                                   {kIntervalTemplate, 0, kInterval}, {kGroupTemplate, 0, kGroup},
+                                   {kCountsTemplate, 1, kCounts},     {kTypesTemplate, 2, kTypes},
                                    {kSamplesTemplate, 1, kSamples}};
 
 constexpr auto kBySource = [] {
--- a/src/flow/encode.cpp
+++ b/src/flow/encode.cpp
@@ -272,7 +272,8 @@
 }
 
 std::string_view Encoder::Text(Source source, const Values& values) const {
-  if (values.info != nullptr) return source == Source::kInfoName ? values.info->element.name : values.info->element.description;
+  if (values.info != nullptr)
+    return source == Source::kInfoName ? values.info->element.name : values.info->element.description;
   if (source == Source::kCalled) return values.record->called.text();
   if (source == Source::kCalling) return values.record->calling.text();
   const std::size_t call_class = values.record->call_class;
--- a/src/flow/encode.h
+++ b/src/flow/encode.h
@@ -25,7 +25,7 @@
 
 struct EncoderSettings {
   Protocol protocol = Protocol::kIpfix;
-  std::uint32_t domain = 0;       // observation domain, source id: the exchange's number
+  std::uint32_t domain = 0;  // observation domain, source id: the exchange's number
   std::uint32_t enterprise = kDocumentationEnterprise;
   std::size_t most_octets = 1400;  // of a message; 65,535 at most
   std::vector<std::string> classes;
@@ -39,8 +39,8 @@
   void Begin();
   // All templates. False: they did not fit, nothing was added.
   bool AddTemplates();
-  // Descriptions of our elements (RFC 5610) from number `from` on, as many as fit; returns the next one. There are types()
-  // of them; none in v9.
+  // Descriptions of our elements (RFC 5610) from number `from` on, as many as fit; returns the next one. There are
+  // types() of them; none in v9.
   std::size_t AddTypes(std::size_t from);
   std::size_t types() const { return settings_.protocol == Protocol::kIpfix ? OwnElements().size() : 0; }
   // False: the message is full; to be begun anew. A record that fits into no message is one that no settings make.
@@ -49,8 +49,8 @@
   bool AddSamples(const SampleCounts& samples);
   bool empty() const { return records_ == 0 && !has_templates_; }
   std::size_t records() const { return records_; }
-  // Header and all; valid until Begin. `unix_s`: export time; `up_ms`: since the exporter began (v9). Counts the records
-  // into the sequence number, which wraps.
+  // Header and all; valid until Begin. `unix_s`: export time; `up_ms`: since the exporter began (v9). Counts the
+  // records into the sequence number, which wraps.
   const std::string& Finish(std::uint32_t unix_s, std::uint32_t up_ms);
   void SetSequence(std::uint32_t sequence) { sequence_ = sequence; }
 
@@ -87,9 +87,9 @@
 
   EncoderSettings settings_;
   std::vector<std::vector<Step>> steps_;  // of each template, in the order of their numbers
-  std::string out_;      // the message and room after it, until it is finished
-  std::size_t end_ = 0;  // of what is written
-  std::size_t set_at_ = 0;  // of the open set; 0: none
+  std::string out_;                       // the message and room after it, until it is finished
+  std::size_t end_ = 0;                   // of what is written
+  std::size_t set_at_ = 0;                // of the open set; 0: none
   std::uint16_t set_id_ = 0;
   std::size_t records_ = 0, flowsets_records_ = 0;
   bool has_templates_ = false;
--- a/src/flow/exporter.cpp
+++ b/src/flow/exporter.cpp
@@ -42,11 +42,13 @@
 constexpr int kSendBuffer = 256 * 1024;
 
 std::uint64_t NowUs() {
-  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count());
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count());
 }
 std::uint64_t WallMs() {
   return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+      std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+          .count());
 }
 Clock::time_point At(std::uint64_t us) { return Clock::time_point(std::chrono::microseconds(us)); }
 
@@ -69,8 +71,8 @@
 // One collector: its queue, its connection, its spool, its counts. Runs on the worker's thread.
 class Collector {
  public:
-  Collector(asio::io_context& context, const ExporterSettings& all, const CollectorSettings& settings, const Ring& ring, core::Disk* disk,
-            const Exporter::OnEvent& on_event, std::uint64_t seed)
+  Collector(asio::io_context& context, const ExporterSettings& all, const CollectorSettings& settings, const Ring& ring,
+            core::Disk* disk, const Exporter::OnEvent& on_event, std::uint64_t seed)
       : context_(context),
         all_(all),
         settings_(settings),
@@ -160,8 +162,26 @@
 
   CollectorFigures Figures() const {
     const auto& link = link_.counters();
-    CollectorFigures f{NameOf(settings_), link_.phase() == LinkState::Phase::kUp, taken_, sent_, backlog_.dropped(), failed_, backlog_.size(), messages_,
-                       link.connects, link.failures, link.stalls, unsure_, 0, 0, 0, 0, 0, 0, last_error_, {}};
+    CollectorFigures f{NameOf(settings_),
+                       link_.phase() == LinkState::Phase::kUp,
+                       taken_,
+                       sent_,
+                       backlog_.dropped(),
+                       failed_,
+                       backlog_.size(),
+                       messages_,
+                       link.connects,
+                       link.failures,
+                       link.stalls,
+                       unsure_,
+                       0,
+                       0,
+                       0,
+                       0,
+                       0,
+                       0,
+                       last_error_,
+                       {}};
     if (!spool_) return f;
     const Spool::Counters& spool = spool_->counters();
     f.spooled = spool_->size();
@@ -328,7 +348,8 @@
     connection->tls.emplace(connection->socket, *connection->keys);
     SSL* native = connection->tls->native_handle();
     keys_.Expect(native, asio::ip::address_v4(settings_.address.host).to_string());
-    co_await connection->tls->async_handshake(asio::ssl::stream_base::client, asio::redirect_error(asio::use_awaitable, *error));
+    co_await connection->tls->async_handshake(asio::ssl::stream_base::client,
+                                              asio::redirect_error(asio::use_awaitable, *error));
     if (*error) {
       if (why_.empty()) why_ = TlsKeys::Why(native, *error);
     } else {
@@ -364,7 +385,8 @@
     Forget();
     link_.OnDown(NowUs());
     if (was_up) down_since_ = NowUs();
-    last_error_ = (was_up ? "lost: " : "not reached: ") + (why_.empty() ? std::string("closed by the collector") : why_);
+    last_error_ =
+        (was_up ? "lost: " : "not reached: ") + (why_.empty() ? std::string("closed by the collector") : why_);
     why_.clear();
     Tell(last_error_);
   }
@@ -447,12 +469,14 @@
   void AddCounts() {
     std::uint64_t spool_lost = 0;
     if (spool_) spool_lost = spool_->counters().full + spool_->counters().damaged;
-    encoder_.AddCounts({sent_, ring_.dropped() + backlog_.dropped() + spool_lost + failed_, ring_.dropped(), backlog_.dropped(), spool_lost, failed_});
+    encoder_.AddCounts({sent_, ring_.dropped() + backlog_.dropped() + spool_lost + failed_, ring_.dropped(),
+                        backlog_.dropped(), spool_lost, failed_});
     if (all_.sample > 1) encoder_.AddSamples(samples_);
   }
 
   asio::awaitable<bool> Send(std::vector<FlowRecord> records) {
-    const std::string& message = encoder_.Finish(static_cast<std::uint32_t>(WallMs() / 1000), static_cast<std::uint32_t>((NowUs() - began_) / 1000));
+    const std::string& message = encoder_.Finish(static_cast<std::uint32_t>(WallMs() / 1000),
+                                                 static_cast<std::uint32_t>((NowUs() - began_) / 1000));
     const std::size_t count = records.size();
     error_code error;
     if (settings_.transport == Transport::kUdp) {
@@ -489,8 +513,8 @@
       in_flight_.Sent(message.size(), std::move(records));
       if (error) {
         if (abandoned_) co_return false;  // by this side
-        // Of this message, too, a part may have gone; none of it is acknowledged for certain. What the collector said last
-        // may still be read: why it closed.
+        // Of this message, too, a part may have gone; none of it is acknowledged for certain. What the collector said
+        // last may still be read: why it closed.
         for (int i = 0; i < kLastWords && connection->reading && !abandoned_; ++i) co_await Wait(NowUs() + 1000);
         if (why_.empty()) why_ = connection->why.empty() ? error.message() : connection->why;
         Down();
@@ -537,7 +561,8 @@
       : settings_(settings), ring_(ring), on_event_(std::move(on_event)), poll_(context_) {
     std::uint64_t seed = settings.seed;
     for (const CollectorSettings& collector : settings_.collectors)
-      collectors_.push_back(std::make_unique<Collector>(context_, settings_, collector, *ring_, disk, on_event_, ++seed * 0x9e3779b97f4a7c15U));
+      collectors_.push_back(std::make_unique<Collector>(context_, settings_, collector, *ring_, disk, on_event_,
+                                                        ++seed * 0x9e3779b97f4a7c15U));
     sums_began_ = WallMs();
     sums_due_ = NowUs() + settings_.group_us;
     counts_due_ = NowUs() + settings_.counts_us;
@@ -599,9 +624,11 @@
     });
   }
 
-  // By a hash of the call: of a call all attempts and intervals, or none (RFC 7014 5.2: hash-based). Calls are always told.
+  // By a hash of the call: of a call all attempts and intervals, or none (RFC 7014 5.2: hash-based). Calls are always
+  // told.
   bool Sampled(const FlowRecord& record) {
-    if (settings_.sample <= 1 || (record.kind != RecordKind::kAttempt && record.kind != RecordKind::kInterval)) return true;
+    if (settings_.sample <= 1 || (record.kind != RecordKind::kAttempt && record.kind != RecordKind::kInterval))
+      return true;
     ++samples_.observed;
     std::uint64_t hash = (record.call + 0x9e3779b97f4a7c15U) * 0xbf58476d1ce4e5b9U;
     hash ^= hash >> 32U;
@@ -662,7 +689,8 @@
 };
 
 Exporter::Exporter(const ExporterSettings& settings, Ring* ring, core::Disk* disk, OnEvent on_event)
-    : worker_(std::make_unique<Worker>(settings, ring, disk, std::move(on_event))), thread_([this] { worker_->Run(); }) {}
+    : worker_(std::make_unique<Worker>(settings, ring, disk, std::move(on_event))),
+      thread_([this] { worker_->Run(); }) {}
 
 Exporter::~Exporter() { Stop(); }
 
--- a/src/flow/in_flight.h
+++ b/src/flow/in_flight.h
@@ -1,6 +1,7 @@
 // Records given to a connection that the other machine has not acknowledged: what a break of it leaves unsure. No I/O.
 //
-// IPFIX has no acknowledgement of its own (RFC 7011 8); the number of octets that TCP still holds is the next best thing.
+// IPFIX has no acknowledgement of its own (RFC 7011 8); the number of octets that TCP still holds is the next best
+// thing.
 #ifndef CROFTRUN_FLOW_IN_FLIGHT_H_
 #define CROFTRUN_FLOW_IN_FLIGHT_H_
 
@@ -14,8 +15,8 @@
 
 class InFlight {
  public:
-  // A message that went whole, with the records in it. Its octets: of the message; over TLS more go out, which only makes
-  // this more careful.
+  // A message that went whole, with the records in it. Its octets: of the message; over TLS more go out, which only
+  // makes this more careful.
   void Sent(std::size_t octets, std::vector<FlowRecord> records) {
     octets_ += octets;
     messages_.push_back({octets, std::move(records)});
@@ -30,7 +31,8 @@
   // After a break: the records that are unsure, in order.
   std::vector<FlowRecord> Take() {
     std::vector<FlowRecord> unsure;
-    for (const Message& message : messages_) unsure.insert(unsure.end(), message.records.begin(), message.records.end());
+    for (const Message& message : messages_)
+      unsure.insert(unsure.end(), message.records.begin(), message.records.end());
     Clear();
     return unsure;
   }
--- a/src/flow/link_state.cpp
+++ b/src/flow/link_state.cpp
@@ -17,8 +17,8 @@
 }
 
 void LinkState::OnDown(std::uint64_t now) {
-  // One that accepts and falls again at once is treated as one that refuses: the wait goes on growing. Only a connection
-  // that held starts it anew.
+  // One that accepts and falls again at once is treated as one that refuses: the wait goes on growing. Only a
+  // connection that held starts it anew.
   const bool held = phase_ == Phase::kUp && now - since_ >= settings_.steady_us;
   if (phase_ == Phase::kUp && !held) ++counters_.flaps;
   ++counters_.failures;
--- a/src/flow/link_state.h
+++ b/src/flow/link_state.h
@@ -1,5 +1,5 @@
-// What to do about the connection to one collector: when to connect, when to give up on it, when to trust it again. No I/O,
-// no clock: it is told the time, and tested on a made-up one.
+// What to do about the connection to one collector: when to connect, when to give up on it, when to trust it again. No
+// I/O, no clock: it is told the time, and tested on a made-up one.
 #ifndef CROFTRUN_FLOW_LINK_STATE_H_
 #define CROFTRUN_FLOW_LINK_STATE_H_
 
@@ -9,14 +9,14 @@
 namespace croftrun::flow {
 
 struct LinkSettings {
-  std::uint64_t least_wait_us = 250'000;     // before the first attempt after a failure
+  std::uint64_t least_wait_us = 250'000;  // before the first attempt after a failure
   std::uint64_t longest_wait_us = 30'000'000;
-  std::uint64_t connect_us = 5'000'000;      // a connection that takes longer is given up
-  std::uint64_t stall_us = 10'000'000;       // nothing acknowledged for so long: it reads no more, or is half open
-  // A connection that falls sooner proves nothing: a collector that accepts and resets, or whose refusal of our certificate
-  // comes after the handshake (TLS 1.3), acknowledges octets that it never reads.
+  std::uint64_t connect_us = 5'000'000;  // a connection that takes longer is given up
+  std::uint64_t stall_us = 10'000'000;   // nothing acknowledged for so long: it reads no more, or is half open
+  // A connection that falls sooner proves nothing: a collector that accepts and resets, or whose refusal of our
+  // certificate comes after the handshake (TLS 1.3), acknowledges octets that it never reads.
   std::uint64_t prove_us = 1'000'000;
-  std::uint64_t steady_us = 20'000'000;      // up so long, it is no flapping one
+  std::uint64_t steady_us = 20'000'000;  // up so long, it is no flapping one
 };
 
 class LinkState {
--- a/src/flow/record.h
+++ b/src/flow/record.h
@@ -28,8 +28,8 @@
   char octets_[N] = {};
 };
 
-// Whether a collector may have had it before: told as it happened, from the spool, or after a connection or process ended
-// that may have told it.
+// Whether a collector may have had it before: told as it happened, from the spool, or after a connection or process
+// ended that may have told it.
 enum class Replay : std::uint8_t { kLive = 0, kSpooled = 1, kPossiblyRepeated = 2 };
 
 // Of flowEndReason (IPFIX element 136): how the thing ended.
@@ -58,8 +58,8 @@
   std::uint8_t outcome = 0;   // of an attempt: the module's outcome
   std::uint8_t cause = 0;     // Q.850 of a call; the module's cause of an attempt
   std::uint8_t priority = 0;
-  std::uint8_t width = 1;     // circuits
-  bool tandem = false;        // of an attempt: by way of a tandem
+  std::uint8_t width = 1;  // circuits
+  bool tandem = false;     // of an attempt: by way of a tandem
   bool in_transit = false;
   std::array<std::int32_t, kMostAttempts> tried{};  // of a call: where its attempts were sent, the first so many
   ShortText<32> called;
--- a/src/flow/record_codec.cpp
+++ b/src/flow/record_codec.cpp
@@ -10,14 +10,16 @@
 // Every number of a record, in the order it is written: one list for both directions.
 template <typename Record, typename Visit>
 bool EachNumber(Record& r, Visit visit) {
-  bool fine = visit(r.kind) && visit(r.end_reason) && visit(r.replay) && visit(r.call) && visit(r.start_ms) && visit(r.end_ms) && visit(r.exchange) &&
-              visit(r.origin) && visit(r.destination) && visit(r.group_in) && visit(r.set_up_us) && visit(r.rules) && visit(r.customer) &&
-              visit(r.call_class) && visit(r.attempts) && visit(r.answer) && visit(r.outcome) && visit(r.cause) && visit(r.priority) &&
-              visit(r.width) && visit(r.tandem) && visit(r.in_transit);
+  bool fine = visit(r.kind) && visit(r.end_reason) && visit(r.replay) && visit(r.call) && visit(r.start_ms) &&
+              visit(r.end_ms) && visit(r.exchange) && visit(r.origin) && visit(r.destination) && visit(r.group_in) &&
+              visit(r.set_up_us) && visit(r.rules) && visit(r.customer) && visit(r.call_class) && visit(r.attempts) &&
+              visit(r.answer) && visit(r.outcome) && visit(r.cause) && visit(r.priority) && visit(r.width) &&
+              visit(r.tandem) && visit(r.in_transit);
   if (fine && r.kind == RecordKind::kCall) {
     for (auto& tried : r.tried) fine = fine && visit(tried);
   }
-  if (fine && r.kind == RecordKind::kGroup) fine = visit(r.sent) && visit(r.stood) && visit(r.turned_back) && visit(r.lost);
+  if (fine && r.kind == RecordKind::kGroup)
+    fine = visit(r.sent) && visit(r.stood) && visit(r.turned_back) && visit(r.lost);
   return fine;
 }
 
--- a/src/flow/ring.h
+++ b/src/flow/ring.h
@@ -1,5 +1,5 @@
-// From the call path to the exporter: bounded, lock-free, one writer and one reader. The call path never waits: what does
-// not fit is counted and dropped, interval records first and the records of whole calls last.
+// From the call path to the exporter: bounded, lock-free, one writer and one reader. The call path never waits: what
+// does not fit is counted and dropped, interval records first and the records of whole calls last.
 #ifndef CROFTRUN_FLOW_RING_H_
 #define CROFTRUN_FLOW_RING_H_
 
@@ -19,7 +19,9 @@
   bool Push(const FlowRecord& record) {
     const std::size_t room = queue_.write_available();
     // The last eighth is for calls, the last half for calls and attempts.
-    const std::size_t kept = record.kind == RecordKind::kCall ? 0 : record.kind == RecordKind::kAttempt ? size_ / 8 : size_ / 2;
+    const std::size_t kept = record.kind == RecordKind::kCall      ? 0
+                             : record.kind == RecordKind::kAttempt ? size_ / 8
+                                                                   : size_ / 2;
     if (room <= kept || !queue_.push(record)) {
       dropped_[static_cast<std::size_t>(record.kind)].fetch_add(1, std::memory_order_relaxed);
       return false;
@@ -30,8 +32,12 @@
   // By the exporter.
   bool Pop(FlowRecord* record) { return queue_.pop(*record); }
 
-  std::uint64_t pushed(RecordKind kind) const { return pushed_[static_cast<std::size_t>(kind)].load(std::memory_order_relaxed); }
-  std::uint64_t dropped(RecordKind kind) const { return dropped_[static_cast<std::size_t>(kind)].load(std::memory_order_relaxed); }
+  std::uint64_t pushed(RecordKind kind) const {
+    return pushed_[static_cast<std::size_t>(kind)].load(std::memory_order_relaxed);
+  }
+  std::uint64_t dropped(RecordKind kind) const {
+    return dropped_[static_cast<std::size_t>(kind)].load(std::memory_order_relaxed);
+  }
   std::uint64_t dropped() const {
     std::uint64_t sum = 0;
     for (const auto& count : dropped_) sum += count.load(std::memory_order_relaxed);
--- a/src/flow/spool.cpp
+++ b/src/flow/spool.cpp
@@ -11,8 +11,8 @@
 namespace croftrun::flow {
 namespace {
 
-// A frame: mark, format, octets and records of its content, number of its first record in the segment, checksum of all this
-// and the content; then the content.
+// A frame: mark, format, octets and records of its content, number of its first record in the segment, checksum of all
+// this and the content; then the content.
 constexpr std::string_view kMark = "CFSP";
 constexpr std::size_t kHeader = 28, kSumAt = 20;
 constexpr std::string_view kDoubt = "?";
@@ -49,7 +49,8 @@
 
 // A sound frame at the front.
 std::optional<Frame> FrameAt(std::string_view octets) {
-  if (octets.size() < kHeader || !octets.starts_with(kMark) || Number(octets, 4, 4) != kRecordFormat) return std::nullopt;
+  if (octets.size() < kHeader || !octets.starts_with(kMark) || Number(octets, 4, 4) != kRecordFormat)
+    return std::nullopt;
   const std::uint64_t size = Number(octets, 8, 4), count = Number(octets, 12, 4);
   if (size > kLargestContent || octets.size() - kHeader < size || count > Spool::kFrameRecords) return std::nullopt;
   std::string_view content = octets.substr(kHeader, size);
@@ -66,7 +67,9 @@
 
 // "2-00000000000000a7.seg"
 bool NameOf(std::string_view name, std::size_t* rank, std::uint64_t* number) {
-  if (name.size() != 22 || name[1] != '-' || name.substr(18) != ".seg" || name[0] < '0' || name[0] >= static_cast<char>('0' + kRecordKinds)) return false;
+  if (name.size() != 22 || name[1] != '-' || name.substr(18) != ".seg" || name[0] < '0' ||
+      name[0] >= static_cast<char>('0' + kRecordKinds))
+    return false;
   *rank = static_cast<std::size_t>(name[0] - '0');
   const auto result = std::from_chars(name.data() + 2, name.data() + 18, *number, 16);
   return result.ec == std::errc() && result.ptr == name.data() + 18;
@@ -117,7 +120,8 @@
     if (!NameOf(name, &rank, &segment.number)) continue;
     next_number_ = std::max(next_number_, segment.number + 1);
     std::string octets;
-    const std::error_code unread = disk_->Read(PathOf(rank, segment.number, "seg"), settings_.segment_octets + kLargestContent + kHeader, &octets);
+    const std::error_code unread =
+        disk_->Read(PathOf(rank, segment.number, "seg"), settings_.segment_octets + kLargestContent + kHeader, &octets);
     if (unread) {
       // Left where it is, for whoever looks into it.
       last_error_ = unread;
@@ -238,7 +242,8 @@
       records_ -= segment.records;
       const std::string path = PathOf(rank, segment.number, "seg"), mark = PathOf(rank, segment.number, "at");
       std::string octets, at;
-      if (const std::error_code error = disk_->Read(path, settings_.segment_octets + kLargestContent + kHeader, &octets)) {
+      if (const std::error_code error =
+              disk_->Read(path, settings_.segment_octets + kLargestContent + kHeader, &octets)) {
         ++counters_.errors;
         last_error_ = error;
         counters_.damaged += segment.records;
@@ -304,7 +309,9 @@
   if (!opened_) return;
   Seal();
   for (auto& file : writing_) file.reset();
-  if (reading_) disk_->Replace(PathOf(reading_rank_, reading_number_, "at"), std::to_string(read_at_) + std::string(reading_doubtful_ ? kDoubt : ""));
+  if (reading_)
+    disk_->Replace(PathOf(reading_rank_, reading_number_, "at"),
+                   std::to_string(read_at_) + std::string(reading_doubtful_ ? kDoubt : ""));
   opened_ = false;
 }
 
--- a/src/flow/spool.h
+++ b/src/flow/spool.h
@@ -1,9 +1,9 @@
 // Records of one collector on disk while it is away: bounded, checksummed, read in order, what matters most first.
 //
-// A folder holds segments `RANK-NUMBER.seg`, each a row of frames of some records with a checksum; the one being sent has a
-// file `RANK-NUMBER.at` beside it. What a kill leaves behind is taken up at the next start: a torn tail is cut off, a frame
-// that is damaged is skipped and its records counted. Records that an earlier run may have sent are marked so.
-// Runs on one thread; the disk is behind the seam.
+// A folder holds segments `RANK-NUMBER.seg`, each a row of frames of some records with a checksum; the one being sent
+// has a file `RANK-NUMBER.at` beside it. What a kill leaves behind is taken up at the next start: a torn tail is cut
+// off, a frame that is damaged is skipped and its records counted. Records that an earlier run may have sent are marked
+// so. Runs on one thread; the disk is behind the seam.
 #ifndef CROFTRUN_FLOW_SPOOL_H_
 #define CROFTRUN_FLOW_SPOOL_H_
 
@@ -23,8 +23,8 @@
   std::string folder;
   std::uint64_t most_octets = std::uint64_t{256} << 20U;
   std::uint64_t segment_octets = std::uint64_t{1} << 20U;  // at least one frame
-  std::uint64_t sync_us = 1'000'000;   // what a crash of the machine may take, beside the memory
-  std::uint64_t retry_us = 5'000'000;  // after a write failed
+  std::uint64_t sync_us = 1'000'000;                       // what a crash of the machine may take, beside the memory
+  std::uint64_t retry_us = 5'000'000;                      // after a write failed
 };
 
 class Spool {
@@ -49,8 +49,9 @@
   std::error_code Open();
   // Where a write failed, the next is tried only after a while.
   bool Writable(std::uint64_t now) const { return opened_ && now >= retry_at_; }
-  // Records of one rank, kFrameRecords at most, in order. False: the disk did not take them, they are still the caller's. Full: the oldest segment of
-  // what matters least makes room; if nothing there matters less or as much, these are dropped and counted.
+  // Records of one rank, kFrameRecords at most, in order. False: the disk did not take them, they are still the
+  // caller's. Full: the oldest segment of what matters least makes room; if nothing there matters less or as much,
+  // these are dropped and counted.
   bool Write(std::size_t rank, const std::vector<FlowRecord>& records, std::uint64_t now);
   // The next one to be sent; null when there is none. It counts as waiting until Pop.
   const FlowRecord* Front();
--- a/src/flow/tls_keys.cpp
+++ b/src/flow/tls_keys.cpp
@@ -23,7 +23,8 @@
   for (const std::string* file : {&files_.authorities, &files_.certificate, &files_.key}) {
     struct stat s {};
     if (!file->empty() && ::stat(file->c_str(), &s) == 0)
-      stamp += std::to_string(s.st_ino) + ":" + std::to_string(s.st_size) + ":" + std::to_string(s.st_mtim.tv_sec) + "." + std::to_string(s.st_mtim.tv_nsec);
+      stamp += std::to_string(s.st_ino) + ":" + std::to_string(s.st_size) + ":" + std::to_string(s.st_mtim.tv_sec) +
+               "." + std::to_string(s.st_mtim.tv_nsec);
     stamp += "|";
   }
   return stamp;
@@ -41,8 +42,9 @@
     *error = std::string(what) + " " + file + ": " + code.message();
     return false;
   };
-  fresh->set_options(ssl::context::default_workarounds | ssl::context::no_sslv2 | ssl::context::no_sslv3 | ssl::context::no_tlsv1 |
-                         ssl::context::no_tlsv1_1, code);
+  fresh->set_options(ssl::context::default_workarounds | ssl::context::no_sslv2 | ssl::context::no_sslv3 |
+                         ssl::context::no_tlsv1 | ssl::context::no_tlsv1_1,
+                     code);
   if (!fine("options", "")) return false;
   fresh->load_verify_file(files_.authorities, code);
   if (!fine("authorities", files_.authorities)) return false;
--- a/src/flow/tls_keys.h
+++ b/src/flow/tls_keys.h
@@ -25,8 +25,8 @@
   // When our own certificate ends, Unix seconds; nothing without one.
   std::optional<std::int64_t> ends() const { return ends_; }
 
-  // To be called on each new connection: TLS asks for this name and accepts no certificate for another (RFC 6125), nor one
-  // that no authority of ours signed. `address` stands in for a name where none is set.
+  // To be called on each new connection: TLS asks for this name and accepts no certificate for another (RFC 6125), nor
+  // one that no authority of ours signed. `address` stands in for a name where none is set.
   void Expect(SSL* connection, const std::string& address) const;
   // Why a handshake failed, in words: of the certificate, if that was it.
   static std::string Why(SSL* connection, const boost::system::error_code& error);
--- a/src/lab/baselines.cpp
+++ b/src/lab/baselines.cpp
@@ -51,8 +51,8 @@
     for (const auto& [id, e] : exchanges_) {
       if (e.entry.number == offer.destination && e.entry.status == ExchangeStatus::kReady) direct = &e;
     }
-    const Exchange* to = offer.in_transit ? (direct != nullptr && Takes(*direct, offer) ? direct : nullptr)
-                                          : Route(offer, direct);
+    const Exchange* to =
+        offer.in_transit ? (direct != nullptr && Takes(*direct, offer) ? direct : nullptr) : Route(offer, direct);
     if (to == nullptr) return actions_->push_back(Refuse{offer.call, 0});
     actions_->push_back(Send{offer.call, to->entry.exchange, 0});
   }
@@ -119,16 +119,13 @@
 template <typename T>
 core::MakeDecider Make() {
   return [](const Settings& settings, std::uint64_t seed, TimeUs,
-            std::vector<Action>*) -> std::unique_ptr<core::Decider> {
-    return std::make_unique<T>(settings, seed);
-  };
+            std::vector<Action>*) -> std::unique_ptr<core::Decider> { return std::make_unique<T>(settings, seed); };
 }
 
 }  // namespace
 
 const std::vector<std::string>& DeciderNames() {
-  static const std::vector<std::string> kNames = {"module", "direct-only", "direct-then-random",
-                                                  "least-loaded"};
+  static const std::vector<std::string> kNames = {"module", "direct-only", "direct-then-random", "least-loaded"};
   return kNames;
 }
 
--- a/src/lab/collector.cpp
+++ b/src/lab/collector.cpp
@@ -170,7 +170,9 @@
           const std::uint64_t replay = record.Number(flow::Source::kReplay);
           spooled += replay == static_cast<std::uint64_t>(flow::Replay::kSpooled) ? 1 : 0;
           if (replay != 0)
-            last_old_us = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+            last_old_us = std::chrono::duration_cast<std::chrono::microseconds>(
+                              std::chrono::steady_clock::now().time_since_epoch())
+                              .count();
           possibly_repeated += replay == static_cast<std::uint64_t>(flow::Replay::kPossiblyRepeated) ? 1 : 0;
         }
         if (on_record_) on_record_(record);
--- a/src/lab/collector.h
+++ b/src/lab/collector.h
@@ -1,5 +1,6 @@
-// The stand-in collector: reads flow records over UDP or one TCP or TLS connection after the other by its own decoder, counts
-// them, and misbehaves on demand. A thread of its own. After Stop it can be started again, as one that was restarted.
+// The stand-in collector: reads flow records over UDP or one TCP or TLS connection after the other by its own decoder,
+// counts them, and misbehaves on demand. A thread of its own. After Stop it can be started again, as one that was
+// restarted.
 #ifndef CROFTRUN_LAB_COLLECTOR_H_
 #define CROFTRUN_LAB_COLLECTOR_H_
 
@@ -38,7 +39,8 @@
   void Stop();
 
   // Of the attempts, those that held a circuit are set-ups.
-  std::atomic<std::uint64_t> calls{0}, attempts{0}, set_ups{0}, groups{0}, intervals{0}, connections{0}, lost_datagrams{0};
+  std::atomic<std::uint64_t> calls{0}, attempts{0}, set_ups{0}, groups{0}, intervals{0}, connections{0},
+      lost_datagrams{0};
   // Steady clock, microseconds: when a record last came that was not told as it happened.
   std::atomic<std::int64_t> last_old_us{0};
   std::atomic<std::uint64_t> spooled{0}, possibly_repeated{0};  // of calls and attempts
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -174,7 +174,8 @@
   for (int a = 0; a < scenario_.exchanges; ++a) {
     waits.push_back(network_.At(a).alive ? static_cast<double>(network_.Wait(a)) / 1000.0 : -1.0);
     for (int b = a + 1; b < scenario_.exchanges; ++b) {
-      if (const unsigned all = network_.Circuits(a, b); all > 0) groups.push_back({a, b, all - network_.IdleBetween(a, b), all});
+      if (const unsigned all = network_.Circuits(a, b); all > 0)
+        groups.push_back({a, b, all - network_.IdleBetween(a, b), all});
     }
   }
   trace_->Fact("sample", {{"groups", groups}, {"waits_ms", waits}});
@@ -197,10 +198,18 @@
     if (i == caller.from || i == caller.to || !network_.At(i).alive) continue;
     if (network_.IdleBetween(caller.from, i) >= width && network_.IdleBetween(i, caller.to) >= width) ++tandems;
   }
-  trace_->Fact("try", {{"exchange", caller.from}, {"line", caller.line}, {"to", caller.to}, {"class", c.name},
-                       {"how", how}, {"began_us", caller.this_try}, {"first_us", caller.first_try}, {"direct", direct >= width},
-                       {"tandems", tandems}, {"healthy", Healthy(caller.from) && Healthy(caller.to)},
-                       {"crowded", caller.called == crowded_}, {"pause_ms", pause_us / 1000},
+  trace_->Fact("try", {{"exchange", caller.from},
+                       {"line", caller.line},
+                       {"to", caller.to},
+                       {"class", c.name},
+                       {"how", how},
+                       {"began_us", caller.this_try},
+                       {"first_us", caller.first_try},
+                       {"direct", direct >= width},
+                       {"tandems", tandems},
+                       {"healthy", Healthy(caller.from) && Healthy(caller.to)},
+                       {"crowded", caller.called == crowded_},
+                       {"pause_ms", pause_us / 1000},
                        {"alive", network_.At(caller.to).alive && !network_.At(caller.to).hung}});
 }
 
@@ -225,7 +234,8 @@
     if (caller.to >= from) ++caller.to;
   } else {
     const auto& towards = pull_[static_cast<std::size_t>(from)];
-    double left = Unit() * (std::accumulate(towards.begin(), towards.end(), 0.0) - towards[static_cast<std::size_t>(from)]);
+    double left =
+        Unit() * (std::accumulate(towards.begin(), towards.end(), 0.0) - towards[static_cast<std::size_t>(from)]);
     caller.to = from == 0 ? 1 : 0;
     for (int to = 0; to < scenario_.exchanges; ++to) {
       if (to == from || towards[static_cast<std::size_t>(to)] <= 0.0) continue;
@@ -496,7 +506,8 @@
     TimeUs at = 0;
     for (const int number : fault.exchanges) {
       After(at, [this, number] { Replace(number, 2'000'000); });
-      if (fault.size != 1.0) at += std::max<TimeUs>(2'500'000, fault.for_us / std::max<std::size_t>(1, fault.exchanges.size()));
+      if (fault.size != 1.0)
+        at += std::max<TimeUs>(2'500'000, fault.for_us / std::max<std::size_t>(1, fault.exchanges.size()));
     }
     return;
   } else if (fault.kind == "roster-late") {
@@ -588,8 +599,7 @@
   report.service = offered > 0.0 ? served / offered : 1.0;
   report.datagrams = trace_->datagrams();
   std::sort(report.set_up_delays.begin(), report.set_up_delays.end());
-  for (int i = 0; i < scenario_.exchanges; ++i)
-    report.fell_over += network_.At(i).fell_over ? 1 : 0;
+  for (int i = 0; i < scenario_.exchanges; ++i) report.fell_over += network_.At(i).fell_over ? 1 : 0;
   return report;
 }
 
--- a/src/lab/day.h
+++ b/src/lab/day.h
@@ -41,7 +41,7 @@
 struct DayReport {
   std::vector<ClassOutcome> classes;
   std::vector<TimeUs> set_up_delays;  // of answered tries
-  double service = 0.0;  // worth in time and not cut, over worth offered
+  double service = 0.0;               // worth in time and not cut, over worth offered
   std::uint64_t fell_over = 0, still_up = 0, datagrams = 0, no_line = 0;
 };
 
--- a/src/lab/day_accounts.cpp
+++ b/src/lab/day_accounts.cpp
@@ -18,8 +18,8 @@
 constexpr std::size_t kMostBins = 100'000;
 
 const mgcp::EventRef* Find(const std::vector<mgcp::EventRef>& events, std::string_view name) {
-  const auto found = std::find_if(events.begin(), events.end(),
-                                  [&](const auto& e) { return mgcp::EqualsIgnoringCase(e.name, name); });
+  const auto found =
+      std::find_if(events.begin(), events.end(), [&](const auto& e) { return mgcp::EqualsIgnoringCase(e.name, name); });
   return found == events.end() ? nullptr : &*found;
 }
 
@@ -55,18 +55,15 @@
       if (!during) started = std::max(started, end + f.down_us);
     } else if (f.kind == "replace") {
       // Two seconds of draining, then 300 ms without; one after the other unless all at once.
-      const auto index = static_cast<TimeUs>(std::find(f.exchanges.begin(), f.exchanges.end(), exchange) -
-                                             f.exchanges.begin());
+      const auto index =
+          static_cast<TimeUs>(std::find(f.exchanges.begin(), f.exchanges.end(), exchange) - f.exchanges.begin());
       const TimeUs gap =
-          f.size == 1.0
-              ? 0
-              : std::max<TimeUs>(2'500'000, f.for_us / std::max<std::size_t>(1, f.exchanges.size()));
+          f.size == 1.0 ? 0 : std::max<TimeUs>(2'500'000, f.for_us / std::max<std::size_t>(1, f.exchanges.size()));
       const TimeUs down = f.at_us + index * gap + 2'000'000;
       if (at >= down && at < down + 300'000) return 0.0;
       if (at >= down + 300'000) started = std::max(started, down + 300'000);
     } else if ((f.kind == "pause" || f.kind == "edge-stall") && during) {
-      const TimeUs every = f.every_us > 0 ? f.every_us : 1'500'000,
-                   still = static_cast<TimeUs>(f.size * 1000.0);
+      const TimeUs every = f.every_us > 0 ? f.every_us : 1'500'000, still = static_cast<TimeUs>(f.size * 1000.0);
       const TimeUs cycle = f.kind == "pause" ? every : every + still;
       if ((at - f.at_us) % std::max<TimeUs>(1, cycle) < still) return 0.0;
     }
@@ -141,8 +138,7 @@
   // A repeat of the same command is no second set-up.
   const auto before = edge.by_caller.find(caller);
   if (edge.asked.count(message.transaction) > 0 ||
-      (before != edge.by_caller.end() && before->second.circuit == circuit &&
-       before->second.end == SetUpEnd::kOut))
+      (before != edge.by_caller.end() && before->second.circuit == circuit && before->second.end == SetUpEnd::kOut))
     return;
   edge.asked[message.transaction] = circuit;
   edge.by_caller[caller] = {name->group, circuit, at};
@@ -158,8 +154,7 @@
     edge.asked.erase(asked);
     if (message.code < 400) return;
     const bool down = message.code == mgcp::kNoResourcesNow;
-    if (!down && edge.on_circuit.count(circuit) > 0)
-      ledger_.OnCircuitRefused(at - first_, edge.number, circuit);
+    if (!down && edge.on_circuit.count(circuit) > 0) ledger_.OnCircuitRefused(at - first_, edge.number, circuit);
     return End(edge, circuit, down ? SetUpEnd::kOwnDown : SetUpEnd::kOwnRefused, 0);
   }
   const std::string circuit(message.endpoint.local);
@@ -197,8 +192,7 @@
   if (caller == edge.on_circuit.end()) return;
   const auto set_up = edge.by_caller.find(caller->second);
   edge.on_circuit.erase(caller);
-  if (set_up == edge.by_caller.end() || set_up->second.circuit != circuit ||
-      set_up->second.end != SetUpEnd::kOut)
+  if (set_up == edge.by_caller.end() || set_up->second.circuit != circuit || set_up->second.end != SetUpEnd::kOut)
     return;
   set_up->second.end = end;
   set_up->second.cause = cause;
@@ -213,8 +207,8 @@
   t.from = f.at("exchange").get<int>();
   t.to = f.at("to").get<int>();
   const std::string name = f.at("class").get<std::string>();
-  const auto of_class = std::find_if(scenario_.classes.begin(), scenario_.classes.end(),
-                                     [&](const auto& c) { return c.name == name; });
+  const auto of_class =
+      std::find_if(scenario_.classes.begin(), scenario_.classes.end(), [&](const auto& c) { return c.name == name; });
   if (of_class == scenario_.classes.end()) return;
   t.call_class = static_cast<int>(of_class - scenario_.classes.begin());
   t.direct = f.at("direct").get<bool>();
@@ -225,8 +219,7 @@
   Edge& edge = edges_[t.from];
   const auto began = f.at("began_us").get<TimeUs>();
   t.own_edge_down = !edge.up || edge.last_down >= began || dead_.count(t.from) > 0;
-  const auto caller =
-      edge.by_caller.find(std::string(wire_names::kLines) + std::to_string(f.at("line").get<int>()));
+  const auto caller = edge.by_caller.find(std::string(wire_names::kLines) + std::to_string(f.at("line").get<int>()));
   if (caller != edge.by_caller.end() && caller->second.at >= began) {
     SetUp& set_up = caller->second;
     if (set_up.end == SetUpEnd::kOut) Judge(&set_up);
@@ -255,8 +248,8 @@
   } else if (record.fact == "offered") {
     if (began_ == 0) return;
     const std::uint64_t bin = (record.at_us - began_) / kBin;
-    offered_[{f.at("from").get<int>(), f.at("to").get<int>(), f.at("class").get<int>(),
-              f.at("crowded").get<bool>(), bin}] += 1.0;
+    offered_[{f.at("from").get<int>(), f.at("to").get<int>(), f.at("class").get<int>(), f.at("crowded").get<bool>(),
+              bin}] += 1.0;
     if (Bin* at = BinAt(record.at_us)) ++at->offered;
   } else if (record.fact == "sample") {
     Bin* bin = BinAt(record.at_us);
@@ -314,17 +307,15 @@
     of.keeps = reach::Keeps(static_cast<double>(c.holding_us), interval, p.intervals);
     of.leaves = reach::Leaves(static_cast<double>(c.holding_us), interval, p.intervals);
     of.in_time = static_cast<std::size_t>((c.aim_us + interval_us - 1) / interval_us);
-    of.late =
-        c.late_worth > 0.0 ? static_cast<std::size_t>((c.give_up_us + interval_us - 1) / interval_us) : 0;
+    of.late = c.late_worth > 0.0 ? static_cast<std::size_t>((c.give_up_us + interval_us - 1) / interval_us) : 0;
     p.classes.push_back(of);
   }
   std::map<std::tuple<std::size_t, std::size_t, std::size_t, bool, std::size_t>, double> demands;
   for (const auto& [key, calls] : offered_) {
     const auto& [from, to, call_class, crowded, bin] = key;
-    const auto at =
-        std::min<std::size_t>(p.intervals - 1, static_cast<std::size_t>(bin * kBin / interval_us));
-    demands[{static_cast<std::size_t>(from), static_cast<std::size_t>(to),
-             static_cast<std::size_t>(call_class), crowded, at}] += calls;
+    const auto at = std::min<std::size_t>(p.intervals - 1, static_cast<std::size_t>(bin * kBin / interval_us));
+    demands[{static_cast<std::size_t>(from), static_cast<std::size_t>(to), static_cast<std::size_t>(call_class),
+             crowded, at}] += calls;
   }
   for (const auto& [key, calls] : demands) {
     const auto& [from, to, call_class, crowded, at] = key;
@@ -333,8 +324,7 @@
   // The timeline, walked in small steps and summed by interval.
   const std::size_t steps = static_cast<std::size_t>(interval_us / kStep);
   for (int a = 0; a < s.exchanges; ++a) {
-    const double speed =
-        s.processor.speed_of.empty() ? 1.0 : s.processor.speed_of[static_cast<std::size_t>(a)];
+    const double speed = s.processor.speed_of.empty() ? 1.0 : s.processor.speed_of[static_cast<std::size_t>(a)];
     auto& row = p.processor.emplace_back(p.intervals, 0.0);
     for (std::size_t k = 0; k < p.intervals; ++k) {
       for (std::size_t i = 0; i < steps; ++i)
--- a/src/lab/day_file.cpp
+++ b/src/lab/day_file.cpp
@@ -36,9 +36,8 @@
     for (int b = 0; b <= a; ++b) {
       const ZoneLoad all = LoadBetween(whole, a, b), some = LoadBetween(part, a, b);
       if (all.circuits <= 0.0) continue;
-      sum += some.circuits > 0.0 && some.erlangs > 0.0
-                 ? std::fabs(std::log(some.PerCircuit() / all.PerCircuit()))
-                 : 1.0;
+      sum +=
+          some.circuits > 0.0 && some.erlangs > 0.0 ? std::fabs(std::log(some.PerCircuit() / all.PerCircuit())) : 1.0;
     }
   }
   return sum;
@@ -68,8 +67,7 @@
   std::vector<std::pair<double, std::size_t>> rest;
   std::size_t given = 0;
   for (const auto& [zone, n] : count) {
-    const double exact =
-        static_cast<double>(n) * static_cast<double>(exchanges) / static_cast<double>(whole.size());
+    const double exact = static_cast<double>(n) * static_cast<double>(exchanges) / static_cast<double>(whole.size());
     wanted[static_cast<std::size_t>(zone)] = static_cast<std::size_t>(exact);
     given += static_cast<std::size_t>(exact);
     rest.emplace_back(exact - std::floor(exact), static_cast<std::size_t>(zone));
@@ -88,8 +86,8 @@
   if (named.empty()) return {};
   const std::size_t size = thinned.kept.size();
   const double share = static_cast<double>(named.size()) / static_cast<double>(all);
-  const auto wanted = std::clamp<std::size_t>(
-      static_cast<std::size_t>(std::lround(share * static_cast<double>(size))), 1, size);
+  const auto wanted =
+      std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(share * static_cast<double>(size))), 1, size);
   std::vector<int> picked, others;
   for (std::size_t i = 0; i < size; ++i)
     (named.count(thinned.kept[i]) > 0 ? picked : others).push_back(static_cast<int>(i));
@@ -119,19 +117,17 @@
     out["fleet"] = Fleet();
     out["processor"] = Processor();
     const json& allow = day_.at("allow");
-    out["rules"] = {
-        {"drain_grace_ms", day_.value("drain_grace", std::uint64_t{500'000}) / 1000},
-        {"release_ms", fam_.value("release", std::uint64_t{300'000}) / 1000},
-        {"most_attempts", allow.value("max_attempts", 4)},
-        {"may_probe", allow.value("probes", false)},
-        {"honours_pause", allow.value("retry_after", false)},
-        {"longest_pause_ms", day_.at("clients").value("max_retry_after", std::uint64_t{2'000'000}) / 1000}};
+    out["rules"] = {{"drain_grace_ms", day_.value("drain_grace", std::uint64_t{500'000}) / 1000},
+                    {"release_ms", fam_.value("release", std::uint64_t{300'000}) / 1000},
+                    {"most_attempts", allow.value("max_attempts", 4)},
+                    {"may_probe", allow.value("probes", false)},
+                    {"honours_pause", allow.value("retry_after", false)},
+                    {"longest_pause_ms", day_.at("clients").value("max_retry_after", std::uint64_t{2'000'000}) / 1000}};
     out["traffic"] = Traffic();
     for (const json& trouble : day_.at("troubles")) Trouble(trouble, &out["faults"]);
     if (out["faults"].is_null()) out["faults"] = json::array();
     if (fam_.contains("advice") && !fam_.at("advice").is_null()) left_out_->push_back("the centre's advice");
-    if (day_.contains("tenants") && !day_.at("tenants").empty())
-      left_out_->push_back("customers and their shares");
+    if (day_.contains("tenants") && !day_.at("tenants").empty()) left_out_->push_back("customers and their shares");
     return out;
   }
 
@@ -219,14 +215,14 @@
     std::size_t index = 0;
     for (const json& c : day_.at("classes")) {
       const json& holds = fam_.at("hold");
-      json entry = {{"name", c.at("name")},
-                    {"share", c.at("share")},
-                    {"aim_ms", c.at("aim").get<std::uint64_t>() / 1000},
-                    {"give_up_ms", c.at("deadline").get<std::uint64_t>() / 1000},
-                    {"worth", c.value("worth", 1.0)},
-                    {"late_worth", c.value("late_worth", 0.0)},
-                    {"holding_ms", static_cast<std::uint64_t>(
-                                       Ms(holds.at(std::min(index, holds.size() - 1)).get<double>()))}};
+      json entry = {
+          {"name", c.at("name")},
+          {"share", c.at("share")},
+          {"aim_ms", c.at("aim").get<std::uint64_t>() / 1000},
+          {"give_up_ms", c.at("deadline").get<std::uint64_t>() / 1000},
+          {"worth", c.value("worth", 1.0)},
+          {"late_worth", c.value("late_worth", 0.0)},
+          {"holding_ms", static_cast<std::uint64_t>(Ms(holds.at(std::min(index, holds.size() - 1)).get<double>()))}};
       if (fam_.contains("width") && index < fam_.at("width").size())
         entry["width"] = std::max(1, static_cast<int>(fam_.at("width").at(index).get<double>()));
       out["classes"].push_back(entry);
@@ -309,8 +305,7 @@
     for (std::size_t i = 0; i < on.size(); ++i) {
       json one = fault;
       one["exchanges"] = {on[i]};
-      one["at_ms"] =
-          fault.at("at_ms").get<std::uint64_t>() + static_cast<std::uint64_t>(gap * static_cast<double>(i));
+      one["at_ms"] = fault.at("at_ms").get<std::uint64_t>() + static_cast<std::uint64_t>(gap * static_cast<double>(i));
       faults->push_back(one);
     }
   }
@@ -386,8 +381,7 @@
       thinned.most_factor = std::max(thinned.most_factor, factor);
       for (std::size_t i = 0; i < n.size(); ++i) {
         for (std::size_t j = 0; j < n.size(); ++j) {
-          if ((n.zone[i] == a && n.zone[j] == b) || (n.zone[i] == b && n.zone[j] == a))
-            n.calls_per_s[i][j] *= factor;
+          if ((n.zone[i] == a && n.zone[j] == b) || (n.zone[i] == b && n.zone[j] == a)) n.calls_per_s[i][j] *= factor;
         }
       }
     }
@@ -431,8 +425,7 @@
     double sum = 0.0;
     for (std::size_t b = 0; b < n; ++b) sum += b == a ? 0.0 : towards.at(b).get<double>();
     for (std::size_t b = 0; b < n && sum > 0.0; ++b) {
-      if (b != a)
-        row[b] = calls * balancers.at(a).value("weight", 1.0) / weights * towards.at(b).get<double>() / sum;
+      if (b != a) row[b] = calls * balancers.at(a).value("weight", 1.0) / weights * towards.at(b).get<double>() / sum;
     }
   }
   double shares = 0.0, seconds = 0.0;
@@ -440,9 +433,8 @@
   for (const json& c : day.at("classes")) {
     const json& holds = fam.at("hold");
     const double hold = holds.at(std::min(index, holds.size() - 1)).get<double>() / 1e6;
-    const double width = fam.contains("width") && index < fam.at("width").size()
-                             ? fam.at("width").at(index).get<double>()
-                             : 1.0;
+    const double width =
+        fam.contains("width") && index < fam.at("width").size() ? fam.at("width").at(index).get<double>() : 1.0;
     const double share = c.at("share").get<double>();
     shares += share;
     seconds += share * hold * width;
@@ -452,9 +444,8 @@
   return network;
 }
 
-std::string ConvertDay(std::string_view day_json, const ConvertOptions& options,
-                       std::vector<std::string>* left_out, std::vector<std::string>* notes,
-                       std::vector<config::Mistake>* mistakes) {
+std::string ConvertDay(std::string_view day_json, const ConvertOptions& options, std::vector<std::string>* left_out,
+                       std::vector<std::string>* notes, std::vector<config::Mistake>* mistakes) {
   const json day = json::parse(day_json, nullptr, false);
   if (!day.is_object()) {
     mistakes->push_back({"", "expected a day file as a JSON object"});
@@ -463,8 +454,7 @@
   try {
     const DayNetwork whole = ReadNetwork(day);
     if (whole.size() < 2) {
-      mistakes->push_back(
-          {"/servers", "expected two exchanges at least, found " + std::to_string(whole.size())});
+      mistakes->push_back({"/servers", "expected two exchanges at least, found " + std::to_string(whole.size())});
       return {};
     }
     const std::uint64_t seed = day.value("noise", std::uint64_t{1});
@@ -475,8 +465,7 @@
     };
     std::size_t exchanges = std::min(whole.size(), std::max<std::size_t>(2, options.most_exchanges));
     Thinned thinned = Thin(whole, exchanges, seed);
-    while (exchanges > 2 && rate(thinned.network) > options.most_calls_per_s)
-      thinned = Thin(whole, --exchanges, seed);
+    while (exchanges > 2 && rate(thinned.network) > options.most_calls_per_s) thinned = Thin(whole, --exchanges, seed);
     char text[200];
     std::snprintf(text, sizeof(text),
                   "%zu of %zu exchanges, %.1f of %.1f calls a second; load between zones brought back by "
--- a/src/lab/day_file.h
+++ b/src/lab/day_file.h
@@ -24,8 +24,7 @@
   std::vector<double> speed;                     // of each processor
   std::vector<std::vector<unsigned>> circuits;   // symmetric; 0: no group
   std::vector<std::vector<double>> calls_per_s;  // from a to b, at the day's load
-  double circuit_seconds =
-      10.0;  // that a call keeps on one group: width times holding time, over all classes
+  double circuit_seconds = 10.0;  // that a call keeps on one group: width times holding time, over all classes
   std::size_t size() const { return zone.size(); }
 
   double Offered(std::size_t a, std::size_t b) const;  // erlangs to the group of a and b, both ways
@@ -55,9 +54,8 @@
 };
 // A scenario for one machine; empty after mistakes. What has no counterpart is listed in `*left_out`;
 // `*notes` says what was thinned, and by how much.
-std::string ConvertDay(std::string_view day_json, const ConvertOptions& options,
-                       std::vector<std::string>* left_out, std::vector<std::string>* notes,
-                       std::vector<config::Mistake>* mistakes);
+std::string ConvertDay(std::string_view day_json, const ConvertOptions& options, std::vector<std::string>* left_out,
+                       std::vector<std::string>* notes, std::vector<config::Mistake>* mistakes);
 
 // The network of a day file; throws nlohmann::json::exception where it is none.
 DayNetwork ReadNetwork(const nlohmann::json& day);
--- a/src/lab/day_picture.cpp
+++ b/src/lab/day_picture.cpp
@@ -13,14 +13,12 @@
 constexpr double kLeft = 70, kWide = 820, kHigh = 150, kTop = 20;
 // Groups drawn one by one; the fullest of a larger network.
 constexpr std::size_t kMostGroups = 12;
-constexpr const char* kColours[] = {"#1b6ca8", "#2e8b57", "#c0392b", "#8e44ad", "#b8860b",
-                                    "#16a085", "#7f8c8d", "#d35400", "#34495e", "#27ae60",
-                                    "#9b59b6", "#e67e22", "#2980b9"};
+constexpr const char* kColours[] = {"#1b6ca8", "#2e8b57", "#c0392b", "#8e44ad", "#b8860b", "#16a085", "#7f8c8d",
+                                    "#d35400", "#34495e", "#27ae60", "#9b59b6", "#e67e22", "#2980b9"};
 
 std::string Escaped(std::string_view text) {
   std::string out;
-  for (const char c : text)
-    out += c == '<' ? "&lt;" : c == '&' ? "&amp;" : c == '>' ? "&gt;" : std::string(1, c);
+  for (const char c : text) out += c == '<' ? "&lt;" : c == '&' ? "&amp;" : c == '>' ? "&gt;" : std::string(1, c);
   return out;
 }
 
@@ -38,15 +36,14 @@
   }
   const auto x = [&](double s) { return kLeft + kWide * std::min(1.0, s / std::max(1e-9, seconds)); };
   const auto y = [&](double value) { return kTop + kHigh * (1.0 - value / most); };
-  Print(out, "<h3>%s</h3>\n<svg viewBox=\"0 0 920 %.0f\" width=\"920\" role=\"img\">\n",
-        Escaped(title).c_str(), kTop + kHigh + 40);
+  Print(out, "<h3>%s</h3>\n<svg viewBox=\"0 0 920 %.0f\" width=\"920\" role=\"img\">\n", Escaped(title).c_str(),
+        kTop + kHigh + 40);
   std::size_t row = 0;
   for (const DayAccounts::Band& band : bands) {
-    Print(out,
-          "<rect x=\"%.1f\" y=\"%.0f\" width=\"%.1f\" height=\"%.0f\" fill=\"#f4d9a8\" opacity=\"0.5\"/>",
+    Print(out, "<rect x=\"%.1f\" y=\"%.0f\" width=\"%.1f\" height=\"%.0f\" fill=\"#f4d9a8\" opacity=\"0.5\"/>",
           x(band.from_s), kTop, std::max(1.0, x(band.to_s) - x(band.from_s)), kHigh);
-    Print(out, "<text x=\"%.1f\" y=\"%.0f\" font-size=\"10\" fill=\"#8a5a00\">%s</text>\n",
-          x(band.from_s) + 2, kTop + 10 + 11 * static_cast<double>(row++ % 4), Escaped(band.what).c_str());
+    Print(out, "<text x=\"%.1f\" y=\"%.0f\" font-size=\"10\" fill=\"#8a5a00\">%s</text>\n", x(band.from_s) + 2,
+          kTop + 10 + 11 * static_cast<double>(row++ % 4), Escaped(band.what).c_str());
   }
   Print(out, "<path d=\"M%.0f %.0fV%.0fH%.0f\" fill=\"none\" stroke=\"#444\"/>", kLeft, kTop, kTop + kHigh,
         kLeft + kWide);
@@ -69,8 +66,7 @@
         gap = true;
         continue;
       }
-      Print(&path, "%c%.1f %.1f", gap ? 'M' : 'L', x((static_cast<double>(b) + 0.5) * bin),
-            y(lines[i].values[b]));
+      Print(&path, "%c%.1f %.1f", gap ? 'M' : 'L', x((static_cast<double>(b) + 0.5) * bin), y(lines[i].values[b]));
       gap = false;
     }
     *out += "<path d=\"" + path + "\" fill=\"none\" stroke=\"" + colour + "\" stroke-width=\"1.3\"/>\n";
@@ -95,16 +91,13 @@
   double served = 0.0;
   for (std::size_t i = 0; i < ledgers.size(); ++i) {
     const TrafficClass& c = scenario.classes[i];
-    served += c.worth *
-              (static_cast<double>(ledgers[i].in_time) + c.late_worth * static_cast<double>(ledgers[i].late));
+    served += c.worth * (static_cast<double>(ledgers[i].in_time) + c.late_worth * static_cast<double>(ledgers[i].late));
   }
   if (bound.solved && bound.worth > 0.0)
-    Print(&out,
-          " Worth answered %.0f of %.0f offered; at most %.0f was within reach, of which %.3f was served.",
+    Print(&out, " Worth answered %.0f of %.0f offered; at most %.0f was within reach, of which %.3f was served.",
           served, bound.offered, bound.worth, served / bound.worth);
   out += "</p>\n<h2>Rules</h2>\n<pre>" + Escaped(rules.Summary()) + "</pre>\n";
-  out +=
-      "<h2>Where the tries went</h2>\n<table><tr><th>class</th><th>tries</th><th>in time</th><th>late</th>";
+  out += "<h2>Where the tries went</h2>\n<table><tr><th>class</th><th>tries</th><th>in time</th><th>late</th>";
   const reach::Account total = accounts.ledger().Total();
   for (std::size_t l = 0; l < reach::kLost; ++l) {
     if (total.lost[l] > 0) out += "<th>" + std::string(reach::Name(static_cast<reach::Lost>(l))) + "</th>";
@@ -156,9 +149,8 @@
     Line line{std::to_string(pair.first) + "-" + std::to_string(pair.second), {}};
     for (const auto& bin : bins) {
       const auto use = bin.groups.find(pair);
-      line.values.push_back(use == bin.groups.end()
-                                ? -1.0
-                                : static_cast<double>(use->second.first) / std::max(1U, use->second.second));
+      line.values.push_back(
+          use == bin.groups.end() ? -1.0 : static_cast<double>(use->second.first) / std::max(1U, use->second.second));
     }
     groups.push_back(std::move(line));
   }
--- a/src/lab/doors.cpp
+++ b/src/lab/doors.cpp
@@ -102,8 +102,7 @@
 std::unique_ptr<Gate> MakeGate(const std::string& name, const DoorsSettings& s) {
   if (name == "none") return std::make_unique<Open>();
   if (name == "fifo") return std::make_unique<Fifo>(static_cast<std::size_t>(s.at_once));
-  if (name == "token bucket")
-    return std::make_unique<TokenBucket>(s.at_once * 1e6 / static_cast<double>(s.set_up_us));
+  if (name == "token bucket") return std::make_unique<TokenBucket>(s.at_once * 1e6 / static_cast<double>(s.set_up_us));
   if (name != "fair") throw std::invalid_argument("expected fair, fifo, token bucket or none, found " + name);
   door::DoorSettings settings;
   settings.limiter.first = s.at_once;
@@ -115,16 +114,14 @@
 
 class Evening {
  public:
-  Evening(const std::string& name, const DoorsSettings& s)
-      : s_(s), gate_(MakeGate(name, s)), random_(s.seed) {
+  Evening(const std::string& name, const DoorsSettings& s) : s_(s), gate_(MakeGate(name, s)), random_(s.seed) {
     figures_.door = name;
   }
 
   DoorFigures Play() {
     for (int i = 0; i < s_.quiet; ++i)
       clients_.push_back({"quiet " + std::to_string(i), 1, s_.quiet_per_s, 2.0, false});
-    for (int i = 0; i < s_.crowd; ++i)
-      clients_.push_back({"crowd " + std::to_string(i), 0, s_.crowd_per_s, 1.0, true});
+    for (int i = 0; i < s_.crowd; ++i) clients_.push_back({"crowd " + std::to_string(i), 0, s_.crowd_per_s, 1.0, true});
     for (std::size_t i = 0; i < clients_.size(); ++i) In(Gap(clients_[i].per_s), [this, i] { Arrive(i); });
     from_ = Now() + s_.length_us / 4;
     to_ = Now() + 3 * s_.length_us / 4;
@@ -157,9 +154,7 @@
       what();
     });
   }
-  TimeUs Gap(double per_s) {
-    return static_cast<TimeUs>(std::exponential_distribution<>(per_s)(random_) * 1e6) + 1;
-  }
+  TimeUs Gap(double per_s) { return static_cast<TimeUs>(std::exponential_distribution<>(per_s)(random_) * 1e6) + 1; }
   // Calls count while the flood runs, a patience short of its end.
   bool Counts() const { return Now() >= from_ && Now() + s_.patience_us < to_; }
 
@@ -237,8 +232,7 @@
     figures_.quiet_share = share(0);
     figures_.crowd_share = share(1);
     std::sort(waits_.begin(), waits_.end());
-    if (!waits_.empty())
-      figures_.p99_wait_ms = static_cast<double>(waits_[waits_.size() * 99 / 100]) / 1000.0;
+    if (!waits_.empty()) figures_.p99_wait_ms = static_cast<double>(waits_[waits_.size() * 99 / 100]) / 1000.0;
     figures_.told_kept = told_ > 0 ? static_cast<double>(told_stood_) / static_cast<double>(told_) : -1.0;
     return figures_;
   }
@@ -264,9 +258,7 @@
   return kNames;
 }
 
-DoorFigures PlayDoor(const std::string& door, const DoorsSettings& settings) {
-  return Evening(door, settings).Play();
-}
+DoorFigures PlayDoor(const std::string& door, const DoorsSettings& settings) { return Evening(door, settings).Play(); }
 
 std::string DoorsPicture(const DoorsCurve& curve) {
   constexpr const char* kColours[] = {"#1b6ca8", "#c0392b", "#b8860b", "#7f8c8d"};
@@ -284,15 +276,14 @@
     }
     Print(&out, "<text x=\"%.0f\" y=\"18\" font-size=\"13\">%s</text>\n", left,
           panel == 0 ? "Worth a second, of who is no flood" : "Share of quiet clients' calls in time");
-    Print(&out, "<path d=\"M%.0f %.0fv%.0fh%.0f\" fill=\"none\" stroke=\"#444\"/>\n", left, kTop, kHigh,
-          kWide);
+    Print(&out, "<path d=\"M%.0f %.0fv%.0fh%.0f\" fill=\"none\" stroke=\"#444\"/>\n", left, kTop, kHigh, kWide);
     Print(&out,
           "<text x=\"%.0f\" y=\"%.0f\" text-anchor=\"end\">%.3g</text><text x=\"%.0f\" y=\"%.0f\" "
           "text-anchor=\"end\">0</text>\n",
           left - 4, kTop + 8, most, left - 4, kTop + kHigh);
     for (const double flood : curve.floods)
-      Print(&out, "<text x=\"%.0f\" y=\"%.0f\" text-anchor=\"middle\">%.0f</text>\n",
-            left + kWide * flood / most_flood, kTop + kHigh + 14, flood);
+      Print(&out, "<text x=\"%.0f\" y=\"%.0f\" text-anchor=\"middle\">%.0f</text>\n", left + kWide * flood / most_flood,
+            kTop + kHigh + 14, flood);
     for (std::size_t d = 0; d < curve.by_door.size(); ++d) {
       std::string path;
       for (std::size_t i = 0; i < curve.floods.size(); ++i)
@@ -301,9 +292,8 @@
       Print(&out, "<path d=\"%s\" fill=\"none\" stroke=\"%s\" stroke-width=\"1.6\"/>\n", path.c_str(),
             kColours[d % std::size(kColours)]);
       if (!curve.by_door[d].empty())
-        Print(&out, "<text x=\"%.0f\" y=\"%.0f\" fill=\"%s\">%s</text>\n",
-              left + 85.0 * static_cast<double>(d), kTop + kHigh + 48, kColours[d % std::size(kColours)],
-              curve.by_door[d][0].door.c_str());
+        Print(&out, "<text x=\"%.0f\" y=\"%.0f\" fill=\"%s\">%s</text>\n", left + 85.0 * static_cast<double>(d),
+              kTop + kHigh + 48, kColours[d % std::size(kColours)], curve.by_door[d][0].door.c_str());
     }
     Print(&out, "<text x=\"%.0f\" y=\"%.0f\">made-up identities a second</text>\n", left, kTop + kHigh + 30);
   }
--- a/src/lab/doors.h
+++ b/src/lab/doors.h
@@ -18,7 +18,7 @@
   TimeUs set_up_us = 50'000;
   int quiet = 50;            // clients of one customer, of worth 2 a call
   double quiet_per_s = 2.0;  // calls of each
-  int crowd = 60;  // clients of another, of worth 1; they dial again when refused, as told or after 300 ms
+  int crowd = 60;            // clients of another, of worth 1; they dial again when refused, as told or after 300 ms
   double crowd_per_s = 4.0;
   double flood_per_s = 2'000;     // by one caller, under a new identity each
   TimeUs length_us = 40'000'000;  // the flood runs from a quarter to three quarters of it
@@ -32,8 +32,7 @@
   double worst_client = 0.0;  // the same of the quiet client that fared worst
   double crowd_share = 0.0;
   double p99_wait_ms = 0.0;  // at the door, of those let in
-  double told_kept =
-      0.0;  // of those who came back as promised, let in and stood; -1: nobody was promised anything
+  double told_kept = 0.0;    // of those who came back as promised, let in and stood; -1: nobody was promised anything
   std::uint64_t most_waiting = 0;
 };
 
--- a/src/lab/edge_processes.cpp
+++ b/src/lab/edge_processes.cpp
@@ -29,14 +29,14 @@
   char* const arguments[] = {program_.data(), const_cast<char*>(settings.c_str()), option.data(),
                              const_cast<char*>(metrics.c_str()), nullptr};
   pid_t process = 0;
-  // Nothing of the laboratory's is left open in it: a collector's port that an edge holds as well outlives the collector.
+  // Nothing of the laboratory's is left open in it: a collector's port that an edge holds as well outlives the
+  // collector.
   posix_spawn_file_actions_t actions;
   ::posix_spawn_file_actions_init(&actions);
   ::posix_spawn_file_actions_addclosefrom_np(&actions, 3);
   const int error = ::posix_spawn(&process, program_.c_str(), &actions, nullptr, arguments, environ);
   ::posix_spawn_file_actions_destroy(&actions);
-  if (error != 0)
-    throw std::runtime_error("cannot start " + program_ + ": " + std::to_string(error));
+  if (error != 0) throw std::runtime_error("cannot start " + program_ + ": " + std::to_string(error));
   processes_[number] = process;
 }
 
--- a/src/lab/gateway.cpp
+++ b/src/lab/gateway.cpp
@@ -405,7 +405,8 @@
   if (faults_.deaf) return;
   std::string body;
   Writer(&body).Line("RM", blocked ? "forced" : "restart");
-  transactions_.Send(settings_.agent, {Verb::kRsip, wire_names::Circuit(circuit.far, circuit.circuit, settings_.domain), body, {}});
+  transactions_.Send(settings_.agent,
+                     {Verb::kRsip, wire_names::Circuit(circuit.far, circuit.circuit, settings_.domain), body, {}});
 }
 
 }  // namespace croftrun::lab
--- a/src/lab/gateway.h
+++ b/src/lab/gateway.h
@@ -62,15 +62,15 @@
  private:
   struct Line {
     bool off_hook = false;
-    bool in_use = false;        // by a caller of the laboratory, from dialling to on hook
-    std::string request;        // X: in force
+    bool in_use = false;  // by a caller of the laboratory, from dialling to on hook
+    std::string request;  // X: in force
     bool wants_off_hook = false;
     std::optional<mgcp::DigitMap> digit_map;
     std::string connection;
-    std::string to_dial;        // waits to be armed
+    std::string to_dial;  // waits to be armed
     TimeUs patience_us = 0;
     bool ringing = false;
-    std::uint64_t use = 0;      // tells one use of the line from the next
+    std::uint64_t use = 0;  // tells one use of the line from the next
   };
   struct Trunk {
     std::string request, connection;
--- a/src/lab/load_line.cpp
+++ b/src/lab/load_line.cpp
@@ -274,8 +274,8 @@
   dials_.erase(line.transaction);
   line.transaction = next_transaction_;
   dials_[line.transaction] = number;
-  line.dial = Notify(wire_names::Line(number, settings_.domain), line.armed, events) + "X-Patience: " +
-              std::to_string(settings_.patience_us / 1000) + "\r\n";
+  line.dial = Notify(wire_names::Line(number, settings_.domain), line.armed, events) +
+              "X-Patience: " + std::to_string(settings_.patience_us / 1000) + "\r\n";
   Queue(line.dial);
   to_check_.push_back({line.dialled_at + kRepeatAfter, number, line.transaction});
   ++figures_.offered;
--- a/src/lab/load_line.h
+++ b/src/lab/load_line.h
@@ -29,7 +29,7 @@
   std::uint64_t offered = 0, answered = 0, refused = 0, failed = 0, unanswered = 0, late = 0, no_line = 0;
   std::uint64_t datagrams_in = 0, datagrams_out = 0, repeats = 0;
   std::uint64_t rejected = 0;  // notifications that the edge answered with an error
-  std::uint64_t most_up = 0;  // calls that stood at once
+  std::uint64_t most_up = 0;   // calls that stood at once
   double seconds = 0.0;
   // Time the edge added to an answered call, microseconds: digits to seizure and answer to final signal.
   std::vector<double> added_us;
@@ -54,7 +54,7 @@
   enum class State : std::uint8_t { kIdle, kDialled, kUp, kTone, kLeaving };
   struct Line {
     State state = State::kIdle;
-    std::string armed;  // the request under which it may dial
+    std::string armed;          // the request under which it may dial
     std::uint64_t request = 0;  // the same as a number: a repeat of an older request is not taken
     TimeUs dialled_at = 0, answered_at = 0;
     double first_us = 0.0;
--- a/src/lab/network.cpp
+++ b/src/lab/network.cpp
@@ -24,13 +24,9 @@
   });
 }
 
-TimeUs Network::Way(int a, int b) const {
-  return At(a).zone == At(b).zone ? settings_.near_us : settings_.far_us;
-}
+TimeUs Network::Way(int a, int b) const { return At(a).zone == At(b).zone ? settings_.near_us : settings_.far_us; }
 
-void Network::AddGroup(int a, int b, unsigned circuits) {
-  groups_[{std::min(a, b), std::max(a, b)}].resize(circuits);
-}
+void Network::AddGroup(int a, int b, unsigned circuits) { groups_[{std::min(a, b), std::max(a, b)}].resize(circuits); }
 
 unsigned Network::Circuits(int a, int b) const {
   const auto found = groups_.find({std::min(a, b), std::max(a, b)});
@@ -78,8 +74,8 @@
 
 double Network::Warmth(const ExchangeState& exchange) const {
   if (exchange.started_us == 0) return 1.0;
-  const double grown = static_cast<double>(runtime_->Now() - exchange.started_us) /
-                       static_cast<double>(settings_.processor.warm_up_us);
+  const double grown =
+      static_cast<double>(runtime_->Now() - exchange.started_us) / static_cast<double>(settings_.processor.warm_up_us);
   const double from = settings_.processor.cold_from;
   return grown >= 1.0 ? 1.0 : from + (1.0 - from) * grown;
 }
@@ -160,11 +156,11 @@
   }
   EndOf(*Find(number, id), number, id.far).others = info.others;
   const auto leave = [this, number, id, seizure, info] {
-    After(Way(number, id.far), [this, number, id, seizure, info] {
-      ArriveSeizure(number, id.far, id.circuit, seizure, info);
-    });
+    After(Way(number, id.far),
+          [this, number, id, seizure, info] { ArriveSeizure(number, id.far, id.circuit, seizure, info); });
   };
-  // The way out costs the own processor its part: where the call begins it waits for it; in transit that was paid on arrival.
+  // The way out costs the own processor its part: where the call begins it waits for it; in transit that was paid on
+  // arrival.
   const ProcessorSettings& p = settings_.processor;
   if (p.out_us == 0 || info.origin != number) {
     Work(number, p.out_us == 0 ? p.follow_us : p.look_us, {});
@@ -310,9 +306,8 @@
 void Network::Probe(int from, int number, std::function<void(std::vector<double>)> done) {
   const TimeUs way = Way(from, number);
   After(way, [this, number, way, done = std::move(done)] {
-    Work(number, settings_.processor.probe_us, [this, number, way, done] {
-      After(way, [this, number, done] { done(Load(At(number))); });
-    });
+    Work(number, settings_.processor.probe_us,
+         [this, number, way, done] { After(way, [this, number, done] { done(Load(At(number))); }); });
   });
 }
 
@@ -353,18 +348,20 @@
   exchange.started_us = runtime_->Now();
   exchange.cold_work.clear();
   const ProcessorSettings& p = settings_.processor;
-  trace_->Fact("cold-start", {{"exchange", number},
-                              {"set_ups_per_s", 1e6 * exchange.speed / (static_cast<double>(p.set_up_us) * exchange.slow)},
-                              {"cold_from", p.cold_from},
-                              {"warm_up_ms", p.warm_up_us / 1000},
-                              {"fall_multiple", p.fall_multiple},
-                              {"fall_ms", p.fall_us / 1000}});
+  trace_->Fact("cold-start",
+               {{"exchange", number},
+                {"set_ups_per_s", 1e6 * exchange.speed / (static_cast<double>(p.set_up_us) * exchange.slow)},
+                {"cold_from", p.cold_from},
+                {"warm_up_ms", p.warm_up_us / 1000},
+                {"fall_multiple", p.fall_multiple},
+                {"fall_ms", p.fall_us / 1000}});
 }
 
 void Network::CutCircuits(int zone, const std::vector<int>& among, double keep) {
   const auto listed = [&](int number) { return std::find(among.begin(), among.end(), number) != among.end(); };
   for (auto& [pair, circuits] : groups_) {
-    const bool hit = among.empty() ? (At(pair.first).zone == zone) != (At(pair.second).zone == zone) : listed(pair.first) && listed(pair.second);
+    const bool hit = among.empty() ? (At(pair.first).zone == zone) != (At(pair.second).zone == zone)
+                                   : listed(pair.first) && listed(pair.second);
     if (!hit) continue;
     const auto kept = static_cast<unsigned>(std::ceil(keep * static_cast<double>(circuits.size())));
     for (unsigned i = kept; i < circuits.size(); ++i) {
--- a/src/lab/network.h
+++ b/src/lab/network.h
@@ -55,21 +55,21 @@
 };
 
 struct ProcessorSettings {
-  TimeUs set_up_us = 5'000;      // work of a set-up
-  TimeUs out_us = 0;             // of a set-up where the call begins: it leaves when that is done; 0: follow_us, at once
-  TimeUs look_us = 0;            // of looking at a call that is offered, also if it is refused
+  TimeUs set_up_us = 5'000;  // work of a set-up
+  TimeUs out_us = 0;         // of a set-up where the call begins: it leaves when that is done; 0: follow_us, at once
+  TimeUs look_us = 0;        // of looking at a call that is offered, also if it is refused
   std::vector<double> speed_of;  // of each exchange, in these figures; empty: 1
   TimeUs follow_us = 1'000;      // of an answer or a release
   TimeUs reject_us = 500;        // of turning a set-up away
   TimeUs probe_us = 300;
   TimeUs longest_wait_us = 2'000'000;  // past it, set-ups are turned away
-  TimeUs repeat_us = 0;          // a waiting set-up is sent again after this, then at doubling gaps: work each
-  double cold_from = 0.3;        // share of its capacity at a cold start
+  TimeUs repeat_us = 0;                // a waiting set-up is sent again after this, then at doubling gaps: work each
+  double cold_from = 0.3;              // share of its capacity at a cold start
   TimeUs warm_up_us = 10'000'000;
-  double fall_multiple = 3.0;    // set-ups of over this multiple of what it can do at that moment ...
-  TimeUs fall_us = 1'000'000;    // ... for this long push a cold one over
+  double fall_multiple = 3.0;  // set-ups of over this multiple of what it can do at that moment ...
+  TimeUs fall_us = 1'000'000;  // ... for this long push a cold one over
   bool tells_wait = false;
-  std::string reports;           // "", "allowed", "cut_by" or "pending": one figure, in answers and probes
+  std::string reports;  // "", "allowed", "cut_by" or "pending": one figure, in answers and probes
 };
 
 struct ExchangeState {
@@ -91,7 +91,7 @@
 };
 
 struct NetworkSettings {
-  std::vector<int> zones;  // of exchange 0, 1, ...
+  std::vector<int> zones;                // of exchange 0, 1, ...
   TimeUs near_us = 200, far_us = 8'000;  // one way, inside a zone and between
   ProcessorSettings processor;
 };
@@ -131,9 +131,10 @@
   void Probe(int from, int number, std::function<void(std::vector<double>)> done);
 
   // ---- troubles ----
-  void Kill(int number);       // its processor dies; what touches it is cut
-  void Start(int number);      // back, cold
-  // Groups among these exchanges keep this share of their circuits; with none listed, those between `zone` and the others.
+  void Kill(int number);   // its processor dies; what touches it is cut
+  void Start(int number);  // back, cold
+  // Groups among these exchanges keep this share of their circuits; with none listed, those between `zone` and the
+  // others.
   void CutCircuits(int zone, const std::vector<int>& among, double keep);
   void RestoreCircuits();
 
--- a/src/lab/path.h
+++ b/src/lab/path.h
@@ -12,17 +12,16 @@
 namespace croftrun::lab {
 
 struct PathFaults {
-  double loss = 0.0;     // shares of datagrams
+  double loss = 0.0;  // shares of datagrams
   double doubled = 0.0;
-  double late = 0.0;     // held back by a chance delay of up to late_us, and so overtaken
+  double late = 0.0;  // held back by a chance delay of up to late_us, and so overtaken
   TimeUs late_us = 0;
   bool Any() const { return loss > 0.0 || doubled > 0.0 || late > 0.0; }
 };
 
 class Path final : public core::Runtime {
  public:
-  Path(core::Runtime* runtime, Trace* trace, std::uint64_t seed)
-      : runtime_(runtime), trace_(trace), random_(seed) {}
+  Path(core::Runtime* runtime, Trace* trace, std::uint64_t seed) : runtime_(runtime), trace_(trace), random_(seed) {}
 
   std::int64_t WallUs() const override { return runtime_->WallUs(); }
   TimeUs Now() const override { return runtime_->Now(); }
--- a/src/lab/platform_stand_ins.cpp
+++ b/src/lab/platform_stand_ins.cpp
@@ -24,9 +24,7 @@
 
 PlatformExchange::PlatformExchange(core::Runtime* runtime, const core::Address& address)
     : runtime_(runtime), address_(address) {
-  on_set_up = [](PlatformLink& link, const Message& message) {
-    Answer(link, message.id, "answer for " + message.id);
-  };
+  on_set_up = [](PlatformLink& link, const Message& message) { Answer(link, message.id, "answer for " + message.id); };
   Start();
 }
 
--- a/src/lab/platform_stand_ins.h
+++ b/src/lab/platform_stand_ins.h
@@ -1,5 +1,6 @@
-// Stand-ins for what a softswitch meets on the platform: exchanges, callers and the notice board. They speak the protocol
-// on any runtime, do what a test tells them, spoilt lines and broken connections included, and keep all they heard.
+// Stand-ins for what a softswitch meets on the platform: exchanges, callers and the notice board. They speak the
+// protocol on any runtime, do what a test tells them, spoilt lines and broken connections included, and keep all they
+// heard.
 #ifndef CROFTRUN_LAB_PLATFORM_STAND_INS_H_
 #define CROFTRUN_LAB_PLATFORM_STAND_INS_H_
 
--- a/src/lab/roster_server.cpp
+++ b/src/lab/roster_server.cpp
@@ -39,8 +39,8 @@
   nlohmann::json update = {{"version", version_}, {"entries", nlohmann::json::array()}};
   if (!full) update["base"] = version_ - 1;
   for (const RosterLine& line : lines) {
-    nlohmann::json entry = {{"exchange", line.exchange}, {"number", line.number}, {"zone", line.zone},
-                            {"status", line.status}};
+    nlohmann::json entry = {
+        {"exchange", line.exchange}, {"number", line.number}, {"zone", line.zone}, {"status", line.status}};
     if (line.incarnation > 0) {
       entry["incarnation"] = line.incarnation;
       entry["age_ms"] = (runtime_->Now() - line.started_us) / 1000;
--- a/src/lab/rules.cpp
+++ b/src/lab/rules.cpp
@@ -30,8 +30,9 @@
 }
 
 // Releases that say that nothing ran: no release wait follows.
-bool NeverRan(int cause) { return cause == 17 || cause == 27 || cause == 34 || cause == 42 || cause == 44 ||
-                                           cause == 47; }
+bool NeverRan(int cause) {
+  return cause == 17 || cause == 27 || cause == 34 || cause == 42 || cause == 44 || cause == 47;
+}
 
 // The further circuits of a wide call, as endpoints of the group of `circuit`.
 std::vector<std::string> OtherCircuits(const mgcp::Message& message, const std::string& circuit) {
@@ -59,13 +60,15 @@
 }
 
 bool RuleChecker::Kept() const {
-  return !edges_.empty() && std::all_of(findings_.begin(), findings_.end(), [](const auto& f) { return f.broken == 0; });
+  return !edges_.empty() &&
+         std::all_of(findings_.begin(), findings_.end(), [](const auto& f) { return f.broken == 0; });
 }
 
 void RuleChecker::Break(Rule rule, TimeUs at, const std::string& where, const std::string& what) {
   RuleFinding& finding = findings_[static_cast<std::size_t>(rule)];
   ++finding.broken;
-  if (finding.examples.size() < kMostExamples) finding.examples.push_back("at " + Ms(at > first_ ? at - first_ : 0) + ", " + where + ": " + what);
+  if (finding.examples.size() < kMostExamples)
+    finding.examples.push_back("at " + Ms(at > first_ ? at - first_ : 0) + ", " + where + ": " + what);
 }
 
 std::string RuleChecker::Where(const Edge& edge, std::string_view endpoint) {
@@ -105,8 +108,7 @@
       // A repeat of a notification that the edge has not acknowledged: an edge that was away knows of this copy only,
       // and the caller's time can only run for it from here.
       const auto dialled = edge.dialled.find(message->transaction);
-      if (!from_edge && dialled != edge.dialled.end())
-        dialled->second.first = record.at_us + PatienceOf(*message);
+      if (!from_edge && dialled != edge.dialled.end()) dialled->second.first = record.at_us + PatienceOf(*message);
     } else {
       if (from_edge) {
         OnCommandOfEdge(edge, record.at_us, *message);
@@ -237,8 +239,8 @@
   }
   if (line) return;
   if (const auto* sup = FindEvent(events, "sup")) {
-    const std::string caller = std::string(message.Get(wire_names::kOrigin)) + " " +
-                               std::string(mgcp::Argument(sup->parameters, "id"));
+    const std::string caller =
+        std::string(message.Get(wire_names::kOrigin)) + " " + std::string(mgcp::Argument(sup->parameters, "id"));
     edge.dialled[message.transaction] = {at + patience, endpoint};
     ++edge.callers[caller].epoch;
     // The far end holds these circuits: a set-up of the edge's own on one of them is over. Unless the gateway had
@@ -291,8 +293,8 @@
   Owed& owed = found->second;
   if (owed.answered) return Break(Rule::kOneAnswer, at, Where(edge, endpoint), "a second final answer (" + what + ")");
   if (owed.over_at != 0) {
-    // A hang-up told to an edge that stands still lies unread in its queue, maybe behind the far end's answer: what it says as
-    // it goes on has crossed it.
+    // A hang-up told to an edge that stands still lies unread in its queue, maybe behind the far end's answer: what it
+    // says as it goes on has crossed it.
     const bool unread = owed.over_at + kCrossing >= edge.stalled_from && owed.over_at <= edge.stalled_to &&
                         edge.stalled_to != ~TimeUs{0} && at <= edge.stalled_to + kCrossing;
     if (at > owed.over_at + kCrossing && !unread)
@@ -303,14 +305,16 @@
   // An edge that stood still when the time was up was not running; what it says after is no answer, unless it is yes.
   const bool stood_still = owed.deadline + kCrossing >= edge.stalled_from && owed.deadline <= edge.stalled_to;
   if (at > owed.deadline + kCrossing && (!stood_still || what == "stands"))
-    Break(Rule::kOneAnswer, at, Where(edge, endpoint), what + " " + Ms(at - owed.deadline) + " after the caller's time");
+    Break(Rule::kOneAnswer, at, Where(edge, endpoint),
+          what + " " + Ms(at - owed.deadline) + " after the caller's time");
 }
 
 void RuleChecker::OnCommandOfEdge(Edge& edge, TimeUs at, const mgcp::Message& message) {
   const std::string endpoint = EndpointText(message);
   const auto signals = Events(message, "S");
   if (endpoint.rfind(wire_names::kLines, 0) == 0) {
-    if (message.verb == Verb::kCrcx && FindEvent(signals, "rg") == nullptr) return OnFinal(edge, at, endpoint, "stands");
+    if (message.verb == Verb::kCrcx && FindEvent(signals, "rg") == nullptr)
+      return OnFinal(edge, at, endpoint, "stands");
     const auto answer = message.Get(wire_names::kAnswer);
     if (message.verb == Verb::kRqnt && !answer.empty()) return OnFinal(edge, at, endpoint, std::string(answer));
     return;
@@ -437,8 +441,8 @@
     name.resize(32, ' ');
     std::string verdict(finding.Verdict());
     verdict.resize(15, ' ');
-    text += name + verdict + std::to_string(finding.checked) + " checked, " +
-            std::to_string(finding.broken) + " broken\n";
+    text +=
+        name + verdict + std::to_string(finding.checked) + " checked, " + std::to_string(finding.broken) + " broken\n";
     for (const std::string& example : finding.examples) text += "    " + example + "\n";
   }
   return text;
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -149,22 +149,27 @@
                                              "), found " + std::to_string(s.edges)});
   const auto one_each = [&](const char* path, std::size_t found) {
     if (found != 0 && found != static_cast<std::size_t>(s.exchanges))
-      mistakes->push_back({path, "expected one for each of " + std::to_string(s.exchanges) + " exchanges, found " + std::to_string(found)});
+      mistakes->push_back({path, "expected one for each of " + std::to_string(s.exchanges) + " exchanges, found " +
+                                     std::to_string(found)});
   };
   one_each("/fleet/zone_of", s.zone_of.size());
   one_each("/processor/speed_of", s.processor.speed_of.size());
   one_each("/traffic/between", s.between.size());
   for (std::size_t row = 0; row < s.between.size(); ++row) {
     one_each(("/traffic/between/" + std::to_string(row)).c_str(), s.between[row].size());
-    if (s.between[row].empty()) mistakes->push_back({"/traffic/between/" + std::to_string(row), "expected a figure for each exchange, found none"});
+    if (s.between[row].empty())
+      mistakes->push_back(
+          {"/traffic/between/" + std::to_string(row), "expected a figure for each exchange, found none"});
   }
   for (const int zone : s.zone_of) {
     if (zone >= s.zones)
-      mistakes->push_back({"/fleet/zone_of", "expected zones under " + std::to_string(s.zones) + ", found " + std::to_string(zone)});
+      mistakes->push_back(
+          {"/fleet/zone_of", "expected zones under " + std::to_string(s.zones) + ", found " + std::to_string(zone)});
   }
   for (const auto& [pair, circuits] : s.groups) {
     if (pair.second >= s.exchanges || pair.first == pair.second)
-      mistakes->push_back({"/fleet/groups", "expected two exchanges under " + std::to_string(s.exchanges) + ", found " + std::to_string(pair.first) + " and " + std::to_string(pair.second)});
+      mistakes->push_back({"/fleet/groups", "expected two exchanges under " + std::to_string(s.exchanges) + ", found " +
+                                                std::to_string(pair.first) + " and " + std::to_string(pair.second)});
   }
   if (file.contains("faults")) {
     std::size_t index = 0;
@@ -172,9 +177,9 @@
       s.faults.push_back(ReadFault(entry));
       for (const int exchange : s.faults.back().exchanges) {
         if (exchange >= s.exchanges)
-          mistakes->push_back({"/faults/" + std::to_string(index) + "/exchanges",
-                               "expected an exchange under " + std::to_string(s.exchanges) + ", found " +
-                                   std::to_string(exchange)});
+          mistakes->push_back(
+              {"/faults/" + std::to_string(index) + "/exchanges",
+               "expected an exchange under " + std::to_string(s.exchanges) + ", found " + std::to_string(exchange)});
       }
       ++index;
     }
@@ -225,7 +230,8 @@
                                {"width", k.width},
                                {"holding_ms", k.holding_us / kMs}});
     for (int far = 0; far < s.exchanges; ++far)
-      file["plan"].push_back({{"prefix", Prefix(static_cast<int>(c), 0, far)}, {"exchange", far}, {"class", k.planned_as}});
+      file["plan"].push_back(
+          {{"prefix", Prefix(static_cast<int>(c), 0, far)}, {"exchange", far}, {"class", k.planned_as}});
   }
   file["roster"] = {{"server", core::ToString(RosterAddress(s))}, {"listen", core::ToString(roster_listen)}};
   file["network"] = {{"senders", s.edges},
@@ -247,7 +253,10 @@
   if (!s.edge_door.is_null()) file["door"] = s.edge_door;
   if (!s.flow_folder.empty()) {
     const std::string spool = s.flow_folder + "/spool-" + std::to_string(number);
-    file["flow"] = {{"collectors", {{{"address", core::ToString(CollectorAddress(s, number))}, {"transport", "tcp"}, {"spool", {{"folder", spool}}}}}}};
+    file["flow"] = {{"collectors",
+                     {{{"address", core::ToString(CollectorAddress(s, number))},
+                       {"transport", "tcp"},
+                       {"spool", {{"folder", spool}}}}}}};
   }
   // The lab's machine is not the network that T-HIST was made for: answers are kept for a shorter time.
   file["transactions"] = {{"history_ms", 10'000}, {"give_up_ms", 8'000}};
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -44,7 +44,7 @@
   TimeUs length_us = 10'000'000;
   TimeUs settle_us = 10'000'000;
   int exchanges = 2, edges = 1, zones = 1;
-  std::vector<int> zone_of;  // by exchange; empty: by turns
+  std::vector<int> zone_of;                        // by exchange; empty: by turns
   std::map<std::pair<int, int>, unsigned> groups;  // circuits, where not `circuits`; the lower number first
   unsigned circuits = 30;
   std::vector<std::pair<int, int>> unlinked;
@@ -68,8 +68,8 @@
   int redials = 2;
   std::pair<TimeUs, TimeUs> redial_us = {200'000, 800'000};
   double early_hang_up = 0.0;
-  std::vector<std::vector<double>> between;           // [from][to]; empty: evenly
-  std::vector<std::pair<TimeUs, double>> shape;       // of the load over time; empty: level
+  std::vector<std::vector<double>> between;      // [from][to]; empty: evenly
+  std::vector<std::pair<TimeUs, double>> shape;  // of the load over time; empty: level
   TimeUs drift_us = 0;
   double drift_cv = 0.0;
   bool redial_doubles = false;
--- a/src/lab/soak/client_stand_in.cpp
+++ b/src/lab/soak/client_stand_in.cpp
@@ -27,7 +27,7 @@
 struct ClientStandIn::Connection {
   std::uint32_t host = 0;
   std::unique_ptr<LineClient> client;
-  std::set<std::string> calls;  // unanswered on it
+  std::set<std::string> calls;         // unanswered on it
   std::vector<std::string> unwritten;  // set-ups whose last octet has not left yet
   TimeUs last_call = 0;
   bool gone = false;
@@ -40,18 +40,29 @@
   bool served = false, over = false;
 };
 
-ClientStandIn::ClientStandIn(boost::asio::io_context* context, core::Runtime* runtime, TrafficRecord* record, std::uint64_t seed,
-                             const ClientTraits& traits, int softswitch, const core::Address& to, std::uint32_t hosts_from,
-                             int destinations)
-    : context_(context), runtime_(runtime), record_(record), random_(seed), traits_(traits), softswitch_(softswitch), to_(to),
-      hosts_from_(hosts_from), destinations_(destinations), next_call_(runtime), sweep_(runtime), busy_timer_(runtime),
+ClientStandIn::ClientStandIn(boost::asio::io_context* context, core::Runtime* runtime, TrafficRecord* record,
+                             std::uint64_t seed, const ClientTraits& traits, int softswitch, const core::Address& to,
+                             std::uint32_t hosts_from, int destinations)
+    : context_(context),
+      runtime_(runtime),
+      record_(record),
+      random_(seed),
+      traits_(traits),
+      softswitch_(softswitch),
+      to_(to),
+      hosts_from_(hosts_from),
+      destinations_(destinations),
+      next_call_(runtime),
+      sweep_(runtime),
+      busy_timer_(runtime),
       test_timer_(runtime) {
   Sweep();
 }
 
 ClientStandIn::~ClientStandIn() = default;
 
-void ClientStandIn::Note(EventKind kind, std::uint32_t host, const std::string& call, std::int64_t value, const std::string& text) {
+void ClientStandIn::Note(EventKind kind, std::uint32_t host, const std::string& call, std::int64_t value,
+                         const std::string& text) {
   record_->Note({.kind = kind, .softswitch = softswitch_, .host = host, .call = call, .value = value, .text = text});
 }
 
@@ -62,22 +73,24 @@
 }
 
 void ClientStandIn::Test(std::function<void(bool)> done) {
-  const std::uint32_t host = hosts_from_ + (traits_.tests_from_same_host ? 0 : static_cast<std::uint32_t>(traits_.hosts));
+  const std::uint32_t host =
+      hosts_from_ + (traits_.tests_from_same_host ? 0 : static_cast<std::uint32_t>(traits_.hosts));
   const auto finish = [this, done](bool passed) {
     test_timer_.Stop();
     runtime_->StartTimer(0, [this] { test_.reset(); });
     done(passed);
   };
-  test_ = std::make_unique<LineClient>(
-      context_, host, to_,
-      LineClientHandlers{.on_open = nullptr,
-                         .on_line =
-                             [this, finish](std::string_view line) {
-                               const auto message = platform::ParseMessage(line);
-                               if (message && message->type == MessageType::kTested) return finish(true);
-                               // The end of a call, told to the front: nobody hears it there.
-                             },
-                         .on_end = [finish](ConnectionEnd) { finish(false); }});
+  test_ = std::make_unique<LineClient>(context_, host, to_,
+                                       LineClientHandlers{.on_open = nullptr,
+                                                          .on_line =
+                                                              [this, finish](std::string_view line) {
+                                                                const auto message = platform::ParseMessage(line);
+                                                                if (message && message->type == MessageType::kTested)
+                                                                  return finish(true);
+                                                                // The end of a call, told to the front: nobody hears it
+                                                                // there.
+                                                              },
+                                                          .on_end = [finish](ConnectionEnd) { finish(false); }});
   test_->Write(platform::WriteMessage({.type = MessageType::kTest, .id = NewId(), .cause = 0}));
   test_timer_.Start(kTestWithin, [finish] { finish(false); });
 }
@@ -149,15 +162,16 @@
   const auto call_class = static_cast<int>(random_() % traits_.classes.size());
   const TimeUs wait = traits_.waits[static_cast<std::size_t>(call_class)];
   int destination = softswitch_;
-  while (destination == softswitch_) destination = static_cast<int>(random_() % static_cast<std::uint64_t>(destinations_));
-  const std::string line = platform::WriteMessage(
-      {.type = MessageType::kSetUp,
-       .id = id,
-       .fields = {{"class", traits_.classes[static_cast<std::size_t>(call_class)]},
-                  {"left", std::to_string(wait / 1000)},
-                  {"key", NewId()},
-                  {"extras", "dest:" + std::to_string(destination) + ";width:1;via:-1"}},
-       .description = "offer of " + id});
+  while (destination == softswitch_)
+    destination = static_cast<int>(random_() % static_cast<std::uint64_t>(destinations_));
+  const std::string line =
+      platform::WriteMessage({.type = MessageType::kSetUp,
+                              .id = id,
+                              .fields = {{"class", traits_.classes[static_cast<std::size_t>(call_class)]},
+                                         {"left", std::to_string(wait / 1000)},
+                                         {"key", NewId()},
+                                         {"extras", "dest:" + std::to_string(destination) + ";width:1;via:-1"}},
+                              .description = "offer of " + id});
   OpenCall& call = open_[id];
   call.connection = connection;
   call.call_class = call_class;
@@ -273,7 +287,8 @@
       continue;
     }
     if (Resend(id, &found->second, connection->host)) continue;
-    if (found->second.sent_at != 0) Note(EventKind::kClosedOnSetUp, connection->host, id, 0, kNames[static_cast<int>(end)]);
+    if (found->second.sent_at != 0)
+      Note(EventKind::kClosedOnSetUp, connection->host, id, 0, kNames[static_cast<int>(end)]);
     open_.erase(found);
   }
   connection->calls.clear();
@@ -341,10 +356,11 @@
   for (const auto& [id, call] : standing_) {
     Connection* const connection = ConnectionFor(static_cast<int>(call.host - hosts_from_));
     Note(EventKind::kCallAnnounced, call.host, id);
-    connection->client->Write(platform::WriteMessage({.type = MessageType::kSetUp,
-                                                      .id = id,
-                                                      .fields = {{"class", traits_.classes[0]}, {"extras", "dest:0;width:1;via:-1;at:" + call.uid}},
-                                                      .description = "again " + id}));
+    connection->client->Write(platform::WriteMessage(
+        {.type = MessageType::kSetUp,
+         .id = id,
+         .fields = {{"class", traits_.classes[0]}, {"extras", "dest:0;width:1;via:-1;at:" + call.uid}},
+         .description = "again " + id}));
   }
 }
 
@@ -374,7 +390,8 @@
       bad->client->Write(std::string(100'000, 'x'));
       break;
     case 2:
-      bad->client->Write("{\"t\":\"new\",\"ref\":\"" + id + "\",\"f\":{\"class\":\"none\",\"left\":\"-5\"},\"d\":\"x\"}\n");
+      bad->client->Write("{\"t\":\"new\",\"ref\":\"" + id +
+                         "\",\"f\":{\"class\":\"none\",\"left\":\"-5\"},\"d\":\"x\"}\n");
       break;
     case 3:
       bad->client->Write("{\"t\":\"new\",\"ref\":\"" + id + "\",\"f\":{\"cl");
--- a/src/lab/soak/client_stand_in.h
+++ b/src/lab/soak/client_stand_in.h
@@ -1,4 +1,5 @@
-// The callers of one softswitch in a soak trial: a few hosts that place calls, hear their ends, give up, leave or come back.
+// The callers of one softswitch in a soak trial: a few hosts that place calls, hear their ends, give up, leave or come
+// back.
 #ifndef CROFTRUN_LAB_SOAK_CLIENT_STAND_IN_H_
 #define CROFTRUN_LAB_SOAK_CLIENT_STAND_IN_H_
 
@@ -22,23 +23,25 @@
 struct ClientTraits {
   double calls_per_s = 8.0;
   std::vector<std::string> classes;
-  std::vector<TimeUs> waits;         // by class: how long a caller waits for the answer
+  std::vector<TimeUs> waits;  // by class: how long a caller waits for the answer
   int hosts = 2;
-  int most_connections = 4;          // of one host
-  double cancels = 0.05;             // shares of the calls: taken back early
-  double leaves = 0.03;              // the connection is closed under them
-  double in_pieces = 0.05;           // written in two pieces
-  double redials = 0.3;              // refused ones come again
-  double releases = 0.15;            // standing ones are released by the caller
+  int most_connections = 4;  // of one host
+  double cancels = 0.05;     // shares of the calls: taken back early
+  double leaves = 0.03;      // the connection is closed under them
+  double in_pieces = 0.05;   // written in two pieces
+  double redials = 0.3;      // refused ones come again
+  double releases = 0.15;    // standing ones are released by the caller
   TimeUs closes_idle_after = 4'000'000;
   bool tests_from_same_host = true;  // the front tests from a host of the callers
 };
 
 class ClientStandIn {
  public:
-  // `hosts_from`: the first host's address, the others follow. Calls go to exchanges 0 to `destinations` less one, but `own`.
+  // `hosts_from`: the first host's address, the others follow. Calls go to exchanges 0 to `destinations` less one, but
+  // `own`.
   ClientStandIn(boost::asio::io_context* context, core::Runtime* runtime, TrafficRecord* record, std::uint64_t seed,
-                const ClientTraits& traits, int softswitch, const core::Address& to, std::uint32_t hosts_from, int destinations);
+                const ClientTraits& traits, int softswitch, const core::Address& to, std::uint32_t hosts_from,
+                int destinations);
   ~ClientStandIn();
 
   // Tests the softswitch until a test is passed, then calls `ready` once.
@@ -92,7 +95,8 @@
   void Busy();
   void Test(std::function<void(bool)> done);
   std::string NewId();
-  void Note(EventKind kind, std::uint32_t host, const std::string& call, std::int64_t value = 0, const std::string& text = "");
+  void Note(EventKind kind, std::uint32_t host, const std::string& call, std::int64_t value = 0,
+            const std::string& text = "");
   double Unit() { return std::uniform_real_distribution<double>(0.0, 1.0)(random_); }
 
   boost::asio::io_context* context_;
--- a/src/lab/soak/discovery_stand_in.cpp
+++ b/src/lab/soak/discovery_stand_in.cpp
@@ -58,8 +58,13 @@
   std::string request_;
 };
 
-DiscoveryStandIn::DiscoveryStandIn(core::Runtime* runtime, TrafficRecord* record, int softswitch, const core::Address& listen)
-    : runtime_(runtime), record_(record), softswitch_(softswitch), comment_(runtime), listener_(runtime->Listen(listen, this)) {
+DiscoveryStandIn::DiscoveryStandIn(core::Runtime* runtime, TrafficRecord* record, int softswitch,
+                                   const core::Address& listen)
+    : runtime_(runtime),
+      record_(record),
+      softswitch_(softswitch),
+      comment_(runtime),
+      listener_(runtime->Listen(listen, this)) {
   Comment();
 }
 
@@ -103,8 +108,8 @@
   for (const Event& event : events_) {
     if (event.number <= watch->last) continue;
     watch->last = event.number;
-    watch->stream->Write("id: " + std::to_string(event.number) +
-                         "\ndata: " + EventOf(event.number, false, json::array({TargetOf(event.listing)})).dump() + "\n\n");
+    watch->stream->Write("id: " + std::to_string(event.number) + "\ndata: " +
+                         EventOf(event.number, false, json::array({TargetOf(event.listing)})).dump() + "\n\n");
     if (event.listing.state != "Ready") {
       record_->Note({.kind = EventKind::kDrainWritten, .softswitch = softswitch_, .exchange = event.listing.instance});
     }
--- a/src/lab/soak/discovery_stand_in.h
+++ b/src/lab/soak/discovery_stand_in.h
@@ -1,5 +1,5 @@
-// Service discovery as one softswitch of a soak trial sees it: numbered events over HTTP, a comment each second, silent or
-// unreachable when the script says so (unreachability is its proxy's).
+// Service discovery as one softswitch of a soak trial sees it: numbered events over HTTP, a comment each second, silent
+// or unreachable when the script says so (unreachability is its proxy's).
 #ifndef CROFTRUN_LAB_SOAK_DISCOVERY_STAND_IN_H_
 #define CROFTRUN_LAB_SOAK_DISCOVERY_STAND_IN_H_
 
--- a/src/lab/soak/exchange_stand_in.cpp
+++ b/src/lab/soak/exchange_stand_in.cpp
@@ -59,8 +59,9 @@
   std::unique_ptr<core::StreamListener> listener_;
 };
 
-ExchangeStandIn::ExchangeStandIn(core::Runtime* runtime, TrafficRecord* record, std::uint64_t seed, const ExchangeTraits& traits,
-                                 std::vector<FaultProxy*> ways, const std::vector<core::Address>& listen)
+ExchangeStandIn::ExchangeStandIn(core::Runtime* runtime, TrafficRecord* record, std::uint64_t seed,
+                                 const ExchangeTraits& traits, std::vector<FaultProxy*> ways,
+                                 const std::vector<core::Address>& listen)
     : runtime_(runtime), record_(record), random_(seed), traits_(traits), ways_(std::move(ways)), hang_(runtime) {
   for (std::size_t i = 0; i < listen.size(); ++i) {
     doors_.push_back(std::make_unique<Door>(this, static_cast<int>(i), listen[i]));
@@ -100,7 +101,8 @@
   if (hangs_) return;
   const int softswitch = connection->softswitch;
   Note(EventKind::kConnectionOpened, softswitch, "",
-       std::count_if(connections_.begin(), connections_.end(), [&](const auto& x) { return x->softswitch == softswitch; }));
+       std::count_if(connections_.begin(), connections_.end(),
+                     [&](const auto& x) { return x->softswitch == softswitch; }));
   const auto send = [&](const std::string& id) {
     connection->Send({.type = MessageType::kRelease, .id = id, .cause = kCauseNormal});
   };
@@ -156,9 +158,11 @@
   const std::string id = message.id;
   const int softswitch = connection->softswitch;
   Note(EventKind::kAttemptArrived, softswitch, id,
-       static_cast<std::int64_t>(ways_[static_cast<std::size_t>(softswitch)]->WaitedOf(connection->stream->Remote().port)));
+       static_cast<std::int64_t>(
+           ways_[static_cast<std::size_t>(softswitch)]->WaitedOf(connection->stream->Remote().port)));
   if (used_[softswitch] >= traits_.circuits && !hangs_) {
-    connection->Send({.type = MessageType::kRelease, .id = id, .fields = {{"note", "all_trunks_busy"}}, .cause = kCauseNoCircuit});
+    connection->Send(
+        {.type = MessageType::kRelease, .id = id, .fields = {{"note", "all_trunks_busy"}}, .cause = kCauseNoCircuit});
     return Note(EventKind::kAttemptRefused, softswitch, id);
   }
   Attempt& attempt = attempts_[id];
@@ -195,7 +199,8 @@
   Note(EventKind::kAttemptAnswered, softswitch, id);
   if (Draw(traits_.answers_twice)) {
     runtime_->StartTimer(kSecondAnswerAfter, [this, connection, answer] {
-      const bool open = std::any_of(connections_.begin(), connections_.end(), [&](const auto& x) { return x.get() == connection; });
+      const bool open =
+          std::any_of(connections_.begin(), connections_.end(), [&](const auto& x) { return x.get() == connection; });
       if (open) connection->Send(answer);
     });
   }
@@ -224,7 +229,8 @@
   }
   connection->Send({.type = MessageType::kRelease, .id = id, .cause = kCauseNormal});
   repeated_[softswitch].push_back(id);
-  Note(ways_[static_cast<std::size_t>(softswitch)]->Working() ? EventKind::kCallEnded : EventKind::kCallEndedUnsent, softswitch, id);
+  Note(ways_[static_cast<std::size_t>(softswitch)]->Working() ? EventKind::kCallEnded : EventKind::kCallEndedUnsent,
+       softswitch, id);
   if (traits_.tells_gauges) SendGauge(connection);
 }
 
--- a/src/lab/soak/exchange_stand_in.h
+++ b/src/lab/soak/exchange_stand_in.h
@@ -1,5 +1,5 @@
-// An exchange of a soak trial: answers set-ups, holds calls for a while, tells their ends and the state of its groups, and
-// fails in the ways that a script asks for. It knows each softswitch by the address at which that one reaches it.
+// An exchange of a soak trial: answers set-ups, holds calls for a while, tells their ends and the state of its groups,
+// and fails in the ways that a script asks for. It knows each softswitch by the address at which that one reaches it.
 #ifndef CROFTRUN_LAB_SOAK_EXCHANGE_STAND_IN_H_
 #define CROFTRUN_LAB_SOAK_EXCHANGE_STAND_IN_H_
 
@@ -21,18 +21,19 @@
 struct ExchangeTraits {
   TimeUs answer_after = 4'000;  // a set-up is answered so much later, on average
   TimeUs hold_mean = 5'000'000;
-  int circuits = 30;            // of the group towards each softswitch
-  bool tells_gauges = true;     // the state of a group, when it changes
-  bool greets = true;           // and on each new connection
-  double never_answers = 0.0;   // shares of the set-ups
-  double breaks = 0.0;          // the connection is closed under it
-  double spoils = 0.0;          // the answer cannot be read
+  int circuits = 30;           // of the group towards each softswitch
+  bool tells_gauges = true;    // the state of a group, when it changes
+  bool greets = true;          // and on each new connection
+  double never_answers = 0.0;  // shares of the set-ups
+  double breaks = 0.0;         // the connection is closed under it
+  double spoils = 0.0;         // the answer cannot be read
   double answers_twice = 0.0;
 };
 
 class ExchangeStandIn {
  public:
-  // `instance` names the running machine in the record; `ways` are the proxies by softswitch, `listen` what is behind them.
+  // `instance` names the running machine in the record; `ways` are the proxies by softswitch, `listen` what is behind
+  // them.
   ExchangeStandIn(core::Runtime* runtime, TrafficRecord* record, std::uint64_t seed, const ExchangeTraits& traits,
                   std::vector<FaultProxy*> ways, const std::vector<core::Address>& listen);
   ~ExchangeStandIn();
--- a/src/lab/soak/fault_proxy.cpp
+++ b/src/lab/soak/fault_proxy.cpp
@@ -50,8 +50,8 @@
       : downstream(std::move(accepted)), upstream(context), last_octets(Clock::now()) {}
   tcp::socket downstream, upstream;
   Clock::time_point last_octets;
-  TimeUs waited = 0;       // the octets that were last handed upstream
-  std::size_t held = 0;    // octets that lay unread when a stall ended: they waited as long
+  TimeUs waited = 0;     // the octets that were last handed upstream
+  std::size_t held = 0;  // octets that lay unread when a stall ended: they waited as long
   std::uint16_t upstream_port = 0;
   bool forgotten = false;  // the upstream side has ended without a word to the downstream side
   bool over = false;
@@ -122,12 +122,14 @@
   asio::steady_timer timer(from.get_executor());
   error_code error;
   while (!pair->over) {
-    const std::size_t got = co_await from.async_read_some(asio::buffer(octets), asio::redirect_error(asio::use_awaitable, error));
+    const std::size_t got =
+        co_await from.async_read_some(asio::buffer(octets), asio::redirect_error(asio::use_awaitable, error));
     if (pair->over) co_return;
     const Clock::time_point arrived = Clock::now();
     co_await WaitToPass(pair, from_side, timer);
     if (from_side == Side::kDownstream) {
-      const auto waited = static_cast<TimeUs>(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - arrived).count());
+      const auto waited =
+          static_cast<TimeUs>(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - arrived).count());
       pair->NoteWait(got, waited);
     }
     if (pair->over || pair->proxy == nullptr) co_return pair->Close();
@@ -147,16 +149,21 @@
     if (*trickle) {
       co_await WriteInPieces(pair, to, octets.data(), got, random, timer);
     } else {
-      co_await asio::async_write(to, asio::buffer(octets.data(), got), asio::redirect_error(asio::use_awaitable, error));
+      co_await asio::async_write(to, asio::buffer(octets.data(), got),
+                                 asio::redirect_error(asio::use_awaitable, error));
     }
   }
 }
 
 }  // namespace
 
-FaultProxy::FaultProxy(asio::io_context* context, const core::Address& listen, const core::Address& upstream, std::uint64_t seed)
-    : context_(context), listen_(runtime::EndpointOf<tcp>(listen)), upstream_(runtime::EndpointOf<tcp>(upstream)),
-      random_(seed), hold_timer_(*context) {
+FaultProxy::FaultProxy(asio::io_context* context, const core::Address& listen, const core::Address& upstream,
+                       std::uint64_t seed)
+    : context_(context),
+      listen_(runtime::EndpointOf<tcp>(listen)),
+      upstream_(runtime::EndpointOf<tcp>(upstream)),
+      random_(seed),
+      hold_timer_(*context) {
   Listen();
 }
 
@@ -173,7 +180,8 @@
   acceptor_->set_option(asio::socket_base::reuse_address(true));
   error_code error;
   acceptor_->bind(listen_, error);
-  if (error) throw std::system_error(error.value(), std::system_category(), core::ToString(runtime::AddressOf(listen_)));
+  if (error)
+    throw std::system_error(error.value(), std::system_category(), core::ToString(runtime::AddressOf(listen_)));
   acceptor_->listen(kBacklog);
   Accept();
 }
@@ -270,8 +278,8 @@
 }
 
 TimeUs FaultProxy::WaitedOf(std::uint16_t upstream_port) const {
-  const auto found =
-      std::find_if(pairs_.begin(), pairs_.end(), [upstream_port](const auto& pair) { return pair->upstream_port == upstream_port; });
+  const auto found = std::find_if(pairs_.begin(), pairs_.end(),
+                                  [upstream_port](const auto& pair) { return pair->upstream_port == upstream_port; });
   return found == pairs_.end() ? 0 : (*found)->waited;
 }
 
--- a/src/lab/soak/fault_proxy.h
+++ b/src/lab/soak/fault_proxy.h
@@ -27,7 +27,8 @@
 class FaultProxy {
  public:
   // Listens at `listen` and connects to `upstream`. Throws std::system_error where it cannot listen.
-  FaultProxy(boost::asio::io_context* context, const core::Address& listen, const core::Address& upstream, std::uint64_t seed);
+  FaultProxy(boost::asio::io_context* context, const core::Address& listen, const core::Address& upstream,
+             std::uint64_t seed);
   ~FaultProxy();
   FaultProxy(const FaultProxy&) = delete;
   FaultProxy& operator=(const FaultProxy&) = delete;
@@ -44,8 +45,8 @@
   void Refuse(bool refuse);
   // All connections are reset, on both sides.
   void ResetAll();
-  // All connections that carried nothing for `idle` are closed in order, or are forgotten: the upstream side ends, and the
-  // downstream side hears of it only when it sends something.
+  // All connections that carried nothing for `idle` are closed in order, or are forgotten: the upstream side ends, and
+  // the downstream side hears of it only when it sends something.
   void CloseIdle(TimeUs idle);
   void ForgetIdle(TimeUs idle);
   // New connections do not come up for so long.
@@ -54,8 +55,8 @@
   void HalfCloseAll();
   // Octets go in small pieces, with pauses.
   void Trickle(bool on) { trickle_ = on; }
-  // How long the octets that were last handed upstream had waited here; the connection is known by the port from which it
-  // was made. What arrives late by a fault was sent in time.
+  // How long the octets that were last handed upstream had waited here; the connection is known by the port from which
+  // it was made. What arrives late by a fault was sent in time.
   TimeUs WaitedOf(std::uint16_t upstream_port) const;
 
  private:
--- a/src/lab/soak/judge.cpp
+++ b/src/lab/soak/judge.cpp
@@ -28,8 +28,8 @@
 constexpr TimeUs kCrossing = 60'000;
 
 constexpr std::array<std::string_view, kRules> kNames{
-    "final answer", "end of standing calls", "one attempt", "drain",         "release time", "client gone",
-    "bad clients",  "shutdown",              "needless cut", "restarts", "limits"};
+    "final answer", "end of standing calls", "one attempt", "drain", "release time", "client gone", "bad clients",
+    "shutdown",     "needless cut",          "restarts",    "limits"};
 
 std::string Milliseconds(TimeUs time) { return std::to_string(time / 1000) + " ms"; }
 
@@ -43,8 +43,8 @@
 struct CallHistory {
   int softswitch = -1;
   std::uint32_t host = 0;
-  std::optional<TimeUs> sent, cancelled, answered, released, closed_under, released_by_client, ended, unsent, released_there,
-      announced;
+  std::optional<TimeUs> sent, cancelled, answered, released, closed_under, released_by_client, ended, unsent,
+      released_there, announced;
   TimeUs wait = 0;
   bool answered_there = false;
   std::string description, closed_how;
@@ -65,7 +65,8 @@
 
 class Judgement {
  public:
-  Judgement(const std::vector<TrafficEvent>& events, const JudgeSettings& settings) : events_(events), settings_(settings) {
+  Judgement(const std::vector<TrafficEvent>& events, const JudgeSettings& settings)
+      : events_(events), settings_(settings) {
     if (!events.empty()) end_ = events.back().at;
     for (const TrafficEvent& event : events) Collect(event);
   }
@@ -146,7 +147,8 @@
   switch (event.kind) {
     case EventKind::kAttemptArrived:
       // It was sent so much earlier than it arrived.
-      call.attempts.push_back({event.at - std::min(event.at, static_cast<TimeUs>(event.value)), event.exchange, {}, false});
+      call.attempts.push_back(
+          {event.at - std::min(event.at, static_cast<TimeUs>(event.value)), event.exchange, {}, false});
       break;
     case EventKind::kAttemptAnswered:
       call.answered_there = true;
@@ -270,9 +272,11 @@
     case EventKind::kLimits:
       Checked(Rule::kLimits);
       if (event.value > settings_.most_descriptors)
-        Broken(Rule::kLimits, event.at, "", "n" + std::to_string(event.softswitch) + " holds " + std::to_string(event.value) + " descriptors");
+        Broken(Rule::kLimits, event.at, "",
+               "n" + std::to_string(event.softswitch) + " holds " + std::to_string(event.value) + " descriptors");
       if (event.exchange > settings_.most_megabytes)
-        Broken(Rule::kLimits, event.at, "", "n" + std::to_string(event.softswitch) + " holds " + std::to_string(event.exchange) + " MB");
+        Broken(Rule::kLimits, event.at, "",
+               "n" + std::to_string(event.softswitch) + " holds " + std::to_string(event.exchange) + " MB");
       break;
     case EventKind::kReady:
     case EventKind::kFault:
@@ -294,12 +298,15 @@
     if (call.made.count(call.description) == 0)
       Broken(Rule::kFinalAnswer, *call.answered, id, "served with what no exchange made: " + call.description);
   }
-  if (call.answers > 1) Broken(Rule::kFinalAnswer, *call.answered, id, "answered " + std::to_string(call.answers) + " times");
-  if (call.releases > 1) Broken(Rule::kFinalAnswer, *call.released, id, "released " + std::to_string(call.releases) + " times");
+  if (call.answers > 1)
+    Broken(Rule::kFinalAnswer, *call.answered, id, "answered " + std::to_string(call.answers) + " times");
+  if (call.releases > 1)
+    Broken(Rule::kFinalAnswer, *call.released, id, "released " + std::to_string(call.releases) + " times");
   if (call.answered && call.released && *call.released < *call.answered)
     Broken(Rule::kFinalAnswer, *call.answered, id, "answered after its release");
-  const std::optional<TimeUs> final =
-      call.answered && call.released ? std::min(*call.answered, *call.released) : call.answered ? call.answered : call.released;
+  const std::optional<TimeUs> final = call.answered && call.released ? std::min(*call.answered, *call.released)
+                                      : call.answered                ? call.answered
+                                                                     : call.released;
   const TimeUs due = *call.sent + call.wait + kLateAnswer + kSlack;
   if (final) {
     if (*final > due) Broken(Rule::kFinalAnswer, *final, id, "answered " + Milliseconds(*final - due) + " late");
@@ -309,7 +316,8 @@
   const auto gone = GoneWithin(call.softswitch, *call.sent > kCrossing ? *call.sent - kCrossing : 0, due);
   if (!gone) {
     if (call.closed_under)
-      return Broken(Rule::kFinalAnswer, *call.closed_under, id, "its connection ended without an answer (" + call.closed_how + ")");
+      return Broken(Rule::kFinalAnswer, *call.closed_under, id,
+                    "its connection ended without an answer (" + call.closed_how + ")");
     if (due <= end_) Broken(Rule::kFinalAnswer, due, id, "no answer in time");
     return;
   }
@@ -319,10 +327,11 @@
   if (*call.sent + kCrossing >= *gone) return;
   if (call.closed_under && *call.closed_under < *gone)
     return Broken(Rule::kShutdown, *call.closed_under, id,
-                  "sent " + Milliseconds(*call.sent - std::min(*call.sent, *terminated)) + " after SIGTERM, its connection ended without an answer (" +
-                      call.closed_how + ")");
+                  "sent " + Milliseconds(*call.sent - std::min(*call.sent, *terminated)) +
+                      " after SIGTERM, its connection ended without an answer (" + call.closed_how + ")");
   Broken(Rule::kShutdown, *gone, id,
-         "sent " + Milliseconds(*call.sent - std::min(*call.sent, *terminated)) + " after SIGTERM, unanswered at the kill" +
+         "sent " + Milliseconds(*call.sent - std::min(*call.sent, *terminated)) +
+             " after SIGTERM, unanswered at the kill" +
              (*call.sent > *terminated + kTakenAfterTerminate ? " (came late)" : ""));
 }
 
@@ -342,7 +351,8 @@
 
 void Judgement::CheckStandingEnd(const std::string& id, const CallHistory& call) {
   if (!call.answered || call.released_by_client) return;
-  if (call.cancelled && *call.cancelled <= *call.answered) return;  // the answer crossed the client's word that it gives up
+  if (call.cancelled && *call.cancelled <= *call.answered)
+    return;  // the answer crossed the client's word that it gives up
   // Over by the exchange, by no word at all, or by the softswitch.
   std::optional<TimeUs> due, over;
   if (call.unsent) {
@@ -359,8 +369,9 @@
     ++verdict_.needless_cuts;
     Checked(Rule::kNeedlessCut);
     if (!settings_.cuts_may_be_needed)
-      Broken(Rule::kNeedlessCut, *call.released_there, id, "cut by the softswitch though it stood at exchange " +
-                                                               std::to_string(call.attempts.empty() ? -1 : call.attempts.back().exchange));
+      Broken(Rule::kNeedlessCut, *call.released_there, id,
+             "cut by the softswitch though it stood at exchange " +
+                 std::to_string(call.attempts.empty() ? -1 : call.attempts.back().exchange));
   } else {
     Checked(Rule::kNeedlessCut);
   }
@@ -383,7 +394,9 @@
   if (limit > end_) return;
   Checked(Rule::kStandingEnd);
   if (call.released && *call.released <= limit) return;
-  const std::string why = call.unsent ? "over without a word" : call.ended ? "released by the exchange" : "released by the softswitch";
+  const std::string why = call.unsent  ? "over without a word"
+                          : call.ended ? "released by the exchange"
+                                       : "released by the softswitch";
   Broken(Rule::kStandingEnd, limit, id,
          why + " " + Milliseconds(limit - *over) + " before, and its caller was " +
              (call.released ? "told " + Milliseconds(*call.released - limit) + " late" : std::string("not told")));
@@ -396,19 +409,22 @@
     if (left) {
       Checked(Rule::kClientGone);
       if (attempt.arrived > *left + kClientGone + kSlack)
-        Broken(Rule::kClientGone, attempt.arrived, id, "attempt " + Milliseconds(attempt.arrived - *left) + " after its client left");
+        Broken(Rule::kClientGone, attempt.arrived, id,
+               "attempt " + Milliseconds(attempt.arrived - *left) + " after its client left");
     }
     if (i == 0) continue;
     const Attempt& before = call.attempts[i - 1];
     Checked(Rule::kOneAttempt);
     if (!before.over || *before.over > attempt.arrived + kSlack)
       Broken(Rule::kOneAttempt, attempt.arrived, id,
-             "sent to exchange " + std::to_string(attempt.exchange) + " while it is out at exchange " + std::to_string(before.exchange));
+             "sent to exchange " + std::to_string(attempt.exchange) + " while it is out at exchange " +
+                 std::to_string(before.exchange));
     if (!before.over || !before.release_wait) continue;
     Checked(Rule::kReleaseTime);
     if (attempt.arrived + kSlack < *before.over + settings_.release_us)
-      Broken(Rule::kReleaseTime, attempt.arrived, id, "sent again " + Milliseconds(attempt.arrived - std::min(attempt.arrived, *before.over)) +
-                                                          " after it was given up or reset");
+      Broken(Rule::kReleaseTime, attempt.arrived, id,
+             "sent again " + Milliseconds(attempt.arrived - std::min(attempt.arrived, *before.over)) +
+                 " after it was given up or reset");
   }
 }
 
@@ -431,14 +447,15 @@
       const auto listed = drain_listed_.find(key);
       if (listed == drain_listed_.end()) continue;
       const auto written = drain_written_.find(key);
-      const auto told = ToldOfDrain(call.softswitch, listed->second,
-                                    written == drain_written_.end() ? std::nullopt : std::optional<TimeUs>(written->second));
+      const auto told =
+          ToldOfDrain(call.softswitch, listed->second,
+                      written == drain_written_.end() ? std::nullopt : std::optional<TimeUs>(written->second));
       if (!told) continue;
       Checked(Rule::kDrain);
       if (attempt.arrived > *told + settings_.drain_grace_us + kSlack)
-        Broken(Rule::kDrain, attempt.arrived, id, "sent to exchange " + std::to_string(attempt.exchange) + " " +
-                                                      Milliseconds(attempt.arrived - *told) + " after n" +
-                                                      std::to_string(call.softswitch) + " was told that it drains or is gone");
+        Broken(Rule::kDrain, attempt.arrived, id,
+               "sent to exchange " + std::to_string(attempt.exchange) + " " + Milliseconds(attempt.arrived - *told) +
+                   " after n" + std::to_string(call.softswitch) + " was told that it drains or is gone");
     }
   }
 }
@@ -451,17 +468,21 @@
       Checked(Rule::kRestart);
       const TimeUs took = event.at - started[event.softswitch];
       started.erase(event.softswitch);
-      if (took > kReadyWithin) Broken(Rule::kRestart, event.at, "", "n" + std::to_string(event.softswitch) + " ready after " + Milliseconds(took));
+      if (took > kReadyWithin)
+        Broken(Rule::kRestart, event.at, "",
+               "n" + std::to_string(event.softswitch) + " ready after " + Milliseconds(took));
     }
     if (event.kind == EventKind::kKilled) started.erase(event.softswitch);
     if (event.kind == EventKind::kExited) {
       started.erase(event.softswitch);
       if (event.value != 0 || !TerminatedBefore(event.softswitch, event.at))
-        Broken(Rule::kRestart, event.at, "", "n" + std::to_string(event.softswitch) + " ended by itself with " + std::to_string(event.value));
+        Broken(Rule::kRestart, event.at, "",
+               "n" + std::to_string(event.softswitch) + " ended by itself with " + std::to_string(event.value));
     }
   }
   for (const auto& [softswitch, at] : started) {
-    if (at + kReadyWithin < end_) Broken(Rule::kRestart, at + kReadyWithin, "", "n" + std::to_string(softswitch) + " not ready in time");
+    if (at + kReadyWithin < end_)
+      Broken(Rule::kRestart, at + kReadyWithin, "", "n" + std::to_string(softswitch) + " not ready in time");
   }
 }
 
@@ -475,7 +496,8 @@
     }
     if (due > end_ || GoneWithin(key.first, came, due)) continue;
     Checked(Rule::kBadClient);
-    Broken(Rule::kBadClient, due, "", "bad client " + std::to_string(key.second) + " of n" + std::to_string(key.first) + " heard nothing");
+    Broken(Rule::kBadClient, due, "",
+           "bad client " + std::to_string(key.second) + " of n" + std::to_string(key.first) + " heard nothing");
   }
 }
 
@@ -483,6 +505,8 @@
 
 std::string_view NameOf(Rule rule) { return kNames[static_cast<std::size_t>(rule)]; }
 
-Verdict Judge(const std::vector<TrafficEvent>& events, const JudgeSettings& settings) { return Judgement(events, settings).Give(); }
+Verdict Judge(const std::vector<TrafficEvent>& events, const JudgeSettings& settings) {
+  return Judgement(events, settings).Give();
+}
 
 }  // namespace croftrun::lab::soak
--- a/src/lab/soak/line_client.cpp
+++ b/src/lab/soak/line_client.cpp
@@ -66,7 +66,8 @@
   bool open = false, over = false, writing = false, in_pieces = false;
 };
 
-LineClient::LineClient(asio::io_context* context, std::uint32_t source, const core::Address& to, LineClientHandlers handlers)
+LineClient::LineClient(asio::io_context* context, std::uint32_t source, const core::Address& to,
+                       LineClientHandlers handlers)
     : state_(std::make_shared<State>(*context, std::move(handlers))) {
   error_code error;
   state_->socket.open(tcp::v4(), error);
--- a/src/lab/soak/line_client.h
+++ b/src/lab/soak/line_client.h
@@ -1,5 +1,5 @@
-// A client's connection whose source address and whose last moments are chosen: lines are written at once or in pieces, and
-// the connection can be closed in order, half-closed or reset.
+// A client's connection whose source address and whose last moments are chosen: lines are written at once or in pieces,
+// and the connection can be closed in order, half-closed or reset.
 #ifndef CROFTRUN_LAB_SOAK_LINE_CLIENT_H_
 #define CROFTRUN_LAB_SOAK_LINE_CLIENT_H_
 
@@ -27,7 +27,8 @@
 class LineClient {
  public:
   // Connects from `source`, with a port of the system's choice, to `to`.
-  LineClient(boost::asio::io_context* context, std::uint32_t source, const core::Address& to, LineClientHandlers handlers);
+  LineClient(boost::asio::io_context* context, std::uint32_t source, const core::Address& to,
+             LineClientHandlers handlers);
   ~LineClient();
   LineClient(const LineClient&) = delete;
   LineClient& operator=(const LineClient&) = delete;
--- a/src/lab/soak/script.cpp
+++ b/src/lab/soak/script.cpp
@@ -11,11 +11,29 @@
 constexpr TimeUs kSecond = 1'000'000, kMs = 1'000;
 constexpr TimeUs kLongestKillWait = 3 * kSecond, kKillMargin = 700 * kMs;
 
-constexpr std::array<std::string_view, kFaultKinds> kNames{
-    "vanish",     "vanish-and-return", "die",      "replace",          "hang",   "drain",          "cut",
-    "one-way",    "reset",             "forget",   "close-idle",       "late",   "half-close",     "trickle",
-    "spoil",      "discovery-down",    "discovery-silent", "reconfigure", "terminate", "kill",     "bad-clients",
-    "crowd",      "leavers"};
+constexpr std::array<std::string_view, kFaultKinds> kNames{"vanish",
+                                                           "vanish-and-return",
+                                                           "die",
+                                                           "replace",
+                                                           "hang",
+                                                           "drain",
+                                                           "cut",
+                                                           "one-way",
+                                                           "reset",
+                                                           "forget",
+                                                           "close-idle",
+                                                           "late",
+                                                           "half-close",
+                                                           "trickle",
+                                                           "spoil",
+                                                           "discovery-down",
+                                                           "discovery-silent",
+                                                           "reconfigure",
+                                                           "terminate",
+                                                           "kill",
+                                                           "bad-clients",
+                                                           "crowd",
+                                                           "leavers"};
 
 class Draw {
  public:
@@ -57,7 +75,9 @@
 bool OfDiscovery(FaultKind kind) { return kind == FaultKind::kDiscoveryDown || kind == FaultKind::kDiscoverySilent; }
 
 bool Allowed(FaultKind kind, const DrawOptions& options) {
-  const auto has = [kind](const std::vector<FaultKind>& list) { return std::find(list.begin(), list.end(), kind) != list.end(); };
+  const auto has = [kind](const std::vector<FaultKind>& list) {
+    return std::find(list.begin(), list.end(), kind) != list.end();
+  };
   return (options.only.empty() || has(options.only)) && !has(options.without);
 }
 
@@ -89,10 +109,12 @@
     }
     const FaultKind companion = draw.OneIn(2) ? FaultKind::kVanish : FaultKind::kReplace;
     if (OfDiscovery(fault.kind) && Allowed(companion, options) && draw.OneIn(2)) {
-      script->faults.push_back({std::min(last, fault.at + draw.Between(0, 2 * kSecond)), companion, draw.Index(script->exchanges), 0});
+      script->faults.push_back(
+          {std::min(last, fault.at + draw.Between(0, 2 * kSecond)), companion, draw.Index(script->exchanges), 0});
     }
   }
-  std::stable_sort(script->faults.begin(), script->faults.end(), [](const Fault& a, const Fault& b) { return a.at < b.at; });
+  std::stable_sort(script->faults.begin(), script->faults.end(),
+                   [](const Fault& a, const Fault& b) { return a.at < b.at; });
 }
 
 }  // namespace
@@ -129,7 +151,8 @@
   script.exchanges = script.softswitches + draw.Index(3);
   script.length = draw.Between(20 * kSecond, 28 * kSecond);
   const int classes = 1 + draw.Index(3);
-  for (int i = 0; i < classes; ++i) script.deadlines.push_back(draw.Between(400 * kMs, draw.OneIn(2) ? 1'500 * kMs : 9 * kSecond));
+  for (int i = 0; i < classes; ++i)
+    script.deadlines.push_back(draw.Between(400 * kMs, draw.OneIn(2) ? 1'500 * kMs : 9 * kSecond));
   script.probes = draw.OneIn(2);
   script.retry_after = draw.OneIn(2);
   script.clients.calls_per_s = 2.0 + 12.0 * draw.Unit();
--- a/src/lab/soak/script.h
+++ b/src/lab/soak/script.h
@@ -1,5 +1,5 @@
-// What a soak trial plays, drawn from a seed: a fleet, its settings, its traffic and a list of faults. The same seed gives
-// the same script.
+// What a soak trial plays, drawn from a seed: a fleet, its settings, its traffic and a list of faults. The same seed
+// gives the same script.
 #ifndef CROFTRUN_LAB_SOAK_SCRIPT_H_
 #define CROFTRUN_LAB_SOAK_SCRIPT_H_
 
@@ -46,14 +46,14 @@
 struct Fault {
   TimeUs at = 0;  // after the first call
   FaultKind kind = FaultKind::kVanish;
-  int target = 0;       // slot of an exchange or index of a softswitch, by kind
+  int target = 0;  // slot of an exchange or index of a softswitch, by kind
   TimeUs length = 0;
 };
 
 struct Script {
   std::uint64_t seed = 1;
   int softswitches = 3, exchanges = 5;
-  TimeUs length = 20'000'000;  // of the calls; then nothing new comes and what stands may end
+  TimeUs length = 20'000'000;     // of the calls; then nothing new comes and what stands may end
   std::vector<TimeUs> deadlines;  // by class
   bool probes = true;
   bool retry_after = false;
@@ -69,7 +69,7 @@
 };
 
 struct DrawOptions {
-  std::vector<FaultKind> only;     // none: all
+  std::vector<FaultKind> only;  // none: all
   std::vector<FaultKind> without;
 };
 
--- a/src/lab/soak/softswitch_process.cpp
+++ b/src/lab/soak/softswitch_process.cpp
@@ -49,7 +49,8 @@
   process_ = ::fork();
   if (process_ < 0) throw std::runtime_error("cannot start " + program_ + ": fork failed");
   if (process_ > 0) return;
-  // Only what is safe between fork and exec in a program with threads. The child ends with this program, however that ends.
+  // Only what is safe between fork and exec in a program with threads. The child ends with this program, however that
+  // ends.
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   if (::getppid() != parent) ::_exit(kNotStarted);
   const int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
--- a/src/lab/soak/traffic.cpp
+++ b/src/lab/soak/traffic.cpp
@@ -6,18 +6,37 @@
 namespace croftrun::lab::soak {
 namespace {
 
-constexpr std::array<std::string_view, 31> kNames{
-    "client sends set-up",        "client cancels set-up",      "client reads answer",
-    "client reads release",       "client releases",            "client announces standing call",
-    "client connects",            "client connection ends",     "connection ends under set-up",
-    "bad client connects",        "bad client answered",        "client reads what is no message",
-    "exchange gets set-up",       "exchange answers",           "exchange refuses",
-    "set-up given up",            "set-up reset by fault",      "call over, release sent",
-    "call over, no release sent", "exchange gets release",      "softswitch connects",
-    "softswitch probes",          "softswitch starts",          "softswitch ready",
-    "SIGTERM",                    "SIGKILL",                    "softswitch exits",
-    "limits",                     "discovery lists drain",      "discovery writes drain",
-    "discovery away"};
+constexpr std::array<std::string_view, 31> kNames{"client sends set-up",
+                                                  "client cancels set-up",
+                                                  "client reads answer",
+                                                  "client reads release",
+                                                  "client releases",
+                                                  "client announces standing call",
+                                                  "client connects",
+                                                  "client connection ends",
+                                                  "connection ends under set-up",
+                                                  "bad client connects",
+                                                  "bad client answered",
+                                                  "client reads what is no message",
+                                                  "exchange gets set-up",
+                                                  "exchange answers",
+                                                  "exchange refuses",
+                                                  "set-up given up",
+                                                  "set-up reset by fault",
+                                                  "call over, release sent",
+                                                  "call over, no release sent",
+                                                  "exchange gets release",
+                                                  "softswitch connects",
+                                                  "softswitch probes",
+                                                  "softswitch starts",
+                                                  "softswitch ready",
+                                                  "SIGTERM",
+                                                  "SIGKILL",
+                                                  "softswitch exits",
+                                                  "limits",
+                                                  "discovery lists drain",
+                                                  "discovery writes drain",
+                                                  "discovery away"};
 
 }  // namespace
 
--- a/src/lab/soak/traffic.h
+++ b/src/lab/soak/traffic.h
@@ -1,7 +1,7 @@
 // What the stand-ins of a soak trial saw on their sockets, as one list of events in the order of time.
 //
-// The judge (soak/judge.h) reads nothing else: no log and no counter of the softswitch. Every event names the softswitch
-// or the exchange that it concerns by its index, and the call by the id that its set-up carried.
+// The judge (soak/judge.h) reads nothing else: no log and no counter of the softswitch. Every event names the
+// softswitch or the exchange that it concerns by its index, and the call by the id that its set-up carried.
 #ifndef CROFTRUN_LAB_SOAK_TRAFFIC_H_
 #define CROFTRUN_LAB_SOAK_TRAFFIC_H_
 
@@ -16,18 +16,18 @@
 
 enum class EventKind : std::uint8_t {
   // Clients.
-  kSetUpSent,         // its last octet was written to an accepted connection; `value`: the client's wait in microseconds
-  kSetUpCancelled,    // the client cancelled the set-up or closed the connection under it
-  kAnswerRead,        // the client read that the call stands; `text`: the description
-  kReleaseRead,       // the client read a release; `value`: its cause
-  kReleaseSent,       // the client released a call that stands
-  kCallAnnounced,     // a set-up with `at` was written, after a restart of the softswitch
-  kClientConnected,   // a connection on which the client stays; `host`
-  kClientClosed,      // and its end
-  kClosedOnSetUp,     // the far end closed or reset the connection with this set-up unanswered; `text`: how
-  kBadClientCame,     // a client that misbehaves connected; `value`: its number
-  kBadClientServed,   // it was answered or closed; `value`: its number
-  kUnreadable,        // a line that is no message reached a client
+  kSetUpSent,        // its last octet was written to an accepted connection; `value`: the client's wait in microseconds
+  kSetUpCancelled,   // the client cancelled the set-up or closed the connection under it
+  kAnswerRead,       // the client read that the call stands; `text`: the description
+  kReleaseRead,      // the client read a release; `value`: its cause
+  kReleaseSent,      // the client released a call that stands
+  kCallAnnounced,    // a set-up with `at` was written, after a restart of the softswitch
+  kClientConnected,  // a connection on which the client stays; `host`
+  kClientClosed,     // and its end
+  kClosedOnSetUp,    // the far end closed or reset the connection with this set-up unanswered; `text`: how
+  kBadClientCame,    // a client that misbehaves connected; `value`: its number
+  kBadClientServed,  // it was answered or closed; `value`: its number
+  kUnreadable,       // a line that is no message reached a client
   // Exchanges.
   kAttemptArrived,    // a set-up arrived whole; `exchange`; `value`: microseconds that a fault on its way held it back
   kAttemptAnswered,   // the exchange wrote that the call stands
@@ -42,15 +42,15 @@
   // Softswitches and discovery.
   kStarted,
   kReady,
-  kTerminateSent,     // SIGTERM; `value`: microseconds until the kill at the earliest
-  kKilled,            // SIGKILL, by plan or outright
-  kExited,            // it ended by itself; `value`: exit code, or minus the signal
-  kLimits,            // `value`: descriptors open; `exchange`: resident megabytes
-  kDrainListed,       // discovery has it: `exchange` drains or is gone
-  kDrainWritten,      // and has written it to the watch of `softswitch`
+  kTerminateSent,  // SIGTERM; `value`: microseconds until the kill at the earliest
+  kKilled,         // SIGKILL, by plan or outright
+  kExited,         // it ended by itself; `value`: exit code, or minus the signal
+  kLimits,         // `value`: descriptors open; `exchange`: resident megabytes
+  kDrainListed,    // discovery has it: `exchange` drains or is gone
+  kDrainWritten,   // and has written it to the watch of `softswitch`
   kDiscoveryAway,
   kDiscoveryBack,
-  kFault,             // `text` names it
+  kFault,  // `text` names it
 };
 
 std::string_view NameOf(EventKind kind);
--- a/src/lab/soak/trial.cpp
+++ b/src/lab/soak/trial.cpp
@@ -77,7 +77,7 @@
     std::unique_ptr<ExchangeStandIn> machine;
     std::vector<std::unique_ptr<FaultProxy>> ways;  // by softswitch
     std::string uid;
-    bool away = false;      // vanished, dead or drained: no other fault of its process comes
+    bool away = false;  // vanished, dead or drained: no other fault of its process comes
     bool listed_gone = false;
     bool draining = false;
   };
@@ -115,7 +115,8 @@
   core::Timer watch_{&runtime_};
 };
 
-Trial::Trial(const Script& script, const TrialOptions& options) : script_(script), options_(options), addresses_(options.slot) {
+Trial::Trial(const Script& script, const TrialOptions& options)
+    : script_(script), options_(options), addresses_(options.slot) {
   std::filesystem::create_directories(options.folder);
   const auto count = static_cast<std::size_t>(script.softswitches);
   softswitches_.resize(count);
@@ -126,24 +127,25 @@
     std::vector<core::Address> behind;
     for (int s = 0; s < script.softswitches; ++s) {
       behind.push_back(addresses_.BehindExchange(s, e));
-      exchange.ways.push_back(std::make_unique<FaultProxy>(&runtime_.context(), addresses_.Exchange(s, e), behind.back(),
-                                                           script.seed * 1000 + static_cast<std::uint64_t>(e * 10 + s)));
+      exchange.ways.push_back(
+          std::make_unique<FaultProxy>(&runtime_.context(), addresses_.Exchange(s, e), behind.back(),
+                                       script.seed * 1000 + static_cast<std::uint64_t>(e * 10 + s)));
       ways.push_back(exchange.ways.back().get());
     }
-    exchange.machine = std::make_unique<ExchangeStandIn>(&runtime_, &record_, script.seed * 100 + static_cast<std::uint64_t>(e),
-                                                         script.exchange, ways, behind);
+    exchange.machine = std::make_unique<ExchangeStandIn>(
+        &runtime_, &record_, script.seed * 100 + static_cast<std::uint64_t>(e), script.exchange, ways, behind);
   }
   for (int s = 0; s < script.softswitches; ++s) {
     Softswitch& softswitch = softswitches_[static_cast<std::size_t>(s)];
     softswitch.discovery = std::make_unique<DiscoveryStandIn>(&runtime_, &record_, s, addresses_.BehindDiscovery(s));
     for (int which = 0; which < 2; ++which) {
-      softswitch.discovery_ways.push_back(std::make_unique<FaultProxy>(&runtime_.context(), addresses_.Discovery(s, which),
-                                                                       addresses_.BehindDiscovery(s), script.seed));
+      softswitch.discovery_ways.push_back(std::make_unique<FaultProxy>(
+          &runtime_.context(), addresses_.Discovery(s, which), addresses_.BehindDiscovery(s), script.seed));
     }
     softswitch.process = std::make_unique<SoftswitchProcess>(options.program, options.folder, "n" + std::to_string(s));
-    softswitch.clients = std::make_unique<ClientStandIn>(&runtime_.context(), &runtime_, &record_,
-                                                         script.seed * 7919 + static_cast<std::uint64_t>(s), script.clients, s,
-                                                         addresses_.Softswitch(s), addresses_.Hosts(s), script.exchanges);
+    softswitch.clients = std::make_unique<ClientStandIn>(
+        &runtime_.context(), &runtime_, &record_, script.seed * 7919 + static_cast<std::uint64_t>(s), script.clients, s,
+        addresses_.Softswitch(s), addresses_.Hosts(s), script.exchanges);
   }
   for (Exchange& exchange : exchanges_) NewMachine(exchange);
 }
@@ -163,24 +165,36 @@
     widths.push_back(1);
     holdings.push_back(script_.exchange.hold_mean);
   }
-  const json settings = {
-      {"allowed",
-       {{"most_tries", 4}, {"most_held", 20000}, {"may_cancel", true}, {"connect_timeout_us", 500'000},
-        {"probes", script_.probes}, {"retry_after", script_.retry_after}, {"max_retry_after_us", 2'000'000},
-        {"conn_idle_us", 600'000'000}}},
-      {"balancers", script_.softswitches},
-      {"contract",
-       {{"drain_grace_us", script_.drain_grace_us}, {"grace_to_answer_us", 5'000}, {"cold_from", 0.4},
-        {"warm_up_us", kColdFor}, {"fall_multiple", 3.0}, {"fall_us", 1'000'000}}},
-      {"discovery", "automatic"},
-      {"family_info",
-       {{"home_no", number}, {"shape", "meshed"}, {"release_us", script_.release_us}, {"widths", widths},
-        {"holding_us", holdings}, {"class_cells", json::array()}}},
-      {"grades", grades},
-      {"localities", {"west", "east"}},
-      {"flavors", {"std"}},
-      {"report", {{"fields", {"spare", "total"}}}},
-      {"tenants", json::array()}};
+  const json settings = {{"allowed",
+                          {{"most_tries", 4},
+                           {"most_held", 20000},
+                           {"may_cancel", true},
+                           {"connect_timeout_us", 500'000},
+                           {"probes", script_.probes},
+                           {"retry_after", script_.retry_after},
+                           {"max_retry_after_us", 2'000'000},
+                           {"conn_idle_us", 600'000'000}}},
+                         {"balancers", script_.softswitches},
+                         {"contract",
+                          {{"drain_grace_us", script_.drain_grace_us},
+                           {"grace_to_answer_us", 5'000},
+                           {"cold_from", 0.4},
+                           {"warm_up_us", kColdFor},
+                           {"fall_multiple", 3.0},
+                           {"fall_us", 1'000'000}}},
+                         {"discovery", "automatic"},
+                         {"family_info",
+                          {{"home_no", number},
+                           {"shape", "meshed"},
+                           {"release_us", script_.release_us},
+                           {"widths", widths},
+                           {"holding_us", holdings},
+                           {"class_cells", json::array()}}},
+                         {"grades", grades},
+                         {"localities", {"west", "east"}},
+                         {"flavors", {"std"}},
+                         {"report", {{"fields", {"spare", "total"}}}},
+                         {"tenants", json::array()}};
   return json{{"name", "n" + std::to_string(number)},
               {"listen", core::ToString(addresses_.Softswitch(number))},
               {"seed", std::to_string(script_.seed * 10 + static_cast<std::uint64_t>(number))},
@@ -203,11 +217,11 @@
   Exchange& exchange = exchanges_[static_cast<std::size_t>(slot)];
   for (int s = 0; s < script_.softswitches; ++s) {
     softswitches_[static_cast<std::size_t>(s)].discovery->List({.uid = exchange.uid,
-                                                               .address = addresses_.Exchange(s, slot),
-                                                               .number = slot,
-                                                               .instance = exchange.machine->instance(),
-                                                               .state = state,
-                                                               .boot_ms = boot_ms});
+                                                                .address = addresses_.Exchange(s, slot),
+                                                                .number = slot,
+                                                                .instance = exchange.machine->instance(),
+                                                                .state = state,
+                                                                .boot_ms = boot_ms});
   }
 }
 
@@ -479,7 +493,9 @@
   if (softswitch.restarting || !softswitch.process->running()) return;
   softswitch.restarting = true;
   softswitch.process->Signal(SIGTERM);
-  record_.Note({.kind = EventKind::kTerminateSent, .softswitch = number, .value = static_cast<std::int64_t>(script_.kill_after())});
+  record_.Note({.kind = EventKind::kTerminateSent,
+                .softswitch = number,
+                .value = static_cast<std::int64_t>(script_.kill_after())});
   After(kNewConnectionsAfterTerminate, [this, number] {
     ClientStandIn& clients = *softswitches_[static_cast<std::size_t>(number)].clients;
     clients.StopCalls();
@@ -543,7 +559,8 @@
   const SlotLease lease(options.slot);
   TrialOptions own = options;
   own.slot = lease.slot();
-  // A child that another thread is just starting holds copies of all descriptors for a moment: an address may stay bound.
+  // A child that another thread is just starting holds copies of all descriptors for a moment: an address may stay
+  // bound.
   for (int tries = 0;; ++tries) {
     std::unique_ptr<Trial> trial;
     try {
@@ -569,11 +586,12 @@
   }
   std::vector<std::string> lines;
   for (const TrafficEvent& event : result.events) {
-    const bool of_process = event.softswitch == softswitch && event.call.empty() && event.exchange < 0 && event.value == 0 &&
-                            (event.host == 0 || event.host == host);
-    const bool of_its_end = event.softswitch == softswitch && (event.kind == EventKind::kTerminateSent || event.kind == EventKind::kExited);
-    const bool of_exchange = event.softswitch == softswitch && event.call.empty() && exchanges.count(event.exchange) > 0 &&
-                             event.kind != EventKind::kLimits;
+    const bool of_process = event.softswitch == softswitch && event.call.empty() && event.exchange < 0 &&
+                            event.value == 0 && (event.host == 0 || event.host == host);
+    const bool of_its_end =
+        event.softswitch == softswitch && (event.kind == EventKind::kTerminateSent || event.kind == EventKind::kExited);
+    const bool of_exchange = event.softswitch == softswitch && event.call.empty() &&
+                             exchanges.count(event.exchange) > 0 && event.kind != EventKind::kLimits;
     if (event.call == call || event.kind == EventKind::kFault || of_process || of_its_end || of_exchange)
       lines.push_back(ToString(event, result.started));
   }
--- a/src/lab/soak/trial.h
+++ b/src/lab/soak/trial.h
@@ -12,9 +12,9 @@
 namespace croftrun::lab::soak {
 
 struct TrialOptions {
-  std::string program;  // croftrun-edge
-  std::string folder;   // for configurations and logs; created
-  int slot = 0;         // the address range to begin with, 0 to 63; one that is taken is passed over
+  std::string program;      // croftrun-edge
+  std::string folder;       // for configurations and logs; created
+  int slot = 0;             // the address range to begin with, 0 to 63; one that is taken is passed over
   int most_megabytes = 64;  // of a softswitch; a program built with sanitizers needs more
 };
 
--- a/src/lab/stand_in.cpp
+++ b/src/lab/stand_in.cpp
@@ -24,8 +24,7 @@
   SetUpInfo next = info;
   next.others.clear();
   const bool wide = !info.others.empty();
-  if (!wide && network_->PickIdle(number_, info.destination, &onward) &&
-      network_->Seize(number_, onward, next)) {
+  if (!wide && network_->PickIdle(number_, info.destination, &onward) && network_->Seize(number_, onward, next)) {
     through_[circuit] = onward;
     through_[onward] = circuit;
     return;
--- a/src/mgcp/message.cpp
+++ b/src/mgcp/message.cpp
@@ -67,8 +67,7 @@
   }
 
  private:
-  ParseError Error(std::string_view at, std::string expected, std::string_view found,
-                   int code = kProtocolError) const {
+  ParseError Error(std::string_view at, std::string expected, std::string_view found, int code = kProtocolError) const {
     ParseError error;
     error.offset = static_cast<std::size_t>(at.data() - datagram.data());
     error.expected = std::move(expected);
@@ -341,8 +340,7 @@
         }
         previous = SymbolBit(text[i]);
         if (previous < 0) return std::nullopt;
-        position.digits =
-            static_cast<std::uint16_t>(position.digits | (1U << static_cast<unsigned>(previous)));
+        position.digits = static_cast<std::uint16_t>(position.digits | (1U << static_cast<unsigned>(previous)));
       }
       if (i == text.size() || position.digits == 0) return std::nullopt;
     } else if (const int bit = SymbolBit(c); bit >= 0) {
@@ -397,8 +395,8 @@
 }
 
 Writer& Writer::Response(int code, std::uint32_t transaction, std::string_view comment) {
-  const std::array<char, 3> digits = {static_cast<char>('0' + code / 100 % 10),
-                                      static_cast<char>('0' + code / 10 % 10), static_cast<char>('0' + code % 10)};
+  const std::array<char, 3> digits = {static_cast<char>('0' + code / 100 % 10), static_cast<char>('0' + code / 10 % 10),
+                                      static_cast<char>('0' + code % 10)};
   out_->append(digits.data(), digits.size()).append(" ").append(std::to_string(transaction));
   if (!comment.empty()) out_->append(" ").append(comment);
   out_->append("\r\n");
--- a/src/mgcp/message.h
+++ b/src/mgcp/message.h
@@ -20,10 +20,10 @@
 // Bounds. A datagram over loopback or one Ethernet hop is at most 64 KiB (RFC 3435 3.5.4 names 4,000 octets as
 // what every implementation must take).
 inline constexpr std::size_t kLargestDatagram = 65507;
-inline constexpr std::size_t kMostMessages = 64;      // piggybacked in one datagram
-inline constexpr std::size_t kMostParameters = 32;    // lines of one message
-inline constexpr std::size_t kMostEvents = 64;        // in one list
-inline constexpr std::size_t kDeepestNesting = 4;     // of parentheses in an event's parameters
+inline constexpr std::size_t kMostMessages = 64;                   // piggybacked in one datagram
+inline constexpr std::size_t kMostParameters = 32;                 // lines of one message
+inline constexpr std::size_t kMostEvents = 64;                     // in one list
+inline constexpr std::size_t kDeepestNesting = 4;                  // of parentheses in an event's parameters
 inline constexpr std::uint32_t kLargestTransaction = 999'999'999;  // RFC 3435 3.2.1.2
 
 // RFC 3435 3.2.1.1.
--- a/src/mgcp/peers.h
+++ b/src/mgcp/peers.h
@@ -40,8 +40,7 @@
   std::size_t hosts() const { return std::max<std::size_t>(1, hosts_.size()); }
   // Whether this stranger's command is answered (with an error); counts it.
   bool MayAnswer(TimeUs now) {
-    tokens_ =
-        std::min(kAnswersAtOnce, tokens_ + static_cast<double>(now - filled_) * kAnswersPerSecond / 1e6);
+    tokens_ = std::min(kAnswersAtOnce, tokens_ + static_cast<double>(now - filled_) * kAnswersPerSecond / 1e6);
     filled_ = now;
     if (tokens_ < 1.0) return false;
     tokens_ -= 1.0;
--- a/src/mgcp/transactions.h
+++ b/src/mgcp/transactions.h
@@ -26,14 +26,14 @@
 
 // Times in microseconds. Defaults are those of RFC 3435 3.5.1 and 3.5.3 unless said.
 struct TransactionSettings {
-  TimeUs first_timeout_us = 200'000;    // before any round trip to the peer was measured
-  TimeUs least_timeout_us = 20'000;     // of the adaptive timer (ours: loopback answers in well under 1 ms)
+  TimeUs first_timeout_us = 200'000;  // before any round trip to the peer was measured
+  TimeUs least_timeout_us = 20'000;   // of the adaptive timer (ours: loopback answers in well under 1 ms)
   TimeUs longest_timeout_us = 4'000'000;
-  TimeUs give_up_us = 20'000'000;       // T-MAX: the last repeat
-  TimeUs history_us = 30'000'000;       // T-HIST: how long answers are kept for repeats
-  std::size_t most_pending = 65'536;    // commands sent and not yet answered
-  std::size_t most_history = 262'144;   // answers kept; beyond, new commands are answered 409 (bounded, never silent)
-  std::size_t most_peers = 4'096;       // round-trip estimates kept
+  TimeUs give_up_us = 20'000'000;      // T-MAX: the last repeat
+  TimeUs history_us = 30'000'000;      // T-HIST: how long answers are kept for repeats
+  std::size_t most_pending = 65'536;   // commands sent and not yet answered
+  std::size_t most_history = 262'144;  // answers kept; beyond, new commands are answered 409 (bounded, never silent)
+  std::size_t most_peers = 4'096;      // round-trip estimates kept
 };
 
 // How a command that was sent ended. kAnswered: `message` holds the final response, for the call's duration only.
@@ -49,7 +49,7 @@
 struct TransactionCounters {
   std::uint64_t sent = 0, repeated = 0, answered = 0, given_up = 0;
   std::uint64_t received = 0, received_again = 0, malformed = 0, unknown_responses = 0, refused_full = 0;
-    std::uint64_t postponed = 0;  // repeats put off, as the own queue was long
+  std::uint64_t postponed = 0;  // repeats put off, as the own queue was long
 };
 
 class Transactions : public core::DatagramSink {
@@ -67,15 +67,14 @@
   using OnCommand = std::function<void(CommandId, const Address& from, const Message&)>;
 
   // Opens `local`; throws std::system_error. `on_command` owes each command one Respond.
-  Transactions(core::Runtime* runtime, const Address& local, const TransactionSettings& settings,
-               OnCommand on_command);
+  Transactions(core::Runtime* runtime, const Address& local, const TransactionSettings& settings, OnCommand on_command);
   ~Transactions() override;
 
   // Sends a command; its id, or 0 if too many are pending (then `on_answer` has been called with kTooMany).
   std::uint32_t Send(const Address& to, Outgoing command);
-  // From now on only these hosts command or answer here. What others send is dropped as it is read off the socket, costs
-  // nothing that lasts, and is answered (500) at a trickle. `in_use`: whether a call is in progress at the endpoint of a
-  // command; its answers have room of their own.
+  // From now on only these hosts command or answer here. What others send is dropped as it is read off the socket,
+  // costs nothing that lasts, and is answered (500) at a trickle. `in_use`: whether a call is in progress at the
+  // endpoint of a command; its answers have room of their own.
   void SetKnownHosts(std::vector<std::uint32_t> hosts, std::function<bool(const Message&)> in_use);
   // While one lives, what is sent to a peer is gathered and leaves in as few datagrams as hold it, in order
   // (piggybacking, RFC 3435 3.5.5); each command stays a transaction of its own. May be nested.
@@ -181,7 +180,7 @@
   HistoryRoom room_;
   std::function<bool(const Message&)> in_use_;
   StrangerCounters strangers_;
-  std::unordered_map<CommandId, Key> open_;       // received, not answered
+  std::unordered_map<CommandId, Key> open_;  // received, not answered
   struct Aged {
     TimeUs answered_at = 0;
     Key key;
--- a/src/platform/board.cpp
+++ b/src/platform/board.cpp
@@ -88,7 +88,12 @@
 
 Board::Board(core::Runtime* runtime, core::LogSink* log, const core::Address& address, std::uint64_t last,
              OnNotice on_notice)
-    : runtime_(runtime), log_(log), address_(address), last_(last), on_notice_(std::move(on_notice)), again_(runtime),
+    : runtime_(runtime),
+      log_(log),
+      address_(address),
+      last_(last),
+      on_notice_(std::move(on_notice)),
+      again_(runtime),
       silence_(runtime) {
   Ask();
 }
@@ -155,8 +160,9 @@
   Break();
 }
 
-// The numbers of deltas follow one another. One that does not follow, or cannot be read, leaves a gap: what is missing is
-// asked for once more, from the last number that holds, and done without only if the board does not tell it then either.
+// The numbers of deltas follow one another. One that does not follow, or cannot be read, leaves a gap: what is missing
+// is asked for once more, from the last number that holds, and done without only if the board does not tell it then
+// either.
 bool Board::Take(std::string_view id, std::string_view data) {
   std::uint64_t number = 0;
   std::from_chars(id.data(), id.data() + id.size(), number);
--- a/src/platform/board.h
+++ b/src/platform/board.h
@@ -44,7 +44,8 @@
  public:
   using OnNotice = std::function<void(const Notice&)>;
   // `last`: number of the last event that is known already.
-  Board(core::Runtime* runtime, core::LogSink* log, const core::Address& address, std::uint64_t last, OnNotice on_notice);
+  Board(core::Runtime* runtime, core::LogSink* log, const core::Address& address, std::uint64_t last,
+        OnNotice on_notice);
   // From now on at this address; the numbers carry on.
   void MoveTo(const core::Address& address);
   // `last` was heard by another way.
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -18,8 +18,8 @@
 constexpr TimeUs kIdleFor = 200'000, kSilentFor = 100'000;
 // A connection on which nothing was said for this long is taken for a caller's that listens: a test comes at once.
 constexpr TimeUs kListens = 500'000;
-// At the end of the process a connection is left alone for so long after its last use: what is just being sent on it would
-// cross the close.
+// At the end of the process a connection is left alone for so long after its last use: what is just being sent on it
+// would cross the close.
 constexpr TimeUs kQuietBeforeClose = 50'000;
 // Octets that wait for a caller who does not read.
 constexpr std::size_t kMostPending = 256 << 10;
@@ -42,7 +42,13 @@
 class Callers::Link final : public core::StreamSink {
  public:
   Link(Callers* owner, std::unique_ptr<core::Stream> s, TimeUs now, ConnectionNumber n)
-      : stream(std::move(s)), number(n), host(stream->Remote().host), since(now), last_use(now), last_octets(now), owner_(owner) {}
+      : stream(std::move(s)),
+        number(n),
+        host(stream->Remote().host),
+        since(now),
+        last_use(now),
+        last_octets(now),
+        owner_(owner) {}
 
   void OnBytes(std::string_view bytes) override {
     const bool had = reader.partial();
@@ -73,8 +79,8 @@
   bool spoke = false;  // a whole line came
   TimeUs partial_since = 0;
   bool of_use = false, brought_calls = false;
-  std::size_t set_ups = 0;   // open on it
-  std::size_t standing = 0;  // calls that stand and were set up on it
+  std::size_t set_ups = 0;                            // open on it
+  std::size_t standing = 0;                           // calls that stand and were set up on it
   std::unordered_set<CallId> calls;                   // all of these
   std::vector<std::pair<CallId, core::Offer>> fresh;  // set-ups that are not offered to the core yet
   LineReader reader;
@@ -87,7 +93,8 @@
 Callers::Callers(const CallerSettings& settings, core::Runtime* runtime, core::LogSink* log, core::CallCore* core,
                  Exchanges* exchanges)
     : settings_(settings), runtime_(runtime), log_(log), core_(core), exchanges_(exchanges), sweep_(runtime) {
-  for (std::size_t i = 0; i < settings_.classes.size(); ++i) classes_.emplace(settings_.classes[i], static_cast<int>(i));
+  for (std::size_t i = 0; i < settings_.classes.size(); ++i)
+    classes_.emplace(settings_.classes[i], static_cast<int>(i));
 }
 
 Callers::~Callers() = default;
--- a/src/platform/callers.h
+++ b/src/platform/callers.h
@@ -1,8 +1,8 @@
 // The callers' side: connections that bring set-ups, and what is told on them.
 //
-// A set-up belongs to the connection that brought it until its final answer; a call that stands belongs to none, and its
-// end is told on any connection of its caller, known by its address, or on its next one. The states of a connection stand
-// in docs/platform.md.
+// A set-up belongs to the connection that brought it until its final answer; a call that stands belongs to none, and
+// its end is told on any connection of its caller, known by its address, or on its next one. The states of a connection
+// stand in docs/platform.md.
 #ifndef CROFTRUN_PLATFORM_CALLERS_H_
 #define CROFTRUN_PLATFORM_CALLERS_H_
 
@@ -56,8 +56,8 @@
   std::size_t waiting_ends() const { return releases_.waiting(); }
   // When the last connection came.
   TimeUs last_link() const { return last_link_; }
-  // Closes the connections on which nothing is left: no set-up, nothing half said, unwritten or unread, and no call that
-  // stands, whose end may come on no other. `all`: also those with standing calls, and those that were just used.
+  // Closes the connections on which nothing is left: no set-up, nothing half said, unwritten or unread, and no call
+  // that stands, whose end may come on no other. `all`: also those with standing calls, and those that were just used.
   void CloseIdle(bool all);
 
   core::StreamSink* OnAccept(std::unique_ptr<core::Stream> stream) override;
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -76,8 +76,8 @@
   std::vector<std::string> waiting;          // releases for the next connection
   core::Timer again;
   TimeUs pause = 0;
-  TimeUs heard_at = 0;       // octets came, or a connection opened
-  bool unreachable = false;  // no connection is open, and the last one tried did not open: logged once
+  TimeUs heard_at = 0;               // octets came, or a connection opened
+  bool unreachable = false;          // no connection is open, and the last one tried did not open: logged once
   policy::FailureDetector detector;  // for as long as calls stand here
   std::size_t announced = 0;         // of the calls that stand here
   core::Timer check_announced;
@@ -95,8 +95,8 @@
     const bool was_in_doubt = exchange->InDoubt();
     exchange->detector.OnConnectionOpened(opened_at, exchange->standing.size());
     owner_->LogDoubt(*exchange, was_in_doubt);
-    owner_->LogConnection(exchange->unreachable ? core::LogLevel::kInfo : core::LogLevel::kDebug, "exchange-connected", *this,
-                          std::to_string(exchange->waiting.size()) + " releases wait");
+    owner_->LogConnection(exchange->unreachable ? core::LogLevel::kInfo : core::LogLevel::kDebug, "exchange-connected",
+                          *this, std::to_string(exchange->waiting.size()) + " releases wait");
     exchange->unreachable = false;
     for (const std::string& id : std::exchange(exchange->waiting, {})) owner_->SendRelease(exchange, this, id);
     owner_->CloseSpare(exchange);
@@ -124,8 +124,8 @@
   std::list<std::unique_ptr<Link>>::iterator place;
   TimeUs opened_at = 0, heard_at = 0;
   bool open = false;
-  bool for_life = false;  // opened as a sign of life: set-ups do not wait for it
-  bool silent = false;  // a set-up was given up on it, and nothing has come since
+  bool for_life = false;                     // opened as a sign of life: set-ups do not wait for it
+  bool silent = false;                       // a set-up was given up on it, and nothing has come since
   std::unordered_set<std::string> set_ups;   // unanswered on it
   std::unordered_set<std::string> standing;  // answered on it, and not over
   LineReader reader;
@@ -135,8 +135,14 @@
 };
 
 Exchanges::Exchanges(const ExchangeSettings& settings, core::Runtime* runtime, core::LogSink* log, core::CallCore* core)
-    : settings_(settings), runtime_(runtime), log_(log), core_(core), given_up_(kMostGivenUp), departed_(kMostDeparted),
-      early_ends_(kMostEarlyEnds), liveness_(runtime) {
+    : settings_(settings),
+      runtime_(runtime),
+      log_(log),
+      core_(core),
+      given_up_(kMostGivenUp),
+      departed_(kMostDeparted),
+      early_ends_(kMostEarlyEnds),
+      liveness_(runtime) {
   WatchLiveness();
 }
 
@@ -211,7 +217,8 @@
   if (target.status == ExchangeStatus::kGone) return false;
   const auto holder = by_address_.find(target.address);
   if (holder == by_address_.end() || holder->second <= before) return false;
-  // Ids are given in the order in which machines were heard of; one that came back has a later start than its successor.
+  // Ids are given in the order in which machines were heard of; one that came back has a later start than its
+  // successor.
   const auto newer = exchanges_.find(holder->second);
   return newer != exchanges_.end() && !newer->second->retired && since <= newer->second->since_us;
 }
@@ -354,7 +361,8 @@
       OpenLink(exchange, Purpose::kSignOfLife);
       return;
     case policy::LivenessAction::kProbe: {
-      const auto oldest = std::find_if(exchange->links.begin(), exchange->links.end(), [](const auto& x) { return x->open; });
+      const auto oldest =
+          std::find_if(exchange->links.begin(), exchange->links.end(), [](const auto& x) { return x->open; });
       if (oldest == exchange->links.end()) return;
       ++counters_.liveness_probes;
       return SendProbe(oldest->get());
@@ -370,10 +378,10 @@
   }
 }
 
-std::size_t Exchanges::StandingBefore(const std::unordered_map<std::string, Leg>& legs, const Exchange& exchange, TimeUs before) {
-  return static_cast<std::size_t>(std::count_if(exchange.standing.begin(), exchange.standing.end(), [&](const std::string& id) {
-    return legs.at(id).stood_at < before;
-  }));
+std::size_t Exchanges::StandingBefore(const std::unordered_map<std::string, Leg>& legs, const Exchange& exchange,
+                                      TimeUs before) {
+  return static_cast<std::size_t>(std::count_if(exchange.standing.begin(), exchange.standing.end(),
+                                                [&](const std::string& id) { return legs.at(id).stood_at < before; }));
 }
 
 void Exchanges::CheckCircuits(Link* link, const std::vector<float>& figures) {
@@ -385,7 +393,8 @@
                                StandingBefore(legs_, *exchange, exchange->detector.doubt_since())};
   if (exchange->detector.OnCircuits(runtime_->Now(), link->opened_at, use)) {
     ++counters_.given_up_replaced;
-    CutAll(exchange, exchange->detector.doubt_since(), "its process was replaced, as its circuits are free", Remains::kNothing);
+    CutAll(exchange, exchange->detector.doubt_since(), "its process was replaced, as its circuits are free",
+           Remains::kNothing);
     exchange->detector.OnGivenUp(runtime_->Now());
   }
 }
@@ -410,7 +419,8 @@
   for (const std::string& id : exchange->standing) {
     if (legs_.at(id).announced) ids.push_back(id);
   }
-  Cut(exchange, std::move(ids), "its circuits are free, it does not know the calls that were announced", Remains::kNothing);
+  Cut(exchange, std::move(ids), "its circuits are free, it does not know the calls that were announced",
+      Remains::kNothing);
 }
 
 void Exchanges::LogDoubt(const Exchange& exchange, bool was_in_doubt) {
@@ -464,7 +474,8 @@
   link->place = std::prev(exchange->links.end());
   link->number = ++last_link_number_;
   link->for_life = for_life;
-  const TimeUs within = for_life ? std::max(policy::kSignOfLifeWithin, settings_.connect_within_us) : settings_.connect_within_us;
+  const TimeUs within =
+      for_life ? std::max(policy::kSignOfLifeWithin, settings_.connect_within_us) : settings_.connect_within_us;
   link->stream = runtime_->Connect(exchange->target.address, within, link);
   return link;
 }
@@ -482,9 +493,9 @@
 
 Exchanges::Link* Exchanges::LinkFor(Exchange* exchange) {
   Link* best = nullptr;
-  // One on which a set-up was lost may be one behind which nobody listens any more: the others first. Not a fresh one for
-  // it: where the whole way is cut that does not come up, and the module takes the exchange for one that died.
-  // Of those that rest, the one heard last: a connection that rested long may be forgotten at the far end.
+  // One on which a set-up was lost may be one behind which nobody listens any more: the others first. Not a fresh one
+  // for it: where the whole way is cut that does not come up, and the module takes the exchange for one that died. Of
+  // those that rest, the one heard last: a connection that rested long may be forgotten at the far end.
   const auto rank = [](const Link& link) {
     return std::make_tuple(link.silent, link.set_ups.size(), !link.open, ~std::max(link.heard_at, link.opened_at));
   };
@@ -569,7 +580,8 @@
 }
 
 Exchanges::Link* Exchanges::OpenOne(const Exchange& exchange) {
-  const auto newest = std::find_if(exchange.links.rbegin(), exchange.links.rend(), [](const auto& x) { return x->open; });
+  const auto newest =
+      std::find_if(exchange.links.rbegin(), exchange.links.rend(), [](const auto& x) { return x->open; });
   return newest == exchange.links.rend() ? nullptr : newest->get();
 }
 
@@ -602,11 +614,12 @@
   ++exchange->announced;
   NoteStanding(exchange, id);
   if (OpenOne(*exchange) == nullptr) exchange->detector.OnUnconfirmedCall(runtime_->Now());
-  if (!exchange->check_announced.Running()) exchange->check_announced.Start(kAnnouncedTogether, [this, exchange] { CheckAnnounced(exchange); });
+  if (!exchange->check_announced.Running())
+    exchange->check_announced.Start(kAnnouncedTogether, [this, exchange] { CheckAnnounced(exchange); });
   KeepConnected(exchange);
   if (!early_ends_.Has(id)) return;
-  // Its end was told on the first connection to the exchange, before the caller said that it stands: told from the loop,
-  // as the caller is still being read.
+  // Its end was told on the first connection to the exchange, before the caller said that it stands: told from the
+  // loop, as the caller is still being read.
   ++counters_.early_ends;
   early_ends_.Forget(id);
   runtime_->StartTimer(0, [this, id] {
@@ -707,12 +720,12 @@
   if (leg.stands) {
     const bool normal = cause == kNormal;
     ++(normal ? counters_.ended : counters_.cut);
-    return core_->OnTrunkReleased(
-        leg.call, leg.attempt, {normal ? core::ReleaseCause::kNormal : core::ReleaseCause::kTemporaryFailure});
+    return core_->OnTrunkReleased(leg.call, leg.attempt,
+                                  {normal ? core::ReleaseCause::kNormal : core::ReleaseCause::kTemporaryFailure});
   }
   const std::string* const note = message.Field("note");
   const core::Ended meaning = MeaningOf(cause, note != nullptr ? *note : std::string());
-  ++(meaning.outcome == Outcome::kReset ? counters_.resets
+  ++(meaning.outcome == Outcome::kReset   ? counters_.resets
      : meaning.outcome == Outcome::kError ? counters_.errors
                                           : counters_.refusals);
   const bool no_circuit = cause == kNoCircuit && meaning.cause != Cause::kProcessorFull;
@@ -801,8 +814,7 @@
   }
   // Nothing listens there any more, or it is gone from the list and its last connection with it, on which a set-up may
   // still have been answered: what stood there was cut.
-  if (end == LinkEnd::kRefused && exchange->links.empty())
-    CutAll(exchange, runtime_->Now() + 1, "refuses connections");
+  if (end == LinkEnd::kRefused && exchange->links.empty()) CutAll(exchange, runtime_->Now() + 1, "refuses connections");
   if (exchange->retired && exchange->links.empty()) CutAll(exchange, runtime_->Now() + 1, "gone from the list");
   KeepConnected(exchange);
 }
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -1,8 +1,8 @@
 // The exchanges' side: set-ups and releases on connections to the exchanges of the list.
 //
-// A set-up has a connection of its own while there is room, as what shares a connection is lost with it; after the answer
-// the connection serves the next set-up. Every exchange of the list is kept connected, so that the state of its group and
-// the end of its calls can be heard.
+// A set-up has a connection of its own while there is room, as what shares a connection is lost with it; after the
+// answer the connection serves the next set-up. Every exchange of the list is kept connected, so that the state of its
+// group and the end of its calls can be heard.
 #ifndef CROFTRUN_PLATFORM_EXCHANGES_H_
 #define CROFTRUN_PLATFORM_EXCHANGES_H_
 
@@ -27,7 +27,7 @@
 namespace croftrun::platform {
 
 struct ExchangeSettings {
-  std::size_t most_links = 100;      // to all exchanges together
+  std::size_t most_links = 100;  // to all exchanges together
   TimeUs connect_within_us = 500'000;
   std::vector<std::string> classes;  // by index
   std::vector<std::string> zones, kinds;
@@ -63,13 +63,14 @@
   std::uint64_t set_ups = 0, shared = 0, answers = 0, refusals = 0, errors = 0, resets = 0, never_ran = 0, given_up = 0;
   std::uint64_t ended = 0, cut = 0, cut_with_exchange = 0, released = 0;
   std::uint64_t connects = 0, refused = 0, timed_out = 0, broken = 0, spoilt = 0;
-  std::uint64_t lost_exchanges = 0;  // times that calls were cut with their exchange
+  std::uint64_t lost_exchanges = 0;                          // times that calls were cut with their exchange
   std::uint64_t liveness_connects = 0, liveness_probes = 0;  // asked for by the failure detector
   std::uint64_t doubts = 0, doubts_cleared = 0;              // whether the process that holds calls is still there
   std::uint64_t given_up_silent = 0, given_up_replaced = 0;  // exchanges whose calls the failure detector gave up
   std::uint64_t no_room = 0;                                 // connections that found no room within the limit
   std::uint64_t early_ends = 0;                              // ends that came before their call was taken over
-  std::uint64_t gauges = 0, gauges_heard = 0, second_answers = 0, unknown_answers = 0, late_answers = 0, unknown_ends = 0;
+  std::uint64_t gauges = 0, gauges_heard = 0, second_answers = 0, unknown_answers = 0, late_answers = 0,
+                unknown_ends = 0;
 };
 
 class Exchanges final : public core::TrunkDriver {
@@ -150,7 +151,8 @@
   std::optional<std::size_t> CircuitsUsed(const std::vector<float>& figures) const;
   // Gives up announced calls that the exchange's last report denies.
   void CheckAnnounced(Exchange* exchange);
-  static std::size_t StandingBefore(const std::unordered_map<std::string, Leg>& legs, const Exchange& exchange, TimeUs before);
+  static std::size_t StandingBefore(const std::unordered_map<std::string, Leg>& legs, const Exchange& exchange,
+                                    TimeUs before);
   void NoteStanding(Exchange* exchange, const std::string& id);
   void LogDoubt(const Exchange& exchange, bool was_in_doubt);
   // Keeps one connection to an exchange that is wanted.
@@ -190,11 +192,11 @@
   std::map<core::Address, ExchangeId> by_address_;  // who has it now
   ExchangeId next_ = 1;
   std::size_t link_count_ = 0;
-  std::uint64_t last_link_number_ = 0;  // connections are numbered in the log
+  std::uint64_t last_link_number_ = 0;         // connections are numbered in the log
   std::unordered_map<std::string, Leg> legs_;  // by the call's id
   std::unordered_map<CallId, std::string> ids_;
-  RecentNames given_up_;  // ids of set-ups
-  RecentNames departed_;  // machines that are forgotten
+  RecentNames given_up_;    // ids of set-ups
+  RecentNames departed_;    // machines that are forgotten
   RecentNames early_ends_;  // calls whose end came before they were taken over
   core::Timer liveness_;
   std::unordered_map<std::string, std::pair<ExchangeId, TimeUs>> probes_;
--- a/src/platform/line_codec.h
+++ b/src/platform/line_codec.h
@@ -96,8 +96,8 @@
 // Nothing where a figure that is known by name cannot be read or is out of its range. Unknown names are skipped.
 std::optional<Extras> ParseExtras(std::string_view text);
 
-// Calls `take(name, value)` for each of "name:value;name:value", until it returns false; then false. What has no colon is
-// skipped.
+// Calls `take(name, value)` for each of "name:value;name:value", until it returns false; then false. What has no colon
+// is skipped.
 template <typename Take>
 bool ForEachFigure(std::string_view text, const Take& take) {
   while (!text.empty()) {
