--- a/src/cli/soak.cpp
+++ b/src/cli/soak.cpp
@@ -224,6 +224,7 @@
     }
   };
   std::vector<std::thread> workers;
+  workers.reserve(static_cast<std::size_t>(options.jobs));
   for (int slot = 0; slot < options.jobs; ++slot) workers.emplace_back(work, options.first_slot + slot);
   for (std::thread& worker : workers) worker.join();
   if (options.shrink) {
--- a/src/lab/soak/client_stand_in.cpp
+++ b/src/lab/soak/client_stand_in.cpp
@@ -72,7 +72,7 @@
   return digits;
 }
 
-void ClientStandIn::Test(std::function<void(bool)> done) {
+void ClientStandIn::Test(const std::function<void(bool)>& done) {
   const std::uint32_t host =
       hosts_from_ + (traits_.tests_from_same_host ? 0 : static_cast<std::uint32_t>(traits_.hosts));
   const auto finish = [this, done](bool passed) {
@@ -83,7 +83,7 @@
   test_ = std::make_unique<LineClient>(context_, host, to_,
                                        LineClientHandlers{.on_open = nullptr,
                                                           .on_line =
-                                                              [this, finish](std::string_view line) {
+                                                              [finish](std::string_view line) {
                                                                 const auto message = platform::ParseMessage(line);
                                                                 if (message && message->type == MessageType::kTested)
                                                                   return finish(true);
@@ -95,7 +95,7 @@
   test_timer_.Start(kTestWithin, [finish] { finish(false); });
 }
 
-void ClientStandIn::WaitForReady(std::function<void()> ready) {
+void ClientStandIn::WaitForReady(const std::function<void()>& ready) {
   Test([this, ready](bool passed) {
     if (!passed) {
       runtime_->StartTimer(kTestEvery, [this, ready] { WaitForReady(ready); });
--- a/src/lab/soak/client_stand_in.h
+++ b/src/lab/soak/client_stand_in.h
@@ -45,7 +45,7 @@
   ~ClientStandIn();
 
   // Tests the softswitch until a test is passed, then calls `ready` once.
-  void WaitForReady(std::function<void()> ready);
+  void WaitForReady(const std::function<void()>& ready);
   void StartCalls();
   // No new calls; what stands may end.
   void StopCalls() { calling_ = false; }
@@ -93,7 +93,7 @@
   void Cancel(const std::string& id, bool close_connection);
   void Sweep();
   void Busy();
-  void Test(std::function<void(bool)> done);
+  void Test(const std::function<void(bool)>& done);
   std::string NewId();
   void Note(EventKind kind, std::uint32_t host, const std::string& call, std::int64_t value = 0,
             const std::string& text = "");
--- a/src/lab/soak/fault_proxy.cpp
+++ b/src/lab/soak/fault_proxy.cpp
@@ -224,7 +224,8 @@
     tcp::socket& filler = fillers_.emplace_back(*context_);
     filler.open(tcp::v4(), ignored);
     filler.non_blocking(true, ignored);
-    ::connect(filler.native_handle(), listen_.data(), static_cast<socklen_t>(listen_.size()));
+    // It is in progress, or waits in the backlog; that it does not complete is what it is for.
+    static_cast<void>(::connect(filler.native_handle(), listen_.data(), static_cast<socklen_t>(listen_.size())));
   }
 }
 
--- a/src/lab/soak/judge.cpp
+++ b/src/lab/soak/judge.cpp
@@ -87,6 +87,9 @@
 
  private:
   void Collect(const TrafficEvent& event);
+  void CollectCall(const TrafficEvent& event, CallHistory& call);
+  // Processes and discovery.
+  void CollectFleet(const TrafficEvent& event);
   void CollectAttempt(const TrafficEvent& event, CallHistory& call);
   void CheckAnswer(const std::string& id, const CallHistory& call);
   void CheckStandingEnd(const std::string& id, const CallHistory& call);
@@ -164,95 +167,122 @@
   }
 }
 
-void Judgement::Collect(const TrafficEvent& event) {
+void Judgement::CollectFleet(const TrafficEvent& event) {
+  Process& process = processes_[event.softswitch];
+  switch (event.kind) {
+    case EventKind::kStarted:
+      process.runs.push_back({event.at, ~TimeUs{0}});
+      break;
+    case EventKind::kTerminateSent:
+      process.terminated.emplace_back(event.at, event.at + static_cast<TimeUs>(event.value));
+      break;
+    case EventKind::kKilled:
+    case EventKind::kExited:
+      if (!process.runs.empty()) process.runs.back().to = event.at;
+      if (event.kind == EventKind::kKilled) process.killed.push_back(event.at);
+      // All connections of its clients end with it.
+      for (auto& [key, open] : connections_) {
+        if (key.first != event.softswitch) continue;
+        for (Interval& connection : open) connection.to = std::min(connection.to, event.at);
+      }
+      break;
+    case EventKind::kDrainListed:
+      drain_listed_.try_emplace({event.softswitch, event.exchange}, event.at);
+      break;
+    case EventKind::kDrainWritten:
+      drain_written_.try_emplace({event.softswitch, event.exchange}, event.at);
+      break;
+    case EventKind::kDiscoveryAway:
+      discovery_away_[event.softswitch].push_back({event.at, ~TimeUs{0}});
+      break;
+    case EventKind::kDiscoveryBack:
+      if (!discovery_away_[event.softswitch].empty()) discovery_away_[event.softswitch].back().to = event.at;
+      break;
+    default:
+      break;
+  }
+}
+
+void Judgement::CollectCall(const TrafficEvent& event, CallHistory& call) {
   const auto first = [&event](std::optional<TimeUs>& time) {
     if (!time) time = event.at;
   };
-  CallHistory* const call = event.call.empty() ? nullptr : &calls_[event.call];
-  if (call != nullptr && call->softswitch < 0) call->softswitch = event.softswitch;
-  Process& process = processes_[event.softswitch];
   switch (event.kind) {
     case EventKind::kSetUpSent:
-      call->sent = event.at;
-      call->wait = static_cast<TimeUs>(event.value);
-      call->host = event.host;
+      call.sent = event.at;
+      call.wait = static_cast<TimeUs>(event.value);
+      call.host = event.host;
       break;
     case EventKind::kSetUpCancelled:
-      first(call->cancelled);
+      first(call.cancelled);
       break;
     case EventKind::kAnswerRead:
-      ++call->answers;
-      first(call->answered);
-      call->description = event.text;
+      ++call.answers;
+      first(call.answered);
+      call.description = event.text;
       break;
     case EventKind::kReleaseRead:
-      ++call->releases;
-      first(call->released);
+      ++call.releases;
+      first(call.released);
       break;
     case EventKind::kReleaseSent:
-      first(call->released_by_client);
+      first(call.released_by_client);
       break;
     case EventKind::kCallAnnounced:
-      call->announced = event.at;
+      call.announced = event.at;
       break;
     case EventKind::kClosedOnSetUp:
-      first(call->closed_under);
-      call->closed_how = event.text;
-      break;
-    case EventKind::kClientConnected:
-      connections_[{event.softswitch, event.host}].push_back({event.at, ~TimeUs{0}});
-      break;
-    case EventKind::kClientClosed:
-      // The oldest that is open: which one it was is not told apart, and need not be.
-      for (Interval& open : connections_[{event.softswitch, event.host}]) {
-        if (open.to != ~TimeUs{0}) continue;
-        open.to = event.at;
-        break;
-      }
+      first(call.closed_under);
+      call.closed_how = event.text;
       break;
     case EventKind::kAttemptArrived:
     case EventKind::kAttemptAnswered:
     case EventKind::kAttemptRefused:
     case EventKind::kAttemptGivenUp:
     case EventKind::kAttemptReset:
-      CollectAttempt(event, *call);
+      CollectAttempt(event, call);
       break;
     case EventKind::kCallEnded:
-      first(call->ended);
+      first(call.ended);
       break;
     case EventKind::kCallEndedUnsent:
-      first(call->unsent);
+      first(call.unsent);
       break;
     case EventKind::kCallReleased:
-      first(call->released_there);
+      first(call.released_there);
       break;
-    case EventKind::kStarted:
-      process.runs.push_back({event.at, ~TimeUs{0}});
+    default:
       break;
-    case EventKind::kTerminateSent:
-      process.terminated.emplace_back(event.at, event.at + static_cast<TimeUs>(event.value));
+  }
+}
+
+void Judgement::Collect(const TrafficEvent& event) {
+  if (!event.call.empty()) {
+    CallHistory& call = calls_[event.call];
+    if (call.softswitch < 0) call.softswitch = event.softswitch;
+    return CollectCall(event, call);
+  }
+  switch (event.kind) {
+    case EventKind::kClientConnected:
+      connections_[{event.softswitch, event.host}].push_back({event.at, ~TimeUs{0}});
       break;
-    case EventKind::kKilled:
-    case EventKind::kExited:
-      if (!process.runs.empty()) process.runs.back().to = event.at;
-      if (event.kind == EventKind::kKilled) process.killed.push_back(event.at);
-      // All connections of its clients end with it.
-      for (auto& [key, open] : connections_) {
-        if (key.first != event.softswitch) continue;
-        for (Interval& connection : open) connection.to = std::min(connection.to, event.at);
+    case EventKind::kClientClosed:
+      // The oldest that is open: which one it was is not told apart, and need not be.
+      for (Interval& open : connections_[{event.softswitch, event.host}]) {
+        if (open.to != ~TimeUs{0}) continue;
+        open.to = event.at;
+        break;
       }
       break;
+    case EventKind::kStarted:
+    case EventKind::kTerminateSent:
+    case EventKind::kKilled:
+    case EventKind::kExited:
     case EventKind::kDrainListed:
-      drain_listed_.try_emplace({event.softswitch, event.exchange}, event.at);
-      break;
     case EventKind::kDrainWritten:
-      drain_written_.try_emplace({event.softswitch, event.exchange}, event.at);
-      break;
     case EventKind::kDiscoveryAway:
-      discovery_away_[event.softswitch].push_back({event.at, ~TimeUs{0}});
-      break;
     case EventKind::kDiscoveryBack:
-      if (!discovery_away_[event.softswitch].empty()) discovery_away_[event.softswitch].back().to = event.at;
+      CollectFleet(event);
       break;
     case EventKind::kBadClientCame:
       bad_came_[{event.softswitch, event.value}] = event.at;
@@ -278,8 +308,7 @@
         Broken(Rule::kLimits, event.at, "",
                "n" + std::to_string(event.softswitch) + " holds " + std::to_string(event.exchange) + " MB");
       break;
-    case EventKind::kReady:
-    case EventKind::kFault:
+    default:
       break;
   }
 }
--- a/src/lab/soak/softswitch_process.cpp
+++ b/src/lab/soak/softswitch_process.cpp
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-SoftswitchProcess::SoftswitchProcess(std::string program, std::string folder, std::string name)
+SoftswitchProcess::SoftswitchProcess(std::string program, const std::string& folder, const std::string& name)
     : program_(std::move(program)), configuration_(folder + "/" + name + ".json"), log_(folder + "/" + name + ".log") {}
 
 SoftswitchProcess::~SoftswitchProcess() { Kill(); }
--- a/src/lab/soak/softswitch_process.h
+++ b/src/lab/soak/softswitch_process.h
@@ -12,7 +12,7 @@
 class SoftswitchProcess {
  public:
   // `program` is croftrun-edge; configuration and log go to `folder`, named after `name`.
-  SoftswitchProcess(std::string program, std::string folder, std::string name);
+  SoftswitchProcess(std::string program, const std::string& folder, const std::string& name);
   ~SoftswitchProcess();
   SoftswitchProcess(const SoftswitchProcess&) = delete;
   SoftswitchProcess& operator=(const SoftswitchProcess&) = delete;
