--- a/src/lab/soak/client_stand_in.cpp
+++ b/src/lab/soak/client_stand_in.cpp
@@ -258,7 +258,10 @@
 }
 
 void ClientStandIn::OnRelease(const Message& message, Connection* connection) {
-  Note(EventKind::kReleaseRead, connection->host, message.id, message.cause.value_or(-1));
+  // One that cannot be acknowledged now may be told again, should the connection end before.
+  const bool silenced = connection->client->in_pieces();
+  Note(EventKind::kReleaseRead, connection->host, message.id, message.cause.value_or(-1),
+       silenced ? "not acknowledged" : "");
   // Every release is acknowledged, as clients of the platform do it.
   connection->client->Write(platform::WriteMessage({.type = MessageType::kHeard, .id = message.id}));
   if (const auto standing = standing_.find(message.id); standing != standing_.end()) {
--- a/src/lab/soak/line_client.cpp
+++ b/src/lab/soak/line_client.cpp
@@ -89,6 +89,8 @@
 
 bool LineClient::open() const { return state_->open; }
 
+bool LineClient::in_pieces() const { return state_->in_pieces; }
+
 void LineClient::Write(const std::string& octets) {
   if (state_->over) return;
   (state_->in_pieces ? state_->later : state_->output) += octets;
--- a/src/lab/soak/line_client.h
+++ b/src/lab/soak/line_client.h
@@ -34,6 +34,8 @@
   LineClient& operator=(const LineClient&) = delete;
 
   bool open() const;
+  // A set-up is half written: nothing else can be said now.
+  bool in_pieces() const;
   void Write(const std::string& octets);
   // In two pieces, the second so much later.
   void WriteInPieces(const std::string& octets, TimeUs gap);
--- a/src/lab/soak/traffic.h
+++ b/src/lab/soak/traffic.h
@@ -19,7 +19,7 @@
   kSetUpSent,        // its last octet was written to an accepted connection; `value`: the client's wait in microseconds
   kSetUpCancelled,   // the client cancelled the set-up or closed the connection under it
   kAnswerRead,       // the client read that the call stands; `text`: the description
-  kReleaseRead,      // the client read a release; `value`: its cause
+  kReleaseRead,      // the client read a release; `value`: its cause; `text`: that it was not acknowledged
   kReleaseSent,      // the client released a call that stands
   kCallAnnounced,    // a set-up with `at` was written, after a restart of the softswitch
   kClientConnected,  // a connection on which the client stays; `host`
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -127,7 +127,7 @@
 }
 
 void Callers::TellPending(Link* link) {
-  if (link->stream->FarEndGone()) return;
+  if (!releases_.WaitsFor(link->host) || link->stream->FarEndGone()) return;
   for (const PendingRelease& release : releases_.TakeFor(link->host, link->number, runtime_->Now())) {
     counters_.end_waited_longest = std::max(counters_.end_waited_longest, runtime_->Now() - release.since);
     counters_.ends_told_again += release.tried.size() > 1 ? 1 : 0;
@@ -368,9 +368,7 @@
   std::sort(given_up.begin(), given_up.end());
   links_.erase(link->place);
   // What it may have taken along is told on another connection of the caller, if there is one.
-  if (releases_.WaitsFor(host)) {
-    if (Link* const other = AnyLink(host)) TellPending(other);
-  }
+  if (Link* const other = releases_.WaitsFor(host) ? AnyLink(host) : nullptr) TellPending(other);
   for (const CallId call : given_up) {
     ++counters_.given_up;
     Forget(call);
@@ -428,7 +426,7 @@
   counters_.ends_dropped += releases_.Expire(now);
   for (const auto& link : links_) {
     const bool listens = !link->spoke && !link->reader.partial() && now >= link->since + kListens;
-    if ((link->brought_calls || listens) && releases_.WaitsFor(link->host)) TellPending(link.get());
+    if (link->brought_calls || listens) TellPending(link.get());
   }
   sweep_.Start(kSweepEvery, [this] { Sweep(); });
 }
--- a/src/platform/pending_releases.cpp
+++ b/src/platform/pending_releases.cpp
@@ -10,8 +10,8 @@
 // A release waits so long for a connection of its caller, and so many wait at once.
 constexpr TimeUs kWaitsAtMost = 300'000'000;
 constexpr std::size_t kMostReleases = 4096;
-// A connection that breaks within this time of the write may have taken the release along.
-constexpr TimeUs kMayBeLost = 1'000'000;
+// A connection that breaks within this time of the write may have taken the release along; later ones were read.
+constexpr TimeUs kMayBeLost = 200'000;
 // An acknowledgement that did not come by then does not come.
 constexpr TimeUs kAcknowledgedWithin = 2'000'000;
 // Connections on which one release is written: nobody may know the call any more.
