--- a/src/lab/soak/fault_proxy.cpp
+++ b/src/lab/soak/fault_proxy.cpp
@@ -274,6 +274,7 @@
 }
 
 void FaultProxy::ResetAll() {
+  if (vanished_) return;  // a machine that is gone does nothing
   for (const auto& pair : pairs_) pair->Reset();
   pairs_.clear();
 }
@@ -285,6 +286,7 @@
 }
 
 void FaultProxy::CloseIdle(TimeUs idle) {
+  if (vanished_) return;
   for (const auto& pair : pairs_) {
     if (Clock::now() - pair->last_octets >= std::chrono::microseconds(idle)) pair->Close();
   }
@@ -310,6 +312,7 @@
 }
 
 void FaultProxy::HalfCloseAll() {
+  if (vanished_) return;
   error_code ignored;
   for (const auto& pair : pairs_) {
     if (!pair->over) pair->downstream.shutdown(tcp::socket::shutdown_send, ignored);
