Soak: nothing of a process passes a way that is cut; policy names its files one by one

Change: what a process does to its connections while its way is cut is found out later, by who writes.

--- a/src/lab/soak/fault_proxy.cpp
+++ b/src/lab/soak/fault_proxy.cpp
@@ -275,6 +275,7 @@
 
 void FaultProxy::ResetAll() {
   if (vanished_) return;  // a machine that is gone does nothing
+  if (!passing_.to_downstream) return ForgetIdle(0);  // nothing of it passes: it is found out by who writes later
   for (const auto& pair : pairs_) pair->Reset();
   pairs_.clear();
 }
@@ -287,6 +288,7 @@
 
 void FaultProxy::CloseIdle(TimeUs idle) {
   if (vanished_) return;
+  if (!passing_.to_downstream) return ForgetIdle(idle);
   for (const auto& pair : pairs_) {
     if (Clock::now() - pair->last_octets >= std::chrono::microseconds(idle)) pair->Close();
   }
@@ -312,7 +314,7 @@
 }
 
 void FaultProxy::HalfCloseAll() {
-  if (vanished_) return;
+  if (vanished_ || !passing_.to_downstream) return;
   error_code ignored;
   for (const auto& pair : pairs_) {
     if (!pair->over) pair->downstream.shutdown(tcp::socket::shutdown_send, ignored);
--- a/tests/policy_purity.sh
+++ b/tests/policy_purity.sh
@@ -7,8 +7,10 @@
 [[ -n $policy ]] || { echo "deploy/balancer.toml: expected a list in policy" >&2; exit 1; }
 files=()
 for path in $policy; do
-  [[ -e $path ]] || { echo "deploy/balancer.toml: no such file or folder as '$path'" >&2; exit 1; }
-  while IFS= read -r file; do files+=("$file"); done < <(find "$path" -name '*.cpp' -o -name '*.h')
+  [[ -f $path ]] || { echo "deploy/balancer.toml: no such file as '$path'" >&2; exit 1; }
+  files+=("$path")
+  header=${path%.cpp}.h
+  [[ -e $header ]] && files+=("$header")
 done
 ((${#files[@]} > 0)) || { echo "no file holds decisions" >&2; exit 1; }
 wrong=0
