--- a/src/lab/soak/fault_proxy.cpp
+++ b/src/lab/soak/fault_proxy.cpp
@@ -274,7 +274,7 @@
 }
 
 void FaultProxy::ResetAll() {
-  if (vanished_) return;  // a machine that is gone does nothing
+  if (vanished_) return;                              // a machine that is gone does nothing
   if (!passing_.to_downstream) return ForgetIdle(0);  // nothing of it passes: it is found out by who writes later
   for (const auto& pair : pairs_) pair->Reset();
   pairs_.clear();
