--- a/tests/soak_trial_test.cpp
+++ b/tests/soak_trial_test.cpp
@@ -92,6 +92,18 @@
   ExpectNothingBroken(Run());
 }
 
+// Seed 136 of the soak: away for less than the detector notices, with discovery down.
+TEST_F(SoakTrialTest, CallsOnAMachineThatReturnsWithoutThemAfterThreeSecondsEndInTime) {
+  script_.clients.calls_per_s = 0.5;
+  script_.exchange.hold_mean = 60 * kSecond;
+  script_.length = 24 * kSecond;
+  script_.faults = {{9 * kSecond, FaultKind::kDiscoveryDown, 0, 14 * kSecond}};
+  for (int slot = 0; slot < script_.exchanges; ++slot) {
+    script_.faults.push_back({10 * kSecond, FaultKind::kVanishAndReturn, slot, 3'100 * kMs});
+  }
+  ExpectNothingBroken(Run());
+}
+
 TEST_F(SoakTrialTest, EndsOfCallsArriveThoughExchangesForgetIdleConnectionsWithoutAWord) {
   script_.clients.calls_per_s = 1.0;
   script_.exchange.hold_mean = 4 * kSecond;
