--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -73,6 +73,7 @@
   std::list<std::unique_ptr<Link>> links;
   std::unordered_set<std::string> standing;  // calls that stand here
   std::string told;                          // the state of its group, as it was told last
+  std::optional<std::size_t> circuits_used;  // by that, where it tells
   std::vector<std::string> waiting;          // releases for the next connection
   core::Timer again;
   TimeUs pause = 0;
@@ -345,7 +346,13 @@
   liveness_.Start(policy::kLivenessStep, [this] {
     for (const auto& [id, exchange] : exchanges_) {
       if (exchange->standing.empty() || exchange->retired) continue;
-      Act(exchange.get(), exchange->detector.Next(runtime_->Now(), settings_.may_probe));
+      policy::FailureDetector& detector = exchange->detector;
+      const bool was_in_doubt = exchange->InDoubt();
+      if (detector.denied() && *exchange->circuits_used >= exchange->standing.size())
+        detector.OnCallsCounted(runtime_->Now());
+      const policy::LivenessAction action = detector.Next(runtime_->Now(), settings_.may_probe);
+      LogDoubt(*exchange, was_in_doubt);
+      Act(exchange.get(), action);
     }
     WatchLiveness();
   });
@@ -372,31 +379,43 @@
       CutAll(exchange, now + 1, "gives no sign of life", Remains::kMayStand);
       return exchange->detector.OnGivenUp(now);
     case policy::LivenessAction::kGiveUpReplaced:
-      ++counters_.given_up_replaced;
-      CutAll(exchange, exchange->detector.doubt_since(), "its process may have been replaced", Remains::kMayStand);
-      return exchange->detector.OnGivenUp(now);
+      return exchange->detector.denied()
+                 ? GiveUpReplaced(exchange, "its circuits are free, it does not know the calls", Remains::kMayStand)
+                 : GiveUpReplaced(exchange, "its process may have been replaced", Remains::kMayStand);
   }
 }
 
-std::size_t Exchanges::StandingBefore(const std::unordered_map<std::string, Leg>& legs, const Exchange& exchange,
-                                      TimeUs before) {
-  return static_cast<std::size_t>(std::count_if(exchange.standing.begin(), exchange.standing.end(),
-                                                [&](const std::string& id) { return legs.at(id).stood_at < before; }));
+policy::CircuitUse Exchanges::CircuitUseOf(const Exchange& exchange, TimeUs in_question) const {
+  policy::CircuitUse use{.used = *exchange.circuits_used, .standing = exchange.standing.size()};
+  const TimeUs now = runtime_->Now();
+  for (const std::string& id : exchange.standing) {
+    const TimeUs stood_at = legs_.at(id).stood_at;
+    if (stood_at < in_question) {
+      ++use.standing_before;
+    } else if (now < stood_at + policy::kCallSettles) {
+      ++use.unsettled;
+    }
+  }
+  return use;
 }
 
-void Exchanges::CheckCircuits(Link* link, const std::vector<float>& figures) {
-  Exchange* const exchange = link->exchange;
-  if (!exchange->InDoubt()) return;
-  const auto used = CircuitsUsed(figures);
-  if (!used) return;
-  const policy::CircuitUse use{*used, exchange->standing.size(),
-                               StandingBefore(legs_, *exchange, exchange->detector.doubt_since())};
-  if (exchange->detector.OnCircuits(runtime_->Now(), link->opened_at, use)) {
-    ++counters_.given_up_replaced;
-    CutAll(exchange, exchange->detector.doubt_since(), "its process was replaced, as its circuits are free",
-           Remains::kNothing);
-    exchange->detector.OnGivenUp(runtime_->Now());
-  }
+void Exchanges::CheckCircuits(const Link& link) {
+  Exchange* const exchange = link.exchange;
+  if (!exchange->circuits_used || exchange->standing.empty()) return;
+  policy::FailureDetector& detector = exchange->detector;
+  const bool was_in_doubt = exchange->InDoubt();
+  // Most reports come while nothing is the matter: they are not looked at call by call.
+  if (!was_in_doubt && !detector.denied() && *exchange->circuits_used >= exchange->standing.size()) return;
+  const policy::CircuitUse use = CircuitUseOf(*exchange, detector.CallsInQuestion(link.opened_at));
+  if (detector.OnCircuits(runtime_->Now(), link.opened_at, use))
+    return GiveUpReplaced(exchange, "its process was replaced, as its circuits are free", Remains::kNothing);
+  LogDoubt(*exchange, was_in_doubt);
+}
+
+void Exchanges::GiveUpReplaced(Exchange* exchange, std::string_view why, Remains remains) {
+  ++counters_.given_up_replaced;
+  CutAll(exchange, exchange->detector.doubt_since(), why, remains);
+  exchange->detector.OnGivenUp(runtime_->Now());
 }
 
 std::optional<std::size_t> Exchanges::CircuitsUsed(const std::vector<float>& figures) const {
@@ -412,9 +431,11 @@
 }
 
 void Exchanges::CheckAnnounced(Exchange* exchange) {
-  if (exchange->announced == 0 || exchange->told.empty()) return;
-  const auto used = CircuitsUsed(FiguresOf(exchange->told));
-  if (!used || !policy::DeniesCalls(*used, exchange->standing.size())) return;
+  if (exchange->announced == 0 || !exchange->circuits_used) return;
+  if (!policy::DeniesCalls({.used = *exchange->circuits_used,
+                            .standing = exchange->standing.size(),
+                            .standing_before = exchange->standing.size()}))
+    return;
   std::vector<std::string> ids;
   for (const std::string& id : exchange->standing) {
     if (legs_.at(id).announced) ids.push_back(id);
@@ -710,9 +731,12 @@
     return;
   }
   Exchange* const exchange = link->exchange;
-  if (found->second.stands && exchange->InDoubt() && found->second.stood_at < exchange->detector.doubt_since()) {
-    exchange->detector.OnCallKnown(runtime_->Now());
-    LogDoubt(*exchange, true);
+  policy::FailureDetector& detector = exchange->detector;
+  const bool was_in_doubt = exchange->InDoubt();
+  if (found->second.stands && (was_in_doubt || detector.denied()) &&
+      found->second.stood_at < detector.CallsInQuestion(link->opened_at)) {
+    detector.OnCallKnown(runtime_->Now());
+    LogDoubt(*exchange, was_in_doubt);
   }
   const int cause = message.cause.value_or(kTemporaryFailure);
   LogCall(found->second.stands ? "call-ended" : "set-up-ended", found->second, "cause " + std::to_string(cause));
@@ -758,12 +782,13 @@
   ++counters_.gauges;
   const std::string* const load = message.Field("load");
   if (load == nullptr) return;
-  if (link->exchange->InDoubt()) CheckCircuits(link, FiguresOf(*load));
-  if (*load == link->exchange->told) return;
+  if (*load == link->exchange->told) return CheckCircuits(*link);
+  const std::vector<float> figures = FiguresOf(*load);
   link->exchange->told = *load;
+  link->exchange->circuits_used = CircuitsUsed(figures);
   ++counters_.gauges_heard;
+  CheckCircuits(*link);
   CheckAnnounced(link->exchange);
-  const std::vector<float> figures = FiguresOf(*load);
   if (!figures.empty()) core_->OnGauge(link->exchange->id, figures);
 }
 
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -145,14 +145,14 @@
   // While calls stand somewhere, asks the failure detector of each such exchange what to do.
   void WatchLiveness();
   void Act(Exchange* exchange, policy::LivenessAction action);
-  // What the failure detector has to know of a report.
-  void CheckCircuits(Link* link, const std::vector<float>& figures);
+  // What the failure detector has to know of the last report, which came on this connection.
+  void CheckCircuits(const Link& link);
+  // The last report against the calls that stand there, those from before that time in question.
+  policy::CircuitUse CircuitUseOf(const Exchange& exchange, TimeUs in_question) const;
   // Circuits in use by these figures; nothing where they do not tell.
   std::optional<std::size_t> CircuitsUsed(const std::vector<float>& figures) const;
   // Gives up announced calls that the exchange's last report denies.
   void CheckAnnounced(Exchange* exchange);
-  static std::size_t StandingBefore(const std::unordered_map<std::string, Leg>& legs, const Exchange& exchange,
-                                    TimeUs before);
   void NoteStanding(Exchange* exchange, const std::string& id);
   void LogDoubt(const Exchange& exchange, bool was_in_doubt);
   // Keeps one connection to an exchange that is wanted.
@@ -176,6 +176,8 @@
   void CutAll(Exchange* exchange, TimeUs before, std::string_view why, Remains remains = Remains::kNothing);
   // The same for these calls.
   void Cut(Exchange* exchange, std::vector<std::string> ids, std::string_view why, Remains remains);
+  // Calls in doubt are over: the process there does not know them.
+  void GiveUpReplaced(Exchange* exchange, std::string_view why, Remains remains);
   void SendProbe(Link* link);
   void Retire(Exchange* exchange);
   void SendRelease(Exchange* exchange, Link* link, const std::string& id);
--- a/src/policy/failure_detector.cpp
+++ b/src/policy/failure_detector.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t kUnansweredOfSilence = 3, kUnansweredOfOutage = 2;
 // A report of circuits tells a successor from the process that holds the calls only before the successor has calls too.
 constexpr TimeUs kReportIsFresh = 1'000'000;
+// A release that overtook no report is here by the first; one that was sent on a dead connection comes on the further
+// one by the second.
+constexpr TimeUs kDenialIsDoubt = 300'000, kDenialIsCertain = 1'000'000;
 
 }  // namespace
 
@@ -31,11 +34,15 @@
   return "";
 }
 
-bool DeniesCalls(std::size_t used, std::size_t standing) { return 2 * used < standing; }
+bool DeniesCalls(const CircuitUse& use) {
+  const std::size_t known = use.used + use.unsettled;
+  return use.standing_before > 0 && use.standing > known && 2 * (use.standing - known) > use.standing_before;
+}
 
 void FailureDetector::Confirm(TimeUs now) {
   confirmed_at_ = std::max(confirmed_at_, now);
   doubt_since_ = 0;
+  denied_at_ = 0;
   unconfirmed_since_ = 0;
   asked_.clear();
 }
@@ -48,11 +55,12 @@
 void FailureDetector::OnFirstCall(TimeUs now) { Confirm(now); }
 
 void FailureDetector::OnOctets(TimeUs now, TimeUs connection_opened_at) {
-  if (doubt_since_ == 0 || connection_opened_at < doubt_since_) Confirm(now);
+  const TimeUs in_question = doubt_since_ != 0 ? doubt_since_ : denied_at_ != 0 ? denied_before_ : 0;
+  if (in_question == 0 || connection_opened_at < in_question) Confirm(now);
 }
 
 void FailureDetector::OnConnectionOpened(TimeUs now, std::size_t standing) {
-  if (doubt_since_ != 0) return;
+  if (doubt_since_ != 0 || denied_at_ != 0) return;
   const bool announced_long_ago = unconfirmed_since_ != 0 && now >= unconfirmed_since_ + kLongerThanLate;
   if ((Unanswered(now) >= kUnansweredOfOutage || announced_long_ago) && standing > 0) {
     // It was out of reach: another process may be there by now. Whatever stands there stood before this connection.
@@ -64,12 +72,13 @@
 }
 
 void FailureDetector::OnConnectionClosed(TimeUs now) {
-  if (doubt_since_ == 0) Confirm(now);
+  if (doubt_since_ == 0 && denied_at_ == 0) Confirm(now);
 }
 
 void FailureDetector::OnConnectionReset(TimeUs now, std::size_t others_open, std::size_t standing) {
   if (others_open > 0 || standing == 0 || doubt_since_ != 0) return;
   doubt_since_ = now;
+  denied_at_ = 0;
 }
 
 void FailureDetector::OnUnconfirmedCall(TimeUs now) {
@@ -78,29 +87,56 @@
 
 void FailureDetector::OnCallKnown(TimeUs now) { Confirm(now); }
 
+TimeUs FailureDetector::CallsInQuestion(TimeUs connection_opened_at) const {
+  if (doubt_since_ != 0) return doubt_since_;
+  return denied_at_ != 0 ? denied_before_ : connection_opened_at;
+}
+
 bool FailureDetector::OnCircuits(TimeUs now, TimeUs connection_opened_at, const CircuitUse& use) {
-  if (doubt_since_ == 0 || connection_opened_at < doubt_since_) return false;
-  if (DeniesCalls(use.used, use.standing_before)) return true;
-  if (use.used >= use.standing && now - connection_opened_at <= kReportIsFresh) Confirm(now);
+  if (connection_opened_at < CallsInQuestion(connection_opened_at)) return false;
+  const bool in_doubt_without_denial = doubt_since_ != 0 && denied_at_ == 0;
+  if (DeniesCalls(use)) {
+    if (in_doubt_without_denial) return true;
+    if (denied_at_ == 0) {
+      denied_at_ = now;
+      denied_before_ = connection_opened_at;
+    }
+    return false;
+  }
+  const bool fresh = now - connection_opened_at <= kReportIsFresh;
+  if (use.used >= use.standing && (fresh || denied_at_ != 0)) Confirm(now);
   return false;
 }
 
+void FailureDetector::OnCallsCounted(TimeUs now) { Confirm(now); }
+
 void FailureDetector::OnGivenUp(TimeUs now) { Confirm(now); }
 
 LivenessAction FailureDetector::Next(TimeUs now, bool may_probe) {
-  const bool time_is_up = now >= confirmed_at_ + settings_.detect_within_us;
-  if (doubt_since_ != 0 && time_is_up) return LivenessAction::kGiveUpReplaced;
-  if (time_is_up && Unanswered(now) >= kUnansweredOfSilence) return LivenessAction::kGiveUpSilent;
-  if (doubt_since_ != 0 && may_probe && now >= next_probe_) {
+  if (doubt_since_ == 0 && denied_at_ != 0 && now >= denied_at_ + kDenialIsDoubt) {
+    doubt_since_ = denied_before_;
     next_probe_ = now + kProbeGap;
-    return LivenessAction::kProbe;
+    return LivenessAction::kConnect;
   }
-  if (now < confirmed_at_ + kQuietAfter || doubt_since_ != 0) return LivenessAction::kNone;
+  if (doubt_since_ != 0) return NextInDoubt(now, may_probe);
+  const bool time_is_up = now >= confirmed_at_ + settings_.detect_within_us;
+  if (time_is_up && Unanswered(now) >= kUnansweredOfSilence) return LivenessAction::kGiveUpSilent;
+  if (now < confirmed_at_ + kQuietAfter) return LivenessAction::kNone;
   if (!asked_.empty() && now < asked_.back() + kConnectGap) return LivenessAction::kNone;
   asked_.push_back(now);
   return LivenessAction::kConnect;
 }
 
+LivenessAction FailureDetector::NextInDoubt(TimeUs now, bool may_probe) {
+  const bool denied = denied_at_ != 0 && now >= denied_at_ + kDenialIsCertain;
+  if (denied || now >= confirmed_at_ + settings_.detect_within_us) return LivenessAction::kGiveUpReplaced;
+  if (may_probe && now >= next_probe_) {
+    next_probe_ = now + kProbeGap;
+    return LivenessAction::kProbe;
+  }
+  return LivenessAction::kNone;
+}
+
 LivenessState FailureDetector::state(TimeUs now) const {
   if (doubt_since_ != 0) return LivenessState::kDoubtful;
   return now >= confirmed_at_ + kQuietAfter ? LivenessState::kQuiet : LivenessState::kAlive;
--- a/src/policy/failure_detector.h
+++ b/src/policy/failure_detector.h
@@ -16,6 +16,10 @@
 // connection from before, word of a call from before, or as many circuits in use as calls stand. Otherwise the calls
 // are given up.
 //
+// A report of the circuits that denies most of the calls from before its connection was opened is evidence by itself:
+// an outage may be over before silence shows it. Releases that are on their way look the same for a moment, so such a
+// denial has to last, and a further connection is asked for, on which the exchange sends releases again.
+//
 // A connection that the owner is asked for and that is refused is no matter of this class: nothing runs there. One that
 // finds no room counts as one that does not come up: the protocol's time goes before the calls.
 //
@@ -52,12 +56,13 @@
 struct CircuitUse {
   std::size_t used = 0;             // circuits in use, by the exchange's report
   std::size_t standing = 0;         // calls that stand there by the books of this softswitch
-  std::size_t standing_before = 0;  // those of them that stood before `doubt_since`
+  std::size_t standing_before = 0;  // those of them that are in question: see FailureDetector::CallsInQuestion
+  std::size_t unsettled = 0;        // the others, as far as the report may not count them yet: see kCallSettles
 };
 
-// Whether an exchange with so many circuits in use does not know the calls that stand there by the books. Some may just
-// have ended, and word of it be on its way on another connection: not so of more than half of them.
-bool DeniesCalls(std::size_t used, std::size_t standing);
+// Whether an exchange with this use of circuits does not know the calls in question: more than half of them are
+// missing among its circuits. Some may just have ended, and word of it be on its way on another connection.
+bool DeniesCalls(const CircuitUse& use);
 
 class FailureDetector {
  public:
@@ -75,9 +80,13 @@
   void OnUnconfirmedCall(TimeUs now);
   // The exchange told the end of a call that stood before the doubt.
   void OnCallKnown(TimeUs now);
-  // A report of the circuits came on a connection that was opened at `connection_opened_at`. True: the calls from
-  // before the doubt are not known there any more.
+  // Calls that stood before this time are what a report on such a connection is asked about.
+  TimeUs CallsInQuestion(TimeUs connection_opened_at) const;
+  // A report of the circuits came on a connection that was opened at `connection_opened_at`. True: the calls in
+  // question are not known there any more, and that is certain.
   bool OnCircuits(TimeUs now, TimeUs connection_opened_at, const CircuitUse& use);
+  // Releases have come since a report denied calls, and it has as many circuits in use as calls still stand.
+  void OnCallsCounted(TimeUs now);
   // The calls were given up.
   void OnGivenUp(TimeUs now);
 
@@ -88,22 +97,29 @@
   LivenessState state(TimeUs now) const;
   // Calls that stood before are in doubt; 0: none are.
   TimeUs doubt_since() const { return doubt_since_; }
+  // A report denies calls, and nothing has contradicted it yet.
+  bool denied() const { return denied_at_ != 0; }
   // When the process that holds the calls was last known to live.
   TimeUs confirmed_at() const { return confirmed_at_; }
 
  private:
   void Confirm(TimeUs now);
+  LivenessAction NextInDoubt(TimeUs now, bool may_probe);
   // Connections that were asked for since the last sign of life, longer ago than a late one takes.
   std::size_t Unanswered(TimeUs now) const;
 
   FailureDetectorSettings settings_;
   TimeUs confirmed_at_ = 0;
   TimeUs doubt_since_ = 0;
+  TimeUs denied_at_ = 0;          // a report denied calls, and no other evidence is there; 0: none did
+  TimeUs denied_before_ = 0;      // those that stood before this
   TimeUs unconfirmed_since_ = 0;  // a call was announced while no connection was open; 0: none
   std::vector<TimeUs> asked_;     // when connections were asked for, since the last sign of life
   TimeUs next_probe_ = 0;
 };
 
+// A call that stood for less may be missing in a report that was sent before its answer.
+inline constexpr TimeUs kCallSettles = 1'000'000;
 inline constexpr TimeUs kLivenessStep = 100'000;
 // How long a connection is waited for that is to show a sign of life: connections may come up a second late.
 inline constexpr TimeUs kSignOfLifeWithin = 1'500'000;
--- a/tests/failure_detector_test.cpp
+++ b/tests/failure_detector_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace croftrun::policy {
@@ -141,6 +142,57 @@
   EXPECT_EQ(detector.state(now_ + 3 * kSecond), LivenessState::kDoubtful);
 }
 
+// A machine that is away for less than a silence is noticed, and returns without its calls: its reports tell.
+TEST_F(FailureDetectorTest, AReportOnAFreshConnectionThatDeniesMostCallsGivesThemUpUnlessItIsContradicted) {
+  const TimeUs opened = now_ + kSecond;
+  detector_.OnConnectionOpened(opened, kStanding);
+  detector_.OnOctets(opened + kMs, opened);
+  EXPECT_EQ(detector_.CallsInQuestion(opened), opened);
+  EXPECT_FALSE(detector_.OnCircuits(opened + kMs, opened, {0, kStanding, kStanding}));
+  EXPECT_TRUE(detector_.denied());
+  now_ = opened;
+  // It speaks on, and knows calls of its own by now: nothing of that is about the calls from before.
+  detector_.OnOctets(opened + 100 * kMs, opened);
+  EXPECT_FALSE(detector_.OnCircuits(opened + 100 * kMs, opened, {3, kStanding + 5, kStanding, 5}));
+  EXPECT_EQ(RunUntil(opened + 5 * kSecond, Way::kUp), LivenessAction::kGiveUpReplaced);
+  EXPECT_LE(now_, opened + 1'200 * kMs);
+  EXPECT_EQ(detector_.doubt_since(), opened);
+  EXPECT_EQ(connects_, 1);  // on which releases come that found no other way
+}
+
+TEST_F(FailureDetectorTest, ADenialIsWithdrawnByWhateverShowsThatTheCallsAreKnown) {
+  const TimeUs opened = now_ + kSecond;
+  const auto after = [&](const auto& what) {
+    FailureDetector detector = detector_;
+    detector.OnConnectionOpened(opened, kStanding);
+    detector.OnCircuits(opened + kMs, opened, {1, kStanding, kStanding});
+    EXPECT_TRUE(detector.denied());
+    what(detector);
+    EXPECT_FALSE(detector.denied());
+    LivenessAction last = LivenessAction::kNone;
+    for (TimeUs at = opened + 100 * kMs; at < opened + 2 * kSecond; at += kLivenessStep)
+      last = std::max(last, detector.Next(at, false));
+    EXPECT_EQ(last, LivenessAction::kNone);
+  };
+  after([&](FailureDetector& detector) { detector.OnCallKnown(opened + 20 * kMs); });
+  after([&](FailureDetector& detector) { detector.OnOctets(opened + 20 * kMs, opened - kSecond); });
+  after([&](FailureDetector& detector) { detector.OnCallsCounted(opened + 20 * kMs); });
+  after([&](FailureDetector& detector) {
+    detector.OnCircuits(opened + 50 * kMs, opened, {kStanding, kStanding, kStanding});
+  });
+}
+
+TEST_F(FailureDetectorTest, AReportThatMissesHalfOfTheCallsOrAFewNewOnesDeniesNothing) {
+  const TimeUs opened = now_ + kSecond;
+  detector_.OnConnectionOpened(opened, kStanding);
+  detector_.OnCircuits(opened + kMs, opened, {2, 4, 4});
+  EXPECT_FALSE(detector_.denied());
+  detector_.OnCircuits(opened + kMs, opened, {4, 9, 4, 5});  // five were answered while it was on its way
+  EXPECT_FALSE(detector_.denied());
+  detector_.OnCircuits(opened + kMs, opened, {0, 2, 0, 0});  // it was asked about no call
+  EXPECT_FALSE(detector_.denied());
+}
+
 TEST_F(FailureDetectorTest, ProbesAreSentInDoubtAloneAndOnlyWhereTheyAreAllowed) {
   RunUntil(now_ + 10 * kSecond, Way::kUp, true);
   EXPECT_EQ(probes_, 0);
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -104,6 +104,11 @@
     }
     runtime_.RunFor(kMs);
   }
+  // A report of the circuits in use, of 20.
+  static void ReportCircuits(PlatformLink& link, int used) {
+    const std::string load = "spare:" + std::to_string(20 - used) + ";total:20";
+    link.Send({.type = MessageType::kGauge, .id = "0000000000000000", .fields = {{"load", load}}});
+  }
   // A notice of what has changed.
   void Tell(std::uint64_t number, const std::vector<json>& targets) {
     board_.Tell(number, EventJson(number, false, targets));
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -376,6 +376,39 @@
   EXPECT_EQ(caller->For(kCall)[1].cause, 41);
 }
 
+// A machine that was away for less than a silence is noticed and returned without its calls.
+TEST_F(PlatformTest, CallsThatTheReportOnAFreshConnectionDeniesAreEndedWithinASecond) {
+  const auto caller = Caller();
+  Stand(*caller, kCall);
+  Stand(*caller, kOther);
+  ReportCircuits(*one_.OpenLinks()[0], 2);
+  const std::size_t before = one_.OpenLinks().size();
+  runtime_.RunFor(2'800 * kMs);  // of silence: a connection was asked for
+  const std::vector<PlatformLink*> links = one_.OpenLinks();
+  ASSERT_EQ(links.size(), before + 1);
+  ReportCircuits(*links.back(), 0);
+  runtime_.RunFor(500 * kMs);
+  EXPECT_EQ(caller->For(kCall).size(), 1U);
+  runtime_.RunFor(700 * kMs);
+  for (const char* const id : {kCall, kOther}) {
+    ASSERT_EQ(caller->For(id).size(), 2U);
+    EXPECT_EQ(caller->For(id)[1].cause, 41);
+  }
+}
+
+TEST_F(PlatformTest, AReportThatOvertakesTheReleaseOfACallCutsNothing) {
+  const auto caller = Caller();
+  Stand(*caller, kCall);
+  runtime_.RunFor(2'800 * kMs);
+  ReportCircuits(*one_.OpenLinks().back(), 0);
+  runtime_.RunFor(200 * kMs);
+  PlatformExchange::Release(*one_.OpenLinks()[0], kCall, 16);
+  runtime_.RunFor(3'000 * kMs);
+  ASSERT_EQ(caller->For(kCall).size(), 2U);
+  EXPECT_EQ(caller->For(kCall)[1].cause, 16);
+  EXPECT_TRUE(one_.Heard(MessageType::kRelease).empty());
+}
+
 TEST_F(PlatformTest, TheEndOfACallIsToldWhereItsCallerListensNotOnTheFrontsTests) {
   auto caller = Caller();
   const auto other = Caller();
