--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -246,6 +246,7 @@
       id = next_++;
       exchanges_[id] = std::make_unique<Exchange>(runtime_);
       exchanges_[id]->id = id;
+      exchanges_[id]->detector.SettleBy(settle_by_);
     }
     Exchange& e = *exchanges_.at(id);
     if (Superseded(id, target, since)) {
@@ -342,6 +343,11 @@
   }
 }
 
+void Exchanges::SettleBy(TimeUs at) {
+  settle_by_ = at;
+  for (const auto& [id, exchange] : exchanges_) exchange->detector.SettleBy(at);
+}
+
 void Exchanges::WatchLiveness() {
   liveness_.Start(policy::kLivenessStep, [this] {
     for (const auto& [id, exchange] : exchanges_) {
@@ -389,10 +395,10 @@
   policy::CircuitUse use{.used = *exchange.circuits_used, .standing = exchange.standing.size()};
   const TimeUs now = runtime_->Now();
   for (const std::string& id : exchange.standing) {
-    const TimeUs stood_at = legs_.at(id).stood_at;
-    if (stood_at < in_question) {
+    const Leg& leg = legs_.at(id);
+    if (leg.StoodBefore(in_question)) {
       ++use.standing_before;
-    } else if (now < stood_at + policy::kCallSettles) {
+    } else if (now < leg.stood_at + policy::kCallSettles) {
       ++use.unsettled;
     }
   }
@@ -414,7 +420,11 @@
 
 void Exchanges::GiveUpReplaced(Exchange* exchange, std::string_view why, Remains remains) {
   ++counters_.given_up_replaced;
-  CutAll(exchange, exchange->detector.doubt_since(), why, remains);
+  std::vector<std::string> ids;
+  for (const std::string& id : exchange->standing) {
+    if (legs_.at(id).StoodBefore(exchange->detector.doubt_since())) ids.push_back(id);
+  }
+  Cut(exchange, std::move(ids), why, remains);
   exchange->detector.OnGivenUp(runtime_->Now());
 }
 
@@ -734,7 +744,7 @@
   policy::FailureDetector& detector = exchange->detector;
   const bool was_in_doubt = exchange->InDoubt();
   if (found->second.stands && (was_in_doubt || detector.denied()) &&
-      found->second.stood_at < detector.CallsInQuestion(link->opened_at)) {
+      found->second.StoodBefore(detector.CallsInQuestion(link->opened_at))) {
     detector.OnCallKnown(runtime_->Now());
     LogDoubt(*exchange, was_in_doubt);
   }
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -94,6 +94,9 @@
   // The longest that an exchange with standing calls has sent nothing; 0 where none stands.
   TimeUs longest_silence() const;
 
+  // The process is going to end: calls at exchanges that may not know them any more are ended by then.
+  void SettleBy(TimeUs at);
+
   void SetUp(const core::TrunkSetUp& set_up) override;
   void Release(const core::CircuitSet& set, const core::ReleaseInfo& info) override;
   void ProbeExchange(ExchangeId exchange) override;
@@ -118,6 +121,8 @@
     TimeUs stood_at = 0;
     std::string id;
     bool announced = false;  // it was set up by a former process, and announced by its caller
+    // It stood before that time; one that was announced may have stood for as long as you like.
+    bool StoodBefore(TimeUs time) const { return announced || stood_at < time; }
   };
 
   // A time of the runtime's clock, never 0; 0 for 0.
@@ -201,6 +206,7 @@
   RecentNames departed_;    // machines that are forgotten
   RecentNames early_ends_;  // calls whose end came before they were taken over
   core::Timer liveness_;
+  TimeUs settle_by_ = 0;  // 0: no end is in sight
   std::unordered_map<std::string, std::pair<ExchangeId, TimeUs>> probes_;
   ExchangeCounters counters_;
 };
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -23,6 +23,8 @@
 // SIGTERM. By then every call has its answer (so much before) and the connections are closed (so much before).
 constexpr TimeUs kLongestKillWait = 3'000'000, kKillMargin = 700'000;
 constexpr TimeUs kAnswersBeforeKill = 350'000, kClosedBeforeKill = 250'000;
+// Calls in doubt are ended so much before, as their callers' connections are still open then.
+constexpr TimeUs kSettledBeforeKill = kClosedBeforeKill + 2 * policy::kLivenessStep;
 // An address that is still bound is tried again at this gap, so many times.
 constexpr TimeUs kBindAgain = 50'000;
 constexpr int kMostBinds = 200;
@@ -114,6 +116,7 @@
   const TimeUs kill_at = stopping_since_ + std::min(longest_deadline_, kLongestKillWait) + kKillMargin;
   last_moment_ = kill_at - kClosedBeforeKill;
   core_->FinishBy(kill_at - kAnswersBeforeKill);
+  exchanges_->SettleBy(kill_at - kSettledBeforeKill);
   log_->Write(core::LogLevel::kInfo, "stopping", 0, Metrics());
   WaitForEnd();
 }
--- a/src/policy/failure_detector.cpp
+++ b/src/policy/failure_detector.cpp
@@ -9,6 +9,8 @@
 // seconds that begins with the silence is noticed; one of three that begins just before the first question is over
 // before the calls are given up.
 constexpr TimeUs kQuietAfter = 2'500'000, kConnectGap = 500'000;
+// The same silence once the calls are to be settled by a certain time.
+constexpr TimeUs kQuietBeforeSettling = 1'000'000;
 constexpr TimeUs kProbeGap = 1'000'000;
 // Connections that come up late do so within a second.
 constexpr TimeUs kLongerThanLate = 1'200'000;
@@ -113,15 +115,17 @@
 void FailureDetector::OnGivenUp(TimeUs now) { Confirm(now); }
 
 LivenessAction FailureDetector::Next(TimeUs now, bool may_probe) {
-  if (doubt_since_ == 0 && denied_at_ != 0 && now >= denied_at_ + kDenialIsDoubt) {
+  if (doubt_since_ == 0 && denied_at_ != 0 && (now >= denied_at_ + kDenialIsDoubt || Settling(now))) {
     doubt_since_ = denied_before_;
     next_probe_ = now + kProbeGap;
     return LivenessAction::kConnect;
   }
   if (doubt_since_ != 0) return NextInDoubt(now, may_probe);
   const bool time_is_up = now >= confirmed_at_ + settings_.detect_within_us;
-  if (time_is_up && Unanswered(now) >= kUnansweredOfSilence) return LivenessAction::kGiveUpSilent;
-  if (now < confirmed_at_ + kQuietAfter) return LivenessAction::kNone;
+  const bool out_of_reach = Unanswered(now) >= kUnansweredOfOutage;
+  if ((time_is_up && Unanswered(now) >= kUnansweredOfSilence) || (out_of_reach && Settling(now)))
+    return LivenessAction::kGiveUpSilent;
+  if (now < confirmed_at_ + (settle_by_ == 0 ? kQuietAfter : kQuietBeforeSettling)) return LivenessAction::kNone;
   if (!asked_.empty() && now < asked_.back() + kConnectGap) return LivenessAction::kNone;
   asked_.push_back(now);
   return LivenessAction::kConnect;
@@ -129,7 +133,8 @@
 
 LivenessAction FailureDetector::NextInDoubt(TimeUs now, bool may_probe) {
   const bool denied = denied_at_ != 0 && now >= denied_at_ + kDenialIsCertain;
-  if (denied || now >= confirmed_at_ + settings_.detect_within_us) return LivenessAction::kGiveUpReplaced;
+  if (denied || Settling(now) || now >= confirmed_at_ + settings_.detect_within_us)
+    return LivenessAction::kGiveUpReplaced;
   if (may_probe && now >= next_probe_) {
     next_probe_ = now + kProbeGap;
     return LivenessAction::kProbe;
--- a/src/policy/failure_detector.h
+++ b/src/policy/failure_detector.h
@@ -89,6 +89,10 @@
   void OnCallsCounted(TimeUs now);
   // The calls were given up.
   void OnGivenUp(TimeUs now);
+  // What is known or suspected here is lost to whoever watches these calls after `at`: signs of life are asked for
+  // sooner from now on, and calls that are in doubt at that time, or at an exchange that is out of reach then, are
+  // given up.
+  void SettleBy(TimeUs at) { settle_by_ = at; }
 
   // What to do now; to be asked every kLivenessStep or so while calls stand. Asking is noted: the same action is not
   // asked for again at once.
@@ -104,6 +108,7 @@
 
  private:
   void Confirm(TimeUs now);
+  bool Settling(TimeUs now) const { return settle_by_ != 0 && now >= settle_by_; }
   LivenessAction NextInDoubt(TimeUs now, bool may_probe);
   // Connections that were asked for since the last sign of life, longer ago than a late one takes.
   std::size_t Unanswered(TimeUs now) const;
@@ -113,6 +118,7 @@
   TimeUs doubt_since_ = 0;
   TimeUs denied_at_ = 0;          // a report denied calls, and no other evidence is there; 0: none did
   TimeUs denied_before_ = 0;      // those that stood before this
+  TimeUs settle_by_ = 0;          // 0: no end is in sight
   TimeUs unconfirmed_since_ = 0;  // a call was announced while no connection was open; 0: none
   std::vector<TimeUs> asked_;     // when connections were asked for, since the last sign of life
   TimeUs next_probe_ = 0;
--- a/tests/failure_detector_test.cpp
+++ b/tests/failure_detector_test.cpp
@@ -206,6 +206,33 @@
   EXPECT_EQ(probes_, 0);
 }
 
+// A doubt is lost with the process that has it: it is settled before that process ends.
+TEST_F(FailureDetectorTest, WhatIsInDoubtOrOutOfReachWhenTheProcessIsToEndIsGivenUpByThen) {
+  const TimeUs stop = now_;
+  const auto settled = [&](Way way, const auto& what) {
+    now_ = stop;
+    begun_.clear();
+    FailureDetector before = detector_;
+    detector_.SettleBy(stop + 3 * kSecond);
+    what();
+    const LivenessAction action = RunUntil(stop + 3'200 * kMs, way);
+    detector_ = before;
+    return action;
+  };
+  EXPECT_EQ(settled(Way::kUp, [] {}), LivenessAction::kNone);
+  EXPECT_EQ(settled(Way::kDown, [] {}), LivenessAction::kGiveUpSilent);
+  EXPECT_LE(now_, stop + 3'100 * kMs);
+  EXPECT_EQ(settled(Way::kUp, [&] { detector_.OnConnectionReset(stop, 0, kStanding); }),
+            LivenessAction::kGiveUpReplaced);
+  EXPECT_LE(now_, stop + 3'100 * kMs);
+  EXPECT_EQ(settled(Way::kUp,
+                    [&] {
+                      RunUntil(stop + 2'900 * kMs, Way::kUp);
+                      detector_.OnCircuits(now_, now_, {0, kStanding, kStanding});
+                    }),
+            LivenessAction::kGiveUpReplaced);
+}
+
 TEST_F(FailureDetectorTest, AStandstillOfTheOwnProcessIsNoSilenceOfTheExchange) {
   now_ += 30 * kSecond;
   // Whatever lies unread is looked at after the timers: nothing may be given up before it was asked for.
