--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -395,10 +395,22 @@
   return true;
 }
 
+std::unordered_set<const Callers::Link*> Callers::OnlyWays() {
+  std::unordered_set<std::uint32_t> hosts;
+  for (const auto& [call, held] : calls_) {
+    if (held.stands && held.link == nullptr) hosts.insert(held.host);
+  }
+  std::unordered_set<const Link*> ways;
+  for (const std::uint32_t host : hosts) ways.insert(AnyLink(host));
+  return ways;
+}
+
 void Callers::CloseIdle(bool all) {
   const TimeUs now = runtime_->Now();
   std::vector<Link*> idle;
+  const std::unordered_set<const Link*> only_ways = OnlyWays();
   for (const auto& link : links_) {
+    if (!all && only_ways.count(link.get()) > 0) continue;
     const bool nothing_open = link->set_ups == 0 && link->stream->Pending() == 0;
     if (!nothing_open || link->reader.partial() || link->stream->Unread()) continue;
     const bool nothing_left = link->standing == 0 && now >= link->last_octets + kQuietBeforeClose;
--- a/src/platform/callers.h
+++ b/src/platform/callers.h
@@ -57,7 +57,8 @@
   // When the last connection came.
   TimeUs last_link() const { return last_link_; }
   // Closes the connections on which nothing is left: no set-up, nothing half said, unwritten or unread, and no call
-  // that stands, whose end may come on no other. `all`: also those with standing calls, and those that were just used.
+  // that stands, whose end may come on no other. A call whose own connection is gone has the latest of its caller.
+  // `all`: also those with standing calls, and those that were just used.
   void CloseIdle(bool all);
 
   core::StreamSink* OnAccept(std::unique_ptr<core::Stream> stream) override;
@@ -92,6 +93,8 @@
   bool Evict();
   void Sweep();
   Link* AnyLink(std::uint32_t host);
+  // For each caller with a standing call whose own connection is gone: the connection on which its end would be told.
+  std::unordered_set<const Link*> OnlyWays();
   void Send(Link* link, const Message& message);
   void Refuse(Link* link, const std::string& id, int cause);
   void Forget(CallId call);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -666,6 +666,32 @@
   EXPECT_TRUE(stopped);
 }
 
+// The end of a call whose own connection was gone came in a drain, and the caller's last connection had been closed.
+TEST_F(PlatformTest, TheLastConnectionOfACallerStaysInADrainForCallsWhoseOwnConnectionIsGone) {
+  const auto caller = Caller(), second = Caller(), stranger = Caller(0x7f000009);
+  Stand(*caller, kCall);
+  for (PlatformCaller* const other : {second.get(), stranger.get()}) {
+    const std::string id = other == second.get() ? kOther : "9b1f03aa5c7e2d43";
+    Stand(*other, id);
+    PlatformExchange::Release(*one_.OpenLinks()[0], id, 16);
+    runtime_.RunFor(5 * kMs);
+  }
+  caller->link.stream.reset();
+  runtime_.RunFor(5 * kMs);
+  bool stopped = false;
+  node_->Stop([&stopped] { stopped = true; });
+  runtime_.RunFor(1'200 * kMs);
+  EXPECT_TRUE(stranger->link.end.has_value());
+  ASSERT_FALSE(second->link.end.has_value());
+  PlatformExchange::Release(*one_.OpenLinks()[0], kCall, 16);
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(second->For(kCall).size(), 1U);
+  EXPECT_EQ(second->For(kCall)[0].cause, 16);
+  runtime_.RunFor(200 * kMs);
+  EXPECT_TRUE(second->link.end.has_value());
+  EXPECT_TRUE(stopped);
+}
+
 TEST_F(PlatformTest, AnEndToldOnAConnectionThatIsThenClosedHereIsToldOnce) {
   const auto caller = Caller(), second = Caller();
   Stand(*caller, kOther);
