--- a/src/lab/soak/exchange_stand_in.cpp
+++ b/src/lab/soak/exchange_stand_in.cpp
@@ -62,10 +62,26 @@
 ExchangeStandIn::ExchangeStandIn(core::Runtime* runtime, TrafficRecord* record, std::uint64_t seed,
                                  const ExchangeTraits& traits, std::vector<FaultProxy*> ways,
                                  const std::vector<core::Address>& listen)
-    : runtime_(runtime), record_(record), random_(seed), traits_(traits), ways_(std::move(ways)), hang_(runtime) {
+    : runtime_(runtime),
+      record_(record),
+      random_(seed),
+      traits_(traits),
+      ways_(std::move(ways)),
+      hang_(runtime),
+      report_(runtime) {
   for (std::size_t i = 0; i < listen.size(); ++i) {
     doors_.push_back(std::make_unique<Door>(this, static_cast<int>(i), listen[i]));
   }
+  if (traits_.reports_every > 0) ReportByTheClock();
+}
+
+void ExchangeStandIn::ReportByTheClock() {
+  report_.Start(traits_.reports_every, [this] {
+    for (std::size_t softswitch = 0; softswitch < ways_.size(); ++softswitch) {
+      if (Connection* const newest = Newest(static_cast<int>(softswitch))) SendGauge(newest);
+    }
+    ReportByTheClock();
+  });
 }
 
 ExchangeStandIn::~ExchangeStandIn() = default;
--- a/src/lab/soak/exchange_stand_in.h
+++ b/src/lab/soak/exchange_stand_in.h
@@ -24,6 +24,7 @@
   int circuits = 30;           // of the group towards each softswitch
   bool tells_gauges = true;    // the state of a group, when it changes
   bool greets = true;          // and on each new connection
+  TimeUs reports_every = 0;    // and so often on the newest one; 0: not by the clock
   double never_answers = 0.0;  // shares of the set-ups
   double breaks = 0.0;         // the connection is closed under it
   double spoils = 0.0;         // the answer cannot be read
@@ -70,6 +71,7 @@
   // The newest connection of this softswitch; null: there is none.
   Connection* Newest(int softswitch);
   void SendGauge(Connection* connection);
+  void ReportByTheClock();
   void Note(EventKind kind, int softswitch, const std::string& call, std::int64_t value = 0);
   bool Draw(double share) { return std::uniform_real_distribution<double>(0.0, 1.0)(random_) < share; }
 
@@ -87,7 +89,7 @@
   std::map<int, std::vector<std::string>> repeated_;  // releases that the next connection brings once more
   std::map<int, int> used_;                           // circuits, by softswitch
   bool hangs_ = false;
-  core::Timer hang_;
+  core::Timer hang_, report_;
 };
 
 }  // namespace croftrun::lab::soak
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -124,6 +124,7 @@
   std::unique_ptr<core::Stream> stream;
   std::list<std::unique_ptr<Link>>::iterator place;
   TimeUs opened_at = 0, heard_at = 0;
+  TimeUs tested_at = 0;  // for a sign of life
   bool open = false;
   bool for_life = false;                     // opened as a sign of life: set-ups do not wait for it
   bool silent = false;                       // a set-up was given up on it, and nothing has come since
@@ -356,7 +357,10 @@
       const bool was_in_doubt = exchange->InDoubt();
       if (detector.denied() && *exchange->circuits_used >= exchange->standing.size())
         detector.OnCallsCounted(runtime_->Now());
-      const policy::LivenessAction action = detector.Next(runtime_->Now(), settings_.may_probe);
+      const bool holder_open = std::any_of(exchange->links.begin(), exchange->links.end(), [&](const auto& link) {
+        return link->open && detector.IsOfHolder(link->opened_at);
+      });
+      const policy::LivenessAction action = detector.Next(runtime_->Now(), settings_.may_probe, holder_open);
       LogDoubt(*exchange, was_in_doubt);
       Act(exchange.get(), action);
     }
@@ -373,13 +377,10 @@
       ++counters_.liveness_connects;
       OpenLink(exchange, Purpose::kSignOfLife);
       return;
-    case policy::LivenessAction::kProbe: {
-      const auto oldest =
-          std::find_if(exchange->links.begin(), exchange->links.end(), [](const auto& x) { return x->open; });
-      if (oldest == exchange->links.end()) return;
-      ++counters_.liveness_probes;
-      return SendProbe(oldest->get());
-    }
+    case policy::LivenessAction::kProbe:
+      return ProbeForLife(LeastRecentlyTested(*exchange));
+    case policy::LivenessAction::kProbeNewest:
+      return ProbeForLife(OpenOne(*exchange));
     case policy::LivenessAction::kGiveUpSilent:
       ++counters_.given_up_silent;
       CutAll(exchange, now + 1, "gives no sign of life", Remains::kMayStand);
@@ -391,6 +392,22 @@
   }
 }
 
+Exchanges::Link* Exchanges::LeastRecentlyTested(const Exchange& exchange) {
+  Link* best = nullptr;
+  for (const auto& link : exchange.links) {
+    if (!link->open || !exchange.detector.IsOfHolder(link->opened_at)) continue;
+    if (best == nullptr || link->tested_at < best->tested_at) best = link.get();
+  }
+  return best;
+}
+
+void Exchanges::ProbeForLife(Link* link) {
+  if (link == nullptr) return;
+  ++counters_.liveness_probes;
+  link->tested_at = runtime_->Now();
+  SendProbe(link);
+}
+
 policy::CircuitUse Exchanges::CircuitUseOf(const Exchange& exchange, TimeUs in_question) const {
   policy::CircuitUse use{.used = *exchange.circuits_used, .standing = exchange.standing.size()};
   const TimeUs now = runtime_->Now();
@@ -477,9 +494,11 @@
 
 void Exchanges::CloseSpare(Exchange* exchange) {
   // In doubt the old ones are what can end it.
+  const policy::FailureDetector& detector = exchange->detector;
   if (exchange->InDoubt()) return;
   std::vector<Link*> idle;
   for (const auto& link : exchange->links) {
+    if (detector.probed() && detector.IsOfHolder(link->opened_at)) continue;
     if (link->open && link->set_ups.empty()) idle.push_back(link.get());
   }
   if (idle.size() <= kIdleKept) return;
@@ -792,6 +811,7 @@
   ++counters_.gauges;
   const std::string* const load = message.Field("load");
   if (load == nullptr) return;
+  link->exchange->detector.OnReport(runtime_->Now());
   if (*load == link->exchange->told) return CheckCircuits(*link);
   const std::vector<float> figures = FiguresOf(*load);
   link->exchange->told = *load;
@@ -808,10 +828,13 @@
   const bool was_in_doubt = exchange->InDoubt();
   if (!link.open) return;
   if (end == LinkEnd::kClosed) {
-    exchange->detector.OnConnectionClosed(now);
+    exchange->detector.OnConnectionClosed(now, link.opened_at);
   } else if (end == LinkEnd::kReset) {
-    const auto others = std::count_if(exchange->links.begin(), exchange->links.end(),
-                                      [&link](const auto& x) { return x->open && x.get() != &link; });
+    const policy::FailureDetector& detector = exchange->detector;
+    const auto others = std::count_if(exchange->links.begin(), exchange->links.end(), [&](const auto& other) {
+      const bool counts = !detector.probed() || detector.IsOfHolder(other->opened_at);
+      return other->open && other.get() != &link && counts;
+    });
     exchange->detector.OnConnectionReset(now, static_cast<std::size_t>(others), exchange->standing.size());
   }
   LogDoubt(*exchange, was_in_doubt);
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -184,6 +184,10 @@
   // Calls in doubt are over: the process there does not know them.
   void GiveUpReplaced(Exchange* exchange, std::string_view why, Remains remains);
   void SendProbe(Link* link);
+  // The same for the failure detector; nothing where there is no connection.
+  void ProbeForLife(Link* link);
+  // Of the connections that belong to the process that holds the calls there; null: none is open.
+  static Link* LeastRecentlyTested(const Exchange& exchange);
   void Retire(Exchange* exchange);
   void SendRelease(Exchange* exchange, Link* link, const std::string& id);
   // Log lines: each names the exchange, its address and, where there is one, the connection by its number.
--- a/src/policy/failure_detector.cpp
+++ b/src/policy/failure_detector.cpp
@@ -9,13 +9,21 @@
 // seconds that begins with the silence is noticed; one of three that begins just before the first question is over
 // before the calls are given up.
 constexpr TimeUs kQuietAfter = 2'500'000, kConnectGap = 500'000;
-// The same silence once the calls are to be settled by a certain time.
-constexpr TimeUs kQuietBeforeSettling = 1'000'000;
+// The second one follows sooner, as one that does not come up at once may be the one in fifty.
+constexpr TimeUs kSecondConnectAfter = 250'000;
+// The shortest silence that is out of the ordinary, however often reports come: the own process stands still at times.
+constexpr TimeUs kQuietAtLeast = 1'000'000;
+// Reports that come together on several connections are one.
+constexpr TimeUs kSameReport = 20'000;
 constexpr TimeUs kProbeGap = 1'000'000;
+// A test that was not answered by then goes on as a connection.
+constexpr TimeUs kProbeWithin = 500'000;
 // Connections that come up late do so within a second.
 constexpr TimeUs kLongerThanLate = 1'200'000;
-// One connection in fifty never comes up: three in a row do so once in 125,000 times, two mark an outage.
+// One connection in fifty never comes up: three in a row do so once in 125,000 times, two mark an outage. The second of
+// these may have been asked for a little later.
 constexpr std::size_t kUnansweredOfSilence = 3, kUnansweredOfOutage = 2;
+constexpr TimeUs kSecondIsLate = 700'000;
 // A report of circuits tells a successor from the process that holds the calls only before the successor has calls too.
 constexpr TimeUs kReportIsFresh = 1'000'000;
 // A release that overtook no report is here by the first; one that was sent on a dead connection comes on the further
@@ -45,6 +53,9 @@
   confirmed_at_ = std::max(confirmed_at_, now);
   doubt_since_ = 0;
   denied_at_ = 0;
+  probed_at_ = reached_at_ = others_since_ = others_heard_at_ = 0;
+  give_up_from_ = 0;
+  newest_next_ = false;
   unconfirmed_since_ = 0;
   asked_.clear();
 }
@@ -54,32 +65,66 @@
       std::count_if(asked_.begin(), asked_.end(), [now](TimeUs asked) { return now >= asked + kLongerThanLate; }));
 }
 
-void FailureDetector::OnFirstCall(TimeUs now) { Confirm(now); }
+bool FailureDetector::OutOfReach(TimeUs now) const {
+  return asked_.size() >= kUnansweredOfOutage && now >= asked_[0] + kLongerThanLate && now >= asked_[1] + kSecondIsLate;
+}
+
+bool FailureDetector::Quiet(TimeUs now) const {
+  TimeUs after = kQuietAfter;
+  // The rhythm of reports, with a half to spare, tells only while they come: after a connection alone the clock does.
+  if (report_interval_.known() && heard_at_ == confirmed_at_)
+    after = std::clamp(report_interval_.LongestExpected() * 3 / 2, kQuietAtLeast, kQuietAfter);
+  if (settle_by_ != 0) after = std::min(after, kQuietAtLeast);
+  return now >= confirmed_at_ + after;
+}
+
+bool FailureDetector::IsOfHolder(TimeUs connection_opened_at) const {
+  return connection_opened_at <= confirmed_at_ && (doubt_since_ == 0 || connection_opened_at < doubt_since_);
+}
+
+void FailureDetector::OnFirstCall(TimeUs now) {
+  Confirm(now);
+  heard_at_ = confirmed_at_;
+}
 
 void FailureDetector::OnOctets(TimeUs now, TimeUs connection_opened_at) {
   const TimeUs in_question = doubt_since_ != 0 ? doubt_since_ : denied_at_ != 0 ? denied_before_ : 0;
-  if (in_question == 0 || connection_opened_at < in_question) Confirm(now);
+  if (in_question != 0 && connection_opened_at >= in_question) return;
+  if (in_question == 0 && by_probe_ && !IsOfHolder(connection_opened_at)) {
+    others_since_ = others_since_ == 0 ? connection_opened_at : std::min(others_since_, connection_opened_at);
+    others_heard_at_ = now;
+    return;
+  }
+  Confirm(now);
+  heard_at_ = confirmed_at_;
 }
 
 void FailureDetector::OnConnectionOpened(TimeUs now, std::size_t standing) {
   if (doubt_since_ != 0 || denied_at_ != 0) return;
   const bool announced_long_ago = unconfirmed_since_ != 0 && now >= unconfirmed_since_ + kLongerThanLate;
-  if ((Unanswered(now) >= kUnansweredOfOutage || announced_long_ago) && standing > 0) {
+  if ((OutOfReach(now) || announced_long_ago) && standing > 0) {
     // It was out of reach: another process may be there by now. Whatever stands there stood before this connection.
     doubt_since_ = now;
     next_probe_ = now;
     return;
   }
-  Confirm(now);
+  if (!by_probe_) return Confirm(now);
+  // Its machine can be reached: whether the process is still the same has to be shown by the older connections.
+  asked_.clear();
+  if (probed_at_ == 0 || reached_at_ != 0) return;
+  reached_at_ = now;
+  newest_next_ = true;
+  next_probe_ = now;
 }
 
-void FailureDetector::OnConnectionClosed(TimeUs now) {
-  if (doubt_since_ == 0 && denied_at_ == 0) Confirm(now);
+void FailureDetector::OnConnectionClosed(TimeUs now, TimeUs connection_opened_at) {
+  if (doubt_since_ != 0 || denied_at_ != 0) return;
+  if (!by_probe_ || IsOfHolder(connection_opened_at)) Confirm(now);
 }
 
 void FailureDetector::OnConnectionReset(TimeUs now, std::size_t others_open, std::size_t standing) {
   if (others_open > 0 || standing == 0 || doubt_since_ != 0) return;
-  doubt_since_ = now;
+  doubt_since_ = others_since_ != 0 ? others_since_ : now;
   denied_at_ = 0;
 }
 
@@ -89,6 +134,8 @@
 
 void FailureDetector::OnCallKnown(TimeUs now) { Confirm(now); }
 
+void FailureDetector::OnReport(TimeUs now) { report_interval_.OnEvent(now, kSameReport, kQuietAfter); }
+
 TimeUs FailureDetector::CallsInQuestion(TimeUs connection_opened_at) const {
   if (doubt_since_ != 0) return doubt_since_;
   return denied_at_ != 0 ? denied_before_ : connection_opened_at;
@@ -114,7 +161,8 @@
 
 void FailureDetector::OnGivenUp(TimeUs now) { Confirm(now); }
 
-LivenessAction FailureDetector::Next(TimeUs now, bool may_probe) {
+LivenessAction FailureDetector::Next(TimeUs now, bool may_probe, bool holder_open) {
+  by_probe_ = may_probe && holder_open && !report_interval_.seen();
   if (doubt_since_ == 0 && denied_at_ != 0 && (now >= denied_at_ + kDenialIsDoubt || Settling(now))) {
     doubt_since_ = denied_before_;
     next_probe_ = now + kProbeGap;
@@ -122,18 +170,42 @@
   }
   if (doubt_since_ != 0) return NextInDoubt(now, may_probe);
   const bool time_is_up = now >= confirmed_at_ + settings_.detect_within_us;
-  const bool out_of_reach = Unanswered(now) >= kUnansweredOfOutage;
-  if ((time_is_up && Unanswered(now) >= kUnansweredOfSilence) || (out_of_reach && Settling(now)))
+  if ((time_is_up && Unanswered(now) >= kUnansweredOfSilence) || (Settling(now) && OutOfReach(now)))
     return LivenessAction::kGiveUpSilent;
-  if (now < confirmed_at_ + (settle_by_ == 0 ? kQuietAfter : kQuietBeforeSettling)) return LivenessAction::kNone;
-  if (!asked_.empty() && now < asked_.back() + kConnectGap) return LivenessAction::kNone;
+  if (!Quiet(now)) return LivenessAction::kNone;
+  return by_probe_ ? NextByProbe(now) : NextConnect(now);
+}
+
+LivenessAction FailureDetector::NextConnect(TimeUs now) {
+  const TimeUs gap = asked_.size() == 1 ? kSecondConnectAfter : kConnectGap;
+  if (!asked_.empty() && now < asked_.back() + gap) return LivenessAction::kNone;
   asked_.push_back(now);
   return LivenessAction::kConnect;
 }
 
+LivenessAction FailureDetector::NextByProbe(TimeUs now) {
+  if (probed_at_ == 0) {
+    probed_at_ = now;
+    return LivenessAction::kProbe;
+  }
+  if (now < probed_at_ + kProbeWithin) return LivenessAction::kNone;
+  if (others_heard_at_ >= probed_at_) {
+    doubt_since_ = others_since_;
+    next_probe_ = now;
+    give_up_from_ = now + kProbeGap;
+    return LivenessAction::kNone;
+  }
+  if (reached_at_ != 0 && now >= reached_at_ + kQuietAfter) reached_at_ = 0;  // it has to be shown again
+  if (reached_at_ == 0) return NextConnect(now);
+  if (now < next_probe_) return LivenessAction::kNone;
+  next_probe_ = now + kProbeGap;
+  newest_next_ = !newest_next_;
+  return newest_next_ ? LivenessAction::kProbe : LivenessAction::kProbeNewest;
+}
+
 LivenessAction FailureDetector::NextInDoubt(TimeUs now, bool may_probe) {
   const bool denied = denied_at_ != 0 && now >= denied_at_ + kDenialIsCertain;
-  if (denied || Settling(now) || now >= confirmed_at_ + settings_.detect_within_us)
+  if (denied || Settling(now) || now >= std::max(confirmed_at_ + settings_.detect_within_us, give_up_from_))
     return LivenessAction::kGiveUpReplaced;
   if (may_probe && now >= next_probe_) {
     next_probe_ = now + kProbeGap;
@@ -144,7 +216,7 @@
 
 LivenessState FailureDetector::state(TimeUs now) const {
   if (doubt_since_ != 0) return LivenessState::kDoubtful;
-  return now >= confirmed_at_ + kQuietAfter ? LivenessState::kQuiet : LivenessState::kAlive;
+  return Quiet(now) ? LivenessState::kQuiet : LivenessState::kAlive;
 }
 
 }  // namespace croftrun::policy
--- a/src/policy/failure_detector.h
+++ b/src/policy/failure_detector.h
@@ -20,6 +20,12 @@
 // an outage may be over before silence shows it. Releases that are on their way look the same for a moment, so such a
 // denial has to last, and a further connection is asked for, on which the exchange sends releases again.
 //
+// Where no reports come and tests are allowed, a test on a connection of that process is the sign that is asked for:
+// its answer proves the very process, however short an outage was. One that stays mute while a connection that was
+// opened since speaks puts the calls in doubt. One that hangs answers on neither.
+//
+// How long a silence is out of the ordinary follows from the intervals of the exchange's reports, where it has any.
+//
 // A connection that the owner is asked for and that is refused is no matter of this class: nothing runs there. One that
 // finds no room counts as one that does not come up: the protocol's time goes before the calls.
 //
@@ -33,6 +39,7 @@
 #include <vector>
 
 #include "croftrun/call_controller.h"
+#include "policy/interval_estimator.h"
 
 namespace croftrun::policy {
 
@@ -44,7 +51,8 @@
 enum class LivenessAction : std::uint8_t {
   kNone,
   kConnect,         // open one more connection
-  kProbe,           // send a test on the oldest open connection
+  kProbe,           // send a test on a connection of the process that holds the calls: see IsOfHolder
+  kProbeNewest,     // send one on the connection that was opened last
   kGiveUpSilent,    // all calls that stand there are over: nothing was heard of the machine
   kGiveUpReplaced,  // those that stood before `doubt_since` are over: the process there does not know them
 };
@@ -72,14 +80,16 @@
   void OnFirstCall(TimeUs now);
   void OnOctets(TimeUs now, TimeUs connection_opened_at);
   void OnConnectionOpened(TimeUs now, std::size_t standing);
-  void OnConnectionClosed(TimeUs now);
-  // `others_open`: connections that are still open beside it.
+  void OnConnectionClosed(TimeUs now, TimeUs connection_opened_at = 0);
+  // `others_open`: connections that are still open beside it, where a test is out those of the holder alone.
   void OnConnectionReset(TimeUs now, std::size_t others_open, std::size_t standing);
   // A call was announced that stood before this process began, and no connection is open that could tell of it. It is
   // in doubt if the next one takes longer than a late one does.
   void OnUnconfirmedCall(TimeUs now);
   // The exchange told the end of a call that stood before the doubt.
   void OnCallKnown(TimeUs now);
+  // A report of the circuits came, whatever it says.
+  void OnReport(TimeUs now);
   // Calls that stood before this time are what a report on such a connection is asked about.
   TimeUs CallsInQuestion(TimeUs connection_opened_at) const;
   // A report of the circuits came on a connection that was opened at `connection_opened_at`. True: the calls in
@@ -95,8 +105,12 @@
   void SettleBy(TimeUs at) { settle_by_ = at; }
 
   // What to do now; to be asked every kLivenessStep or so while calls stand. Asking is noted: the same action is not
-  // asked for again at once.
-  LivenessAction Next(TimeUs now, bool may_probe);
+  // asked for again at once. `holder_open`: a connection of the process that holds the calls is open.
+  LivenessAction Next(TimeUs now, bool may_probe, bool holder_open = false);
+  // Whether a connection that was opened then is one of the process that holds the calls, as far as is known.
+  bool IsOfHolder(TimeUs connection_opened_at) const;
+  // A test is out on a connection of the holder, and nothing has come on any.
+  bool probed() const { return probed_at_ != 0; }
 
   LivenessState state(TimeUs now) const;
   // Calls that stood before are in doubt; 0: none are.
@@ -110,8 +124,14 @@
   void Confirm(TimeUs now);
   bool Settling(TimeUs now) const { return settle_by_ != 0 && now >= settle_by_; }
   LivenessAction NextInDoubt(TimeUs now, bool may_probe);
+  LivenessAction NextByProbe(TimeUs now);
+  LivenessAction NextConnect(TimeUs now);
+  // For how long nothing has to come before a sign of life is asked for.
+  bool Quiet(TimeUs now) const;
   // Connections that were asked for since the last sign of life, longer ago than a late one takes.
   std::size_t Unanswered(TimeUs now) const;
+  // Several connections that were asked for did not come up, the first of them for longer than a late one takes.
+  bool OutOfReach(TimeUs now) const;
 
   FailureDetectorSettings settings_;
   TimeUs confirmed_at_ = 0;
@@ -122,6 +142,16 @@
   TimeUs unconfirmed_since_ = 0;  // a call was announced while no connection was open; 0: none
   std::vector<TimeUs> asked_;     // when connections were asked for, since the last sign of life
   TimeUs next_probe_ = 0;
+  IntervalEstimator report_interval_;
+  TimeUs heard_at_ = 0;  // octets came that were a sign of life
+  // Where tests identify the process that holds the calls.
+  bool by_probe_ = false;
+  bool newest_next_ = false;    // whose turn it is to be tested
+  TimeUs probed_at_ = 0;        // a test is out on a connection of the holder; 0: none
+  TimeUs reached_at_ = 0;       // a connection came up since; 0: none
+  TimeUs others_since_ = 0;     // the first opened of the other connections that spoke since the holder did; 0: none
+  TimeUs others_heard_at_ = 0;  // when one of them spoke last
+  TimeUs give_up_from_ = 0;     // after a hang the holder may speak a little later than the others
 };
 
 // A call that stood for less may be missing in a report that was sent before its answer.
--- a/tests/failure_detector_test.cpp
+++ b/tests/failure_detector_test.cpp
@@ -206,6 +206,118 @@
   EXPECT_EQ(probes_, 0);
 }
 
+TEST_F(FailureDetectorTest, AnExchangeThatReportsOftenIsAskedSoonAfterItFallsSilent) {
+  const auto asked_after = [](TimeUs interval) {
+    FailureDetector detector({});
+    TimeUs now = 100 * kSecond;
+    detector.OnFirstCall(now);
+    for (int i = 0; i < 20; ++i) {
+      now += interval;
+      detector.OnOctets(now, kSecond);
+      detector.OnReport(now);
+      detector.OnReport(now + kMs);  // a copy on another connection
+    }
+    const TimeUs last = now;
+    while (detector.Next(now, false) == LivenessAction::kNone) now += kLivenessStep;
+    return now - last;
+  };
+  EXPECT_EQ(asked_after(100 * kMs), kSecond);
+  EXPECT_EQ(asked_after(500 * kMs), kSecond);
+  EXPECT_EQ(asked_after(2 * kSecond), 2'500 * kMs);
+}
+
+TEST_F(FailureDetectorTest, AfterAConnectionThatDidNotComeUpAtOnceAFurtherOneIsAskedForSooner) {
+  RunUntil(now_ + 2'500 * kMs, Way::kDown);
+  EXPECT_EQ(connects_, 1);
+  RunUntil(now_ + 300 * kMs, Way::kDown);
+  EXPECT_EQ(connects_, 2);
+}
+
+// An exchange without reports, where tests are allowed, and the process that holds its calls.
+class HolderTest : public ::testing::Test {
+ protected:
+  HolderTest() : detector_({}) {
+    detector_.OnConnectionOpened(now_, 0);
+    detector_.OnFirstCall(now_);
+  }
+  // Runs for `length`; connections that are asked for come up at once. `older` and `newer`: whether connections from
+  // before and from now on answer tests. Says what was decided, and leaves the time of it in now_.
+  LivenessAction RunFor(TimeUs length, bool older, bool newer) {
+    const TimeUs until = now_ + length;
+    while (now_ < until) {
+      now_ += kLivenessStep;
+      const LivenessAction action = detector_.Next(now_, true, true);
+      switch (action) {
+        case LivenessAction::kNone:
+          break;
+        case LivenessAction::kConnect:
+          ++connects_;
+          newest_opened_ = now_ + kMs;
+          detector_.OnConnectionOpened(newest_opened_, 1);
+          break;
+        case LivenessAction::kProbe:
+          ++probes_;
+          if (older) detector_.OnOctets(now_ + kMs, older_opened_);
+          break;
+        case LivenessAction::kProbeNewest:
+          ++probes_;
+          if (newer) detector_.OnOctets(now_ + kMs, newest_opened_);
+          break;
+        default:
+          return action;
+      }
+    }
+    return LivenessAction::kNone;
+  }
+
+  TimeUs now_ = 100 * kSecond;
+  const TimeUs older_opened_ = now_ - kSecond;
+  TimeUs newest_opened_ = older_opened_;
+  FailureDetector detector_;
+  int connects_ = 0, probes_ = 0;
+};
+
+TEST_F(HolderTest, ATestThatIsAnsweredOnAnOlderConnectionTakesThePlaceOfAConnection) {
+  EXPECT_EQ(RunFor(300 * kSecond, true, true), LivenessAction::kNone);
+  EXPECT_EQ(connects_, 0);
+  EXPECT_GE(probes_, 100);
+  EXPECT_LE(probes_, 120);
+}
+
+TEST_F(HolderTest, AProcessThatWasReplacedIsFoundHoweverShortTheOutageWas) {
+  const TimeUs replaced = now_;
+  EXPECT_EQ(RunFor(20 * kSecond, false, true), LivenessAction::kGiveUpReplaced);
+  EXPECT_LT(now_, replaced + kToldWithin);
+  EXPECT_EQ(detector_.doubt_since(), newest_opened_);
+}
+
+TEST_F(HolderTest, CallsThatWereSetUpAtTheSuccessorAreNotInQuestion) {
+  const TimeUs opened = now_ + 200 * kMs;
+  detector_.Next(now_ + 100 * kMs, true, true);
+  detector_.OnConnectionOpened(opened, 1);
+  const TimeUs later = opened + kSecond;
+  for (int i = 0; i < 50; ++i) {  // it speaks on, on a connection that was opened later as well
+    detector_.OnOctets(now_ + 200 * kMs, opened);
+    detector_.OnConnectionOpened(later, 2);
+    detector_.OnOctets(now_ + 200 * kMs, later);
+    if (RunFor(200 * kMs, false, true) == LivenessAction::kGiveUpReplaced) break;
+  }
+  EXPECT_EQ(detector_.doubt_since(), opened);
+}
+
+TEST_F(HolderTest, AProcessThatHangsAnswersOnNoConnectionAndLosesNoCall) {
+  EXPECT_EQ(RunFor(60 * kSecond, false, false), LivenessAction::kNone);
+  EXPECT_EQ(RunFor(10 * kSecond, true, true), LivenessAction::kNone);
+  EXPECT_FALSE(detector_.probed());
+}
+
+TEST_F(HolderTest, AnOlderConnectionThatIsResetUnderATestPutsTheCallsInDoubt) {
+  RunFor(2'600 * kMs, false, false);
+  ASSERT_TRUE(detector_.probed());
+  detector_.OnConnectionReset(now_, 0, 1);
+  EXPECT_EQ(detector_.state(now_), LivenessState::kDoubtful);
+}
+
 // A doubt is lost with the process that has it: it is settled before that process ends.
 TEST_F(FailureDetectorTest, WhatIsInDoubtOrOutOfReachWhenTheProcessIsToEndIsGivenUpByThen) {
   const TimeUs stop = now_;
--- a/tests/soak_trial_test.cpp
+++ b/tests/soak_trial_test.cpp
@@ -5,6 +5,10 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
 
 #include "lab/soak/trial.h"
 
@@ -47,6 +51,33 @@
     for (const std::string& line : TimelineOf(result, result.verdict.findings[0].call))
       std::printf("%s\n", line.c_str());
   }
+  // Calls that their callers knew as standing and that ended without a release about `after` from the start: those
+  // whose callers were told within the protocol's 8 s, and the others.
+  struct SilentEnds {
+    std::set<std::string> told, untold;
+  };
+  static SilentEnds EndsWithoutAWord(const TrialResult& result, TimeUs after) {
+    std::map<std::string, TimeUs> over;
+    std::set<std::string> answered;
+    SilentEnds ends;
+    for (const TrafficEvent& event : result.events) {
+      const TimeUs at = event.at - result.started;
+      if (event.kind == EventKind::kAnswerRead) answered.insert(event.call);
+      if (event.kind == EventKind::kReleaseSent) {  // by the caller: nothing is to be told to it
+        answered.erase(event.call);
+        over.erase(event.call);
+      }
+      const bool in_time = at >= after && at < after + 100 * kMs;
+      if (event.kind == EventKind::kCallEndedUnsent && in_time && answered.count(event.call) > 0) over[event.call] = at;
+      const auto found = over.find(event.call);
+      if (event.kind == EventKind::kReleaseRead && found != over.end() && at <= found->second + 8'050 * kMs)
+        ends.told.insert(event.call);
+    }
+    for (const auto& [call, at] : over) {
+      if (ends.told.count(call) == 0) ends.untold.insert(call);
+    }
+    return ends;
+  }
   static std::size_t Checked(const TrialResult& result, Rule rule) {
     return result.verdict.checked[static_cast<std::size_t>(rule)];
   }
@@ -104,6 +135,59 @@
   ExpectNothingBroken(Run());
 }
 
+// The same, noticed by the rhythm of its reports, or by tests where none come.
+TEST_F(SoakTrialTest, CallsOnAMachineThatReportsOftenAndReturnsWithoutThemAfterASecondEndInTime) {
+  script_.clients.calls_per_s = 0.5;
+  script_.exchange.hold_mean = 60 * kSecond;
+  script_.exchange.reports_every = 500 * kMs;
+  script_.length = 18 * kSecond;
+  script_.faults = {{6 * kSecond, FaultKind::kDiscoverySilent, 0, 14 * kSecond}};
+  for (int slot = 0; slot < script_.exchanges; ++slot)
+    script_.faults.push_back({7 * kSecond, FaultKind::kVanishAndReturn, slot, (1'000 + 500 * slot) * kMs});
+  const TrialResult result = Run();
+  EXPECT_GT(Checked(result, Rule::kStandingEnd), 2U);
+  ExpectNothingBroken(result);
+}
+
+TEST_F(SoakTrialTest, CallsOnAMachineWithoutReportsThatReturnsWithoutThemEndInTimeWhereTestsAreAllowed) {
+  script_.clients.calls_per_s = 0.5;
+  script_.exchange.hold_mean = 60 * kSecond;
+  script_.exchange.tells_gauges = script_.exchange.greets = false;
+  script_.length = 18 * kSecond;
+  script_.faults = {{6 * kSecond, FaultKind::kDiscoverySilent, 0, 14 * kSecond}};
+  for (int slot = 0; slot < script_.exchanges; ++slot)
+    script_.faults.push_back({7 * kSecond, FaultKind::kVanishAndReturn, slot, (1'000 + 700 * slot) * kMs});
+  const TrialResult result = Run();
+  EXPECT_GT(Checked(result, Rule::kStandingEnd), 2U);
+  ExpectNothingBroken(result);
+}
+
+// Soak seed 750006: what a process suspects of a call it cannot tell its successor.
+TEST_F(SoakTrialTest, CallsWhoseExchangeReturnedWithoutThemDuringAShutdownEndInTime) {
+  script_.deadlines = {3 * kSecond};  // the kill comes 3.7 s after SIGTERM
+  script_.clients.waits = script_.deadlines;
+  script_.clients.calls_per_s = 3.0;
+  script_.exchange.hold_mean = 60 * kSecond;
+  script_.exchange.tells_gauges = script_.exchange.greets = false;
+  script_.clients.closes_idle_after = 30 * kSecond;
+  script_.clients.leaves = 0.0;  // who has no connection when the process ends cannot be told by it
+  script_.length = 18 * kSecond;
+  script_.faults = {{3 * kSecond, FaultKind::kDiscoverySilent, 0, 16 * kSecond}};
+  for (int slot = 0; slot < script_.exchanges; ++slot)
+    script_.faults.push_back({4 * kSecond, FaultKind::kVanishAndReturn, slot, 3'400 * kMs});
+  for (int softswitch = 0; softswitch < script_.softswitches; ++softswitch)
+    script_.faults.push_back({(5'400 + 400 * softswitch) * kMs, FaultKind::kTerminate, softswitch, 0});
+  const TrialResult result = Run();
+  ExpectNothingBroken(result);
+  // The judge asks nothing of calls that were over before the next process began; here the former one could know.
+  const SilentEnds ends = EndsWithoutAWord(result, 4 * kSecond);
+  EXPECT_GT(ends.told.size(), 5U);
+  for (const std::string& call : ends.untold) {
+    ADD_FAILURE() << "its caller was not told: " << call;
+    for (const std::string& line : TimelineOf(result, call)) std::printf("%s\n", line.c_str());
+  }
+}
+
 TEST_F(SoakTrialTest, EndsOfCallsArriveThoughExchangesForgetIdleConnectionsWithoutAWord) {
   script_.clients.calls_per_s = 1.0;
   script_.exchange.hold_mean = 4 * kSecond;
