--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -18,7 +18,7 @@
 constexpr TimeUs kIdleFor = 200'000, kSilentFor = 100'000;
 // A connection on which nothing was said for this long is taken for a caller's that listens: a test comes at once.
 constexpr TimeUs kListens = 500'000;
-// At the end of the process a connection is left alone for so long after its last use: what is just being sent on it
+// At the end of the process a connection is left alone for so long after its last octets: what is just being sent on it
 // would cross the close.
 constexpr TimeUs kQuietBeforeClose = 50'000;
 // Octets that wait for a caller who does not read.
@@ -56,7 +56,7 @@
     // Taking a line never ends the connection it came on, nor sends a call on: a later line may take it back.
     if (!reader.Feed(bytes, [this](std::string_view line) { return owner_->Take(this, line); })) {
       owner_->counters_.too_long += reader.too_long() ? 1 : 0;
-      return owner_->Drop(this, DropReason::kClosedHere);
+      return owner_->Drop(this, ConnectionEnd::kClosedHere);
     }
     // A line that began before these octets and still goes on keeps its beginning.
     const bool went_on = had && reader.partial() && bytes.find('\n') == std::string_view::npos;
@@ -65,7 +65,7 @@
     owner_->Begin(this);
   }
   void OnEnd(core::StreamEnd end) override {
-    owner_->Drop(this, end == core::StreamEnd::kReset ? DropReason::kFarEndReset : DropReason::kFarEndClosed);
+    owner_->Drop(this, end == core::StreamEnd::kReset ? ConnectionEnd::kFarEndReset : ConnectionEnd::kFarEndClosed);
   }
 
   void Use() {
@@ -77,7 +77,8 @@
   const ConnectionNumber number;
   const std::uint32_t host;
   const TimeUs since;
-  TimeUs last_use, last_octets;
+  TimeUs last_use;
+  TimeUs last_octets;  // that came, or of a release that was written, which is acknowledged at once
   bool spoke = false;  // a whole line came
   TimeUs partial_since = 0;
   bool of_use = false, brought_calls = false;
@@ -133,6 +134,7 @@
     counters_.ends_told_again += release.tried.size() > 1 ? 1 : 0;
     LogCall("end-told", 0, release.id, "to " + core::ToString(link->stream->Remote()) + ", it waited");
     link->stream->Write(release.line);
+    link->last_octets = runtime_->Now();
   }
 }
 
@@ -321,7 +323,8 @@
   }
   LogCall("end-told", call, held.id, "to " + core::ToString(link->stream->Remote()));
   link->stream->Write(release.line);
-  releases_.Written(std::move(release), link->number, now);
+  link->last_octets = now;
+  releases_.Written(std::move(release), link->number, link == held.link ? ReadBy::kCaller : ReadBy::kHost, now);
 }
 
 // The connection of this caller that brought calls, the latest used; one that never did may be the front's, which only
@@ -354,9 +357,9 @@
 
 void Callers::Send(Link* link, const Message& message) { link->stream->Write(WriteMessage(message)); }
 
-void Callers::Drop(Link* link, DropReason reason) {
-  if (reason != DropReason::kClosedHere)
-    releases_.OnConnectionEnded(link->number, reason == DropReason::kFarEndReset, runtime_->Now());
+void Callers::Drop(Link* link, ConnectionEnd end) {
+  if (end == ConnectionEnd::kClosedHere && link->stream->Pending() > 0) end = ConnectionEnd::kClosedUnwritten;
+  releases_.OnConnectionEnded(link->number, end, runtime_->Now());
   const std::uint32_t host = link->host;
   // Its calls first: what the core does about them must not find it any more.
   std::vector<CallId> given_up;
@@ -391,7 +394,7 @@
   ++counters_.links_evicted;
   LogCall("caller-connection-evicted", 0, core::ToString(worst->stream->Remote()),
           "calls that stood on it " + std::to_string(worst->standing));
-  Drop(worst, DropReason::kClosedHere);
+  Drop(worst, ConnectionEnd::kClosedHere);
   return true;
 }
 
@@ -416,7 +419,7 @@
     const bool nothing_left = link->standing == 0 && now >= link->last_octets + kQuietBeforeClose;
     if (all || nothing_left) idle.push_back(link.get());
   }
-  for (Link* const link : idle) Drop(link, DropReason::kClosedHere);
+  for (Link* const link : idle) Drop(link, ConnectionEnd::kClosedHere);
 }
 
 void Callers::Sweep() {
@@ -434,7 +437,7 @@
     }
   }
   // None of them ends another: what the core does about their calls writes on connections, and closes none.
-  for (Link* const link : closed) Drop(link, DropReason::kClosedHere);
+  for (Link* const link : closed) Drop(link, ConnectionEnd::kClosedHere);
   counters_.ends_dropped += releases_.Expire(now);
   for (const auto& link : links_) {
     const bool listens = !link->spoke && !link->reader.partial() && now >= link->since + kListens;
--- a/src/platform/callers.h
+++ b/src/platform/callers.h
@@ -84,10 +84,8 @@
   bool SetUp(Link* link, const Message& message);
   void Release(Link* link, const Message& message);
   void Adopt(Link* link, const Message& message, const core::Offer& offer, const std::string& at);
-  // Who ended a connection, and how.
-  enum class DropReason : std::uint8_t { kClosedHere, kFarEndClosed, kFarEndReset };
   // Ends the link and what depends on it.
-  void Drop(Link* link, DropReason reason);
+  void Drop(Link* link, ConnectionEnd end);
   // Releases that wait for the caller of this link.
   void TellPending(Link* link);
   bool Evict();
--- a/src/platform/pending_releases.cpp
+++ b/src/platform/pending_releases.cpp
@@ -35,10 +35,11 @@
   releases_.push_back(std::move(release));
 }
 
-void PendingReleases::Written(PendingRelease release, ConnectionNumber connection, TimeUs now) {
+void PendingReleases::Written(PendingRelease release, ConnectionNumber connection, ReadBy read_by, TimeUs now) {
   if (releases_.size() >= kMostReleases) return;
   release.written_at = now;
   release.written_on = connection;
+  release.read_by = read_by;
   release.tried.insert(connection);
   releases_.push_back(std::move(release));
 }
@@ -49,6 +50,7 @@
     if (release.host != host || release.written_at != 0 || release.tried.count(connection) > 0) continue;
     release.written_at = now;
     release.written_on = connection;
+    release.read_by = ReadBy::kHost;
     release.tried.insert(connection);
     taken.push_back(release);
   }
@@ -65,27 +67,47 @@
   releases_.remove_if([&](const auto& release) { return release.host == host && release.id == id; });
 }
 
-void PendingReleases::OnConnectionEnded(ConnectionNumber connection, bool reset, TimeUs now) {
-  for (PendingRelease& release : releases_) {
-    if (release.written_at == 0 || release.written_on != connection) continue;
-    const bool lately = now <= release.written_at + kMayBeLost;
-    const bool may_be_unread = reset || Acknowledges(release.host);
-    if (lately && may_be_unread && release.tried.size() < kMostTries) release.written_at = 0;
+bool PendingReleases::Unread(const PendingRelease& release, ConnectionEnd end, TimeUs now) const {
+  const bool lately = now <= release.written_at + kMayBeLost;
+  switch (end) {
+    case ConnectionEnd::kClosedUnwritten:
+      return true;
+    case ConnectionEnd::kFarEndReset:
+      if (lately) return true;
+      break;
+    case ConnectionEnd::kFarEndClosed:
+      if (lately) return Acknowledges(release.host);
+      break;
+    case ConnectionEnd::kClosedHere:
+      break;
+  }
+  return release.read_by == ReadBy::kHost && Acknowledges(release.host);
+}
+
+std::list<PendingRelease>::iterator PendingReleases::Settle(std::list<PendingRelease>::iterator release, bool unread) {
+  if (!unread || release->tried.size() >= kMostTries) return releases_.erase(release);
+  release->written_at = 0;
+  return std::next(release);
+}
+
+void PendingReleases::OnConnectionEnded(ConnectionNumber connection, ConnectionEnd end, TimeUs now) {
+  for (auto release = releases_.begin(); release != releases_.end();) {
+    const bool concerned = release->written_at != 0 && release->written_on == connection;
+    release = concerned ? Settle(release, Unread(*release, end, now)) : std::next(release);
   }
 }
 
 std::size_t PendingReleases::Expire(TimeUs now) {
-  for (auto at = releases_.begin(); at != releases_.end();) {
-    const bool waits = at->written_at == 0;
-    const bool unanswered = !waits && now >= at->written_at + kAcknowledgedWithin;
-    const bool told = unanswered && (!Acknowledges(at->host) || at->tried.size() >= kMostTries);
-    if (now >= at->since + kWaitsAtMost || told) {
+  for (auto release = releases_.begin(); release != releases_.end();) {
+    const bool waits = release->written_at == 0;
+    if (now >= release->since + kWaitsAtMost) {
       given_up_ += waits ? 1 : 0;
-      at = releases_.erase(at);
-      continue;
+      release = releases_.erase(release);
+    } else if (!waits && now >= release->written_at + kAcknowledgedWithin) {
+      release = Settle(release, Acknowledges(release->host));
+    } else {
+      ++release;
     }
-    if (unanswered) at->written_at = 0;
-    ++at;
   }
   return std::exchange(given_up_, 0);
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -710,6 +710,39 @@
   EXPECT_TRUE(second->For(kCall).empty());
 }
 
+// Soak seed 730102: a shutdown closed the connection with the acknowledgement on its way, and the end was told again.
+TEST_F(PlatformTest, AnEndWhoseAcknowledgementCrossesTheCloseOfAShutdownIsToldOnce) {
+  const auto caller = Caller(), second = Caller();
+  Stand(*caller, kOther);
+  PlatformExchange::Release(*one_.OpenLinks()[0], kOther, 16);
+  runtime_.RunFor(5 * kMs);
+  caller->link.Send({.type = MessageType::kHeard, .id = kOther});  // this host acknowledges
+  Stand(*caller, kCall);
+  Stand(*second, "9b1f03aa5c7e2d43");
+  node_->Stop([] {});
+  runtime_.RunFor(1'000 * kMs);
+  PlatformExchange::Release(*one_.OpenLinks()[0], kCall, 16);
+  runtime_.RunFor(100 * kMs);
+  ASSERT_TRUE(caller->link.end.has_value());
+  runtime_.RunFor(2'250 * kMs);
+  EXPECT_FALSE(second->link.end.has_value());  // on which it could be told again
+  EXPECT_EQ(caller->For(kCall).size(), 2U);
+  EXPECT_TRUE(second->For(kCall).empty());
+}
+
+TEST_F(PlatformTest, AConnectionWaitsInAShutdownForTheAcknowledgementOfTheEndThatWasJustToldOnIt) {
+  const auto caller = Caller();
+  Stand(*caller, kCall);
+  node_->Stop([] {});
+  runtime_.RunFor(1'000 * kMs);
+  PlatformExchange::Release(*one_.OpenLinks()[0], kCall, 16);
+  runtime_.RunFor(30 * kMs);
+  EXPECT_EQ(caller->For(kCall).size(), 2U);
+  EXPECT_FALSE(caller->link.end.has_value());
+  runtime_.RunFor(60 * kMs);
+  EXPECT_TRUE(caller->link.end.has_value());
+}
+
 TEST_F(PlatformTest, WhatIsUnansweredIsAnsweredAndTheProcessOverBeforeTheKillMayCome) {
   bool stopped = false;
   one_.on_set_up = [](PlatformLink&, const Message&) {};
