--- a/tests/rule_checker_test.cpp
+++ b/tests/rule_checker_test.cpp
@@ -348,5 +348,27 @@
   }
 }
 
+// The kerala overload day of seed 207: a hang-up that lay unread in a stalled edge's queue, behind the far end's
+// answer.
+TEST(RuleChecker, WhatAnEdgeSaysAsItGoesOnHasCrossedAHangUpThatItHadNotReadAndNothingElseHas) {
+  const auto broken = [](TimeUs hang_up, TimeUs said, bool goes_on = true) {
+    TraceOf t;
+    t.Dial(1000);
+    if (hang_up < 1200) t.Notify(hang_up, "aaln/1", "L/hu");
+    t.Fact(1200, "edge-stalled", {{"exchange", 0}});
+    if (hang_up >= 1200 && hang_up < 2700) t.Notify(hang_up, "aaln/1", "L/hu");
+    if (goes_on) t.Fact(2700, "edge-goes-on", {{"exchange", 0}});
+    if (hang_up >= 2700) t.Notify(hang_up, "aaln/1", "L/hu");
+    t.Stands(said);
+    return t.Broken(Rule::kOneAnswer) > 0;
+  };
+  EXPECT_FALSE(broken(1900, 2710));
+  EXPECT_FALSE(broken(1190, 2710));  // it came just before the edge stood still
+  EXPECT_TRUE(broken(1900, 2730));   // the edge has read its queue by then
+  EXPECT_TRUE(broken(1100, 2710));   // the edge had the time to read it
+  EXPECT_TRUE(broken(1900, 2600, false));
+  EXPECT_TRUE(broken(2800, 2850));  // nothing stood still any more
+}
+
 }  // namespace
 }  // namespace croftrun::lab
