--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -384,7 +384,7 @@
     case policy::LivenessAction::kGiveUpSilent:
       ++counters_.given_up_silent;
       CutAll(exchange, now + 1, "gives no sign of life", Remains::kMayStand);
-      return exchange->detector.OnGivenUp(now);
+      return exchange->detector.OnGivenUp();
     case policy::LivenessAction::kGiveUpReplaced:
       return exchange->detector.denied()
                  ? GiveUpReplaced(exchange, "its circuits are free, it does not know the calls", Remains::kMayStand)
@@ -439,10 +439,10 @@
   ++counters_.given_up_replaced;
   std::vector<std::string> ids;
   for (const std::string& id : exchange->standing) {
-    if (legs_.at(id).StoodBefore(exchange->detector.doubt_since())) ids.push_back(id);
+    if (legs_.at(id).StoodBefore(exchange->detector.give_up_before())) ids.push_back(id);
   }
   Cut(exchange, std::move(ids), why, remains);
-  exchange->detector.OnGivenUp(runtime_->Now());
+  exchange->detector.OnGivenUp();
 }
 
 std::optional<std::size_t> Exchanges::CircuitsUsed(const std::vector<float>& figures) const {
@@ -764,7 +764,7 @@
   const bool was_in_doubt = exchange->InDoubt();
   if (found->second.stands && (was_in_doubt || detector.denied()) &&
       found->second.StoodBefore(detector.CallsInQuestion(link->opened_at))) {
-    detector.OnCallKnown(runtime_->Now());
+    detector.OnCallKnown(runtime_->Now(), found->second.announced ? 0 : found->second.stood_at);
     LogDoubt(*exchange, was_in_doubt);
   }
   const int cause = message.cause.value_or(kTemporaryFailure);
--- a/src/policy/failure_detector.cpp
+++ b/src/policy/failure_detector.cpp
@@ -24,6 +24,8 @@
 // these may have been asked for a little later.
 constexpr std::size_t kUnansweredOfSilence = 3, kUnansweredOfOutage = 2;
 constexpr TimeUs kSecondIsLate = 700'000;
+// Doubts that are told apart: a process that is replaced more often within the time for one is in doubt as a whole.
+constexpr std::size_t kMostDoubts = 8;
 // A report of circuits tells a successor from the process that holds the calls only before the successor has calls too.
 constexpr TimeUs kReportIsFresh = 1'000'000;
 // A release that overtook no report is here by the first; one that was sent on a dead connection comes on the further
@@ -50,16 +52,38 @@
 }
 
 void FailureDetector::Confirm(TimeUs now) {
-  confirmed_at_ = std::max(confirmed_at_, now);
-  doubt_since_ = 0;
+  OnSign(now);
+  TrustFrom(now);
+}
+
+void FailureDetector::TrustFrom(TimeUs time) {
+  confirmed_at_ = std::max(confirmed_at_, time);
+  doubts_.clear();
   denied_at_ = 0;
   probed_at_ = reached_at_ = others_since_ = others_heard_at_ = 0;
   give_up_from_ = 0;
   newest_next_ = false;
   unconfirmed_since_ = 0;
+}
+
+void FailureDetector::OnSign(TimeUs now) {
+  last_sign_ = std::max(last_sign_, now);
   asked_.clear();
 }
 
+void FailureDetector::DoubtSince(TimeUs since) {
+  if (doubts_.size() >= kMostDoubts) {
+    doubts_.back().since = since;
+    return;
+  }
+  doubts_.push_back({since, doubts_.empty() ? confirmed_at_ : last_sign_});
+}
+
+void FailureDetector::Prove(TimeUs now, TimeUs known_since) {
+  std::erase_if(doubts_, [known_since](const Doubt& doubt) { return doubt.since > known_since; });
+  if (doubts_.empty()) Confirm(now);
+}
+
 std::size_t FailureDetector::Unanswered(TimeUs now) const {
   return static_cast<std::size_t>(
       std::count_if(asked_.begin(), asked_.end(), [now](TimeUs asked) { return now >= asked + kLongerThanLate; }));
@@ -70,47 +94,49 @@
 }
 
 bool FailureDetector::Quiet(TimeUs now) const {
+  const TimeUs last = by_probe_ ? confirmed_at_ : last_sign_;
   TimeUs after = kQuietAfter;
   // The rhythm of reports, with a half to spare, tells only while they come: after a connection alone the clock does.
-  if (report_interval_.known() && heard_at_ == confirmed_at_)
+  if (report_interval_.known() && heard_at_ == last)
     after = std::clamp(report_interval_.LongestExpected() * 3 / 2, kQuietAtLeast, kQuietAfter);
   if (settle_by_ != 0) after = std::min(after, kQuietAtLeast);
-  return now >= confirmed_at_ + after;
+  return now >= last + after;
 }
 
 bool FailureDetector::IsOfHolder(TimeUs connection_opened_at) const {
-  return connection_opened_at <= confirmed_at_ && (doubt_since_ == 0 || connection_opened_at < doubt_since_);
+  return doubts_.empty() ? connection_opened_at <= confirmed_at_ : connection_opened_at < doubts_.back().since;
 }
 
 void FailureDetector::OnFirstCall(TimeUs now) {
   Confirm(now);
-  heard_at_ = confirmed_at_;
+  heard_at_ = now;
 }
 
 void FailureDetector::OnOctets(TimeUs now, TimeUs connection_opened_at) {
-  const TimeUs in_question = doubt_since_ != 0 ? doubt_since_ : denied_at_ != 0 ? denied_before_ : 0;
-  if (in_question != 0 && connection_opened_at >= in_question) return;
-  if (in_question == 0 && by_probe_ && !IsOfHolder(connection_opened_at)) {
-    others_since_ = others_since_ == 0 ? connection_opened_at : std::min(others_since_, connection_opened_at);
-    others_heard_at_ = now;
+  heard_at_ = now;
+  OnSign(now);
+  if (!doubts_.empty()) return Prove(now, connection_opened_at);
+  if (denied_at_ != 0) {
+    if (connection_opened_at < denied_before_) Confirm(now);
     return;
   }
-  Confirm(now);
-  heard_at_ = confirmed_at_;
+  if (!by_probe_ || IsOfHolder(connection_opened_at)) return Confirm(now);
+  others_since_ = others_since_ == 0 ? connection_opened_at : std::min(others_since_, connection_opened_at);
+  others_heard_at_ = now;
 }
 
 void FailureDetector::OnConnectionOpened(TimeUs now, std::size_t standing) {
-  if (doubt_since_ != 0 || denied_at_ != 0) return;
   const bool announced_long_ago = unconfirmed_since_ != 0 && now >= unconfirmed_since_ + kLongerThanLate;
   if ((OutOfReach(now) || announced_long_ago) && standing > 0) {
     // It was out of reach: another process may be there by now. Whatever stands there stood before this connection.
-    doubt_since_ = now;
+    DoubtSince(now);
     next_probe_ = now;
-    return;
+    unconfirmed_since_ = 0;
   }
+  OnSign(now);
+  if (!doubts_.empty() || denied_at_ != 0) return;
   if (!by_probe_) return Confirm(now);
   // Its machine can be reached: whether the process is still the same has to be shown by the older connections.
-  asked_.clear();
   if (probed_at_ == 0 || reached_at_ != 0) return;
   reached_at_ = now;
   newest_next_ = true;
@@ -118,13 +144,14 @@
 }
 
 void FailureDetector::OnConnectionClosed(TimeUs now, TimeUs connection_opened_at) {
-  if (doubt_since_ != 0 || denied_at_ != 0) return;
+  OnSign(now);
+  if (!doubts_.empty() || denied_at_ != 0) return;
   if (!by_probe_ || IsOfHolder(connection_opened_at)) Confirm(now);
 }
 
 void FailureDetector::OnConnectionReset(TimeUs now, std::size_t others_open, std::size_t standing) {
-  if (others_open > 0 || standing == 0 || doubt_since_ != 0) return;
-  doubt_since_ = others_since_ != 0 ? others_since_ : now;
+  if (others_open > 0 || standing == 0) return;
+  DoubtSince(doubts_.empty() && others_since_ != 0 ? others_since_ : now);
   denied_at_ = 0;
 }
 
@@ -132,20 +159,25 @@
   if (unconfirmed_since_ == 0) unconfirmed_since_ = now;
 }
 
-void FailureDetector::OnCallKnown(TimeUs now) { Confirm(now); }
+void FailureDetector::OnCallKnown(TimeUs now, TimeUs stood_at) {
+  if (denied_at_ != 0) return Confirm(now);
+  Prove(now, stood_at);
+}
 
 void FailureDetector::OnReport(TimeUs now) { report_interval_.OnEvent(now, kSameReport, kQuietAfter); }
 
 TimeUs FailureDetector::CallsInQuestion(TimeUs connection_opened_at) const {
-  if (doubt_since_ != 0) return doubt_since_;
+  if (!doubts_.empty()) return doubts_.back().since;
   return denied_at_ != 0 ? denied_before_ : connection_opened_at;
 }
 
 bool FailureDetector::OnCircuits(TimeUs now, TimeUs connection_opened_at, const CircuitUse& use) {
   if (connection_opened_at < CallsInQuestion(connection_opened_at)) return false;
-  const bool in_doubt_without_denial = doubt_since_ != 0 && denied_at_ == 0;
   if (DeniesCalls(use)) {
-    if (in_doubt_without_denial) return true;
+    if (!doubts_.empty() && denied_at_ == 0) {
+      give_up_before_ = doubts_.back().since;
+      return true;
+    }
     if (denied_at_ == 0) {
       denied_at_ = now;
       denied_before_ = connection_opened_at;
@@ -159,19 +191,41 @@
 
 void FailureDetector::OnCallsCounted(TimeUs now) { Confirm(now); }
 
-void FailureDetector::OnGivenUp(TimeUs now) { Confirm(now); }
+void FailureDetector::OnGivenUp() {
+  std::erase_if(doubts_, [this](const Doubt& doubt) { return doubt.since <= give_up_before_; });
+  // The calls that are left are of the process that gave the last sign.
+  if (doubts_.empty()) TrustFrom(last_sign_);
+}
+
+TimeUs FailureDetector::ReplacedBefore(TimeUs now) const {
+  if (doubts_.empty()) return 0;
+  const bool denied = denied_at_ != 0 && now >= denied_at_ + kDenialIsCertain;
+  if (denied || Settling(now)) return doubts_.back().since;
+  const Doubt& oldest = doubts_.front();
+  const bool time_is_up = now >= std::max(oldest.alive_at + settings_.detect_within_us, give_up_from_);
+  return time_is_up ? oldest.since : 0;
+}
 
 LivenessAction FailureDetector::Next(TimeUs now, bool may_probe, bool holder_open) {
-  by_probe_ = may_probe && holder_open && !report_interval_.seen();
-  if (doubt_since_ == 0 && denied_at_ != 0 && (now >= denied_at_ + kDenialIsDoubt || Settling(now))) {
-    doubt_since_ = denied_before_;
+  by_probe_ = may_probe && holder_open && doubts_.empty() && !report_interval_.seen();
+  if (doubts_.empty() && denied_at_ != 0 && (now >= denied_at_ + kDenialIsDoubt || Settling(now))) {
+    DoubtSince(denied_before_);
     next_probe_ = now + kProbeGap;
     return LivenessAction::kConnect;
   }
-  if (doubt_since_ != 0) return NextInDoubt(now, may_probe);
-  const bool time_is_up = now >= confirmed_at_ + settings_.detect_within_us;
-  if ((time_is_up && Unanswered(now) >= kUnansweredOfSilence) || (Settling(now) && OutOfReach(now)))
+  if (const TimeUs replaced_before = ReplacedBefore(now); replaced_before != 0) {
+    give_up_before_ = replaced_before;
+    return LivenessAction::kGiveUpReplaced;
+  }
+  const bool time_is_up = now >= last_sign_ + settings_.detect_within_us;
+  if ((time_is_up && Unanswered(now) >= kUnansweredOfSilence) || (Settling(now) && OutOfReach(now))) {
+    give_up_before_ = now + 1;
     return LivenessAction::kGiveUpSilent;
+  }
+  if (!doubts_.empty() && may_probe && now >= next_probe_) {
+    next_probe_ = now + kProbeGap;
+    return LivenessAction::kProbe;
+  }
   if (!Quiet(now)) return LivenessAction::kNone;
   return by_probe_ ? NextByProbe(now) : NextConnect(now);
 }
@@ -190,7 +244,7 @@
   }
   if (now < probed_at_ + kProbeWithin) return LivenessAction::kNone;
   if (others_heard_at_ >= probed_at_) {
-    doubt_since_ = others_since_;
+    DoubtSince(others_since_);
     next_probe_ = now;
     give_up_from_ = now + kProbeGap;
     return LivenessAction::kNone;
@@ -203,19 +257,8 @@
   return newest_next_ ? LivenessAction::kProbe : LivenessAction::kProbeNewest;
 }
 
-LivenessAction FailureDetector::NextInDoubt(TimeUs now, bool may_probe) {
-  const bool denied = denied_at_ != 0 && now >= denied_at_ + kDenialIsCertain;
-  if (denied || Settling(now) || now >= std::max(confirmed_at_ + settings_.detect_within_us, give_up_from_))
-    return LivenessAction::kGiveUpReplaced;
-  if (may_probe && now >= next_probe_) {
-    next_probe_ = now + kProbeGap;
-    return LivenessAction::kProbe;
-  }
-  return LivenessAction::kNone;
-}
-
 LivenessState FailureDetector::state(TimeUs now) const {
-  if (doubt_since_ != 0) return LivenessState::kDoubtful;
+  if (!doubts_.empty()) return LivenessState::kDoubtful;
   return Quiet(now) ? LivenessState::kQuiet : LivenessState::kAlive;
 }
 
--- a/src/policy/failure_detector.h
+++ b/src/policy/failure_detector.h
@@ -86,8 +86,9 @@
   // A call was announced that stood before this process began, and no connection is open that could tell of it. It is
   // in doubt if the next one takes longer than a late one does.
   void OnUnconfirmedCall(TimeUs now);
-  // The exchange told the end of a call that stood before the doubt.
-  void OnCallKnown(TimeUs now);
+  // The exchange told the end of a call that stood from `stood_at` on (0: nobody knows for how long), so that its
+  // process is the one that held it.
+  void OnCallKnown(TimeUs now, TimeUs stood_at = 0);
   // A report of the circuits came, whatever it says.
   void OnReport(TimeUs now);
   // Calls that stood before this time are what a report on such a connection is asked about.
@@ -97,8 +98,10 @@
   bool OnCircuits(TimeUs now, TimeUs connection_opened_at, const CircuitUse& use);
   // Releases have come since a report denied calls, and it has as many circuits in use as calls still stand.
   void OnCallsCounted(TimeUs now);
+  // Calls that stood before this time are those that were last asked to be given up as replaced.
+  TimeUs give_up_before() const { return give_up_before_; }
   // The calls were given up.
-  void OnGivenUp(TimeUs now);
+  void OnGivenUp();
   // What is known or suspected here is lost to whoever watches these calls after `at`: signs of life are asked for
   // sooner from now on, and calls that are in doubt at that time, or at an exchange that is out of reach then, are
   // given up.
@@ -114,16 +117,31 @@
 
   LivenessState state(TimeUs now) const;
   // Calls that stood before are in doubt; 0: none are.
-  TimeUs doubt_since() const { return doubt_since_; }
+  TimeUs doubt_since() const { return doubts_.empty() ? 0 : doubts_.back().since; }
   // A report denies calls, and nothing has contradicted it yet.
   bool denied() const { return denied_at_ != 0; }
   // When the process that holds the calls was last known to live.
   TimeUs confirmed_at() const { return confirmed_at_; }
 
  private:
+  // The process there may be another one since `since`. While that is open it may be replaced once more.
+  struct Doubt {
+    TimeUs since = 0;
+    TimeUs alive_at = 0;  // the last sign of life of the process that it is about
+  };
+
+  // The process that holds the calls gave a sign of life.
   void Confirm(TimeUs now);
+  // Nothing is in doubt: the process that gave a sign at that time holds all calls.
+  void TrustFrom(TimeUs time);
+  void DoubtSince(TimeUs since);
+  // A process that was there at `known_since` is there now: later doubts are over.
+  void Prove(TimeUs now, TimeUs known_since);
+  // Any process there lives.
+  void OnSign(TimeUs now);
   bool Settling(TimeUs now) const { return settle_by_ != 0 && now >= settle_by_; }
-  LivenessAction NextInDoubt(TimeUs now, bool may_probe);
+  // Calls that stood before this time are to be given up by now; 0: none.
+  TimeUs ReplacedBefore(TimeUs now) const;
   LivenessAction NextByProbe(TimeUs now);
   LivenessAction NextConnect(TimeUs now);
   // For how long nothing has to come before a sign of life is asked for.
@@ -135,7 +153,9 @@
 
   FailureDetectorSettings settings_;
   TimeUs confirmed_at_ = 0;
-  TimeUs doubt_since_ = 0;
+  TimeUs last_sign_ = 0;       // of any process there
+  std::vector<Doubt> doubts_;  // the oldest first; none: the process is the one that holds the calls
+  TimeUs give_up_before_ = 0;
   TimeUs denied_at_ = 0;          // a report denied calls, and no other evidence is there; 0: none did
   TimeUs denied_before_ = 0;      // those that stood before this
   TimeUs settle_by_ = 0;          // 0: no end is in sight
@@ -143,7 +163,7 @@
   std::vector<TimeUs> asked_;     // when connections were asked for, since the last sign of life
   TimeUs next_probe_ = 0;
   IntervalEstimator report_interval_;
-  TimeUs heard_at_ = 0;  // octets came that were a sign of life
+  TimeUs heard_at_ = 0;  // the last octets
   // Where tests identify the process that holds the calls.
   bool by_probe_ = false;
   bool newest_next_ = false;    // whose turn it is to be tested
--- a/tests/failure_detector_test.cpp
+++ b/tests/failure_detector_test.cpp
@@ -116,6 +116,44 @@
   EXPECT_EQ(detector_.doubt_since(), reset);
 }
 
+// Soak seed 770105: a process was replaced while the last reset was still in doubt, and only the calls from before that
+// one were given up.
+TEST_F(FailureDetectorTest, AResetWithinADoubtIsADoubtOfItsOwn) {
+  const TimeUs first = now_;
+  detector_.OnConnectionReset(first, 0, kStanding);
+  detector_.OnConnectionOpened(first + 20 * kMs, kStanding);
+  const TimeUs second = first + 2 * kSecond;
+  detector_.OnOctets(second - 100 * kMs, first + 20 * kMs);
+  const FailureDetector before = detector_;
+  detector_.OnConnectionReset(second, 0, kStanding + 2);
+  EXPECT_EQ(RunUntil(first + 20 * kSecond, Way::kUp), LivenessAction::kGiveUpReplaced);
+  EXPECT_LT(now_, first + kToldWithin);
+  EXPECT_EQ(detector_.give_up_before(), first);
+  detector_.OnGivenUp();
+  EXPECT_EQ(RunUntil(first + 20 * kSecond, Way::kUp), LivenessAction::kGiveUpReplaced);
+  EXPECT_LT(now_, second + kToldWithin);
+  EXPECT_GE(now_, second + 7 * kSecond);
+  EXPECT_EQ(detector_.give_up_before(), second);
+  detector_.OnGivenUp();
+  EXPECT_EQ(detector_.state(now_), LivenessState::kAlive);
+  // Word of a call from between them ends the second doubt alone.
+  detector_ = before;
+  detector_.OnConnectionReset(second, 0, kStanding + 2);
+  detector_.OnCallKnown(second + 100 * kMs, first + kSecond);
+  EXPECT_EQ(detector_.doubt_since(), first);
+}
+
+TEST_F(FailureDetectorTest, AMachineThatVanishesWhileItsProcessIsInDoubtIsGivenUpWithinTheTime) {
+  detector_.OnConnectionReset(now_, 0, kStanding);
+  const TimeUs vanished = now_ + 3 * kSecond;
+  detector_.OnConnectionOpened(vanished, kStanding);
+  now_ = vanished;
+  ASSERT_EQ(RunUntil(vanished + 20 * kSecond, Way::kDown), LivenessAction::kGiveUpReplaced);
+  detector_.OnGivenUp();
+  EXPECT_EQ(RunUntil(vanished + 20 * kSecond, Way::kDown), LivenessAction::kGiveUpSilent);
+  EXPECT_LT(now_, vanished + kToldWithin);
+}
+
 TEST_F(FailureDetectorTest, WordOfACallFromBeforeEndsTheDoubt) {
   detector_.OnConnectionReset(now_, 0, kStanding);
   detector_.OnCallKnown(now_ + kSecond);
@@ -253,6 +291,7 @@
         case LivenessAction::kConnect:
           ++connects_;
           newest_opened_ = now_ + kMs;
+          if (connects_ == 1) first_newer_opened_ = newest_opened_;
           detector_.OnConnectionOpened(newest_opened_, 1);
           break;
         case LivenessAction::kProbe:
@@ -272,7 +311,7 @@
 
   TimeUs now_ = 100 * kSecond;
   const TimeUs older_opened_ = now_ - kSecond;
-  TimeUs newest_opened_ = older_opened_;
+  TimeUs newest_opened_ = older_opened_, first_newer_opened_ = 0;
   FailureDetector detector_;
   int connects_ = 0, probes_ = 0;
 };
@@ -288,7 +327,7 @@
   const TimeUs replaced = now_;
   EXPECT_EQ(RunFor(20 * kSecond, false, true), LivenessAction::kGiveUpReplaced);
   EXPECT_LT(now_, replaced + kToldWithin);
-  EXPECT_EQ(detector_.doubt_since(), newest_opened_);
+  EXPECT_EQ(detector_.doubt_since(), first_newer_opened_);
 }
 
 TEST_F(HolderTest, CallsThatWereSetUpAtTheSuccessorAreNotInQuestion) {
