--- a/include/croftrun/call_controller.h
+++ b/include/croftrun/call_controller.h
@@ -144,7 +144,8 @@
   std::uint64_t token = 0;
 };
 
-// The answer to a Probe, or (elapsed 0) the free circuits of an own group, unasked.
+// The answer to a Probe, or (elapsed 0) the free circuits of an own group, unasked. With kConnectFailed, asked for or
+// not: connections to the exchange do not come up, which is no word of discovery.
 struct ReportHeard {
   ExchangeId exchange = 0;
   Outcome outcome = Outcome::kOk;
--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -852,6 +852,12 @@
     e.full_until = std::max(e.full_until, now_ + std::max(rest, stated));
   }
 
+  // Symptom: connections to an exchange do not come up, and no word of discovery. Set-ups would go on to it until each
+  // has timed out; none does for a rest, which ends by itself. A suspicion tells nothing else: its processor is not
+  // pressed and it is not cold for it, as it may be this softswitch alone that is cut off. Serves a machine that
+  // vanished; turns calls away for a rest after it is back.
+  void Suspect(Exchange& e) { e.full_until = std::max(e.full_until, now_ + kFullBackOff); }
+
   // What the end of a set-up tells of the exchange.
   void Learn(Exchange& e, Call* call, const AttemptEnded& ended, bool direct, TimeUs sent_at) {
     Exchange* pressed = &e;
@@ -952,6 +958,7 @@
   void On(const ReportHeard& heard) {
     Exchange* e = Find(heard.exchange);
     if (e == nullptr) return;
+    if (heard.outcome == Outcome::kConnectFailed) return Suspect(*e);
     TakeReport(*e, heard.report, heard.elapsed_us == 0);
     if (heard.elapsed_us == 0) RouteHeld();
   }
--- a/src/core/call_core.cpp
+++ b/src/core/call_core.cpp
@@ -682,6 +682,10 @@
   Feed(ReportHeard{exchange, outcome, std::max<TimeUs>(elapsed_us, 1), figures});
 }
 
+void CallCore::OnUnreachable(ExchangeId exchange) {
+  Feed(ReportHeard{.exchange = exchange, .outcome = Outcome::kConnectFailed, .elapsed_us = 1});
+}
+
 void CallCore::OnDirectory(const DirectoryUpdate& update) {
   if (update.kind == DirectoryKind::kFull || update.kind == DirectoryKind::kCached) {
     for (auto& [id, entry] : directory_) entry.status = ExchangeStatus::kGone;
--- a/src/core/call_core.h
+++ b/src/core/call_core.h
@@ -273,6 +273,8 @@
   void OnGauge(ExchangeId exchange, const std::vector<float>& figures);
   // The answer to a Probe of this exchange; `figures` as above, empty where none came. With network_counts.
   void OnProbeEnded(ExchangeId exchange, Outcome outcome, TimeUs elapsed_us, const std::vector<float>& figures);
+  // Connections to this exchange do not come up, and no set-up was out on them. With network_counts.
+  void OnUnreachable(ExchangeId exchange);
   void OnCircuitFree(int group, CircuitNumber circuit);
   void OnCircuitOutOfService(int group, CircuitNumber circuit);
   void OnCircuitInService(int group, CircuitNumber circuit);
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -362,6 +362,7 @@
       });
       const policy::LivenessAction action = detector.Next(runtime_->Now(), settings_.may_probe, holder_open);
       LogDoubt(*exchange, was_in_doubt);
+      if (detector.OutOfReach(runtime_->Now())) core_->OnUnreachable(id);
       Act(exchange.get(), action);
     }
     WatchLiveness();
--- a/src/policy/failure_detector.h
+++ b/src/policy/failure_detector.h
@@ -110,6 +110,8 @@
   // What to do now; to be asked every kLivenessStep or so while calls stand. Asking is noted: the same action is not
   // asked for again at once. `holder_open`: a connection of the process that holds the calls is open.
   LivenessAction Next(TimeUs now, bool may_probe, bool holder_open = false);
+  // Several connections that were asked for did not come up, the first of them for longer than a late one takes.
+  bool OutOfReach(TimeUs now) const;
   // Whether a connection that was opened then is one of the process that holds the calls, as far as is known.
   bool IsOfHolder(TimeUs connection_opened_at) const;
   // A test is out on a connection of the holder, and nothing has come on any.
@@ -148,8 +150,6 @@
   bool Quiet(TimeUs now) const;
   // Connections that were asked for since the last sign of life, longer ago than a late one takes.
   std::size_t Unanswered(TimeUs now) const;
-  // Several connections that were asked for did not come up, the first of them for longer than a late one takes.
-  bool OutOfReach(TimeUs now) const;
 
   FailureDetectorSettings settings_;
   TimeUs confirmed_at_ = 0;
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -652,6 +652,26 @@
   EXPECT_LE(sent, 4);
 }
 
+// Report 8a95fc: set-ups went on to a vanished exchange until each had timed out.
+TEST(Failures, NoSetUpGoesToAnExchangeOutOfReachForARestAndNothingElseIsHeldAgainstIt) {
+  Bench b;
+  b.Do(ReportHeard{.exchange = Bench::Id(1), .outcome = Outcome::kConnectFailed, .elapsed_us = 1});
+  for (int i = 0; i < 9; ++i) {
+    b.now += 100 * kMs;
+    b.Offer(1);
+    EXPECT_TRUE(b.Refused());
+    EXPECT_EQ(b.SentTo(), -1);
+  }
+  b.now += 200 * kMs;
+  // Neither cold nor pressed: it is sent to as before.
+  for (int i = 0; i < 5; ++i) {
+    b.Offer(1);
+    EXPECT_EQ(b.SentTo(), 1);
+  }
+  b.Offer(2);
+  EXPECT_EQ(b.SentTo(), 2);
+}
+
 TEST(Failures, APressedExchangeGetsOneSetUpAtATime) {
   Bench b;
   for (int i = 0; i < 8; ++i) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -396,6 +396,23 @@
   }
 }
 
+TEST_F(PlatformTest, ACallToAnExchangeThatIsOutOfReachIsRefusedAtOnceAndServedWhenItIsBack) {
+  const auto caller = Caller();
+  Stand(*caller, kCall);
+  const auto answers = std::exchange(one_.on_set_up, [](PlatformLink&, const Message&) {});
+  runtime_.SetSilent(ExchangeAddress(1), true);
+  runtime_.RunFor(4'200 * kMs);
+  caller->SetUp(kOther, 1);
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(caller->For(kOther).size(), 1U);
+  EXPECT_EQ(caller->For(kOther)[0].cause, 42);
+  EXPECT_EQ(one_.Heard(MessageType::kSetUp).size(), 1U);
+  runtime_.SetSilent(ExchangeAddress(1), false);
+  one_.on_set_up = answers;
+  runtime_.RunFor(2'000 * kMs);
+  Stand(*caller, "9b1f03aa5c7e2d43");
+}
+
 TEST_F(PlatformTest, AReportThatOvertakesTheReleaseOfACallCutsNothing) {
   const auto caller = Caller();
   Stand(*caller, kCall);
