--- a/src/lab/soak/discovery_stand_in.cpp
+++ b/src/lab/soak/discovery_stand_in.cpp
@@ -110,9 +110,11 @@
     watch->last = event.number;
     watch->stream->Write("id: " + std::to_string(event.number) + "\ndata: " +
                          EventOf(event.number, false, json::array({TargetOf(event.listing)})).dump() + "\n\n");
-    if (event.listing.state != "Ready") {
-      record_->Note({.kind = EventKind::kDrainWritten, .softswitch = softswitch_, .exchange = event.listing.instance});
-    }
+    const bool drains = event.listing.state != "Ready";
+    if (!drains && event.listing.boot_ms == 0) continue;
+    record_->Note({.kind = drains ? EventKind::kDrainWritten : EventKind::kStartWritten,
+                   .softswitch = softswitch_,
+                   .exchange = event.listing.instance});
   }
 }
 
--- a/src/lab/soak/judge.cpp
+++ b/src/lab/soak/judge.cpp
@@ -28,8 +28,8 @@
 constexpr TimeUs kCrossing = 60'000;
 
 constexpr std::array<std::string_view, kRules> kNames{
-    "final answer", "end of standing calls", "one attempt", "drain", "release time", "client gone", "bad clients",
-    "shutdown",     "needless cut",          "restarts",    "limits"};
+    "final answer", "end of standing calls", "one attempt", "drain",  "release time", "client gone", "bad clients",
+    "shutdown",     "needless cut",          "restarts",    "limits", "cold start"};
 
 std::string Milliseconds(TimeUs time) { return std::to_string(time / 1000) + " ms"; }
 
@@ -80,6 +80,10 @@
     CheckDrains();
     CheckProcesses();
     CheckBadClients();
+    const ColdStartVerdict cold = CheckColdStarts(events_, settings_.cold_start);
+    verdict_.checked[static_cast<std::size_t>(Rule::kColdStart)] = cold.checked;
+    for (const ColdStartFall& fall : cold.falls)
+      Broken(Rule::kColdStart, fall.at, "", "exchange " + std::to_string(fall.exchange) + ": " + fall.text);
     std::sort(verdict_.findings.begin(), verdict_.findings.end(),
               [](const Finding& a, const Finding& b) { return std::tie(a.at, a.call) < std::tie(b.at, b.call); });
     return std::move(verdict_);
--- a/src/lab/soak/judge.h
+++ b/src/lab/soak/judge.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "lab/soak/cold_start_check.h"
 #include "lab/soak/traffic.h"
 
 namespace croftrun::lab::soak {
@@ -25,8 +26,9 @@
   kNeedlessCut,  // a call that stands at an exchange that works is not cut
   kRestart,      // a restarted process is ready within 10 s; none ends by itself
   kLimits,       // descriptors and memory
+  kColdStart,    // a cold exchange is not pushed over, all softswitches together
 };
-inline constexpr std::size_t kRules = 11;
+inline constexpr std::size_t kRules = 12;
 std::string_view NameOf(Rule rule);
 
 struct JudgeSettings {
@@ -40,6 +42,7 @@
   // Exchanges report their circuits. Without reports nobody can tell that a call was over before the process began to
   // which it is announced.
   bool reports = true;
+  ColdStartSettings cold_start = {};
 };
 
 struct Finding {
--- a/src/lab/soak/script.cpp
+++ b/src/lab/soak/script.cpp
@@ -136,6 +136,11 @@
   return std::any_of(faults.begin(), faults.end(), [kind](const Fault& fault) { return fault.kind == kind; });
 }
 
+double Script::usual_set_ups_per_s() const {
+  const double from_one = clients.calls_per_s * (Has(FaultKind::kCrowd) ? kCrowdFactor : 1.0);
+  return from_one * static_cast<double>(softswitches) / static_cast<double>(std::max(1, exchanges - 1));
+}
+
 std::string ToString(const Fault& fault) {
   char text[96];
   std::snprintf(text, sizeof(text), "%.3f s %s of %d for %.3f s", static_cast<double>(fault.at) / 1e6,
--- a/src/lab/soak/script.h
+++ b/src/lab/soak/script.h
@@ -66,7 +66,11 @@
   // SIGKILL comes so much after SIGTERM.
   TimeUs kill_after() const;
   bool Has(FaultKind kind) const;
+  // Of all softswitches at one exchange, those of a crowd included, redials left out.
+  double usual_set_ups_per_s() const;
 };
+// A crowd places so many times the calls.
+inline constexpr double kCrowdFactor = 6.0;
 
 struct DrawOptions {
   std::vector<FaultKind> only;  // none: all
--- a/src/lab/soak/traffic.cpp
+++ b/src/lab/soak/traffic.cpp
@@ -6,7 +6,7 @@
 namespace croftrun::lab::soak {
 namespace {
 
-constexpr std::array<std::string_view, 31> kNames{"client sends set-up",
+constexpr std::array<std::string_view, 33> kNames{"client sends set-up",
                                                   "client cancels set-up",
                                                   "client reads answer",
                                                   "client reads release",
@@ -28,6 +28,7 @@
                                                   "exchange gets release",
                                                   "softswitch connects",
                                                   "softswitch probes",
+                                                  "exchange starts cold",
                                                   "softswitch starts",
                                                   "softswitch ready",
                                                   "SIGTERM",
@@ -36,6 +37,7 @@
                                                   "limits",
                                                   "discovery lists drain",
                                                   "discovery writes drain",
+                                                  "discovery writes start",
                                                   "discovery away"};
 
 }  // namespace
--- a/src/lab/soak/traffic.h
+++ b/src/lab/soak/traffic.h
@@ -39,6 +39,7 @@
   kCallReleased,      // the softswitch released it
   kConnectionOpened,  // a softswitch connected to this exchange; `value`: number of connections now open
   kProbeArrived,      // a test of a softswitch arrived
+  kColdStart,         // its process begins, cold, while the trial runs
   // Softswitches and discovery.
   kStarted,
   kReady,
@@ -48,6 +49,7 @@
   kLimits,         // `value`: descriptors open; `exchange`: resident megabytes
   kDrainListed,    // discovery has it: `exchange` drains or is gone
   kDrainWritten,   // and has written it to the watch of `softswitch`
+  kStartWritten,   // it has written the late start of `exchange` to the watch of `softswitch`
   kDiscoveryAway,
   kDiscoveryBack,
   kFault,  // `text` names it
--- a/src/lab/soak/trial.cpp
+++ b/src/lab/soak/trial.cpp
@@ -38,7 +38,7 @@
 constexpr TimeUs kNewConnectionsAfterTerminate = 300 * kMs;
 constexpr int kDescriptors = 256, kMegabytes = 64;
 constexpr int kMostTries = 20, kTryAgainMs = 100;
-constexpr TimeUs kColdFor = 2 * kSecond;
+constexpr ColdStartSettings kColdStart;
 
 // Addresses of a trial: 127.(32 + slot).x.y.
 class Addresses {
@@ -95,6 +95,8 @@
   void Drain(Exchange& exchange, TimeUs gone_after);
   // Another process at this slot, with a name of its own.
   void NewMachine(Exchange& exchange);
+  // The process at this slot has just started, and discovery has it.
+  void ListColdStart(Exchange& exchange);
   void KeepDiscoveryAway(TimeUs time, bool silent);
   void Reconfigure(int softswitch);
   void Terminate(int softswitch);
@@ -178,10 +180,10 @@
                          {"contract",
                           {{"drain_grace_us", script_.drain_grace_us},
                            {"grace_to_answer_us", 5'000},
-                           {"cold_from", 0.4},
-                           {"warm_up_us", kColdFor},
-                           {"fall_multiple", 3.0},
-                           {"fall_us", 1'000'000}}},
+                           {"cold_from", kColdStart.cold_from},
+                           {"warm_up_us", kColdStart.warm_up},
+                           {"fall_multiple", kColdStart.fall_multiple},
+                           {"fall_us", kColdStart.window}}},
                          {"discovery", "automatic"},
                          {"family_info",
                           {{"home_no", number},
@@ -213,6 +215,11 @@
   exchange.away = false;
 }
 
+void Trial::ListColdStart(Exchange& exchange) {
+  record_.Note({.kind = EventKind::kColdStart, .exchange = exchange.machine->instance()});
+  List(SlotOf(exchange), exchange.draining ? "Terminating" : "Ready", runtime_.WallUs() / 1000);
+}
+
 void Trial::List(int slot, const std::string& state, std::int64_t boot_ms) {
   Exchange& exchange = exchanges_[static_cast<std::size_t>(slot)];
   for (int s = 0; s < script_.softswitches; ++s) {
@@ -363,7 +370,7 @@
       List(SlotOf(*kept), "Gone");
       NewMachine(*kept);
     }
-    List(SlotOf(*kept), "Ready", runtime_.WallUs() / 1000);
+    ListColdStart(*kept);
   });
 }
 
@@ -379,7 +386,7 @@
   After(back_after, [this, kept] {
     kept->away = false;
     for (const auto& way : kept->ways) way->Refuse(false);
-    List(SlotOf(*kept), kept->draining ? "Terminating" : "Ready", runtime_.WallUs() / 1000);
+    ListColdStart(*kept);
   });
 }
 
@@ -389,7 +396,7 @@
   for (const auto& way : exchange.ways) way->ResetAll();
   List(SlotOf(exchange), "Gone");
   NewMachine(exchange);
-  List(SlotOf(exchange), "Ready", runtime_.WallUs() / 1000);
+  ListColdStart(exchange);
 }
 
 void Trial::Drain(Exchange& exchange, TimeUs gone_after) {
@@ -404,7 +411,7 @@
     kept->machine->Die();
     for (const auto& way : kept->ways) way->ResetAll();
     NewMachine(*kept);
-    List(SlotOf(*kept), "Ready", runtime_.WallUs() / 1000);
+    ListColdStart(*kept);
   });
 }
 
@@ -449,7 +456,7 @@
       for (int i = 0; i < 6; ++i) softswitch.clients->BadClient(i);
       return;
     case FaultKind::kCrowd:
-      softswitch.clients->SetCrowd(6.0);
+      softswitch.clients->SetCrowd(kCrowdFactor);
       return After(fault.length, [kept] { kept->clients->SetCrowd(1.0); });
     case FaultKind::kLeavers: {
       ClientTraits& traits = softswitch.clients->traits();
@@ -546,6 +553,8 @@
   settings.most_descriptors = kDescriptors;
   settings.most_megabytes = options_.most_megabytes;
   settings.reports = script_.exchange.tells_gauges;
+  settings.cold_start = kColdStart;
+  settings.cold_start.set_ups_per_s = script_.usual_set_ups_per_s();
   for (const FaultKind kind : {FaultKind::kReset, FaultKind::kCutExchange, FaultKind::kCutOneWay}) {
     settings.cuts_may_be_needed = settings.cuts_may_be_needed || script_.Has(kind);
   }
--- a/tests/soak_judge_test.cpp
+++ b/tests/soak_judge_test.cpp
@@ -184,6 +184,29 @@
   ExpectClean(resent(EventKind::kAttemptRefused, 2 * kMs));
 }
 
+TEST(SoakJudgeTest, AColdExchangeThatIsPushedOverByThoseWhoKnewIsFound) {
+  // Ten set-ups a second fill it: cold it takes 3 x 0.4 x 10 in a second, and by chance 12 + 3 x 3.5 + 3 = 25.
+  const auto pushed = [](int set_ups, int told, TimeUs gap) {
+    RecordBuilder record;
+    record.Add(kSecond, {.kind = EventKind::kColdStart, .exchange = 1});
+    for (int softswitch = 10; softswitch < 10 + told; ++softswitch)
+      record.Add(kSecond, {.kind = EventKind::kStartWritten, .softswitch = softswitch, .exchange = 1});
+    for (int i = 0; i < set_ups; ++i) {
+      const std::string id = "call " + std::to_string(i);
+      record.Add(kSecond + kMs + static_cast<TimeUs>(i) * gap,
+                 {.kind = EventKind::kAttemptArrived, .softswitch = 10 + i % 3, .exchange = 1, .call = id});
+    }
+    JudgeSettings settings;
+    settings.cold_start.set_ups_per_s = 10.0;
+    return record.Judged(settings);
+  };
+  ExpectOnly(pushed(30, 3, kMs), Rule::kColdStart);
+  ExpectClean(pushed(25, 3, kMs));
+  ExpectClean(pushed(30, 1, kMs));       // two thirds came from those who had not been told
+  ExpectClean(pushed(60, 3, 50 * kMs));  // twenty a second
+  EXPECT_EQ(pushed(25, 3, kMs).checked[static_cast<std::size_t>(Rule::kColdStart)], 25U);
+}
+
 TEST(SoakJudgeTest, AnAttemptForAClientWhoLeftIsFound) {
   ExpectOnly(RecordBuilder()
                  .Client(kSecond, EventKind::kSetUpSent, 2 * kSecond)
