--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -413,6 +413,29 @@
   Stand(*caller, "9b1f03aa5c7e2d43");
 }
 
+// The budget of connections is used up when the last one to an exchange with a standing call ends.
+TEST_F(PlatformTest, TheEndOfACallArrivesThoughEveryConnectionOfTheBudgetIsInUse) {
+  constexpr int kMoreThanTheBudget = 45;  // of 36 connections
+  std::vector<std::unique_ptr<PlatformExchange>> others;
+  std::vector<json> targets;
+  for (int number = 3; number < 3 + kMoreThanTheBudget; ++number) {
+    others.push_back(std::make_unique<PlatformExchange>(&runtime_, ExchangeAddress(number)));
+    targets.push_back(TargetJson(number));
+  }
+  const auto caller = Caller();
+  Stand(*caller, kCall);
+  Tell(2, targets);
+  runtime_.RunFor(1'000 * kMs);
+  ASSERT_GT(json::parse(node_->Metrics())["exchanges"]["no_room"], 0);
+  for (PlatformLink* const link : one_.OpenLinks()) link->Break();
+  runtime_.RunFor(4'000 * kMs);
+  ASSERT_FALSE(one_.OpenLinks().empty());
+  PlatformExchange::Release(*one_.OpenLinks()[0], kCall, 16);
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(caller->For(kCall).size(), 2U);
+  EXPECT_EQ(caller->For(kCall)[1].cause, 16);
+}
+
 TEST_F(PlatformTest, AReportThatOvertakesTheReleaseOfACallCutsNothing) {
   const auto caller = Caller();
   Stand(*caller, kCall);
--- a/tests/soak_trial_test.cpp
+++ b/tests/soak_trial_test.cpp
@@ -228,6 +228,23 @@
   ExpectNothingBroken(result);
 }
 
+// Clients send without a pause until the kill, on many connections, while set-ups wait on exchanges that hang.
+TEST_F(SoakTrialTest, ClientsThatSendUntilTheKillHaveAnAnswerEachThoughEveryExchangeHangs) {
+  script_.deadlines = {400 * kMs, 3 * kSecond};
+  script_.clients.classes = {"class-0", "class-1"};
+  script_.clients.waits = script_.deadlines;
+  script_.clients.most_connections = 6;
+  script_.clients.calls_per_s = 20.0;
+  script_.faults = {{2 * kSecond, FaultKind::kCrowd, 0, 6 * kSecond}};
+  for (int slot = 0; slot < script_.exchanges; ++slot)
+    script_.faults.push_back({3 * kSecond, FaultKind::kHang, slot, 5 * kSecond});
+  for (int softswitch = 0; softswitch < script_.softswitches; ++softswitch)
+    script_.faults.push_back({(3'200 + 400 * softswitch) * kMs, FaultKind::kTerminate, softswitch, 0});
+  const TrialResult result = Run();
+  EXPECT_GT(Checked(result, Rule::kShutdown), 100U);
+  ExpectNothingBroken(result);
+}
+
 TEST_F(SoakTrialTest, EndsThatComeBeforeTheKillAreToldOnConnectionsThatStay) {
   script_.deadlines = {3 * kSecond};  // 3.7 s
   script_.clients.waits = script_.deadlines;
