--- a/include/croftrun/call_controller.h
+++ b/include/croftrun/call_controller.h
@@ -115,7 +115,16 @@
 
 enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot };
 // Why an attempt was turned away.
-enum class Cause { kNone, kNoCircuit, kTurnedBack, kTurnedBackFull, kProcessorFull, kLinesBusy };
+enum class Cause {
+  kNone,
+  kNoCircuit,
+  kTurnedBack,
+  kTurnedBackFull,
+  kProcessorFull,
+  kLinesBusy,
+  // With kConnectFailed: the one connection broke before it was open, and others show that the exchange lives.
+  kConnectionLost,
+};
 
 struct AttemptEnded {
   CallId call = 0;
--- a/src/call_controller.cpp
+++ b/src/call_controller.cpp
@@ -875,6 +875,7 @@
         if (direct && weight > kRowWeight) Rest(e, 0);
         break;
       case Outcome::kConnectFailed:
+        if (ended.cause == Cause::kConnectionLost) break;
         e.lost_at = now_;
         e.full_until = now_ + kFullBackOff;
         break;
@@ -929,7 +930,8 @@
       if (call.offer.in_transit || (direct && !again) || timed_out) return Answer(id, call, true);
     }
     if (ended.outcome == Outcome::kError && !again) return Answer(id, call, true);
-    if (again) call.tried.erase(ended.exchange);
+    // The exchange is none the worse for a connection that broke before it was open, and it has seen nothing.
+    if (again || ended.cause == Cause::kConnectionLost) call.tried.erase(ended.exchange);
     if (ended.outcome == Outcome::kFull && (direct || ended.cause == Cause::kTurnedBackFull))
       return Answer(id, call, false);
     if (ended.outcome == Outcome::kMoot && ended.cause == Cause::kNoCircuit) call.tried.erase(ended.exchange);
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -24,11 +24,15 @@
 constexpr std::size_t kLivenessReserve = 8;
 // After a call was announced, its exchange is asked for by its last report: others are announced at the same time.
 constexpr TimeUs kAnnouncedTogether = 500'000;
+// An exchange lives if one of its connections spoke within this time; fresh ones to it that do not come up are not
+// tried again for as long while there are others.
+constexpr TimeUs kSpokeLately = 1'000'000;
 // Idle connections to one exchange that are kept when one more came up for a sign of life.
 constexpr std::size_t kIdleKept = 2;
 
 constexpr core::Ended kReset{Outcome::kReset, Cause::kNone};
 constexpr core::Ended kNeverRan{Outcome::kConnectFailed, Cause::kNone};
+constexpr core::Ended kConnectionLost{Outcome::kConnectFailed, Cause::kConnectionLost};
 
 // What a release before the answer means, by its cause and its note.
 core::Ended MeaningOf(int cause, const std::string& note) {
@@ -78,6 +82,7 @@
   core::Timer again;
   TimeUs pause = 0;
   TimeUs heard_at = 0;               // octets came, or a connection opened
+  TimeUs fresh_failed_at = 0;        // a connection did not come up though the exchange lives
   bool unreachable = false;          // no connection is open, and the last one tried did not open: logged once
   policy::FailureDetector detector;  // for as long as calls stand here
   std::size_t announced = 0;         // of the calls that stand here
@@ -555,6 +560,11 @@
     if (best == nullptr || rank(*link) < rank(*best)) best = link.get();
   }
   if (best != nullptr && best->set_ups.empty()) return best;
+  const bool fresh_fails = exchange->fresh_failed_at != 0 && runtime_->Now() < exchange->fresh_failed_at + kSpokeLately;
+  if (fresh_fails && best != nullptr && best->open && !best->silent) {
+    ++counters_.shared;
+    return best;
+  }
   const std::size_t share = settings_.most_links / std::max<std::size_t>(1, by_address_.size());
   if (!exchange->retired && exchange->links.size() < std::max<std::size_t>(1, share)) {
     if (Link* const fresh = OpenLink(exchange, Purpose::kSetUp)) return fresh;
@@ -563,6 +573,13 @@
   return best;
 }
 
+bool Exchanges::Lives(const Exchange& exchange) const {
+  const TimeUs now = runtime_->Now();
+  return std::any_of(exchange.links.begin(), exchange.links.end(), [now](const auto& link) {
+    return link->open && !link->stream->FarEndGone() && now < std::max(link->heard_at, link->opened_at) + kSpokeLately;
+  });
+}
+
 void Exchanges::SetUp(const core::TrunkSetUp& set_up) {
   const CallId call = set_up.set.call;
   const auto found = exchanges_.find(set_up.to);
@@ -861,6 +878,9 @@
   // The sink outlives its stream, and the stream ends here.
   kept->stream.reset();
   for (const std::string& id : kept->standing) legs_.at(id).link = nullptr;
+  // Told apart before the core acts on it: nothing was written on this one, and the exchange may be as well as before.
+  const bool lives = !ran && Lives(*exchange);
+  if (lives) exchange->fresh_failed_at = runtime_->Now();
   for (const std::string& id : ids) {
     const auto found = legs_.find(id);
     if (found == legs_.end()) continue;
@@ -869,7 +889,7 @@
     if (ran) given_up_.Note(id);
     core_->OnTrunkReleased(leg.call, leg.attempt,
                            ran ? InfoOf(kReset, core::ReleaseCause::kTemporaryFailure)
-                               : InfoOf(kNeverRan, core::ReleaseCause::kOutOfOrder));
+                               : InfoOf(lives ? kConnectionLost : kNeverRan, core::ReleaseCause::kOutOfOrder));
   }
   // Nothing listens there any more, or it is gone from the list and its last connection with it, on which a set-up may
   // still have been answered: what stood there was cut.
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -145,6 +145,8 @@
     kKeep,        // room is made for it: an exchange without a connection tells nothing
     kSignOfLife,  // the same, with a reserve, and it is waited for longer
   };
+  // A connection to it spoke lately, and is open at both ends.
+  bool Lives(const Exchange& exchange) const;
   // Null: there is no room.
   Link* OpenLink(Exchange* exchange, Purpose purpose);
   // While calls stand somewhere, asks the failure detector of each such exchange what to do.
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -672,6 +672,22 @@
   EXPECT_EQ(b.SentTo(), 2);
 }
 
+// The day wide+reset+stale: one connection reset as it came up made an exchange cold for the rest of the day.
+TEST(Failures, AConnectionThatBrokeBeforeItWasOpenIsNoDeathOfTheExchangeWhereOthersAreOpen) {
+  Bench b;
+  const CallId call = b.Offer(1);
+  b.End(call, 1, Outcome::kConnectFailed, Cause::kConnectionLost);
+  EXPECT_EQ(b.SentTo(), 1);  // it never left: the same call goes there at once
+  for (int i = 0; i < 5; ++i) {
+    b.Offer(1);
+    EXPECT_EQ(b.SentTo(), 1);
+  }
+  const CallId other = b.Offer(2);
+  b.End(other, 2, Outcome::kConnectFailed);
+  b.Offer(2);
+  EXPECT_NE(b.SentTo(), 2);
+}
+
 TEST(Failures, APressedExchangeGetsOneSetUpAtATime) {
   Bench b;
   for (int i = 0; i < 8; ++i) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -436,6 +436,26 @@
   EXPECT_EQ(caller->For(kCall)[1].cause, 16);
 }
 
+TEST_F(PlatformTest, ACallWhoseConnectionDoesNotComeUpGoesOnAnotherWhereTheExchangeLives) {
+  const auto caller = Caller();
+  const auto answers = std::exchange(one_.on_set_up, [](PlatformLink&, const Message&) {});
+  caller->SetUp(kCall, 1);  // holds the one connection
+  runtime_.RunFor(5 * kMs);
+  runtime_.SetSilent(ExchangeAddress(1), true);
+  one_.on_set_up = answers;
+  caller->SetUp(kOther, 1);
+  for (int i = 0; i < 6; ++i) {
+    runtime_.RunFor(100 * kMs);
+    ReportCircuits(*one_.OpenLinks()[0], 1 + i % 2);
+  }
+  ASSERT_EQ(caller->For(kOther).size(), 1U);
+  EXPECT_EQ(caller->For(kOther)[0].type, MessageType::kAnswer);
+  EXPECT_EQ(one_.Heard(MessageType::kSetUp).size(), 2U);
+  // And the exchange is as good as before.
+  Stand(*caller, "9b1f03aa5c7e2d43");
+  Stand(*caller, "9b1f03aa5c7e2d44");
+}
+
 TEST_F(PlatformTest, AReportThatOvertakesTheReleaseOfACallCutsNothing) {
   const auto caller = Caller();
   Stand(*caller, kCall);
