--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "platform/causes.h"
+#include "platform/release_meaning.h"
 
 namespace croftrun::platform {
 namespace {
@@ -30,36 +31,6 @@
 // Idle connections to one exchange that are kept when one more came up for a sign of life.
 constexpr std::size_t kIdleKept = 2;
 
-constexpr core::Ended kReset{Outcome::kReset, Cause::kNone};
-constexpr core::Ended kNeverRan{Outcome::kConnectFailed, Cause::kNone};
-constexpr core::Ended kConnectionLost{Outcome::kConnectFailed, Cause::kConnectionLost};
-
-// What a release before the answer means, by its cause and its note.
-core::Ended MeaningOf(int cause, const std::string& note) {
-  switch (cause) {
-    case kNoCircuit:
-      if (note == "via_said_no") return {Outcome::kFull, Cause::kTurnedBack};
-      if (note == "far_cpu_full") return {Outcome::kFull, Cause::kTurnedBackFull};
-      if (note == "cpu_full") return {Outcome::kFull, Cause::kProcessorFull};
-      return {Outcome::kFull, Cause::kNoCircuit};
-    case kUserBusy:
-    case kNotInService:
-      return {Outcome::kError, note == "number_busy" ? Cause::kLinesBusy : Cause::kNone};
-    case kTimerExpiry:
-      if (note == "cpu_full") return {Outcome::kMoot, Cause::kProcessorFull};
-      return {Outcome::kMoot, note == "all_trunks_busy" ? Cause::kNoCircuit : Cause::kNone};
-    default:
-      return kReset;
-  }
-}
-
-core::ReleaseInfo InfoOf(const core::Ended& meaning, core::ReleaseCause cause) {
-  core::ReleaseInfo info;
-  info.cause = cause;
-  info.means = meaning;
-  return info;
-}
-
 int IndexOf(const std::vector<std::string>& names, const std::string& name) {
   const auto found = std::find(names.begin(), names.end(), name);
   return found == names.end() ? 0 : static_cast<int>(found - names.begin());
@@ -146,6 +117,7 @@
       runtime_(runtime),
       log_(log),
       core_(core),
+      report_reader_(settings.figures, settings.own_circuits),
       given_up_(kMostGivenUp),
       departed_(kMostDeparted),
       early_ends_(kMostEarlyEnds),
@@ -451,18 +423,6 @@
   exchange->detector.OnGivenUp();
 }
 
-std::optional<std::size_t> Exchanges::CircuitsUsed(const std::vector<float>& figures) const {
-  if (!settings_.own_circuits) return std::nullopt;
-  const auto figure = [&](std::string_view name) {
-    const auto named = std::find(settings_.figures.begin(), settings_.figures.end(), name);
-    if (named == settings_.figures.end() || figures.empty()) return -1.0F;
-    return figures[static_cast<std::size_t>(named - settings_.figures.begin())];
-  };
-  const float spare = figure("spare"), total = figure("total");
-  if (spare < 0.0F || total < spare) return std::nullopt;
-  return static_cast<std::size_t>(total - spare);
-}
-
 void Exchanges::CheckAnnounced(Exchange* exchange) {
   if (exchange->announced == 0 || !exchange->circuits_used) return;
   if (!policy::DeniesCalls({.used = *exchange->circuits_used,
@@ -726,7 +686,7 @@
       const auto [exchange, sent] = probe->second;
       probes_.erase(probe);
       core_->OnProbeEnded(exchange, message->cause.value_or(0) == 1 ? Outcome::kOk : Outcome::kError,
-                          runtime_->Now() - sent, FiguresOf(*message));
+                          runtime_->Now() - sent, report_reader_.Figures(*message));
       return true;
     }
     case MessageType::kWait:
@@ -802,28 +762,10 @@
   const bool no_circuit = cause == kNoCircuit && meaning.cause != Cause::kProcessorFull;
   core::ReleaseInfo info =
       InfoOf(meaning, no_circuit ? core::ReleaseCause::kNoCircuit : core::ReleaseCause::kCongestion);
-  info.load = FiguresOf(message);
+  info.load = report_reader_.Figures(message);
   core_->OnTrunkReleased(leg.call, leg.attempt, info);
 }
 
-// "spare:205;total:205", by the names of the settings; -1 for a figure that did not come.
-std::vector<float> Exchanges::FiguresOf(const Message& message) const {
-  const std::string* const load = message.Field("load");
-  return load == nullptr ? std::vector<float>() : FiguresOf(*load);
-}
-
-std::vector<float> Exchanges::FiguresOf(const std::string& load) const {
-  std::vector<float> figures(settings_.figures.size(), -1.0F);
-  ForEachFigure(load, [&](std::string_view name, std::string_view text) {
-    const auto named = std::find(settings_.figures.begin(), settings_.figures.end(), name);
-    const auto value = ParseNumber(text, -1.0, 1e9);
-    if (named != settings_.figures.end() && value)
-      figures[static_cast<std::size_t>(named - settings_.figures.begin())] = static_cast<float>(*value);
-    return true;
-  });
-  return figures;
-}
-
 // An exchange tells the state of its group on any of its connections, at times on several.
 void Exchanges::TakeGauge(Link* link, const Message& message) {
   ++counters_.gauges;
@@ -831,9 +773,9 @@
   if (load == nullptr) return;
   link->exchange->detector.OnReport(runtime_->Now());
   if (*load == link->exchange->told) return CheckCircuits(*link);
-  const std::vector<float> figures = FiguresOf(*load);
+  const std::vector<float> figures = report_reader_.Figures(*load);
   link->exchange->told = *load;
-  link->exchange->circuits_used = CircuitsUsed(figures);
+  link->exchange->circuits_used = report_reader_.CircuitsUsed(figures);
   ++counters_.gauges_heard;
   CheckCircuits(*link);
   CheckAnnounced(link->exchange);
--- a/src/platform/exchanges.h
+++ b/src/platform/exchanges.h
@@ -7,7 +7,6 @@
 #define CROFTRUN_PLATFORM_EXCHANGES_H_
 
 #include <cstdint>
-#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -20,8 +19,10 @@
 
 #include "core/call_core.h"
 #include "core/runtime.h"
+#include "platform/group_report.h"
 #include "platform/line_codec.h"
 #include "platform/node_config.h"
+#include "platform/recent_names.h"
 #include "policy/failure_detector.h"
 
 namespace croftrun::platform {
@@ -37,28 +38,6 @@
   bool own_circuits = true;          // a report counts the circuits towards this softswitch alone
 };
 
-// The names noted last, so many of them.
-class RecentNames {
- public:
-  explicit RecentNames(std::size_t most) : most_(most) {}
-  void Note(const std::string& name) {
-    if (!names_.insert(name).second) return;
-    order_.push_back(name);
-    if (order_.size() <= most_) return;
-    names_.erase(order_.front());
-    order_.pop_front();
-  }
-  void Forget(const std::string& name) {
-    if (names_.erase(name) > 0) std::erase(order_, name);
-  }
-  bool Has(const std::string& name) const { return names_.count(name) > 0; }
-
- private:
-  std::size_t most_;
-  std::deque<std::string> order_;
-  std::unordered_set<std::string> names_;
-};
-
 struct ExchangeCounters {
   std::uint64_t set_ups = 0, shared = 0, answers = 0, refusals = 0, errors = 0, resets = 0, never_ran = 0, given_up = 0;
   std::uint64_t ended = 0, cut = 0, cut_with_exchange = 0, released = 0;
@@ -156,8 +135,6 @@
   void CheckCircuits(const Link& link);
   // The last report against the calls that stand there, those from before that time in question.
   policy::CircuitUse CircuitUseOf(const Exchange& exchange, TimeUs in_question) const;
-  // Circuits in use by these figures; nothing where they do not tell.
-  std::optional<std::size_t> CircuitsUsed(const std::vector<float>& figures) const;
   // Gives up announced calls that the exchange's last report denies.
   void CheckAnnounced(Exchange* exchange);
   void NoteStanding(Exchange* exchange, const std::string& id);
@@ -169,8 +146,6 @@
   void TakeRelease(Link* link, const Message& message);
   void TakeAnswer(Link* link, const Message& message);
   void TakeGauge(Link* link, const Message& message);
-  std::vector<float> FiguresOf(const Message& message) const;
-  std::vector<float> FiguresOf(const std::string& load) const;
   // How a connection came to its end.
   enum class LinkEnd : std::uint8_t { kClosed, kReset, kRefused, kNotUpInTime, kSpoilt, kClosedHere };
   static std::string_view NameOf(LinkEnd end);
@@ -200,6 +175,7 @@
   core::Runtime* runtime_;
   core::LogSink* log_;
   core::CallCore* core_;
+  GroupReportReader report_reader_;
   std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
   std::unordered_map<std::string, ExchangeId> by_uid_;
   std::map<core::Address, ExchangeId> by_address_;  // who has it now
--- a/tests/soak_trial_test.cpp
+++ b/tests/soak_trial_test.cpp
@@ -43,6 +43,18 @@
                               .slot = 16 + static_cast<int>(::getpid() % 48),
                               .most_megabytes = kMegabytesWithSanitizers});
   }
+  // Few long calls; discovery falls silent, and then every exchange vanishes and returns without its calls: the first
+  // after a second, each further one after `step` more.
+  void VanishAndReturnInAQuietTime(TimeUs step) {
+    script_.clients.calls_per_s = 0.5;
+    script_.exchange.hold_mean = 60 * kSecond;
+    script_.length = 18 * kSecond;
+    script_.faults = {{6 * kSecond, FaultKind::kDiscoverySilent, 0, 14 * kSecond}};
+    for (int slot = 0; slot < script_.exchanges; ++slot) {
+      const TimeUs away = kSecond + static_cast<TimeUs>(slot) * step;
+      script_.faults.push_back({7 * kSecond, FaultKind::kVanishAndReturn, slot, away});
+    }
+  }
   static void ExpectNothingBroken(const TrialResult& result) {
     for (const Finding& finding : result.verdict.findings) {
       ADD_FAILURE() << NameOf(finding.rule) << ": " << finding.call << " " << finding.text;
@@ -137,26 +149,16 @@
 
 // The same, noticed by the rhythm of its reports, or by tests where none come.
 TEST_F(SoakTrialTest, CallsOnAMachineThatReportsOftenAndReturnsWithoutThemAfterASecondEndInTime) {
-  script_.clients.calls_per_s = 0.5;
-  script_.exchange.hold_mean = 60 * kSecond;
   script_.exchange.reports_every = 500 * kMs;
-  script_.length = 18 * kSecond;
-  script_.faults = {{6 * kSecond, FaultKind::kDiscoverySilent, 0, 14 * kSecond}};
-  for (int slot = 0; slot < script_.exchanges; ++slot)
-    script_.faults.push_back({7 * kSecond, FaultKind::kVanishAndReturn, slot, (1'000 + 500 * slot) * kMs});
+  VanishAndReturnInAQuietTime(500 * kMs);
   const TrialResult result = Run();
   EXPECT_GT(Checked(result, Rule::kStandingEnd), 2U);
   ExpectNothingBroken(result);
 }
 
 TEST_F(SoakTrialTest, CallsOnAMachineWithoutReportsThatReturnsWithoutThemEndInTimeWhereTestsAreAllowed) {
-  script_.clients.calls_per_s = 0.5;
-  script_.exchange.hold_mean = 60 * kSecond;
   script_.exchange.tells_gauges = script_.exchange.greets = false;
-  script_.length = 18 * kSecond;
-  script_.faults = {{6 * kSecond, FaultKind::kDiscoverySilent, 0, 14 * kSecond}};
-  for (int slot = 0; slot < script_.exchanges; ++slot)
-    script_.faults.push_back({7 * kSecond, FaultKind::kVanishAndReturn, slot, (1'000 + 700 * slot) * kMs});
+  VanishAndReturnInAQuietTime(700 * kMs);
   const TrialResult result = Run();
   EXPECT_GT(Checked(result, Rule::kStandingEnd), 2U);
   ExpectNothingBroken(result);
