--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -333,7 +333,7 @@
       if (exchange->standing.empty() || exchange->retired) continue;
       policy::FailureDetector& detector = exchange->detector;
       const bool was_in_doubt = exchange->InDoubt();
-      if (detector.denied() && *exchange->circuits_used >= exchange->standing.size())
+      if (detector.denied() && exchange->circuits_used.value_or(0) >= exchange->standing.size())
         detector.OnCallsCounted(runtime_->Now());
       const bool holder_open = std::any_of(exchange->links.begin(), exchange->links.end(), [&](const auto& link) {
         return link->open && detector.IsOfHolder(link->opened_at);
--- a/src/policy/failure_detector.cpp
+++ b/src/policy/failure_detector.cpp
@@ -5,9 +5,7 @@
 namespace croftrun::policy {
 namespace {
 
-// A sign of life is asked for after this much silence, and again at this gap while none comes. An outage of four
-// seconds that begins with the silence is noticed; one of three that begins just before the first question is over
-// before the calls are given up.
+// A sign of life is asked for after this much silence, and again at this gap while none comes.
 constexpr TimeUs kQuietAfter = 2'500'000, kConnectGap = 500'000;
 // The second one follows sooner, as one that does not come up at once may be the one in fifty.
 constexpr TimeUs kSecondConnectAfter = 250'000;
--- a/src/policy/failure_detector.h
+++ b/src/policy/failure_detector.h
@@ -16,9 +16,9 @@
 // connection from before, word of a call from before, or as many circuits in use as calls stand. Otherwise the calls
 // are given up.
 //
-// A report of the circuits that denies most of the calls from before its connection was opened is evidence by itself:
-// an outage may be over before silence shows it. Releases that are on their way look the same for a moment, so such a
-// denial has to last, and a further connection is asked for, on which the exchange sends releases again.
+// A report of the circuits that counts next to none of the calls from before its connection was opened is evidence by
+// itself: an outage may be over before silence shows it. Releases that are on their way look the same for a moment, so
+// such a denial has to last, and a further connection is asked for, on which the exchange sends releases again.
 //
 // Where no reports come and tests are allowed, a test on a connection of that process is the sign that is asked for:
 // its answer proves the very process, however short an outage was. One that stays mute while a connection that was
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -456,6 +456,18 @@
   Stand(*caller, "9b1f03aa5c7e2d44");
 }
 
+TEST_F(PlatformTest, AReportThatCannotBeReadBehindOneThatDeniesCallsContradictsNothing) {
+  const auto caller = Caller();
+  Stand(*caller, kCall);
+  runtime_.RunFor(2'800 * kMs);
+  PlatformLink& newest = *one_.OpenLinks().back();
+  ReportCircuits(newest, 0);
+  newest.Send({.type = MessageType::kGauge, .id = "0000000000000000", .fields = {{"load", "spare:-1;total:x"}}});
+  runtime_.RunFor(1'300 * kMs);
+  ASSERT_EQ(caller->For(kCall).size(), 2U);
+  EXPECT_EQ(caller->For(kCall)[1].cause, 41);
+}
+
 TEST_F(PlatformTest, AReportThatOvertakesTheReleaseOfACallCutsNothing) {
   const auto caller = Caller();
   Stand(*caller, kCall);
