--- a/src/flow/exporter.cpp
+++ b/src/flow/exporter.cpp
@@ -65,9 +65,23 @@
   std::optional<asio::ssl::stream<tcp::socket&>> tls;
   std::optional<std::int64_t> ends;  // the collector's certificate, Unix seconds
   bool reading = false, broken = false;
+  bool refused = false;  // the other side ended TLS with a fatal alert
   std::string why;
 };
 
+// Where a TLS session keeps its Connection, for NoteAlert.
+int ConnectionIndex() {
+  static const int index = SSL_get_ex_new_index(0, nullptr, nullptr, nullptr, nullptr);
+  return index;
+}
+
+// OpenSSL takes a fatal alert for an end of the other side, so that a shutdown that meets one succeeds.
+void NoteAlert(const SSL* session, int where, int alert) {
+  const bool fatal = (alert >> 8) == SSL3_AL_FATAL;
+  if (where != SSL_CB_READ_ALERT || !fatal) return;
+  static_cast<Connection*>(SSL_get_ex_data(session, ConnectionIndex()))->refused = true;
+}
+
 // One collector: its queue, its connection, its spool, its counts. Runs on the worker's thread.
 class Collector {
  public:
@@ -263,7 +277,8 @@
       error_code error;
       link_.OnWriteBegun(NowUs());
       co_await connection->tls->async_shutdown(asio::redirect_error(asio::use_awaitable, error));
-      if (!error || error == asio::error::eof || error == asio::ssl::error::stream_truncated) in_flight_.Clear();
+      const bool ended_in_return = !error || error == asio::error::eof || error == asio::ssl::error::stream_truncated;
+      if (ended_in_return && !connection->refused) in_flight_.Clear();
     } else {
       connection->socket.shutdown(tcp::socket::shutdown_send, ignored);
       while (!connection->broken && !abandoned_ && NowUs() < until) co_await Wait(NowUs() + 1000);
@@ -347,6 +362,8 @@
     connection->keys = keys_.context();
     connection->tls.emplace(connection->socket, *connection->keys);
     SSL* native = connection->tls->native_handle();
+    SSL_set_ex_data(native, ConnectionIndex(), connection.get());
+    SSL_set_info_callback(native, NoteAlert);
     keys_.Expect(native, asio::ip::address_v4(settings_.address.host).to_string());
     co_await connection->tls->async_handshake(asio::ssl::stream_base::client,
                                               asio::redirect_error(asio::use_awaitable, *error));
