--- a/review/common/stand.h
+++ b/review/common/stand.h
@@ -562,7 +562,9 @@
     ::fcntl(fd, F_SETFL, O_NONBLOCK);
     connections_.push_back(std::make_unique<Connection>(
         fd, [this](Connection& c, const Message& m) { HandleMessage(c, m); },
-        [this](Connection& c) { Record("caller %s: the softswitch ended connection %d", host_.c_str(), c.tag); }));
+        [this](Connection& c) {
+          if (log) Record("caller %s: the softswitch ended connection %d", host_.c_str(), c.tag);
+        }));
     connections_.back()->tag = ++last_tag_;
     return connections_.back().get();
   }
