--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,5 +1,5 @@
-// Slow discovery. The notice board takes 2.5 s from a request to the first octet of its answer; after that it tells each
-// event at once and writes a comment every second. Six seconds later an exchange drains.
+// Slow discovery. The notice board takes 2.5 s from a request to the first octet of its answer; after that it tells
+// each event at once and writes a comment every second. Six seconds later an exchange drains.
 #include "../common/stand.h"
 
 using namespace review;
@@ -53,8 +53,8 @@
   board.Publish(2, Event(2, false, json::array({Target(one, "Terminating")})));
   g_loop.RunUntil(Now() + 14.0);
   if (!g_softswitch.Alive()) CouldNotRun("the softswitch ended");
-  Record("set-ups to the draining exchange: %d within the allowed time, %d after it (%.2f s after the event)", in_time, late,
-         limit - told_at);
+  Record("set-ups to the draining exchange: %d within the allowed time, %d after it (%.2f s after the event)", in_time,
+         late, limit - told_at);
   Record("%s", late > 0 ? "rule broken" : "rule held");
   std::printf("%s: %d late set-ups\n", late > 0 ? "broken" : "held", late);
   Finish(late > 0 ? kBroken : kHeld);
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -82,8 +82,9 @@
     const Caller::Call& state = caller.calls[id];
     const bool in_time = state.downs > 0 && state.down_at <= released_at[id] + kReleaseLimit + kSlack;
     broken += in_time ? 0 : 1;
-    Record("%scall %s: released by its exchange at %.3f, %s %.3f", in_time ? "" : "BROKEN: ", id.c_str(), released_at[id],
-           state.downs > 0 ? "its caller was told at" : "its caller was not told until", state.downs > 0 ? state.down_at : Now());
+    Record("%scall %s: released by its exchange at %.3f, %s %.3f", in_time ? "" : "BROKEN: ", id.c_str(),
+           released_at[id], state.downs > 0 ? "its caller was told at" : "its caller was not told until",
+           state.downs > 0 ? state.down_at : Now());
   }
   Record("%s", broken > 0 ? "rule broken" : "rule held");
   std::printf("%s: %d of %zu calls\n", broken > 0 ? "broken" : "held", broken, ids.size());
--- a/review/common/stand.h
+++ b/review/common/stand.h
@@ -1,5 +1,5 @@
-// Stand-ins for the review cases: exchanges, the notice board, callers, and the start of the softswitch. One thread, one
-// poll loop, the real clock. Every address is a loopback address. The stand-ins behave as PROTOCOL.md asks; a case
+// Stand-ins for the review cases: exchanges, the notice board, callers, and the start of the softswitch. One thread,
+// one poll loop, the real clock. Every address is a loopback address. The stand-ins behave as PROTOCOL.md asks; a case
 // switches on its one disruption.
 #ifndef REVIEW_COMMON_STAND_H_
 #define REVIEW_COMMON_STAND_H_
@@ -443,9 +443,14 @@
 // ---- notice board ----
 
 inline json Target(const Exchange& exchange, const std::string& state, std::int64_t boot_ms = 0) {
-  return {{"uid", exchange.uid},          {"endpoint", exchange.address.Text()}, {"az", "east"},
-          {"model", "std"},               {"pod_group", exchange.number},        {"state", state},
-          {"capacity_hint", 4},           {"boot_ms", boot_ms}};
+  return {{"uid", exchange.uid},
+          {"endpoint", exchange.address.Text()},
+          {"az", "east"},
+          {"model", "std"},
+          {"pod_group", exchange.number},
+          {"state", state},
+          {"capacity_hint", 4},
+          {"boot_ms", boot_ms}};
 }
 inline json Event(int number, bool all, const json& targets) {
   return {{"rev", number}, {"pool", {{"rev", number}, {"all", all}, {"targets", targets}}}};
@@ -488,7 +493,8 @@
     const auto received = ::recv(watch->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
     if (received < 0 && (errno == EAGAIN || errno == EINTR)) return;
     if (received <= 0) {
-      Record("board: the softswitch ends request %d%s", watch->number, watch->answered ? "" : ", which has no answer yet");
+      Record("board: the softswitch ends request %d%s", watch->number,
+             watch->answered ? "" : ", which has no answer yet");
       g_loop.Forget(watch->fd);
       ::close(watch->fd);
       watches_.remove_if([watch](const auto& x) { return x.get() == watch; });
@@ -571,15 +577,17 @@
   void SetUp(Connection* connection, const std::string& id, const std::string& call_class, int destination, int left_ms,
              int width = 1) {
     calls[id].sent_at = Now();
-    if (log) Record("caller %s: new %s to %d on connection %d", host_.c_str(), id.c_str(), destination, connection->tag);
-    connection->Send({{"t", "new"},
-                      {"ref", id},
-                      {"f",
-                       {{"class", call_class},
-                        {"left", std::to_string(left_ms)},
-                        {"key", "7f3a9c21e0b4" + std::to_string(1000 + ++keys_)},
-                        {"extras", "dest:" + std::to_string(destination) + ";width:" + std::to_string(width) + ";via:-1"}}},
-                      {"d", "offer-" + id}});
+    if (log)
+      Record("caller %s: new %s to %d on connection %d", host_.c_str(), id.c_str(), destination, connection->tag);
+    connection->Send(
+        {{"t", "new"},
+         {"ref", id},
+         {"f",
+          {{"class", call_class},
+           {"left", std::to_string(left_ms)},
+           {"key", "7f3a9c21e0b4" + std::to_string(1000 + ++keys_)},
+           {"extras", "dest:" + std::to_string(destination) + ";width:" + std::to_string(width) + ";via:-1"}}},
+         {"d", "offer-" + id}});
   }
   // Names a call that stands at this exchange already.
   void Announce(Connection* connection, const std::string& id, const std::string& call_class, const Exchange& at) {
@@ -635,27 +643,62 @@
 // The settings of the first site in its page's figures, for a small deployment.
 inline json SiteSettings(int drain_grace_ms, int release_ms, bool probes) {
   return {{"allowed",
-           {{"conn_idle_us", 600000000}, {"connect_timeout_us", 500000}, {"cpu_us_per_request", 0.0},
-            {"cpu_us_per_s", 300000}, {"max_retry_after_us", 2000000}, {"may_cancel", true}, {"may_duplicate", false},
-            {"most_held", 20000}, {"most_tries", 4}, {"peers", false}, {"probes", probes}, {"retry_after", false},
+           {{"conn_idle_us", 600000000},
+            {"connect_timeout_us", 500000},
+            {"cpu_us_per_request", 0.0},
+            {"cpu_us_per_s", 300000},
+            {"max_retry_after_us", 2000000},
+            {"may_cancel", true},
+            {"may_duplicate", false},
+            {"most_held", 20000},
+            {"most_tries", 4},
+            {"peers", false},
+            {"probes", probes},
+            {"retry_after", false},
             {"streams_per_conn", 1048576}}},
           {"balancers", 3},
           {"clients", {{"marks_retry", false}}},
           {"contract",
-           {{"ask_within_us", 10000000}, {"cold_from", 0.36}, {"drain_grace_us", drain_grace_ms * 1000},
-            {"fall_multiple", 3.0}, {"fall_us", 1000000}, {"grace_to_answer_us", 20000}, {"warm_up_us", 15000000}}},
+           {{"ask_within_us", 10000000},
+            {"cold_from", 0.36},
+            {"drain_grace_us", drain_grace_ms * 1000},
+            {"fall_multiple", 3.0},
+            {"fall_us", 1000000},
+            {"grace_to_answer_us", 20000},
+            {"warm_up_us", 15000000}}},
           {"counted_by", "request"},
           {"discovery", "automatic"},
           {"family_info",
-           {{"class_cells", json::array()}, {"holding_us", {10800000, 12900000}}, {"home_no", 0},
-            {"release_us", release_ms * 1000}, {"remote_load", "off"}, {"repeat_us", 400000}, {"route_advice", true},
-            {"shape", "meshed"}, {"tells_wait", false}, {"widths", {1, 1}}}},
+           {{"class_cells", json::array()},
+            {"holding_us", {10800000, 12900000}},
+            {"home_no", 0},
+            {"release_us", release_ms * 1000},
+            {"remote_load", "off"},
+            {"repeat_us", 400000},
+            {"route_advice", true},
+            {"shape", "meshed"},
+            {"tells_wait", false},
+            {"widths", {1, 1}}}},
           {"flavors", {"std"}},
           {"grades",
-           {{{"group", "all"}, {"hard_limit_us", 9000000}, {"late_worth", 0.1}, {"name", "slot-check"},
-             {"repeat", "idempotent"}, {"slo_us", 1500000}, {"stream", true}, {"window_us", 5000000}, {"worth", 1.0}},
-            {{"group", "all"}, {"hard_limit_us", 9000000}, {"late_worth", 0.25}, {"name", "slot-hold"},
-             {"repeat", "idempotent"}, {"slo_us", 1500000}, {"stream", true}, {"window_us", 5000000}, {"worth", 2.0}}}},
+           {{{"group", "all"},
+             {"hard_limit_us", 9000000},
+             {"late_worth", 0.1},
+             {"name", "slot-check"},
+             {"repeat", "idempotent"},
+             {"slo_us", 1500000},
+             {"stream", true},
+             {"window_us", 5000000},
+             {"worth", 1.0}},
+            {{"group", "all"},
+             {"hard_limit_us", 9000000},
+             {"late_worth", 0.25},
+             {"name", "slot-hold"},
+             {"repeat", "idempotent"},
+             {"slo_us", 1500000},
+             {"stream", true},
+             {"window_us", 5000000},
+             {"worth", 2.0}}}},
           {"layers", {"booking-nodes"}},
           {"localities", {"east"}},
           {"me", 0},
