Callers: an established call belongs to the connection on which it was named last

Cause: HandleSetUp took the announcement of a call that it held for a repetition without effect. The call kept a connection that had ended, and the new connection did not count as one of the caller's, so FindCallerConnection and the periodic check passed it over.

Change: AttachEstablishedCall moves the call to the connection that names it, as at its adoption. A client of another host has to name the exchange where the call is established.

--- a/src/platform/caller_connections.cpp
+++ b/src/platform/caller_connections.cpp
@@ -191,8 +191,11 @@
   const std::string* const extras_text = message.Field("extras");
   const auto extras = ParseExtras(extras_text != nullptr ? *extras_text : std::string());
   if (const auto open = by_id_.find(message.id); open != by_id_.end()) {
-    OpenCall& open_call = calls_.at(open->second);
-    if (extras && !extras->at.empty() && open_call.is_established) return true;  // repeated announcement
+    const OpenCall& open_call = calls_.at(open->second);
+    if (extras && !extras->at.empty() && open_call.is_established) {
+      HandleRepeatedAnnouncement(connection, open->second, extras->at);
+      return true;
+    }
     ++counters_.repeated_ids;
     // On the same connection, the answers to the two set-ups could not be told apart, so it is closed. On another
     // connection only the new set-up is rejected.
@@ -262,14 +265,34 @@
   const CallId call = exchange != 0 ? core_->AdoptCall(request, this, exchange) : 0;
   if (call == 0) return RejectSetUp(connection, message.id, kTemporaryFailure);
   ++counters_.adopted;
-  connection->carried_calls = true;
-  calls_.emplace(call, OpenCall{message.id, connection, connection->host, true});
-  connection->calls.insert(call);
-  ++connection->established;
+  calls_.emplace(call, OpenCall{message.id, nullptr, connection->host, true});
+  AttachEstablishedCall(connection, call);
   by_id_.emplace(message.id, call);
   exchange_connections_->AdoptCall(call, message.id, exchange);
 }
 
+void CallerConnections::HandleRepeatedAnnouncement(Connection* connection, CallId call, const std::string& at) {
+  const OpenCall& open_call = calls_.at(call);
+  // A client on another host has to know where the call is established, because the release of the call follows it.
+  if (connection->host != open_call.host && !exchange_connections_->IsEstablishedAt(call, at)) return;
+  ++counters_.announced_again;
+  LogCall("call-announced-again", call, open_call.id, "on " + core::ToString(connection->stream->Remote()));
+  AttachEstablishedCall(connection, call);
+}
+
+void CallerConnections::AttachEstablishedCall(Connection* connection, CallId call) {
+  OpenCall& open_call = calls_.at(call);
+  if (open_call.connection != nullptr) {
+    --open_call.connection->established;
+    open_call.connection->calls.erase(call);
+  }
+  open_call.connection = connection;
+  open_call.host = connection->host;
+  connection->calls.insert(call);
+  ++connection->established;
+  connection->carried_calls = true;
+}
+
 void CallerConnections::HandleRelease(Connection* connection, const Message& message) {
   const auto open = by_id_.find(message.id);
   if (open != by_id_.end()) {
--- a/src/platform/caller_connections.h
+++ b/src/platform/caller_connections.h
@@ -1,8 +1,9 @@
 // Connections from callers: they carry set-ups, answers and releases.
 //
 // A set-up belongs to the connection it arrived on until its final answer. An established call belongs to no
-// connection: its release is sent on any connection of its caller, who is identified by the host address, or on the
-// next one the caller opens. docs/platform.md describes the states of a connection.
+// connection: its release is sent on the connection on which its caller set it up or named it last, else on any one of
+// its caller, who is identified by the host address, or on the next one the caller opens. docs/platform.md describes
+// the states of a connection.
 #ifndef CROFTRUN_PLATFORM_CALLER_CONNECTIONS_H_
 #define CROFTRUN_PLATFORM_CALLER_CONNECTIONS_H_
 
@@ -38,7 +39,8 @@
   std::uint64_t set_ups = 0, given_up = 0, adopted = 0, answers = 0, refusals = 0, failures = 0;
   std::uint64_t ended = 0, released_by_caller = 0, ends_without_connection = 0, ends_dropped = 0, tests = 0;
   std::uint64_t ends_told_again = 0, acknowledged = 0;
-  TimeUs end_waited_longest = 0;  // longest time that a release waited for a connection of its caller
+  std::uint64_t announced_again = 0;  // established calls that their callers named again
+  TimeUs end_waited_longest = 0;      // longest time that a release waited for a connection of its caller
 };
 
 // Accepts connections from callers and owns the calls that arrive on them.
@@ -78,7 +80,7 @@
   using ConnectionList = std::list<std::unique_ptr<Connection>>;
   struct OpenCall {
     std::string id;
-    Connection* connection = nullptr;  // the connection of its set-up or announcement; null: it has ended
+    Connection* connection = nullptr;  // the connection of its set-up or last announcement; null: it has ended
     std::uint32_t host = 0;            // address of the caller
     bool is_established = false;
   };
@@ -91,6 +93,10 @@
   void HandleRelease(Connection* connection, const Message& message);
   void AdoptCall(Connection* connection, const Message& message, const core::CallRequest& request,
                  const std::string& at);
+  // The caller names an established call once more, usually because its former connection has ended.
+  void HandleRepeatedAnnouncement(Connection* connection, CallId call, const std::string& at);
+  // Makes this the connection of an established call, in place of its former one: its release is sent on it.
+  void AttachEstablishedCall(Connection* connection, CallId call);
   // Removes the connection and abandons its unanswered set-ups.
   void EndConnection(Connection* connection, ConnectionEnd end);
   // Sends the releases that wait for the caller of this connection.
--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -655,6 +655,13 @@
   connection->stream->Write(WriteMessage({.type = MessageType::kHeartbeat, .id = digits, .cause = 0}));
 }
 
+bool ExchangeConnections::IsEstablishedAt(CallId call, const std::string& uid) const {
+  const auto id = call_ids_.find(call);
+  if (id == call_ids_.end()) return false;
+  const CallLeg& leg = call_legs_.at(id->second);
+  return leg.is_established && leg.exchange->target.uid == uid;
+}
+
 void ExchangeConnections::AdoptCall(CallId call, const std::string& id, ExchangeId exchange_id) {
   const auto found = exchanges_.find(exchange_id);
   if (found == exchanges_.end()) return;
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -90,6 +90,8 @@
   void Connect(const core::CircuitSet&, std::string_view) override {}
   void ProbeGroup(int) override {}
 
+  // Returns whether this call is established at the exchange with this uid.
+  bool IsEstablishedAt(CallId call, const std::string& uid) const;
   // Adds a call that was adopted by the core, established at this exchange.
   void AdoptCall(CallId call, const std::string& id, ExchangeId exchange_id);
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -323,6 +323,55 @@
   EXPECT_LE(other->FinalMessages(kCall).size(), 1U);
 }
 
+// Guards against ends of calls that are never reported to a caller who named the calls on a new connection.
+TEST_F(PlatformTest, SendsReleaseOnConnectionOnWhichCallerNamedItsCall) {
+  auto caller = ConnectCaller();
+  EstablishCall(*caller, kCall);
+  caller->connection.stream.reset();
+  runtime_.RunFor(5 * kMs);
+  const auto next = ConnectCaller();
+  next->SetUp(kCall, 1, ";at:s-1");
+  runtime_.RunFor(5'000 * kMs);
+  EXPECT_FALSE(next->connection.end.has_value());
+  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(next->FinalMessages(kCall).size(), 1U);
+  EXPECT_EQ(next->FinalMessages(kCall)[0].cause, 16);
+  EXPECT_EQ(node_->callers().waiting_releases(), 0U);
+  EXPECT_EQ(node_->core().open_calls(), 0U);
+}
+
+// The former connection may be one whose loss this side has not noticed.
+TEST_F(PlatformTest, SendsReleaseWhereCallWasNamedLastThoughFormerConnectionIsOpen) {
+  const auto caller = ConnectCaller(), next = ConnectCaller();
+  EstablishCall(*caller, kCall);
+  next->SetUp(kCall, 1, ";at:s-1");
+  runtime_.RunFor(5 * kMs);
+  // A call that is named by a client of another host with the wrong exchange stays with its caller.
+  const auto stranger = ConnectCaller(0x7f000009);
+  stranger->SetUp(kCall, 1, ";at:s-2");
+  runtime_.RunFor(5 * kMs);
+  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
+  runtime_.RunFor(5'000 * kMs);
+  EXPECT_EQ(next->FinalMessages(kCall).size(), 1U);
+  EXPECT_EQ(caller->FinalMessages(kCall).size(), 1U);  // the answer
+  EXPECT_TRUE(stranger->FinalMessages(kCall).empty());
+}
+
+// A caller may have moved to another host: it knows the call and where it is established.
+TEST_F(PlatformTest, SendsReleaseToCallerWhoNamedItsCallFromAnotherHost) {
+  auto caller = ConnectCaller();
+  EstablishCall(*caller, kCall);
+  caller->connection.stream.reset();
+  runtime_.RunFor(5 * kMs);
+  const auto next = ConnectCaller(0x7f000009);
+  next->SetUp(kCall, 1, ";at:s-1");
+  runtime_.RunFor(5 * kMs);
+  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
+  runtime_.RunFor(5 * kMs);
+  EXPECT_EQ(next->FinalMessages(kCall).size(), 1U);
+}
+
 TEST_F(PlatformTest, AcceptsReleaseOnAnyConnectionOfCaller) {
   const auto caller = ConnectCaller();
   EstablishCall(*caller, kCall);
