Callers: a call named after its end here is answered by its release, not adopted

Cause: an id that is not held was adopted in any case, also right after its end here; the adopted call existed nowhere, and its end was found out anew. A release written on another client's connection counted as read by the caller.

Change: PendingReleases remembers the last 1,024 finished releases. OnAnnounced lets the release of an ended call wait for the connection that names it, at once or, while the two may have crossed, 0.4 s after the write; not where its caller acknowledged it, nor where it was written on that connection already. carried_calls is called belongs_to_caller.

--- a/src/platform/caller_connections.cpp
+++ b/src/platform/caller_connections.cpp
@@ -63,7 +63,7 @@
     const bool line_continues =
         had_partial_line && reader.has_partial_line() && bytes.find('\n') == std::string_view::npos;
     if (!line_continues) partial_since = owner_->runtime_->Now();
-    if (carried_calls) owner_->SendPendingReleases(this);
+    if (belongs_to_caller) owner_->SendPendingReleases(this);
     owner_->StartSetUps(this);
   }
   void OnEnd(core::StreamEnd end) override {
@@ -84,7 +84,8 @@
   TimeUs last_activity_at;     // last data received or release written; a release is acknowledged at once
   bool received_line = false;  // a complete line was received
   TimeUs partial_since = 0;
-  bool was_used = false, carried_calls = false;
+  bool was_used = false;
+  bool belongs_to_caller = false;                                 // it carried calls
   std::size_t open_set_ups = 0;                                   // number of unanswered set-ups on it
   std::size_t established = 0;                                    // number of established calls that were set up on it
   std::unordered_set<CallId> calls;                               // both kinds of calls
@@ -172,8 +173,7 @@
       Send(connection, {.type = MessageType::kHeartbeatResponse, .id = message->id, .cause = 1});
       return true;
     case MessageType::kAcknowledgement:
-      ++counters_.acknowledged;
-      releases_.OnAcknowledged(connection->host, message->id);
+      HandleAcknowledgement(connection, message->id);
       return true;
     case MessageType::kWait:
     case MessageType::kHeartbeatResponse:
@@ -235,7 +235,7 @@
     return true;
   }
   request.session = *message.description;
-  connection->carried_calls = true;
+  connection->belongs_to_caller = true;
   ++counters_.set_ups;
   const CallId call = core_->Reserve();
   LogCall("call-taken", call, message.id, "from " + core::ToString(connection->stream->Remote()));
@@ -261,6 +261,12 @@
 
 void CallerConnections::AdoptCall(Connection* connection, const Message& message, const core::CallRequest& request,
                                   const std::string& at) {
+  if (releases_.OnAnnounced(connection->host, message.id, connection->number, runtime_->Now())) {
+    ++counters_.announced_after_end;
+    LogCall("call-announced-after-end", 0, message.id, "on " + core::ToString(connection->stream->Remote()));
+    connection->belongs_to_caller = true;
+    return;
+  }
   const ExchangeId exchange = exchange_connections_->Find(at);
   const CallId call = exchange != 0 ? core_->AdoptCall(request, this, exchange) : 0;
   if (call == 0) return RejectSetUp(connection, message.id, kTemporaryFailure);
@@ -290,7 +296,7 @@
   open_call.host = connection->host;
   connection->calls.insert(call);
   ++connection->established;
-  connection->carried_calls = true;
+  connection->belongs_to_caller = true;
 }
 
 void CallerConnections::HandleRelease(Connection* connection, const Message& message) {
@@ -302,7 +308,7 @@
     if (!open_call.is_established && open_call.connection != connection) return;
     ++(open_call.is_established ? counters_.released_by_caller : counters_.given_up);
     connection->RecordUse();
-    connection->carried_calls = true;
+    connection->belongs_to_caller = true;
     const bool was_established = open_call.is_established;
     ForgetCall(call);
     core_->HangUp(call);
@@ -311,6 +317,11 @@
   Send(connection, {.type = MessageType::kAcknowledgement, .id = message.id});
 }
 
+void CallerConnections::HandleAcknowledgement(Connection* connection, const std::string& id) {
+  ++counters_.acknowledged;
+  releases_.OnAcknowledged(connection->host, id, connection->number);
+}
+
 void CallerConnections::OnFinalAnswer(CallId call, const core::FinalAnswer& answer) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
@@ -364,12 +375,12 @@
                       connection == open_call.connection ? Recipient::kCaller : Recipient::kHost, now);
 }
 
-// Chooses the most recently used connection that carried calls. Others may belong to the platform's
+// Chooses the most recently used connection that belongs to a caller. Others may belong to the platform's
 // front end, which only sends heartbeats, or to another client on the same host.
 CallerConnections::Connection* CallerConnections::FindCallerConnection(std::uint32_t host) {
   Connection* best = nullptr;
   for (const auto& connection : connections_) {
-    if (connection->host != host || !connection->carried_calls || connection->stream->PeerClosed()) continue;
+    if (connection->host != host || !connection->belongs_to_caller || connection->stream->PeerClosed()) continue;
     if (best == nullptr || best->last_used_at <= connection->last_used_at) best = connection.get();
   }
   return best;
@@ -491,7 +502,7 @@
   for (const auto& connection : connections_) {
     const bool is_listening = !connection->received_line && !connection->reader.has_partial_line() &&
                               now >= connection->accepted_at + kListenerThreshold;
-    if (connection->carried_calls || is_listening) SendPendingReleases(connection.get());
+    if (connection->belongs_to_caller || is_listening) SendPendingReleases(connection.get());
   }
   check_timer_.Start(kCheckInterval, [this] { RunPeriodicCheck(); });
 }
--- a/src/platform/caller_connections.h
+++ b/src/platform/caller_connections.h
@@ -39,8 +39,9 @@
   std::uint64_t set_ups = 0, given_up = 0, adopted = 0, answers = 0, refusals = 0, failures = 0;
   std::uint64_t ended = 0, released_by_caller = 0, ends_without_connection = 0, ends_dropped = 0, tests = 0;
   std::uint64_t ends_told_again = 0, acknowledged = 0;
-  std::uint64_t announced_again = 0;  // established calls that their callers named again
-  TimeUs end_waited_longest = 0;      // longest time that a release waited for a connection of its caller
+  std::uint64_t announced_again = 0;      // established calls that their callers named again
+  std::uint64_t announced_after_end = 0;  // calls that were announced after they had ended here
+  TimeUs end_waited_longest = 0;          // longest time that a release waited for a connection of its caller
 };
 
 // Accepts connections from callers and owns the calls that arrive on them.
@@ -91,6 +92,7 @@
   void StartSetUps(Connection* connection);
   bool HandleSetUp(Connection* connection, const Message& message);
   void HandleRelease(Connection* connection, const Message& message);
+  void HandleAcknowledgement(Connection* connection, const std::string& id);
   void AdoptCall(Connection* connection, const Message& message, const core::CallRequest& request,
                  const std::string& at);
   // The caller names an established call once more, usually because its former connection has ended.
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -180,6 +180,7 @@
                                     {"ends_told_again", c.ends_told_again},
                                     {"acknowledged", c.acknowledged},
                                     {"announced_again", c.announced_again},
+                                    {"announced_after_end", c.announced_after_end},
                                     {"end_waited_longest_ms", c.end_waited_longest / 1000},
                                     {"tests", c.tests},
                                     {"held", caller_connections_->open_calls()},
--- a/src/platform/pending_releases.cpp
+++ b/src/platform/pending_releases.cpp
@@ -13,10 +13,13 @@
 // A release may be lost if its connection ends within this time after the write. A release written earlier has been
 // read.
 constexpr TimeUs kLossWindow = 200'000;
-// Time after which no acknowledgement is expected any more.
-constexpr TimeUs kAcknowledgementTimeout = 2'000'000;
+// Time after which no acknowledgement is expected any more. Where the call was announced on another connection, it
+// leaves time for that one within the second in which the caller has to be notified.
+constexpr TimeUs kAcknowledgementTimeout = 2'000'000, kAnnouncementAcknowledgementTimeout = 400'000;
 // Maximum number of connections on which a release is written: possibly no client knows the call any more.
 constexpr std::size_t kMaxTries = 3;
+// Maximum number of releases that are remembered after they were delivered or dropped.
+constexpr std::size_t kMaxFinishedReleases = 1024;
 // Maximum number of hosts that are remembered as acknowledging.
 constexpr std::size_t kMaxAcknowledgingHosts = 4096;
 
@@ -31,7 +34,7 @@
       oldest = releases_.begin();
       ++dropped_;
     }
-    releases_.erase(oldest);
+    Finish(oldest);
   }
   releases_.push_back(std::move(release));
 }
@@ -51,7 +54,7 @@
     if (release.host != host || release.written_at != 0 || release.tried_connections.count(connection) > 0) continue;
     release.written_at = now;
     release.written_on = connection;
-    release.recipient = Recipient::kHost;
+    release.recipient = release.announced_on == connection ? Recipient::kCaller : Recipient::kHost;
     release.tried_connections.insert(connection);
     taken.push_back(release);
   }
@@ -63,9 +66,36 @@
                      [host](const auto& release) { return release.host == host && release.written_at == 0; });
 }
 
-void PendingReleases::OnAcknowledged(std::uint32_t host, const std::string& id) {
+bool PendingReleases::OnAcknowledged(std::uint32_t host, const std::string& id, ConnectionNumber connection) {
   if (acknowledging_hosts_.size() < kMaxAcknowledgingHosts) acknowledging_hosts_.insert(host);
-  releases_.remove_if([&](const auto& release) { return release.host == host && release.id == id; });
+  if (const Position release = Find(id); release != releases_.end() && release->host == host) Finish(release);
+  const auto finished = finished_by_id_.find(id);
+  if (finished == finished_by_id_.end()) return false;
+  PendingRelease& release = *finished->second;
+  if (release.host != host || release.tried_connections.count(connection) == 0) return false;
+  if (release.written_on == connection && release.recipient == Recipient::kCaller)
+    release.acknowledged_by_caller = true;
+  return true;
+}
+
+bool PendingReleases::OnAnnounced(std::uint32_t host, const std::string& id, ConnectionNumber connection, TimeUs now) {
+  Position release = Find(id);
+  if (release == releases_.end()) {
+    const auto finished = finished_by_id_.find(id);
+    if (finished == finished_by_id_.end()) return false;
+    release = finished->second;
+    if (release->acknowledged_by_caller || release->tried_connections.count(connection) > 0) return true;
+    finished_by_id_.erase(finished);
+    releases_.splice(releases_.end(), finished_, release);
+    release->call_ended_at = now;
+    release->written_at = 0;
+  }
+  if (release->tried_connections.count(connection) > 0) return true;
+  release->host = host;
+  release->announced_on = connection;
+  // Until its acknowledgement is overdue, the announcement may have crossed the release.
+  if (IsOverdue(*release, now)) release->written_at = 0;
+  return true;
 }
 
 bool PendingReleases::MayBeUnread(const PendingRelease& release, ConnectionEnd end, TimeUs now) const {
@@ -87,11 +117,38 @@
 
 std::list<PendingRelease>::iterator PendingReleases::FinishOrRequeue(std::list<PendingRelease>::iterator release,
                                                                      bool may_be_unread) {
-  if (!may_be_unread || release->tried_connections.size() >= kMaxTries) return releases_.erase(release);
+  if (!may_be_unread || release->tried_connections.size() >= kMaxTries) return Finish(release);
   release->written_at = 0;
   return std::next(release);
 }
 
+PendingReleases::Position PendingReleases::Finish(Position release) {
+  const Position next = std::next(release);
+  if (const auto former = finished_by_id_.find(release->id); former != finished_by_id_.end())
+    finished_.erase(former->second);
+  finished_.splice(finished_.end(), releases_, release);
+  finished_by_id_[release->id] = release;
+  if (finished_.size() > kMaxFinishedReleases) {
+    finished_by_id_.erase(finished_.front().id);
+    finished_.pop_front();
+  }
+  return next;
+}
+
+PendingReleases::Position PendingReleases::Find(const std::string& id) {
+  return std::find_if(releases_.begin(), releases_.end(), [&id](const auto& release) { return release.id == id; });
+}
+
+bool PendingReleases::WasAnnouncedElsewhere(const PendingRelease& release) {
+  return release.announced_on != 0 && release.announced_on != release.written_on;
+}
+
+bool PendingReleases::IsOverdue(const PendingRelease& release, TimeUs now) {
+  if (release.written_at == 0) return false;
+  return now >= release.written_at +
+                    (WasAnnouncedElsewhere(release) ? kAnnouncementAcknowledgementTimeout : kAcknowledgementTimeout);
+}
+
 void PendingReleases::OnConnectionEnded(ConnectionNumber connection, ConnectionEnd end, TimeUs now) {
   for (auto release = releases_.begin(); release != releases_.end();) {
     const bool is_affected = release->written_at != 0 && release->written_on == connection;
@@ -104,9 +161,9 @@
     const bool is_waiting = release->written_at == 0;
     if (now >= release->call_ended_at + kMaxWaitTime) {
       dropped_ += is_waiting ? 1 : 0;
-      release = releases_.erase(release);
-    } else if (!is_waiting && now >= release->written_at + kAcknowledgementTimeout) {
-      release = FinishOrRequeue(release, HostAcknowledges(release->host));
+      release = Finish(release);
+    } else if (IsOverdue(*release, now)) {
+      release = FinishOrRequeue(release, WasAnnouncedElsewhere(*release) || HostAcknowledges(release->host));
     } else {
       ++release;
     }
--- a/src/platform/pending_releases.h
+++ b/src/platform/pending_releases.h
@@ -19,6 +19,9 @@
 //
 // The call's own connection is that of its set-up or announcement: its reader is the caller. The reader of another
 // connection of the host may be another client that does not know the call.
+//
+// A caller that announces an ended call has not read its release. It is sent on the connection of the announcement,
+// unless its caller acknowledged it or the announcement may have crossed it on the way.
 #ifndef CROFTRUN_PLATFORM_PENDING_RELEASES_H_
 #define CROFTRUN_PLATFORM_PENDING_RELEASES_H_
 
@@ -27,6 +30,7 @@
 #include <list>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -61,6 +65,8 @@
   ConnectionNumber written_on = 0;
   Recipient recipient = Recipient::kHost;
   std::set<ConnectionNumber> tried_connections = {};  // connections it was written on
+  ConnectionNumber announced_on = 0;                  // connection on which the ended call was announced; 0: none
+  bool acknowledged_by_caller = false;
 };
 
 // Keeps the releases until they count as delivered. The head of this file describes the rules.
@@ -75,8 +81,11 @@
   std::vector<PendingRelease> TakeWaiting(std::uint32_t host, ConnectionNumber connection, TimeUs now);
   // Returns whether releases wait for this host.
   bool HasWaiting(std::uint32_t host) const;
-  // The host acknowledged the release of this call.
-  void OnAcknowledged(std::uint32_t host, const std::string& id);
+  // The host acknowledged the release of this call on this connection. Returns whether the release was written on it.
+  bool OnAcknowledged(std::uint32_t host, const std::string& id, ConnectionNumber connection);
+  // A client on this host announces a call on this connection. Returns whether the call has ended here recently. If its
+  // release has to be sent on the connection, it waits for the host.
+  bool OnAnnounced(std::uint32_t host, const std::string& id, ConnectionNumber connection, TimeUs now);
   // A connection ended: its releases that may be unread wait again.
   void OnConnectionEnded(ConnectionNumber connection, ConnectionEnd end, TimeUs now);
   // Requeues releases that were not acknowledged in time and removes the delivered and the expired ones. Returns the
@@ -89,10 +98,21 @@
   bool HostAcknowledges(std::uint32_t host) const { return acknowledging_hosts_.count(host) > 0; }
   // Returns whether a release may never have been read, given how its connection ended.
   bool MayBeUnread(const PendingRelease& release, ConnectionEnd end, TimeUs now) const;
-  // Removes the release as delivered, or lets it wait again if it may be unread and a try is left.
-  std::list<PendingRelease>::iterator FinishOrRequeue(std::list<PendingRelease>::iterator release, bool may_be_unread);
+  // Returns whether the ended call was announced on another connection than the one its release was written on.
+  static bool WasAnnouncedElsewhere(const PendingRelease& release);
+  // Returns whether the release is written, but its acknowledgement is overdue.
+  static bool IsOverdue(const PendingRelease& release, TimeUs now);
+  using Position = std::list<PendingRelease>::iterator;
+  // Finishes the release, or lets it wait again if it may be unread and a try is left. Returns the next position.
+  Position FinishOrRequeue(Position release, bool may_be_unread);
+  // Moves the release to the finished ones. Returns the next position.
+  Position Finish(Position release);
+  Position Find(const std::string& id);
 
   std::list<PendingRelease> releases_;  // oldest first
+  // The last releases that were delivered or dropped, oldest first, for clients that announce their calls later.
+  std::list<PendingRelease> finished_;
+  std::unordered_map<std::string, Position> finished_by_id_;
   std::unordered_set<std::uint32_t> acknowledging_hosts_;
   std::size_t dropped_ = 0;
 };
--- a/tests/pending_releases_test.cpp
+++ b/tests/pending_releases_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+
 namespace croftrun::platform {
 namespace {
 
@@ -25,7 +27,7 @@
   static PendingRelease Release(const std::string& id) {
     return {.host = kHost, .id = id, .line = "release of " + id, .call_ended_at = kNow};
   }
-  void RecordAcknowledgement() { releases_.OnAcknowledged(kHost, "an earlier call"); }
+  void RecordAcknowledgement() { releases_.OnAcknowledged(kHost, "an earlier call", kFirst); }
 
   PendingReleases releases_;
 };
@@ -69,7 +71,7 @@
   RecordAcknowledgement();
   releases_.OnWritten(Release("b"), kFirst, Recipient::kCaller, kNow);
   releases_.OnWritten(Release("c"), kFirst, Recipient::kCaller, kNow);
-  releases_.OnAcknowledged(kHost, "c");
+  releases_.OnAcknowledged(kHost, "c", kFirst);
   releases_.Expire(kNow + 1'900 * kMs);
   EXPECT_FALSE(releases_.HasWaiting(kHost));
   releases_.Expire(kNow + 2'100 * kMs);
@@ -78,6 +80,47 @@
   EXPECT_EQ(taken[0].id, "b");
 }
 
+// A caller announces the call on another connection after its release was written.
+TEST_F(PendingReleasesTest, AnnouncementMakesReleaseWaitOnceItCannotHaveCrossedIt) {
+  releases_.OnWritten(Release("a"), kFirst, Recipient::kCaller, kNow);
+  EXPECT_TRUE(releases_.OnAnnounced(kHost, "a", kSecondConnection, kNow + 10 * kMs));
+  releases_.Expire(kNow + 300 * kMs);
+  EXPECT_FALSE(releases_.HasWaiting(kHost));
+  releases_.Expire(kNow + 500 * kMs);
+  ASSERT_EQ(releases_.TakeWaiting(kHost, kSecondConnection, kNow + 500 * kMs).size(), 1U);
+  // It was sent on the connection of the announcement, which needs no answer any more.
+  EXPECT_TRUE(releases_.OnAnnounced(kHost, "a", kSecondConnection, kNow + 5 * kSecond));
+  EXPECT_FALSE(releases_.HasWaiting(kHost));
+  EXPECT_FALSE(releases_.OnAnnounced(kHost, "unknown", kSecondConnection, kNow));
+}
+
+TEST_F(PendingReleasesTest, AnnouncementOfDeliveredReleaseMakesItWaitUnlessItsCallerAcknowledgedIt) {
+  for (const char* const id : {"read", "unread", "read by another client"}) {
+    const bool by_caller = std::string(id) != "read by another client";
+    releases_.OnWritten(Release(id), kFirst, by_caller ? Recipient::kCaller : Recipient::kHost, kNow);
+  }
+  EXPECT_TRUE(releases_.OnAcknowledged(kHost, "read", kFirst));
+  EXPECT_TRUE(releases_.OnAcknowledged(kHost, "read by another client", kFirst));
+  EXPECT_FALSE(releases_.OnAcknowledged(kHost, "unknown", kFirst));
+  releases_.OnConnectionEnded(kFirst, ConnectionEnd::kPeerClosed, kNow + 3 * kSecond);
+  for (const char* const id : {"read", "unread", "read by another client"})
+    EXPECT_TRUE(releases_.OnAnnounced(kHost, id, kSecondConnection, kNow + 10 * kSecond));
+  EXPECT_EQ(releases_.waiting_count(), 2U);
+  for (const PendingRelease& release : releases_.TakeWaiting(kHost, kSecondConnection, kNow + 10 * kSecond)) {
+    EXPECT_NE(release.id, "read");
+    EXPECT_EQ(release.recipient, Recipient::kCaller);
+  }
+}
+
+TEST_F(PendingReleasesTest, RemembersLimitedNumberOfDeliveredReleases) {
+  for (int i = 0; i < 1025; ++i) {
+    releases_.OnWritten(Release(std::to_string(i)), kFirst, Recipient::kCaller, kNow);
+    releases_.OnAcknowledged(kHost, std::to_string(i), kFirst);
+  }
+  EXPECT_FALSE(releases_.OnAnnounced(kHost, "0", kSecondConnection, kNow));
+  EXPECT_TRUE(releases_.OnAnnounced(kHost, "1", kSecondConnection, kNow));
+}
+
 TEST_F(PendingReleasesTest, WritesReleaseOnAtMostThreeDifferentConnections) {
   RecordAcknowledgement();
   releases_.OnWritten(Release("a"), 1, Recipient::kCaller, kNow);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -372,6 +372,63 @@
   EXPECT_EQ(next->FinalMessages(kCall).size(), 1U);
 }
 
+// Guards against a call that is adopted although it has ended here, and whose end is reported twice.
+TEST_F(PlatformTest, AnswersAnnouncementOfEndedCallWithItsReleaseOnce) {
+  auto caller = ConnectCaller();
+  EstablishCall(*caller, kCall);
+  caller->connection.stream.reset();
+  runtime_.RunFor(5 * kMs);
+  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
+  runtime_.RunFor(1'000 * kMs);
+  const auto next = ConnectCaller();
+  next->SetUp(kCall, 1, ";at:s-1");
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(next->FinalMessages(kCall).size(), 1U);
+  EXPECT_EQ(next->FinalMessages(kCall)[0].cause, 16);
+  EXPECT_EQ(node_->core().open_calls(), 0U);
+  ReportCircuits(*exchange_1_.OpenConnections()[0], 0);
+  runtime_.RunFor(10'000 * kMs);
+  EXPECT_EQ(next->FinalMessages(kCall).size(), 1U);
+}
+
+// Guards against a release that another client on the caller's host took, and that its caller never gets.
+TEST_F(PlatformTest, AnswersAnnouncementIfReleaseWentToOtherClientOnHost) {
+  auto caller = ConnectCaller();
+  const auto other = ConnectCaller();
+  EstablishCall(*caller, kCall);
+  EstablishCall(*other, kOtherCall);
+  caller->connection.stream.reset();
+  runtime_.RunFor(5 * kMs);
+  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
+  runtime_.RunFor(3'000 * kMs);
+  ASSERT_EQ(other->FinalMessages(kCall).size(), 1U);
+  const auto next = ConnectCaller();
+  next->SetUp(kCall, 1, ";at:s-1");
+  runtime_.RunFor(5 * kMs);
+  EXPECT_EQ(next->FinalMessages(kCall).size(), 1U);
+  next->SetUp(kCall, 1, ";at:s-1");
+  runtime_.RunFor(10'000 * kMs);
+  EXPECT_EQ(next->FinalMessages(kCall).size(), 1U);
+  EXPECT_EQ(node_->core().open_calls(), 1U);  // the other client's
+}
+
+// A caller names a call while its release is on the way to the connection of the call, and acknowledges it there.
+TEST_F(PlatformTest, SendsReleaseOnceIfAnnouncementCrossesIt) {
+  const auto caller = ConnectCaller(), next = ConnectCaller();
+  EstablishCall(*caller, kCall);
+  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(caller->FinalMessages(kCall).size(), 2U);
+  next->SetUp(kCall, 1, ";at:s-1");
+  runtime_.RunFor(5 * kMs);
+  caller->connection.Send({.type = MessageType::kAcknowledgement, .id = kCall});
+  runtime_.RunFor(5 * kMs);
+  next->SetUp(kCall, 1, ";at:s-1");
+  runtime_.RunFor(10'000 * kMs);
+  EXPECT_TRUE(next->FinalMessages(kCall).empty());
+  EXPECT_EQ(node_->core().open_calls(), 0U);
+}
+
 TEST_F(PlatformTest, AcceptsReleaseOnAnyConnectionOfCaller) {
   const auto caller = ConnectCaller();
   EstablishCall(*caller, kCall);
