Callers: a connection on which a release was acknowledged is its caller's

Cause: any line ended the state in which a connection is taken for a listening caller's, and an acknowledgement made it no caller's connection either.

Change: HandleAcknowledgement marks the connection as its caller's and as used, if the release was written on it. Other acknowledgements no longer end the listening state.

--- a/src/platform/caller_connections.cpp
+++ b/src/platform/caller_connections.cpp
@@ -82,13 +82,13 @@
   const TimeUs accepted_at;
   TimeUs last_used_at;
   TimeUs last_activity_at;     // last data received or release written; a release is acknowledged at once
-  bool received_line = false;  // a complete line was received
+  bool received_line = false;  // a complete line was received, other than an acknowledgement
   TimeUs partial_since = 0;
   bool was_used = false;
-  bool belongs_to_caller = false;                                 // it carried calls
-  std::size_t open_set_ups = 0;                                   // number of unanswered set-ups on it
-  std::size_t established = 0;                                    // number of established calls that were set up on it
-  std::unordered_set<CallId> calls;                               // both kinds of calls
+  bool belongs_to_caller = false;    // it carried calls or the acknowledgement of a release
+  std::size_t open_set_ups = 0;      // number of unanswered set-ups on it
+  std::size_t established = 0;       // number of established calls that were set up on it
+  std::unordered_set<CallId> calls;  // both kinds of calls
   std::vector<std::pair<CallId, core::CallRequest>> new_set_ups;  // set-ups not yet passed to the core
   LineReader reader;
   ConnectionList::iterator position;
@@ -154,7 +154,7 @@
     ++counters_.unreadable;
     return false;
   }
-  connection->received_line = true;
+  connection->received_line = connection->received_line || message->type != MessageType::kAcknowledgement;
   const bool of_a_call = message->type == MessageType::kSetUp || message->type == MessageType::kRelease;
   if (of_a_call && message->id.empty()) {
     ++counters_.faulty;
@@ -319,7 +319,10 @@
 
 void CallerConnections::HandleAcknowledgement(Connection* connection, const std::string& id) {
   ++counters_.acknowledged;
-  releases_.OnAcknowledged(connection->host, id, connection->number);
+  if (!releases_.OnAcknowledged(connection->host, id, connection->number)) return;
+  // The reader of a release is a caller, although it may send nothing else on this connection.
+  connection->RecordUse();
+  connection->belongs_to_caller = true;
 }
 
 void CallerConnections::OnFinalAnswer(CallId call, const core::FinalAnswer& answer) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -429,6 +429,25 @@
   EXPECT_EQ(node_->core().open_calls(), 0U);
 }
 
+// Guards against a caller that only listens and acknowledges, and whose next release waits for another connection.
+TEST_F(PlatformTest, SendsNextReleaseToListeningCallerThatAcknowledged) {
+  auto caller = ConnectCaller();
+  EstablishCall(*caller, kCall);
+  EstablishCall(*caller, kOtherCall);
+  caller->connection.stream.reset();
+  runtime_.RunFor(5 * kMs);
+  const auto next = ConnectCaller();
+  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
+  runtime_.RunFor(900 * kMs);
+  ASSERT_EQ(next->FinalMessages(kCall).size(), 1U);
+  next->connection.Send({.type = MessageType::kAcknowledgement, .id = kCall});
+  runtime_.RunFor(5'000 * kMs);
+  EXPECT_FALSE(next->connection.end.has_value());
+  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kOtherCall, 16);
+  runtime_.RunFor(5 * kMs);
+  EXPECT_EQ(next->FinalMessages(kOtherCall).size(), 1U);
+}
+
 TEST_F(PlatformTest, AcceptsReleaseOnAnyConnectionOfCaller) {
   const auto caller = ConnectCaller();
   EstablishCall(*caller, kCall);
