Releases: one that another client of the host may have read is sent on after 0.4 s, not 2 s

Cause: the time for an acknowledgement was 2 s whoever read the release, longer than the second in which the caller has to be told, so that a further connection always came too late.

Change: kHostAcknowledgementTimeout, 0.4 s: with the check each 0.2 s a further connection is written to within 0.6 s. On the call's own connection it stays 2 s.

--- a/src/platform/pending_releases.cpp
+++ b/src/platform/pending_releases.cpp
@@ -13,9 +13,9 @@
 // A release may be lost if its connection ends within this time after the write. A release written earlier has been
 // read.
 constexpr TimeUs kLossWindow = 200'000;
-// Time after which no acknowledgement is expected any more. Where the call was announced on another connection, it
-// leaves time for that one within the second in which the caller has to be notified.
-constexpr TimeUs kAcknowledgementTimeout = 2'000'000, kAnnouncementAcknowledgementTimeout = 400'000;
+// Time after which no acknowledgement is expected any more. Where somebody else may have read the release, it leaves
+// time for another connection within the second in which the caller has to be notified.
+constexpr TimeUs kCallerAcknowledgementTimeout = 2'000'000, kHostAcknowledgementTimeout = 400'000;
 // Maximum number of connections on which a release is written: possibly no client knows the call any more.
 constexpr std::size_t kMaxTries = 3;
 // Maximum number of releases that are remembered after they were delivered or dropped.
@@ -145,8 +145,8 @@
 
 bool PendingReleases::IsOverdue(const PendingRelease& release, TimeUs now) {
   if (release.written_at == 0) return false;
-  return now >= release.written_at +
-                    (WasAnnouncedElsewhere(release) ? kAnnouncementAcknowledgementTimeout : kAcknowledgementTimeout);
+  const bool read_by_caller = release.recipient == Recipient::kCaller && !WasAnnouncedElsewhere(release);
+  return now >= release.written_at + (read_by_caller ? kCallerAcknowledgementTimeout : kHostAcknowledgementTimeout);
 }
 
 void PendingReleases::OnConnectionEnded(ConnectionNumber connection, ConnectionEnd end, TimeUs now) {
--- a/src/platform/pending_releases.h
+++ b/src/platform/pending_releases.h
@@ -9,7 +9,8 @@
 //
 //   its connection                     the call's own      another one of the host
 //   open, acknowledged                 delivered           delivered
-//   open, no acknowledgement in 2 s    waits if the host acknowledges releases, else delivered
+//   open, not acknowledged in time     waits if the host acknowledges releases, else delivered
+//     (its time)                       2 s                 0.4 s
 //   closed here, all written           delivered           waits if the host acknowledges, else delivered
 //   closed here, unwritten data        waits               waits
 //   closed by the peer within 0.2 s    waits if the host acknowledges, else delivered
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -448,6 +448,28 @@
   EXPECT_EQ(next->FinalMessages(kOtherCall).size(), 1U);
 }
 
+// Guards against a release that is sent to another client on the host and reaches its caller after more than a second.
+TEST_F(PlatformTest, SendsUnacknowledgedReleaseToOtherClientOfHostWithinOneSecond) {
+  auto caller = ConnectCaller();
+  const auto other_of_caller = ConnectCaller(), unrelated = ConnectCaller();
+  for (const char* const id : {kOtherCall, "9b1f03aa5c7e2d43"}) {
+    EstablishCall(*other_of_caller, id);
+    PlatformExchange::Release(*exchange_1_.OpenConnections()[0], id, 16);
+    runtime_.RunFor(5 * kMs);
+    other_of_caller->connection.Send({.type = MessageType::kAcknowledgement, .id = id});
+    runtime_.RunFor(5 * kMs);
+  }
+  EstablishCall(*caller, kCall);
+  EstablishCall(*unrelated, "9b1f03aa5c7e2d44");
+  caller->connection.stream.reset();
+  runtime_.RunFor(5 * kMs);
+  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(unrelated->FinalMessages(kCall).size(), 1U);  // it does not know the call and does not acknowledge it
+  runtime_.RunFor(950 * kMs);
+  EXPECT_EQ(other_of_caller->FinalMessages(kCall).size(), 1U);
+}
+
 TEST_F(PlatformTest, AcceptsReleaseOnAnyConnectionOfCaller) {
   const auto caller = ConnectCaller();
   EstablishCall(*caller, kCall);
