Discovery: a silent request is kept, and another one is sent beside it

Cause: DiscoveryClient ran the silence time of an answer under way (1.9 s, from the comments each second) from the connect on and dropped the connection: every answer was dropped before it began. Evidence: record of the case, requests 1 to 10 each ended after 1.90 s "which has no answer yet". The log did not tell that from an answer that stopped; board-silent now names the request and its state, and metrics count unanswered requests and the longest wait.

Change: silence adds a request at the pace of before and ends none. The first request that brings a new event, or data for 1.9 s without a silence, is followed, the others are closed; at most six are in progress (five descriptors more are kept back, so that callers of the test configuration get 65 connections in place of 68). A longer limit alone would wait for requests that are never answered. The event reader is a file of its own.

--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/platform_fuzz.cpp
@@ -3,7 +3,7 @@
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
-#include "platform/discovery_client.h"
+#include "platform/event_reader.h"
 #include "platform/line_codec.h"
 #include "platform/node_config.h"
 
--- a/src/lab/platform_stand_ins.cpp
+++ b/src/lab/platform_stand_ins.cpp
@@ -1,5 +1,6 @@
 #include "lab/platform_stand_ins.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "sim/virtual_runtime.h"
@@ -78,27 +79,44 @@
 }
 
 PlatformDiscovery::PlatformDiscovery(core::Runtime* runtime, const core::Address& address)
-    : listener_(runtime->Listen(address, this)) {}
+    : runtime_(runtime), listener_(runtime->Listen(address, this)) {}
 
 core::StreamHandler* PlatformDiscovery::OnAccept(std::unique_ptr<core::Stream> stream) {
-  connections_.push_back(std::make_unique<PlatformConnection>([this](PlatformConnection& connection,
-                                                                     const std::string& line) {
-    constexpr std::string_view kHeader = "Last-Event-ID: ";
-    if (line.rfind(kHeader, 0) == 0) {
-      last_event_ids.push_back(line.substr(kHeader.size(), line.find('\r') - kHeader.size()));
-      return;
-    }
-    if (line != "\r") return;  // the empty line ends the request
-    connection.stream->Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
-    std::uint64_t last = 0;
-    std::from_chars(last_event_ids.back().data(), last_event_ids.back().data() + last_event_ids.back().size(), last);
-    for (const auto& [number, data] : events_) {
-      if (number > last) connection.stream->Write("id: " + std::to_string(number) + "\ndata: " + data + "\n\n");
-    }
-  }));
-  connections_.back()->stream = std::move(stream);
-  connections_.back()->open = true;
-  return connections_.back().get();
+  Watch* const watch = &watches_.emplace_back();
+  watch->connection = std::make_unique<PlatformConnection>(
+      [this, watch](PlatformConnection&, const std::string& line) { HandleRequestLine(watch, line); });
+  watch->connection->stream = std::move(stream);
+  watch->connection->open = true;
+  return watch->connection.get();
+}
+
+void PlatformDiscovery::HandleRequestLine(Watch* watch, const std::string& line) {
+  constexpr std::string_view kHeader = "Last-Event-ID: ";
+  if (line.rfind(kHeader, 0) == 0) {
+    last_event_ids.push_back(line.substr(kHeader.size(), line.find('\r') - kHeader.size()));
+    const std::string& digits = last_event_ids.back();
+    std::from_chars(digits.data(), digits.data() + digits.size(), watch->last_event);
+    return;
+  }
+  if (line != "\r" || !is_answering) return;  // the empty line ends the request
+  const auto send_header = [this, watch] {
+    if (!watch->connection->open) return;
+    watch->connection->stream->Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+    if (comment_after_header) watch->connection->stream->Write(": here\n\n");
+    if (body_delay == 0) return SendBody(watch);
+    runtime_->StartTimer(body_delay, [this, watch] { SendBody(watch); });
+  };
+  if (response_delay == 0) return send_header();
+  runtime_->StartTimer(response_delay, send_header);
+}
+
+void PlatformDiscovery::SendBody(Watch* watch) {
+  if (!watch->connection->open) return;
+  watch->has_response = true;
+  for (const auto& [number, data] : events_) {
+    if (number > watch->last_event)
+      watch->connection->stream->Write("id: " + std::to_string(number) + "\ndata: " + data + "\n\n");
+  }
 }
 
 void PlatformDiscovery::Publish(std::uint64_t number, const std::string& data) {
@@ -107,13 +125,18 @@
 }
 
 void PlatformDiscovery::Write(const std::string& octets) {
-  for (const auto& connection : connections_) {
-    if (connection->open) connection->stream->Write(octets);
+  for (const Watch& watch : watches_) {
+    if (watch.connection->open && watch.has_response) watch.connection->stream->Write(octets);
   }
 }
 
 void PlatformDiscovery::Reset() {
-  for (const auto& connection : connections_) connection->Reset();
+  for (const Watch& watch : watches_) watch.connection->Reset();
+}
+
+std::size_t PlatformDiscovery::open_connections() const {
+  return static_cast<std::size_t>(
+      std::count_if(watches_.begin(), watches_.end(), [](const Watch& watch) { return watch.connection->open; }));
 }
 
 PlatformCaller::PlatformCaller(core::Runtime* runtime, const core::Address& softswitch) : connection(nullptr) {
--- a/src/lab/platform_stand_ins.h
+++ b/src/lab/platform_stand_ins.h
@@ -77,14 +77,31 @@
   void Publish(std::uint64_t number, const std::string& data);
   // Stores an event for later requests without sending it.
   void Store(std::uint64_t number, const std::string& data) { events_.emplace_back(number, data); }
-  // Sends raw octets to all clients.
+  // Sends raw octets to all clients whose response has begun.
   void Write(const std::string& octets);
   void Reset();
+  void ResetNewest() { watches_.back().connection->Reset(); }
+  // Returns the number of connections that are open.
+  std::size_t open_connections() const;
+
   std::vector<std::string> last_event_ids;  // the Last-Event-ID of each request
+  // Time from a request to the first octet of its response, and from the header to the rest of the response.
+  TimeUs response_delay = 0, body_delay = 0;
+  bool comment_after_header = false;  // a comment follows the header at once
+  bool is_answering = true;           // requests that arrive while it is false are never answered
 
  private:
+  struct Watch {
+    std::unique_ptr<PlatformConnection> connection;
+    std::uint64_t last_event = 0;
+    bool has_response = false;  // the response has begun, so that events are sent
+  };
+  void HandleRequestLine(Watch* watch, const std::string& line);
+  void SendBody(Watch* watch);
+
+  core::Runtime* runtime_;
   std::unique_ptr<core::StreamListener> listener_;
-  std::list<std::unique_ptr<PlatformConnection>> connections_;
+  std::list<Watch> watches_;
   std::vector<std::pair<std::uint64_t, std::string>> events_;
 };
 
--- a/src/platform/discovery_client.cpp
+++ b/src/platform/discovery_client.cpp
@@ -1,90 +1,47 @@
 #include "platform/discovery_client.h"
 
 #include <algorithm>
-#include <array>
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "platform/event_reader.h"
 
 namespace croftrun::platform {
 namespace {
 
-namespace http = boost::beast::http;
-
-// Maximum size of an event and of a line. It admits a full directory of the largest fleet.
-constexpr std::size_t kMaxEventOctets = 2 << 20;
 // The service sends a comment every second. It is taken for silent after slightly less than two seconds.
 constexpr TimeUs kSilenceTimeout = 1'900'000;
-constexpr TimeUs kConnectTimeout = 1'000'000;
+// Another connection is opened after kConnectTimeout; this one may still be established until kMaxConnectTime.
+constexpr TimeUs kConnectTimeout = 1'000'000, kMaxConnectTime = 10'000'000;
 constexpr TimeUs kMinReconnectDelay = 20'000, kMaxReconnectDelay = 400'000;
+// Requests in progress at the same time. They are taken from the descriptors that the node reserves.
+constexpr std::size_t kMaxRequests = 6;
 
 }  // namespace
 
-struct EventReader::HttpResponse {
-  HttpResponse() { parser.body_limit(boost::none); }
-  http::response_parser<http::buffer_body> parser;
-  std::string unparsed;
-};
-
-EventReader::EventReader() : http_response_(std::make_unique<HttpResponse>()) {}
-EventReader::~EventReader() = default;
-
-bool EventReader::Feed(std::string_view bytes, const OnEvent& on_event) {
-  std::array<char, 4096> buffer{};
-  auto& parser = http_response_->parser;
-  http_response_->unparsed.append(bytes);
-  while (!http_response_->unparsed.empty() && !parser.is_done()) {
-    auto& body = parser.get().body();
-    body.data = buffer.data();
-    body.size = buffer.size();
-    body.more = true;
-    boost::system::error_code error;
-    const std::size_t consumed = parser.put(boost::asio::buffer(http_response_->unparsed), error);
-    const bool header_done = parser.is_header_done();
-    http_response_->unparsed.erase(0, consumed);
-    if (header_done && parser.get().result_int() != 200) return false;
-    const std::string_view text(buffer.data(), header_done ? buffer.size() - parser.get().body().size : 0);
-    for (const char c : text) {
-      const bool is_line_end = c == '\n' || c == '\r';
-      const bool second_of_pair = c == '\n' && after_carriage_return_;
-      after_carriage_return_ = c == '\r';
-      if (second_of_pair) continue;
-      if (!is_line_end) {
-        if (line_.size() >= kMaxEventOctets) return false;
-        line_ += c;
-        continue;
-      }
-      const std::string line = std::exchange(line_, {});
-      if (!HandleLine(line, on_event)) return false;
-    }
-    if (error == http::error::need_more) return true;
-    if (error && error != http::error::need_buffer) return false;
-    if (consumed == 0 && text.empty()) return true;
+// One request on its own connection, with its response.
+class DiscoveryClient::Request final : public core::StreamHandler {
+ public:
+  Request(DiscoveryClient* owner, std::uint64_t n, TimeUs now) : number(n), started_at(now), owner_(owner) {}
+  void OnOpen() override {
+    is_open = true;
+    owner_->SendRequest(this);
   }
-  return !parser.is_done();
-}
-
-bool EventReader::HandleLine(std::string_view line, const OnEvent& on_event) {
-  if (line.empty()) {
-    const std::string id = std::exchange(id_, {}), data = std::exchange(data_, {});
-    return !std::exchange(has_data_, false) || on_event(id, data);
-  }
-  const auto colon = line.find(':');
-  const auto name = line.substr(0, colon);
-  std::string_view value = colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
-  if (!value.empty() && value.front() == ' ') value.remove_prefix(1);
-  if (name == "id") {
-    id_ = value;
-  } else if (name == "data") {
-    if (data_.size() + value.size() >= kMaxEventOctets) return false;
-    if (has_data_) data_ += '\n';
-    data_ += value;
-    has_data_ = true;
-  }
-  return true;
-}
+  void OnBytes(std::string_view bytes) override { owner_->HandleResponse(this, bytes); }
+  void OnEnd(core::StreamEnd end) override { owner_->HandleEnd(this, end); }
+
+  const std::uint64_t number;  // for the log
+  const TimeUs started_at;
+  bool is_open = false, has_response = false;
+  std::optional<TimeUs> speaking_since;  // first data after the start or the last silence
+  EventReader reader;
+  std::unique_ptr<core::Stream> stream;
+
+ private:
+  DiscoveryClient* owner_;
+};
 
 DiscoveryClient::DiscoveryClient(core::Runtime* runtime, core::Logger* log, const core::Address& address,
                                  std::uint64_t last_number, OnNotification on_notification)
@@ -93,59 +50,100 @@
       address_(address),
       last_number_(last_number),
       on_notification_(std::move(on_notification)),
-      reconnect_timer_(runtime),
-      silence_timer_(runtime) {
-  Connect();
+      next_request_timer_(runtime) {
+  StartRequest();
 }
 
+DiscoveryClient::~DiscoveryClient() = default;
+
 void DiscoveryClient::MoveTo(const core::Address& address) {
   address_ = address;
   reconnect_delay_ = 0;
-  Connect();
+  requests_.clear();
+  StartRequest();
 }
 
-void DiscoveryClient::Connect() {
-  reconnect_timer_.Stop();
+void DiscoveryClient::StartRequest() {
+  if (requests_.size() >= kMaxRequests) CloseLeastPromisingRequest();
   ++counters_.connects;
-  reader_ = std::make_unique<EventReader>();
-  stream_ = runtime_->Connect(address_, kConnectTimeout, this);
-  RestartSilenceTimer();
+  requests_.push_back(std::make_unique<Request>(this, ++last_request_, runtime_->Now()));
+  Request* const request = requests_.back().get();
+  request->stream = runtime_->Connect(address_, kMaxConnectTime, request);
+  StartSilenceTimer(kConnectTimeout);
 }
 
-void DiscoveryClient::RestartSilenceTimer() {
-  silence_timer_.Start(kSilenceTimeout, [this] {
+void DiscoveryClient::CloseLeastPromisingRequest() {
+  auto chosen = std::find_if(requests_.begin(), requests_.end(), [](const auto& request) { return !request->is_open; });
+  if (chosen == requests_.end()) chosen = requests_.begin();
+  counters_.unanswered += (*chosen)->has_response ? 0 : 1;
+  requests_.erase(chosen);
+}
+
+void DiscoveryClient::SendRequest(const Request* request) {
+  request->stream->Write("GET /board/poll HTTP/1.1\r\nHost: " + core::ToString(address_) +
+                         "\r\nAccept: text/event-stream\r\nCache-Control: no-cache\r\nLast-Event-ID: " +
+                         std::to_string(last_number_) + "\r\n\r\n");
+  const TimeUs silent_at = request->started_at + kSilenceTimeout, now = runtime_->Now();
+  if (request == requests_.back().get()) StartSilenceTimer(silent_at - std::min(silent_at, now));
+}
+
+void DiscoveryClient::StartSilenceTimer(TimeUs delay) {
+  next_request_timer_.Start(delay, [this] {
     ++counters_.silences;
-    log_->Write(core::LogLevel::kWarning, "board-silent", 0, core::ToString(address_));
-    stream_.reset();
-    ScheduleReconnect();
+    for (const auto& request : requests_) request->speaking_since.reset();
+    LogRequest("board-silent", *requests_.back(), "requests in progress: " + std::to_string(requests_.size()));
+    ScheduleRequest();
   });
 }
 
-void DiscoveryClient::ScheduleReconnect() {
-  silence_timer_.Stop();
+void DiscoveryClient::ScheduleRequest() {
   // Adds a random delay of up to half, because the connections of all softswitches are often lost at the same time.
-  reconnect_timer_.Start(reconnect_delay_ + runtime_->Random() % (reconnect_delay_ / 2 + kMinReconnectDelay),
-                         [this] { Connect(); });
+  next_request_timer_.Start(reconnect_delay_ + runtime_->Random() % (reconnect_delay_ / 2 + kMinReconnectDelay),
+                            [this] { StartRequest(); });
   reconnect_delay_ = std::clamp(2 * reconnect_delay_, kMinReconnectDelay, kMaxReconnectDelay);
 }
 
-void DiscoveryClient::OnOpen() {
-  stream_->Write("GET /board/poll HTTP/1.1\r\nHost: " + core::ToString(address_) +
-                 "\r\nAccept: text/event-stream\r\nCache-Control: no-cache\r\nLast-Event-ID: " +
-                 std::to_string(last_number_) + "\r\n\r\n");
+void DiscoveryClient::HandleResponse(Request* request, std::string_view bytes) {
+  StartSilenceTimer(kSilenceTimeout);
+  if (!std::exchange(request->has_response, true)) {
+    const TimeUs waited = runtime_->Now() - request->started_at;
+    counters_.longest_response_wait = std::max(counters_.longest_response_wait, waited);
+    if (requests_.size() > 1) LogRequest("board-answered-late", *request, std::to_string(waited / 1000) + " ms");
+  }
+  if (!request->speaking_since) request->speaking_since = runtime_->Now();
+  const std::uint64_t applied_before = counters_.events;
+  const bool wants_more =
+      request->reader.Feed(bytes, [this](std::string_view id, std::string_view data) { return HandleEvent(id, data); });
+  if (!wants_more) return CloseFailedRequest(request);
+  const bool is_steady = runtime_->Now() >= *request->speaking_since + kSilenceTimeout;
+  if (is_steady || counters_.events > applied_before) CloseOtherRequests(request);
 }
 
-void DiscoveryClient::OnBytes(std::string_view bytes) {
-  RestartSilenceTimer();
-  const bool wants_more =
-      reader_->Feed(bytes, [this](std::string_view id, std::string_view data) { return HandleEvent(id, data); });
-  if (!wants_more) Reconnect();
+void DiscoveryClient::HandleEnd(Request* request, core::StreamEnd end) {
+  LogRequest("board-broken", *request, "end " + std::to_string(static_cast<int>(end)));
+  CloseFailedRequest(request);
 }
 
-void DiscoveryClient::Reconnect() {
+void DiscoveryClient::CloseFailedRequest(Request* request) {
   ++counters_.breaks;
-  stream_.reset();
-  ScheduleReconnect();
+  const bool is_newest = request == requests_.back().get();
+  std::erase_if(requests_, [request](const auto& other) { return other.get() == request; });
+  // After the failure of an older request, the newest one is still in progress, and the silence timer observes it.
+  if (is_newest) ScheduleRequest();
+}
+
+void DiscoveryClient::CloseOtherRequests(const Request* followed) {
+  for (const auto& request : requests_) counters_.unanswered += request->has_response ? 0 : 1;
+  std::erase_if(requests_, [followed](const auto& request) { return request.get() != followed; });
+}
+
+void DiscoveryClient::LogRequest(std::string_view event, const Request& request, std::string_view detail) {
+  const char* const state = !request.is_open        ? "not connected"
+                            : !request.has_response ? "without a response"
+                                                    : "with a response";
+  log_->Write(core::LogLevel::kWarning, event, 0,
+              core::ToString(address_) + ", request " + std::to_string(request.number) + " " + state + ", " +
+                  std::string(detail));
 }
 
 bool DiscoveryClient::ShouldRequestMissing(std::uint64_t number) {
@@ -155,12 +153,6 @@
   return true;
 }
 
-void DiscoveryClient::OnEnd(core::StreamEnd end) {
-  log_->Write(core::LogLevel::kWarning, "board-broken", 0,
-              core::ToString(address_) + ", end " + std::to_string(static_cast<int>(end)));
-  Reconnect();
-}
-
 // The numbers of deltas are consecutive. A delta that does not follow the last one, or cannot be parsed, leaves a gap.
 // The missing events are requested once more, starting after the last applied one. The gap is skipped only if the
 // service does not send them then either.
--- a/src/platform/discovery_client.h
+++ b/src/platform/discovery_client.h
@@ -1,9 +1,16 @@
-// Client of the discovery service: sends one request and reads its unending response as server-sent events.
+// Client of the discovery service: sends a request and follows its unending response of server-sent events.
+//
+// A response that is slow to begin, or that pauses, cannot be told from one that never comes. A silent request is
+// therefore kept, and another one is sent beside it on a connection of its own. The first request that brings a new
+// event, or data without a silence in between for some time, is followed, and all others are closed. A single line does
+// not decide: the rest of the response may pause as well, or never come.
 #ifndef CROFTRUN_PLATFORM_DISCOVERY_CLIENT_H_
 #define CROFTRUN_PLATFORM_DISCOVERY_CLIENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -14,39 +21,22 @@
 
 namespace croftrun::platform {
 
-// Parses server-sent events (WHATWG HTML standard, 9.2) in the body of an HTTP response as it arrives. Only complete
-// events are reported; an event that is cut off is discarded.
-class EventReader {
- public:
-  // Handles one event; `id` is empty if the event has none. Returns false to stop reading.
-  using OnEvent = std::function<bool(std::string_view id, std::string_view data)>;
-  EventReader();
-  ~EventReader();
-  // Returns false if the stream is of no further use: the status is not 200, the data is not HTTP, an event exceeds the
-  // size limit, or the handler returned false.
-  bool Feed(std::string_view bytes, const OnEvent& on_event);
-
- private:
-  bool HandleLine(std::string_view line, const OnEvent& on_event);
-  struct HttpResponse;
-  std::unique_ptr<HttpResponse> http_response_;
-  std::string line_, id_, data_;
-  bool after_carriage_return_ = false, has_data_ = false;
-};
-
 // Counters of the discovery client, as shown in the metrics.
 struct DiscoveryCounters {
   std::uint64_t connects = 0, breaks = 0, silences = 0, gaps = 0, events = 0, repeated = 0, unreadable = 0;
+  std::uint64_t unanswered = 0;      // requests that were closed here before their response began
+  TimeUs longest_response_wait = 0;  // longest time from a request to the first octet of its response
 };
 
-// Follows the directory of the discovery service. Reconnects after the connection was lost or has been silent, with
-// delays that grow while the service is unavailable, and reports each notification once and in order.
-class DiscoveryClient final : public core::StreamHandler {
+// Follows the directory of the discovery service. Sends another request after the last one failed or has been silent,
+// with delays that grow while the service is unavailable, and reports each notification once and in order.
+class DiscoveryClient final {
  public:
   using OnNotification = std::function<void(const DirectoryNotification&)>;
   // `last_number` is the number of the last event that has been applied already.
   DiscoveryClient(core::Runtime* runtime, core::Logger* log, const core::Address& address, std::uint64_t last_number,
                   OnNotification on_notification);
+  ~DiscoveryClient();
   // Switches to another address; the event numbers continue.
   void MoveTo(const core::Address& address);
   // Records that the events up to `last_number` were received in another way.
@@ -54,21 +44,29 @@
   std::uint64_t last_number() const { return last_number_; }
   const core::Address& address() const { return address_; }
   const DiscoveryCounters& counters() const { return counters_; }
-
-  void OnOpen() override;
-  void OnBytes(std::string_view bytes) override;
-  void OnEnd(core::StreamEnd end) override;
+  std::size_t open_requests() const { return requests_.size(); }
 
  private:
-  void Connect();
-  void ScheduleReconnect();
-  void RestartSilenceTimer();
-  // Closes the connection and requests the events after the last one that was applied.
-  void Reconnect();
+  class Request;
+
+  // Sends a request for the events after the last one that was applied, beside those in progress.
+  void StartRequest();
+  void ScheduleRequest();
+  // Sends another request after this time unless data arrives.
+  void StartSilenceTimer(TimeUs delay);
+  // Makes room for a request: closes the oldest one that has no connection yet, else the oldest one.
+  void CloseLeastPromisingRequest();
+  void CloseFailedRequest(Request* request);
+  void CloseOtherRequests(const Request* followed);
+  // These handle the events of a request's connection.
+  void SendRequest(const Request* request);
+  void HandleResponse(Request* request, std::string_view bytes);
+  void HandleEnd(Request* request, core::StreamEnd end);
   // Returns true once for each number: the events from it on are missing and have to be requested again.
   bool ShouldRequestMissing(std::uint64_t number);
-  // Returns false if the connection has to be closed.
+  // Returns false if the request has to be closed.
   bool HandleEvent(std::string_view id, std::string_view data);
+  void LogRequest(std::string_view event, const Request& request, std::string_view detail);
 
   core::Runtime* runtime_;
   core::Logger* log_;
@@ -76,9 +74,9 @@
   std::uint64_t last_number_;
   std::uint64_t requested_number_ = 0;  // the missing event that was requested again, which is done once
   OnNotification on_notification_;
-  std::unique_ptr<core::Stream> stream_;
-  std::unique_ptr<EventReader> reader_;
-  core::Timer reconnect_timer_, silence_timer_;
+  std::list<std::unique_ptr<Request>> requests_;  // in progress, oldest first
+  std::uint64_t last_request_ = 0;
+  core::Timer next_request_timer_;
   TimeUs reconnect_delay_ = 0;
   DiscoveryCounters counters_;
 };
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr TimeUs kMetricsInterval = 10'000'000;
-// File descriptors reserved for the process itself and the connection to the discovery service, with some spare.
-constexpr std::size_t kReservedDescriptors = 24;
+// File descriptors reserved for the process itself and the connections to the discovery service, with some spare.
+constexpr std::size_t kReservedDescriptors = 29;
 // Percentage of the other descriptors for connections to exchanges. Callers may keep their connections open for any
 // time.
 constexpr std::size_t kExchangeSharePercent = 35;
@@ -242,6 +242,9 @@
                                     {"events", b.events},
                                     {"repeated", b.repeated},
                                     {"unreadable", b.unreadable},
+                                    {"unanswered", b.unanswered},
+                                    {"response_waited_longest_ms", b.longest_response_wait / 1000},
+                                    {"open_requests", discovery_client_->open_requests()},
                                     {"last", discovery_client_->last_number()}}}};
   return metrics.dump();
 }
--- /dev/null
+++ b/tests/discovery_client_test.cpp
@@ -0,0 +1,116 @@
+// Tests how a softswitch follows a discovery service that is slow, pauses or never answers, on virtual time.
+#include <gtest/gtest.h>
+
+#include "platform_fixture.h"
+
+namespace croftrun::platform {
+namespace {
+
+class DiscoveryClientTest : public PlatformTest {
+ protected:
+  static json DrainOfExchange1() { return json::array({TargetJson(1, "Terminating")}); }
+  // Sends a comment each second to the requests whose response has begun.
+  void StartComments() {
+    comment_timer_.Start(1'000 * kMs, [this] {
+      discovery_.Write(":\n");
+      StartComments();
+    });
+  }
+  // Moves the softswitch to a request that begins under the present conditions of the discovery service.
+  void ReconnectToDiscovery() {
+    discovery_.Reset();
+    StartComments();
+  }
+  json DiscoveryMetrics() const { return json::parse(node_->Metrics())["board"]; }
+  bool KnowsDrain() const { return DiscoveryMetrics()["last"] == 2; }
+
+  core::Timer comment_timer_{&runtime_};
+};
+
+class SlowResponseTest : public DiscoveryClientTest, public ::testing::WithParamInterface<TimeUs> {};
+
+// Guards against a directory that is never followed while discovery takes longer than the silence timeout to answer.
+TEST_P(SlowResponseTest, AppliesDrainWhileDiscoveryIsSlowToBeginItsResponse) {
+  discovery_.response_delay = GetParam();
+  ReconnectToDiscovery();
+  runtime_.RunFor(3'000 * kMs);
+  PublishChanges(2, {TargetJson(1, "Terminating")});
+  // At the latest once the response to the request in progress has begun.
+  runtime_.RunFor(GetParam() + 200 * kMs);
+  EXPECT_TRUE(KnowsDrain());
+  const auto caller = ConnectCaller();
+  caller->SetUp(kCall, 1);
+  runtime_.RunFor(2'000 * kMs);
+  EXPECT_TRUE(exchange_1_.Received(MessageType::kSetUp).empty());
+  runtime_.RunFor(10'000 * kMs);
+  EXPECT_EQ(discovery_.open_connections(), 1U);  // the other requests are closed, and none is sent any more
+  EXPECT_EQ(DiscoveryMetrics()["open_requests"], 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Delays, SlowResponseTest,
+                         ::testing::Values(1'850 * kMs, 1'950 * kMs, 2'500 * kMs, 3'900 * kMs, 6'000 * kMs,
+                                           9'000 * kMs));
+
+// The header arrives at once each time, and the rest of the response later than the silence timeout.
+TEST_F(DiscoveryClientTest, AppliesDrainIfResponsePausesAfterItsHeader) {
+  discovery_.body_delay = 2'500 * kMs;
+  ReconnectToDiscovery();
+  discovery_.Store(2, EventJson(2, false, DrainOfExchange1()));
+  runtime_.RunFor(2'700 * kMs);
+  EXPECT_TRUE(KnowsDrain());
+  EXPECT_EQ(discovery_.open_connections(), 1U);
+}
+
+// A response begins with a comment at once each time, and pauses before its first event.
+TEST_F(DiscoveryClientTest, AppliesDrainIfResponsePausesBetweenCommentAndEvent) {
+  discovery_.comment_after_header = true;
+  discovery_.body_delay = 2'500 * kMs;
+  discovery_.Reset();
+  discovery_.Store(2, EventJson(2, false, DrainOfExchange1()));
+  runtime_.RunFor(2'700 * kMs);
+  EXPECT_TRUE(KnowsDrain());
+  EXPECT_EQ(discovery_.open_connections(), 1U);
+}
+
+// A response that has begun pauses, and requests that are sent meanwhile are never answered.
+TEST_F(DiscoveryClientTest, FollowsResponseThatContinuesAfterPause) {
+  StartComments();
+  runtime_.RunFor(2'500 * kMs);
+  comment_timer_.Stop();
+  discovery_.is_answering = false;
+  runtime_.RunFor(3'000 * kMs);
+  EXPECT_GT(discovery_.last_event_ids.size(), 1U);
+  StartComments();
+  PublishChanges(2, {TargetJson(1, "Terminating")});
+  runtime_.RunFor(5 * kMs);
+  EXPECT_TRUE(KnowsDrain());
+  EXPECT_EQ(discovery_.open_connections(), 1U);
+}
+
+// Requests that are never answered do not keep the softswitch from sending others, and their number is limited.
+TEST_F(DiscoveryClientTest, SendsFurtherRequestsWhileNoneIsAnswered) {
+  discovery_.is_answering = false;
+  ReconnectToDiscovery();
+  runtime_.RunFor(30'000 * kMs);
+  EXPECT_LE(discovery_.open_connections(), 6U);
+  discovery_.is_answering = true;
+  discovery_.Store(2, EventJson(2, false, DrainOfExchange1()));
+  runtime_.RunFor(2'600 * kMs);
+  EXPECT_TRUE(KnowsDrain());
+  EXPECT_EQ(discovery_.open_connections(), 1U);
+}
+
+// A failed request does not end one that still waits for its response.
+TEST_F(DiscoveryClientTest, KeepsWaitingRequestWhenAnotherFails) {
+  discovery_.response_delay = 2'500 * kMs;
+  ReconnectToDiscovery();
+  discovery_.Store(2, EventJson(2, false, DrainOfExchange1()));
+  runtime_.RunFor(2'200 * kMs);
+  ASSERT_EQ(discovery_.open_connections(), 2U);
+  discovery_.ResetNewest();
+  runtime_.RunFor(400 * kMs);
+  EXPECT_TRUE(KnowsDrain());
+}
+
+}  // namespace
+}  // namespace croftrun::platform
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -26,6 +26,9 @@
 inline constexpr Address kSoftswitch{0x7f080001, 5080}, kDiscovery{0x7f08c801, 9092}, kOtherDiscovery{0x7f08c801, 9093};
 inline constexpr char kCall[] = "9b1f03aa5c7e2d41", kOtherCall[] = "9b1f03aa5c7e2d42";
 
+// Limit of the callers' connections with the descriptors of ConfigJson.
+inline constexpr std::size_t kMaxCallerConnections = 65;
+
 class NullLogger final : public core::Logger {
  public:
   void Write(core::LogLevel, std::string_view, CallId, std::string_view) override {}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,6 +1,7 @@
 // Tests the platform protocol on virtual time: a complete softswitch with stand-ins.
 #include <gtest/gtest.h>
 
+#include "platform/event_reader.h"
 #include "platform_fixture.h"
 
 namespace croftrun::platform {
@@ -239,7 +240,7 @@
   std::vector<std::unique_ptr<PlatformCaller>> old;
   old.push_back(ConnectCaller());
   EstablishCall(*old[0], kCall);
-  while (node_->callers().connection_count() < 68) {
+  while (node_->callers().connection_count() < kMaxCallerConnections) {
     old.push_back(ConnectCaller());
     old.back()->SetUp("9b1f03aa5c7e00" + std::to_string(10 + old.size()), 77);
     runtime_.RunFor(5 * kMs);
--- a/tests/race_test.cpp
+++ b/tests/race_test.cpp
@@ -121,12 +121,12 @@
     connection->Send(
         {.type = MessageType::kGroupReport, .id = "0000000000000000", .fields = {{"load", "spare:200;total:200"}}});
   std::vector<std::unique_ptr<PlatformCaller>> busy;
-  while (node_->callers().connection_count() < 68) {
+  while (node_->callers().connection_count() < kMaxCallerConnections) {
     busy.push_back(ConnectCaller());
     busy.back()->SetUp(CallNumber(busy.size()), 1, "", "9000");
     runtime_.RunFor(kMs);
   }
-  ASSERT_EQ(node_->callers().unanswered_set_ups(), 68U);
+  ASSERT_EQ(node_->callers().unanswered_set_ups(), kMaxCallerConnections);
   exchange_1_.on_set_up = [](PlatformConnection& connection, const Message& message) {
     PlatformExchange::Answer(connection, message.id, "good");
   };
@@ -149,7 +149,7 @@
   node_ = std::make_unique<Node>(ParseNodeConfig(config.dump(), "", "", &mistakes), &runtime_, &log_);
   std::vector<std::unique_ptr<PlatformCaller>> idle;
   for (int i = 0; i < 150; ++i) idle.push_back(ConnectCaller(0x7f000100U + static_cast<unsigned>(i)));
-  EXPECT_EQ(node_->callers().connection_count(), 68U);
+  EXPECT_EQ(node_->callers().connection_count(), kMaxCallerConnections);
   PlatformDiscovery other(&runtime_, kOtherDiscovery);
   other.Store(2, EventJson(2, false, json::array({TargetJson(2, "Terminating")})));
   runtime_.RunFor(700 * kMs);
