Soak: callers that reconnect and name their calls, discovery that is slow to answer

Change: faults reconnect (connections of callers closed, reset or kept, others opened, standing calls named on them, each 1.1 s), discovery-late and discovery-half (answers ended, the next ones begin, or go on after their header, 2 to 3.5 s late for 9 to 14 s, with drains of 7 to 9 s).

--- a/src/lab/soak/client_stand_in.cpp
+++ b/src/lab/soak/client_stand_in.cpp
@@ -18,6 +18,8 @@
 // A set-up that was sent at most this long before its connection closed is sent once more.
 constexpr TimeUs kCloseRaceTime = 50'000;
 constexpr int kCauseNormal = 16;
+// Maximum time between the end of a caller's connections and its next one.
+constexpr TimeUs kMaxReconnectDelay = 400'000;
 // A bad client disconnects after this time. It is longer than the time in which the judge demands a response.
 constexpr TimeUs kBadClientLifetime = 5'000'000;
 constexpr std::size_t kBadClientKinds = 6;
@@ -30,6 +32,7 @@
   std::set<std::string> calls;         // set-ups on it without an answer
   std::vector<std::string> unwritten;  // set-ups that are not completely written yet
   TimeUs last_call = 0;
+  bool announces_calls = false;  // the established calls of its host, once it is open
   bool closed = false;
 };
 
@@ -141,7 +144,7 @@
   connection->last_call = runtime_->Now();
   connection->client = std::make_unique<LineClient>(
       context_, connection->host, softswitch_address_,
-      LineClientHandlers{.on_open = [this, connection] { LogEvent(EventKind::kClientConnected, connection->host, ""); },
+      LineClientHandlers{.on_open = [this, connection] { OnOpen(connection); },
                          .on_line = [this, connection](std::string_view line) { OnLine(connection, line); },
                          .on_end = [this, connection](ConnectionEnd end) { OnEnd(connection, end); },
                          .on_written =
@@ -159,6 +162,14 @@
   return connection;
 }
 
+void ClientStandIn::OnOpen(Connection* connection) {
+  LogEvent(EventKind::kClientConnected, connection->host, "");
+  if (!connection->announces_calls || connection->closed) return;
+  for (const auto& [id, call] : established_) {
+    if (call.host == connection->host) Announce(connection, id, call);
+  }
+}
+
 void ClientStandIn::PlaceCall(int host) { SendSetUp(ConnectionFor(host)); }
 
 void ClientStandIn::SendSetUp(Connection* connection) {
@@ -363,12 +374,39 @@
 void ClientStandIn::AnnounceEstablishedCalls() {
   for (const auto& [id, call] : established_) {
     Connection* const connection = ConnectionFor(static_cast<int>(call.host - hosts_from_));
-    LogEvent(EventKind::kCallAnnounced, call.host, id);
-    connection->client->Write(platform::WriteMessage(
-        {.type = MessageType::kSetUp,
-         .id = id,
-         .fields = {{"class", traits_.classes[0]}, {"extras", "dest:0;width:1;via:-1;at:" + call.uid}},
-         .description = "again " + id}));
+    Announce(connection, id, call);
+  }
+}
+
+void ClientStandIn::Announce(Connection* connection, const std::string& id, const EstablishedCall& call) {
+  LogEvent(EventKind::kCallAnnounced, call.host, id);
+  connection->client->Write(platform::WriteMessage(
+      {.type = MessageType::kSetUp,
+       .id = id,
+       .fields = {{"class", traits_.classes[0]}, {"extras", "dest:0;width:1;via:-1;at:" + call.uid}},
+       .description = "again " + id}));
+}
+
+void ClientStandIn::Reconnect() {
+  for (int host = 0; host < traits_.hosts; ++host) {
+    const std::uint32_t address = hosts_from_ + static_cast<std::uint32_t>(host);
+    const std::uint64_t way = random_() % 3;  // 0: the former connections stay open
+    if (way != 0) CloseIdleConnections(address, way == 1 ? ConnectionClose::kOrderly : ConnectionClose::kReset);
+    runtime_->StartTimer(random_() % kMaxReconnectDelay, [this, host] { Connect(host)->announces_calls = true; });
+  }
+}
+
+void ClientStandIn::CloseIdleConnections(std::uint32_t host, ConnectionClose how) {
+  for (const auto& connection : connections_) {
+    if (connection->host != host || connection->closed || !connection->calls.empty() || !connection->client->open())
+      continue;
+    LogEvent(EventKind::kClientClosed, connection->host, "");
+    connection->closed = true;
+    if (how == ConnectionClose::kReset) {
+      connection->client->Reset();
+    } else {
+      connection->client.reset();
+    }
   }
 }
 
--- a/src/lab/soak/client_stand_in.h
+++ b/src/lab/soak/client_stand_in.h
@@ -59,6 +59,9 @@
   void OnProcessEnded();
   // Announces the established calls to a restarted process.
   void AnnounceEstablishedCalls();
+  // Replaces the connections of each host: closes or resets its idle ones or leaves them open, then opens another one
+  // and announces the established calls of the host on it.
+  void Reconnect();
   // Multiplies the call rate and the number of connections by `factor`.
   void SetCrowdFactor(double factor) { crowd_factor_ = factor; }
   // Connects a client that misbehaves in one of several ways, selected by `kind`.
@@ -90,6 +93,10 @@
   void SendSetUp(Connection* connection);
   Connection* ConnectionFor(int host);
   Connection* Connect(int host);
+  enum class ConnectionClose : std::uint8_t { kOrderly, kReset };
+  void CloseIdleConnections(std::uint32_t host, ConnectionClose how);
+  void Announce(Connection* connection, const std::string& id, const EstablishedCall& call);
+  void OnOpen(Connection* connection);
   void OnLine(Connection* connection, std::string_view line);
   void OnAnswer(const platform::Message& message, Connection* connection);
   void OnRelease(const platform::Message& message, Connection* connection);
--- a/src/lab/soak/discovery_stand_in.cpp
+++ b/src/lab/soak/discovery_stand_in.cpp
@@ -34,7 +34,8 @@
 // A request of the softswitch and its unbounded response.
 class DiscoveryStandIn::Watch final : public core::StreamHandler {
  public:
-  Watch(DiscoveryStandIn* owner, std::unique_ptr<core::Stream> accepted) : stream(std::move(accepted)), owner_(owner) {}
+  Watch(DiscoveryStandIn* owner, std::unique_ptr<core::Stream> accepted)
+      : stream(std::move(accepted)), response_timer(owner->runtime_), owner_(owner) {}
   void OnBytes(std::string_view bytes) override {
     if (request_read) return;
     request_.append(bytes);
@@ -44,14 +45,16 @@
       const char* const digits = request_.data() + at + kLastEventHeader.size();
       std::from_chars(digits, request_.data() + request_.size(), last_event);
     }
-    owner_->WriteEvents(this);
+    owner_->ScheduleResponse(this);
   }
   void OnEnd(core::StreamEnd) override {
     owner_->watches_.remove_if([this](const auto& watch) { return watch.get() == this; });
   }
   std::unique_ptr<core::Stream> stream;
-  bool request_read = false, response_started = false;
-  std::uint64_t last_event = 0;  // number of the last event that the softswitch has
+  core::Timer response_timer;
+  bool request_read = false;
+  bool response_started = false;  // the header and what follows it were written, so that events are written at once
+  std::uint64_t last_event = 0;   // number of the last event that the softswitch has
 
  private:
   DiscoveryStandIn* owner_;
@@ -88,9 +91,14 @@
   silent_ = silent;
   // Existing watches stay silent: the softswitch gets the events that it missed with its next request.
   if (!silent) return;
-  for (const auto& watch : watches_) watch->request_read = watch->response_started = false;
+  for (const auto& watch : watches_) {
+    watch->request_read = watch->response_started = false;
+    watch->response_timer.Stop();
+  }
 }
 
+void DiscoveryStandIn::EndResponses() { watches_.clear(); }
+
 void DiscoveryStandIn::UpdateEntry(const DirectoryEntry& entry) {
   events_.push_back({events_.empty() ? 1 : events_.back().number + 1, entry});
   if (entry.state != "Ready") {
@@ -101,9 +109,16 @@
   }
 }
 
+void DiscoveryStandIn::ScheduleResponse(Watch* watch) {
+  watch->response_timer.Start(response_delays_.header, [this, watch, body_delay = response_delays_.body] {
+    if (silent_) return;
+    watch->stream->Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+    watch->response_timer.Start(body_delay, [this, watch] { WriteEvents(watch); });
+  });
+}
+
 void DiscoveryStandIn::WriteEvents(Watch* watch) {
   if (silent_) return;
-  if (!watch->response_started) watch->stream->Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
   watch->response_started = true;
   for (const Event& event : events_) {
     if (event.number <= watch->last_event) continue;
--- a/src/lab/soak/discovery_stand_in.h
+++ b/src/lab/soak/discovery_stand_in.h
@@ -24,6 +24,12 @@
   std::int64_t boot_ms = 0;
 };
 
+// How slowly requests are answered.
+struct ResponseDelays {
+  TimeUs header = 0;  // from the request to the first octet of its response
+  TimeUs body = 0;    // from the header to the rest of the response
+};
+
 // Serves the directory of exchanges to one softswitch.
 class DiscoveryStandIn final : public core::StreamAcceptor {
  public:
@@ -34,6 +40,10 @@
   void UpdateEntry(const DirectoryEntry& entry);
   // While silent, nothing is written on any connection, not even comments, and requests are not answered.
   void SetSilent(bool silent);
+  // Applies to the requests that arrive from now on.
+  void SetResponseDelays(const ResponseDelays& delays) { response_delays_ = delays; }
+  // Ends all responses; what was written before still arrives.
+  void EndResponses();
   // The current directory, as the value of `known` in a configuration.
   nlohmann::json KnownDirectory() const;
   core::StreamHandler* OnAccept(std::unique_ptr<core::Stream> stream) override;
@@ -44,6 +54,8 @@
     std::uint64_t number = 0;
     DirectoryEntry entry;
   };
+  // Begins the response to the request after the present delays.
+  void ScheduleResponse(Watch* watch);
   void WriteEvents(Watch* watch);
   void ScheduleComment();
 
@@ -53,6 +65,7 @@
   std::vector<Event> events_;
   std::list<std::unique_ptr<Watch>> watches_;
   bool silent_ = false;
+  ResponseDelays response_delays_;
   core::Timer comment_timer_;
   std::unique_ptr<core::StreamListener> listener_;
 };
--- a/src/lab/soak/schedule.cpp
+++ b/src/lab/soak/schedule.cpp
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr TimeUs kSecond = 1'000'000, kMs = 1'000;
+// Delays of discovery's responses. With the time until the next request is sent, a notification still arrives within
+// the 6 s after which it counts as received.
+constexpr TimeUs kMinResponseDelay = 2 * kSecond, kMaxResponseDelay = 3'500 * kMs;
+// Time that an exchange drains while discovery is slow: longer than the 6 s after which the drain counts as known.
+constexpr TimeUs kMinLongDrainTime = 7 * kSecond, kMaxLongDrainTime = 9 * kSecond;
 constexpr TimeUs kMaxKillDelay = 3 * kSecond, kKillMargin = 700 * kMs;
 
 constexpr std::array<std::string_view, kFaultKindCount> kNames{"vanish",
@@ -28,12 +33,15 @@
                                                                "spoil",
                                                                "discovery-down",
                                                                "discovery-silent",
+                                                               "discovery-late",
+                                                               "discovery-half",
                                                                "reconfigure",
                                                                "terminate",
                                                                "kill",
                                                                "bad-clients",
                                                                "crowd",
-                                                               "leavers"};
+                                                               "leavers",
+                                                               "reconnect"};
 
 class RandomSource {
  public:
@@ -67,15 +75,17 @@
     case FaultKind::kDiscoveryDown:
     case FaultKind::kDiscoverySilent:
       return random.Between(3 * kSecond, 14 * kSecond);
+    case FaultKind::kDiscoveryLate:
+    case FaultKind::kDiscoveryHalf:
+      return random.Between(9 * kSecond, 14 * kSecond);
     default:
       return random.Between(kSecond, 6 * kSecond);
   }
 }
 
 bool TargetsSoftswitch(FaultKind kind) { return kind >= FaultKind::kReconfigure; }
-bool TargetsDiscovery(FaultKind kind) {
-  return kind == FaultKind::kDiscoveryDown || kind == FaultKind::kDiscoverySilent;
-}
+bool TargetsDiscovery(FaultKind kind) { return kind >= FaultKind::kDiscoveryDown && kind <= FaultKind::kDiscoveryHalf; }
+bool DelaysResponses(FaultKind kind) { return kind == FaultKind::kDiscoveryLate || kind == FaultKind::kDiscoveryHalf; }
 
 bool IsAllowed(FaultKind kind, const GeneratorOptions& options) {
   const auto has = [kind](const std::vector<FaultKind>& list) {
@@ -101,6 +111,7 @@
         random.OneIn(3) ? random.Between(2 * kSecond, latest) : std::min(latest, anchor + random.Between(0, kSecond));
     fault.duration = DrawDuration(fault.kind, random);
     fault.target = random.Index(TargetsSoftswitch(fault.kind) ? schedule->softswitches : schedule->exchanges);
+    if (DelaysResponses(fault.kind)) fault.response_delay = random.Between(kMinResponseDelay, kMaxResponseDelay);
     anchor = random.OneIn(2) ? fault.at : std::min(latest, fault.at + fault.duration);
     schedule->faults.push_back(fault);
     // Softswitches are terminated in a series. An exchange may be lost or replaced during an outage of discovery.
@@ -111,6 +122,12 @@
         schedule->faults.push_back(fault);
       }
     }
+    // Exchanges drain while discovery is slow.
+    if (DelaysResponses(fault.kind) && IsAllowed(FaultKind::kDrain, options)) {
+      schedule->faults.push_back({std::min(latest, fault.at + random.Between(500 * kMs, 2 * kSecond)),
+                                  FaultKind::kDrain, random.Index(schedule->exchanges),
+                                  random.Between(kMinLongDrainTime, kMaxLongDrainTime)});
+    }
     const FaultKind companion = random.OneIn(2) ? FaultKind::kVanish : FaultKind::kReplace;
     if (TargetsDiscovery(fault.kind) && IsAllowed(companion, options) && random.OneIn(2)) {
       schedule->faults.push_back({std::min(latest, fault.at + random.Between(0, 2 * kSecond)), companion,
@@ -146,10 +163,11 @@
 }
 
 std::string ToString(const Fault& fault) {
-  char text[96];
+  char text[128];
   std::snprintf(text, sizeof(text), "%.3f s %s of %d for %.3f s", static_cast<double>(fault.at) / 1e6,
                 std::string(NameOf(fault.kind)).c_str(), fault.target, static_cast<double>(fault.duration) / 1e6);
-  return text;
+  if (fault.response_delay == 0) return text;
+  return text + std::string(", responses delayed by ") + std::to_string(fault.response_delay / kMs) + " ms";
 }
 
 Schedule GenerateSchedule(std::uint64_t seed, const GeneratorOptions& options) {
--- a/src/lab/soak/schedule.h
+++ b/src/lab/soak/schedule.h
@@ -33,14 +33,17 @@
   kSpoil,            // an exchange sends malformed or duplicate answers, or none, for a while
   kDiscoveryDown,    // discovery refuses connections
   kDiscoverySilent,  // discovery keeps its connections open and sends nothing
+  kDiscoveryLate,    // discovery ends its responses, and is slow to begin those to the next requests
+  kDiscoveryHalf,    // the same, but the header of each response comes at once and only the rest is late
   kReconfigure,      // several new configurations in quick succession, with SIGHUP; the last one moves discovery
   kTerminate,        // SIGTERM, SIGKILL as early as is allowed, then a new process
   kKill,             // SIGKILL without SIGTERM, then a new process
   kBadClients,       // a few clients that misbehave
   kCrowd,            // several times the call rate, over more connections
   kLeavers,          // more clients cancel or disconnect early
+  kReconnect,        // callers replace their connections again and again and announce their calls on the new ones
 };
-inline constexpr std::size_t kFaultKindCount = 23;
+inline constexpr std::size_t kFaultKindCount = 26;
 // Returns the printed name of a kind.
 std::string_view NameOf(FaultKind kind);
 // Returns nothing for an unknown name.
@@ -52,6 +55,7 @@
   FaultKind kind = FaultKind::kVanish;
   int target = 0;  // index of an exchange or a softswitch, depending on the kind
   TimeUs duration = 0;
+  TimeUs response_delay = 0;  // of discovery
 };
 
 // The schedule of one trial.
--- a/src/lab/soak/trial.cpp
+++ b/src/lab/soak/trial.cpp
@@ -36,6 +36,10 @@
 constexpr TimeUs kRestartDelay = 300 * kMs;
 // Time after SIGTERM in which clients open new connections; later they use only those that are open.
 constexpr TimeUs kConnectTimeAfterSigterm = 300 * kMs;
+// Time in which what discovery has written arrives, before its connections are reset.
+constexpr TimeUs kDiscoveryCloseTime = 50 * kMs;
+// Interval in which the callers of a softswitch replace their connections.
+constexpr TimeUs kReconnectInterval = 1'100 * kMs;
 constexpr int kMaxDescriptors = 256, kMaxMegabytes = 64;
 constexpr int kMaxBindRetries = 20, kBindRetryMs = 100;
 constexpr ColdStartSettings kColdStart;
@@ -98,7 +102,11 @@
   // Records the start of a new process and lists it in the discovery service.
   void AnnounceColdStart(Exchange& exchange);
   void StartDiscoveryOutage(TimeUs time, bool silent);
+  // Ends discovery's responses, and delays the responses to the next ones for a while.
+  void DelayDiscoveryResponses(const Fault& fault);
   void ReconfigureSoftswitch(int softswitch);
+  // Lets the callers of a softswitch reconnect repeatedly.
+  void ReconnectCallers(int softswitch, TimeUs until);
   void TerminateSoftswitch(int softswitch);
   void RestartSoftswitch(int softswitch);
   void MonitorProcesses();
@@ -113,6 +121,7 @@
   std::vector<Exchange> exchanges_;
   int next_instance_ = 0;
   TimeUs start_time_ = 0;
+  bool discovery_is_slow_ = false;
   bool finished_ = false;
   core::Timer monitor_timer_{&runtime_};
 };
@@ -286,6 +295,8 @@
   event_log_.Append({.kind = EventKind::kFault, .text = ToString(fault)});
   if (fault.kind == FaultKind::kDiscoveryDown || fault.kind == FaultKind::kDiscoverySilent) {
     StartDiscoveryOutage(fault.duration, fault.kind == FaultKind::kDiscoverySilent);
+  } else if (fault.kind == FaultKind::kDiscoveryLate || fault.kind == FaultKind::kDiscoveryHalf) {
+    DelayDiscoveryResponses(fault);
   } else if (fault.kind >= FaultKind::kReconfigure) {
     InjectSoftswitchFault(fault, softswitches_[static_cast<std::size_t>(fault.target)]);
   } else {
@@ -428,9 +439,11 @@
     event_log_.Append({.kind = EventKind::kDiscoveryUnavailable, .softswitch = s});
     softswitch.discovery->SetSilent(silent);
     if (silent) continue;
+    // What was written before still arrives: the judge counts it as received.
+    softswitch.discovery->EndResponses();
     for (const auto& proxy : softswitch.discovery_proxies) {
       proxy->SetRefusing(true);
-      proxy->ResetAll();
+      RunAfter(kDiscoveryCloseTime, [proxy = proxy.get()] { proxy->ResetAll(); });
     }
   }
   RunAfter(time, [this] {
@@ -444,6 +457,21 @@
   });
 }
 
+void Trial::DelayDiscoveryResponses(const Fault& fault) {
+  // If the responses of a slow discovery were ended again and again, none would ever begin.
+  if (std::exchange(discovery_is_slow_, true)) return;
+  ResponseDelays delays;
+  (fault.kind == FaultKind::kDiscoveryLate ? delays.header : delays.body) = fault.response_delay;
+  for (Softswitch& softswitch : softswitches_) {
+    softswitch.discovery->SetResponseDelays(delays);
+    softswitch.discovery->EndResponses();
+  }
+  RunAfter(fault.duration, [this] {
+    discovery_is_slow_ = false;
+    for (Softswitch& softswitch : softswitches_) softswitch.discovery->SetResponseDelays({});
+  });
+}
+
 void Trial::InjectSoftswitchFault(const Fault& fault, Softswitch& softswitch) {
   Softswitch* const softswitch_ptr = &softswitch;
   switch (fault.kind) {
@@ -473,11 +501,20 @@
         softswitch_ptr->clients->traits().disconnect_share = schedule_.clients.disconnect_share;
       });
     }
+    case FaultKind::kReconnect:
+      return ReconnectCallers(fault.target, runtime_.Now() + fault.duration);
     default:
       return;
   }
 }
 
+void Trial::ReconnectCallers(int number, TimeUs until) {
+  const Softswitch& softswitch = softswitches_[static_cast<std::size_t>(number)];
+  if (!softswitch.restarting && softswitch.process->running()) softswitch.clients->Reconnect();
+  if (runtime_.Now() + kReconnectInterval >= until) return;
+  RunAfter(kReconnectInterval, [this, number, until] { ReconnectCallers(number, until); });
+}
+
 void Trial::ReconfigureSoftswitch(int number) {
   Softswitch& softswitch = softswitches_[static_cast<std::size_t>(number)];
   if (softswitch.restarting || !softswitch.process->running()) return;
--- a/tests/soak_trial_test.cpp
+++ b/tests/soak_trial_test.cpp
@@ -267,6 +267,26 @@
   ExpectNoViolations(result);
 }
 
+// Case 2 of the review: callers reconnect and announce calls that the softswitch still has.
+TEST_F(SoakTrialTest, NotifiesEndOfCallsThatWereAnnouncedOnNewConnections) {
+  schedule_.clients.calls_per_s = 0.5;
+  schedule_.exchange.mean_holding_time = 8 * kSecond;
+  for (int softswitch = 0; softswitch < schedule_.softswitches; ++softswitch)
+    schedule_.faults.push_back({2 * kSecond, FaultKind::kReconnect, softswitch, 12 * kSecond});
+  const TrialResult result = Run();
+  EXPECT_GT(Checked(result, Check::kCallEnd), 5U);
+  ExpectNoViolations(result);
+}
+
+// Case 1 of the review: discovery takes longer than the silence timeout to begin its responses.
+TEST_F(SoakTrialTest, HonoursDrainsWhileDiscoveryIsSlowToRespond) {
+  schedule_.faults = {{2 * kSecond, FaultKind::kDiscoveryLate, 0, 12 * kSecond, 2'500 * kMs},
+                      {3 * kSecond, FaultKind::kDrain, 1, 9 * kSecond}};
+  const TrialResult result = Run();
+  EXPECT_GT(Checked(result, Check::kDrain), 5U);
+  ExpectNoViolations(result);
+}
+
 TEST_F(SoakTrialTest, HonoursDrainsDuringReconfigurationsAndDiscoveryOutage) {
   schedule_.exchange.mean_holding_time = 3 * kSecond;
   schedule_.faults = {
