Releases: one whose call was named elsewhere is sent there also if its connection ends first

A release is written on the call's own, half-open connection; its caller names the call on another one; the former is reset 0.3 s later, after the loss window, and counts as delivered, although the announcement says that it was not read.

Change: OnConnectionEnded lets an announced release wait whatever ended its connection. The tests' fixture has EndCall and EstablishCallAndDisconnect in place of lines that stood 23 times.

--- a/src/platform/pending_releases.cpp
+++ b/src/platform/pending_releases.cpp
@@ -152,7 +152,8 @@
 void PendingReleases::OnConnectionEnded(ConnectionNumber connection, ConnectionEnd end, TimeUs now) {
   for (auto release = releases_.begin(); release != releases_.end();) {
     const bool is_affected = release->written_at != 0 && release->written_on == connection;
-    release = is_affected ? FinishOrRequeue(release, MayBeUnread(*release, end, now)) : std::next(release);
+    const bool may_be_unread = WasAnnouncedElsewhere(*release) || MayBeUnread(*release, end, now);
+    release = is_affected ? FinishOrRequeue(release, may_be_unread) : std::next(release);
   }
 }
 
--- a/tests/pending_releases_test.cpp
+++ b/tests/pending_releases_test.cpp
@@ -94,6 +94,13 @@
   EXPECT_FALSE(releases_.OnAnnounced(kHost, "unknown", kSecondConnection, kNow));
 }
 
+TEST_F(PendingReleasesTest, AnnouncedReleaseWaitsIfItsConnectionEndsBeforeAnAcknowledgement) {
+  releases_.OnWritten(Release("a"), kFirst, Recipient::kCaller, kNow);
+  releases_.OnAnnounced(kHost, "a", kSecondConnection, kNow + 100 * kMs);
+  releases_.OnConnectionEnded(kFirst, ConnectionEnd::kPeerReset, kNow + 300 * kMs);
+  EXPECT_TRUE(releases_.HasWaiting(kHost));
+}
+
 TEST_F(PendingReleasesTest, AnnouncementOfDeliveredReleaseMakesItWaitUnlessItsCallerAcknowledgedIt) {
   for (const char* const id : {"read", "unread", "read by another client"}) {
     const bool by_caller = std::string(id) != "read by another client";
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -131,6 +131,19 @@
     ASSERT_EQ(caller.FinalMessages(id)[0].type, MessageType::kAnswer);
   }
 
+  // Ends an established call at exchange 1, which sends its release.
+  void EndCall(const std::string& id) {
+    PlatformExchange::Release(*exchange_1_.OpenConnections()[0], id, 16);
+    runtime_.RunFor(5 * kMs);
+  }
+  // Sets up a call to exchange 1 whose caller then closes its connection.
+  void EstablishCallAndDisconnect(const std::string& id) {
+    const auto caller = ConnectCaller();
+    EstablishCall(*caller, id);
+    caller->connection.stream.reset();
+    runtime_.RunFor(5 * kMs);
+  }
+
   sim::VirtualRuntime runtime_;
   NullLogger log_;
   PlatformDiscovery discovery_;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -151,8 +151,7 @@
   EXPECT_EQ(set_ups[0].description, std::string("offer of ") + kCall + "\r\nm=audio");
   EXPECT_EQ(*set_ups[0].Field("class"), "voice");
   EXPECT_EQ(*set_ups[0].Field("key"), "7f3a9c21e0b4d655");
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kCall);
   ASSERT_EQ(caller->FinalMessages(kCall).size(), 2U);
   EXPECT_EQ(caller->FinalMessages(kCall)[1].cause, 16);
   EXPECT_EQ(node_->callers().open_calls(), 0U);
@@ -260,12 +259,8 @@
 // ---- established calls ----
 
 TEST_F(PlatformTest, SendsReleaseOnNextConnectionOfCaller) {
-  auto caller = ConnectCaller();
-  EstablishCall(*caller, kCall);
-  caller->connection.stream.reset();
-  runtime_.RunFor(5 * kMs);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EstablishCallAndDisconnect(kCall);
+  EndCall(kCall);
   const auto unrelated = ConnectCaller(0x7f000009);
   EXPECT_TRUE(unrelated->FinalMessages(kCall).empty());
   // A connection with heartbeats only, or without any message yet, may belong to the front end or another client.
@@ -281,10 +276,7 @@
 }
 
 TEST_F(PlatformTest, SendsReleaseToReconnectedCallerThatOnlyListens) {
-  auto caller = ConnectCaller();
-  EstablishCall(*caller, kCall);
-  caller->connection.stream.reset();
-  runtime_.RunFor(5 * kMs);
+  EstablishCallAndDisconnect(kCall);
   PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
   runtime_.RunFor(3'000 * kMs);
   const auto next = ConnectCaller();
@@ -295,16 +287,14 @@
 TEST_F(PlatformTest, ResendsReleaseReadByOtherClientIfHostAcknowledges) {
   auto caller = ConnectCaller();
   EstablishCall(*caller, kOtherCall);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kOtherCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kOtherCall);
   ASSERT_EQ(caller->FinalMessages(kOtherCall).size(), 2U);
   caller->connection.Send({.type = MessageType::kAcknowledgement, .id = kOtherCall});
   runtime_.RunFor(5 * kMs);
   EstablishCall(*caller, kCall);
   caller->connection.stream.reset();
   runtime_.RunFor(5 * kMs);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kCall);
   // Another client on this host connects, sends nothing and leaves; then one that places a call and does not know this
   // one.
   {
@@ -326,16 +316,12 @@
 
 // Guards against ends of calls that are never reported to a caller who named the calls on a new connection.
 TEST_F(PlatformTest, SendsReleaseOnConnectionOnWhichCallerNamedItsCall) {
-  auto caller = ConnectCaller();
-  EstablishCall(*caller, kCall);
-  caller->connection.stream.reset();
-  runtime_.RunFor(5 * kMs);
+  EstablishCallAndDisconnect(kCall);
   const auto next = ConnectCaller();
   next->SetUp(kCall, 1, ";at:s-1");
   runtime_.RunFor(5'000 * kMs);
   EXPECT_FALSE(next->connection.end.has_value());
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kCall);
   ASSERT_EQ(next->FinalMessages(kCall).size(), 1U);
   EXPECT_EQ(next->FinalMessages(kCall)[0].cause, 16);
   EXPECT_EQ(node_->callers().waiting_releases(), 0U);
@@ -361,24 +347,17 @@
 
 // A caller may have moved to another host: it knows the call and where it is established.
 TEST_F(PlatformTest, SendsReleaseToCallerWhoNamedItsCallFromAnotherHost) {
-  auto caller = ConnectCaller();
-  EstablishCall(*caller, kCall);
-  caller->connection.stream.reset();
-  runtime_.RunFor(5 * kMs);
+  EstablishCallAndDisconnect(kCall);
   const auto next = ConnectCaller(0x7f000009);
   next->SetUp(kCall, 1, ";at:s-1");
   runtime_.RunFor(5 * kMs);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kCall);
   EXPECT_EQ(next->FinalMessages(kCall).size(), 1U);
 }
 
 // Guards against a call that is adopted although it has ended here, and whose end is reported twice.
 TEST_F(PlatformTest, AnswersAnnouncementOfEndedCallWithItsReleaseOnce) {
-  auto caller = ConnectCaller();
-  EstablishCall(*caller, kCall);
-  caller->connection.stream.reset();
-  runtime_.RunFor(5 * kMs);
+  EstablishCallAndDisconnect(kCall);
   PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
   runtime_.RunFor(1'000 * kMs);
   const auto next = ConnectCaller();
@@ -417,8 +396,7 @@
 TEST_F(PlatformTest, SendsReleaseOnceIfAnnouncementCrossesIt) {
   const auto caller = ConnectCaller(), next = ConnectCaller();
   EstablishCall(*caller, kCall);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kCall);
   ASSERT_EQ(caller->FinalMessages(kCall).size(), 2U);
   next->SetUp(kCall, 1, ";at:s-1");
   runtime_.RunFor(5 * kMs);
@@ -444,8 +422,7 @@
   next->connection.Send({.type = MessageType::kAcknowledgement, .id = kCall});
   runtime_.RunFor(5'000 * kMs);
   EXPECT_FALSE(next->connection.end.has_value());
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kOtherCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kOtherCall);
   EXPECT_EQ(next->FinalMessages(kOtherCall).size(), 1U);
 }
 
@@ -455,8 +432,7 @@
   const auto other_of_caller = ConnectCaller(), unrelated = ConnectCaller();
   for (const char* const id : {kOtherCall, "9b1f03aa5c7e2d43"}) {
     EstablishCall(*other_of_caller, id);
-    PlatformExchange::Release(*exchange_1_.OpenConnections()[0], id, 16);
-    runtime_.RunFor(5 * kMs);
+    EndCall(id);
     other_of_caller->connection.Send({.type = MessageType::kAcknowledgement, .id = id});
     runtime_.RunFor(5 * kMs);
   }
@@ -464,8 +440,7 @@
   EstablishCall(*unrelated, "9b1f03aa5c7e2d44");
   caller->connection.stream.reset();
   runtime_.RunFor(5 * kMs);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kCall);
   ASSERT_EQ(unrelated->FinalMessages(kCall).size(), 1U);  // it does not know the call and does not acknowledge it
   runtime_.RunFor(950 * kMs);
   EXPECT_EQ(other_of_caller->FinalMessages(kCall).size(), 1U);
@@ -489,8 +464,7 @@
   runtime_.RunFor(5 * kMs);
   EXPECT_TRUE(caller->FinalMessages(kCall).empty());
   EXPECT_TRUE(exchange_1_.Received(MessageType::kSetUp).empty());
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kCall);
   ASSERT_EQ(caller->FinalMessages(kCall).size(), 1U);
   EXPECT_EQ(caller->FinalMessages(kCall)[0].cause, 16);
 }
@@ -580,8 +554,7 @@
   for (PlatformConnection* const connection : exchange_1_.OpenConnections()) connection->Reset();
   runtime_.RunFor(4'000 * kMs);
   ASSERT_FALSE(exchange_1_.OpenConnections().empty());
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kCall);
   ASSERT_EQ(caller->FinalMessages(kCall).size(), 2U);
   EXPECT_EQ(caller->FinalMessages(kCall)[1].cause, 16);
 }
@@ -644,8 +617,7 @@
   EXPECT_EQ(front->connection.received[0].cause, 1);
   caller->connection.stream.reset();
   runtime_.RunFor(5 * kMs);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kCall);
   EXPECT_EQ(other->FinalMessages(kCall).size(), 1U);
   EXPECT_TRUE(front->FinalMessages(kCall).empty());
 }
@@ -879,8 +851,7 @@
   runtime_.RunFor(5 * kMs);
   ASSERT_EQ(caller->FinalMessages("9b1f03aa5c7e2d43").size(), 1U);
   EXPECT_EQ(caller->FinalMessages("9b1f03aa5c7e2d43")[0].cause, 42);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kCall);
   EXPECT_EQ(caller->FinalMessages(kCall).size(), 2U);
   runtime_.RunFor(85 * kMs);
   EXPECT_TRUE(caller->connection.end.has_value());
@@ -897,8 +868,7 @@
   for (PlatformCaller* const other : {second.get(), unrelated.get()}) {
     const std::string id = other == second.get() ? kOtherCall : "9b1f03aa5c7e2d43";
     EstablishCall(*other, id);
-    PlatformExchange::Release(*exchange_1_.OpenConnections()[0], id, 16);
-    runtime_.RunFor(5 * kMs);
+    EndCall(id);
   }
   caller->connection.stream.reset();
   runtime_.RunFor(5 * kMs);
@@ -907,8 +877,7 @@
   runtime_.RunFor(1'200 * kMs);
   EXPECT_TRUE(unrelated->connection.end.has_value());
   ASSERT_FALSE(second->connection.end.has_value());
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kCall);
   ASSERT_EQ(second->FinalMessages(kCall).size(), 1U);
   EXPECT_EQ(second->FinalMessages(kCall)[0].cause, 16);
   runtime_.RunFor(200 * kMs);
@@ -919,8 +888,7 @@
 TEST_F(PlatformTest, ShutdownSendsReleaseOnce) {
   const auto caller = ConnectCaller(), second = ConnectCaller();
   EstablishCall(*caller, kOtherCall);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kOtherCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kOtherCall);
   caller->connection.Send(
       {.type = MessageType::kAcknowledgement, .id = kOtherCall});  // this host sends acknowledgements
   EstablishCall(*caller, kCall);
@@ -940,8 +908,7 @@
 TEST_F(PlatformTest, SendsReleaseOnceIfAcknowledgementCrossesShutdownClose) {
   const auto caller = ConnectCaller(), second = ConnectCaller();
   EstablishCall(*caller, kOtherCall);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kOtherCall, 16);
-  runtime_.RunFor(5 * kMs);
+  EndCall(kOtherCall);
   caller->connection.Send(
       {.type = MessageType::kAcknowledgement, .id = kOtherCall});  // this host sends acknowledgements
   EstablishCall(*caller, kCall);
