--- a/src/platform/caller_connections.cpp
+++ b/src/platform/caller_connections.cpp
@@ -191,50 +191,64 @@
   const std::string* const extras_text = message.Field("extras");
   const auto extras = ParseExtras(extras_text != nullptr ? *extras_text : std::string());
   if (const auto open = by_id_.find(message.id); open != by_id_.end()) {
-    const OpenCall& open_call = calls_.at(open->second);
-    if (extras && !extras->at.empty() && open_call.is_established) {
-      HandleRepeatedAnnouncement(connection, open->second, extras->at);
-      return true;
-    }
-    ++counters_.repeated_ids;
-    // On the same connection, the answers to the two set-ups could not be told apart, so it is closed. On another
-    // connection only the new set-up is rejected.
-    if (open_call.connection == connection) return false;
+    const bool is_announcement = extras && !extras->at.empty();
+    return HandleRepeatedId(connection, message, open->second, is_announcement ? extras->at : std::string());
+  }
+  const auto request = extras ? ParseCallRequest(message, *extras) : std::nullopt;
+  if (!request) {
+    ++counters_.faulty;
     RejectSetUp(connection, message.id, kInvalidContents);
+  } else if (!extras->at.empty()) {
+    HandleAnnouncement(connection, message.id, *request, extras->at);
+  } else if (connection->open_set_ups >= settings_.max_set_ups_per_connection) {
+    RejectSetUp(connection, message.id, kCongestion);
+  } else {
+    TakeSetUp(connection, message, *request);
+  }
+  return true;
+}
+
+bool CallerConnections::HandleRepeatedId(Connection* connection, const Message& message, CallId call,
+                                         const std::string& at) {
+  const OpenCall& open_call = calls_.at(call);
+  if (!at.empty() && open_call.is_established) {
+    HandleRepeatedAnnouncement(connection, call, at);
     return true;
   }
+  ++counters_.repeated_ids;
+  // On the same connection, the answers to the two set-ups could not be told apart, so it is closed. On another
+  // connection only the new set-up is rejected.
+  if (open_call.connection == connection) return false;
+  RejectSetUp(connection, message.id, kInvalidContents);
+  return true;
+}
+
+std::optional<core::CallRequest> CallerConnections::ParseCallRequest(const Message& message,
+                                                                     const Extras& extras) const {
   const std::string* const class_name = message.Field("class");
   const std::string* const left = message.Field("left");
   const std::string* const key = message.Field("key");
   const auto found = class_name != nullptr ? classes_.find(*class_name) : classes_.end();
   const auto timeout_ms = left != nullptr ? ParseNumber(*left, 0.0, kMaxCallerTimeoutMs) : std::nullopt;
-  const bool is_announcement = extras && !extras->at.empty();
-  if (!extras || found == classes_.end() || (!timeout_ms && !is_announcement) || !message.description) {
-    ++counters_.faulty;
-    RejectSetUp(connection, message.id, kInvalidContents);
-    return true;
-  }
+  const bool is_announcement = !extras.at.empty();
+  if (found == classes_.end() || (!timeout_ms && !is_announcement) || !message.description) return std::nullopt;
   core::CallRequest request;
   request.calling = message.id;
   request.called = key != nullptr ? *key : std::string();
   request.key = key != nullptr ? KeyOf(*key) : 0;
   request.call_class = found->second;
-  request.destination = extras->destination;
-  request.width = static_cast<std::size_t>(extras->width);
+  request.destination = extras.destination;
+  request.width = static_cast<std::size_t>(extras.width);
   request.caller_timeout_us = static_cast<TimeUs>(timeout_ms.value_or(0.0) * 1000.0);
-  request.advised_tandem = extras->via;
-  request.in_transit = extras->transit;
-  request.was_disconnected = extras->again;
+  request.advised_tandem = extras.via;
+  request.in_transit = extras.transit;
+  request.was_disconnected = extras.again;
   request.is_redial = message.Field("retry") != nullptr;
-  if (is_announcement) {
-    AdoptCall(connection, message, request, extras->at);
-    return true;
-  }
-  if (connection->open_set_ups >= settings_.max_set_ups_per_connection) {
-    RejectSetUp(connection, message.id, kCongestion);
-    return true;
-  }
-  request.session = *message.description;
+  if (!is_announcement) request.session = *message.description;
+  return request;
+}
+
+void CallerConnections::TakeSetUp(Connection* connection, const Message& message, const core::CallRequest& request) {
   connection->belongs_to_caller = true;
   ++counters_.set_ups;
   const CallId call = core_->Reserve();
@@ -244,8 +258,7 @@
   connection->calls.insert(call);
   ++connection->open_set_ups;
   ++unanswered_;
-  connection->new_set_ups.emplace_back(call, std::move(request));
-  return true;
+  connection->new_set_ups.emplace_back(call, request);
 }
 
 void CallerConnections::LogCall(std::string_view event, CallId call, std::string_view id, std::string_view detail) {
@@ -259,22 +272,22 @@
   }
 }
 
-void CallerConnections::AdoptCall(Connection* connection, const Message& message, const core::CallRequest& request,
-                                  const std::string& at) {
-  if (releases_.OnAnnounced(connection->host, message.id, connection->number, runtime_->Now())) {
+void CallerConnections::HandleAnnouncement(Connection* connection, const std::string& id,
+                                           const core::CallRequest& request, const std::string& at) {
+  if (releases_.OnAnnounced(connection->host, id, connection->number, runtime_->Now())) {
     ++counters_.announced_after_end;
-    LogCall("call-announced-after-end", 0, message.id, "on " + core::ToString(connection->stream->Remote()));
+    LogCall("call-announced-after-end", 0, id, "on " + core::ToString(connection->stream->Remote()));
     connection->belongs_to_caller = true;
     return;
   }
   const ExchangeId exchange = exchange_connections_->Find(at);
   const CallId call = exchange != 0 ? core_->AdoptCall(request, this, exchange) : 0;
-  if (call == 0) return RejectSetUp(connection, message.id, kTemporaryFailure);
+  if (call == 0) return RejectSetUp(connection, id, kTemporaryFailure);
   ++counters_.adopted;
-  calls_.emplace(call, OpenCall{message.id, nullptr, connection->host, true});
+  calls_.emplace(call, OpenCall{id, nullptr, connection->host, true});
+  by_id_.emplace(id, call);
   AttachEstablishedCall(connection, call);
-  by_id_.emplace(message.id, call);
-  exchange_connections_->AdoptCall(call, message.id, exchange);
+  exchange_connections_->AdoptCall(call, id, exchange);
 }
 
 void CallerConnections::HandleRepeatedAnnouncement(Connection* connection, CallId call, const std::string& at) {
--- a/src/platform/caller_connections.h
+++ b/src/platform/caller_connections.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -93,8 +94,15 @@
   bool HandleSetUp(Connection* connection, const Message& message);
   void HandleRelease(Connection* connection, const Message& message);
   void HandleAcknowledgement(Connection* connection, const std::string& id);
-  void AdoptCall(Connection* connection, const Message& message, const core::CallRequest& request,
-                 const std::string& at);
+  // A set-up with the id of an open call. `at`: the exchange that it names if it is an announcement, else empty.
+  bool HandleRepeatedId(Connection* connection, const Message& message, CallId call, const std::string& at);
+  // Returns nothing if a figure of the set-up or announcement is missing or out of range.
+  std::optional<core::CallRequest> ParseCallRequest(const Message& message, const Extras& extras) const;
+  // Accepts a set-up; it is passed to the core by StartSetUps.
+  void TakeSetUp(Connection* connection, const Message& message, const core::CallRequest& request);
+  // A caller names a call that is not known here as established: it is adopted, unless it has ended here.
+  void HandleAnnouncement(Connection* connection, const std::string& id, const core::CallRequest& request,
+                          const std::string& at);
   // The caller names an established call once more, usually because its former connection has ended.
   void HandleRepeatedAnnouncement(Connection* connection, CallId call, const std::string& at);
   // Makes this the connection of an established call, in place of its former one: its release is sent on it.
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -1,9 +1,10 @@
 #include "platform/node.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <system_error>
 
+#include "platform/node_metrics.h"
+
 namespace croftrun::platform {
 namespace {
 
@@ -151,102 +152,7 @@
 }
 
 std::string Node::Metrics() const {
-  const auto& c = caller_connections_->counters();
-  const auto& e = exchange_connections_->counters();
-  const auto& k = core_->counters();
-  const auto& b = discovery_client_->counters();
-  const nlohmann::json metrics = {{"callers",
-                                   {{"links", c.connections},
-                                    {"open_links", caller_connections_->connection_count()},
-                                    {"links_waited", c.connections_waited},
-                                    {"links_evicted", c.connections_evicted},
-                                    {"links_silent", c.connections_silent},
-                                    {"links_stuck", c.connections_stuck},
-                                    {"unreadable", c.unreadable},
-                                    {"too_long", c.too_long},
-                                    {"faulty", c.faulty},
-                                    {"repeated_ids", c.repeated_ids},
-                                    {"set_ups", c.set_ups},
-                                    {"given_up", c.given_up},
-                                    {"adopted", c.adopted},
-                                    {"answers", c.answers},
-                                    {"refusals", c.refusals},
-                                    {"failures", c.failures},
-                                    {"ended", c.ended},
-                                    {"released_by_caller", c.released_by_caller},
-                                    {"ends_without_link", c.ends_without_connection},
-                                    {"ends_dropped", c.ends_dropped},
-                                    {"ends_waiting", caller_connections_->waiting_releases()},
-                                    {"ends_told_again", c.ends_told_again},
-                                    {"acknowledged", c.acknowledged},
-                                    {"announced_again", c.announced_again},
-                                    {"announced_after_end", c.announced_after_end},
-                                    {"end_waited_longest_ms", c.end_waited_longest / 1000},
-                                    {"tests", c.tests},
-                                    {"held", caller_connections_->open_calls()},
-                                    {"unanswered", caller_connections_->unanswered_set_ups()}}},
-                                  {"exchanges",
-                                   {{"set_ups", e.set_ups},
-                                    {"shared", e.shared},
-                                    {"answers", e.answers},
-                                    {"refusals", e.refusals},
-                                    {"errors", e.errors},
-                                    {"resets", e.resets},
-                                    {"never_ran", e.never_ran},
-                                    {"given_up", e.given_up},
-                                    {"ended", e.ended},
-                                    {"cut", e.cut},
-                                    {"cut_with_exchange", e.cut_with_exchange},
-                                    {"released", e.released},
-                                    {"connects", e.connects},
-                                    {"refused", e.refused},
-                                    {"timed_out", e.timed_out},
-                                    {"broken", e.broken},
-                                    {"spoilt", e.spoilt},
-                                    {"gauges", e.reports},
-                                    {"gauges_heard", e.changed_reports},
-                                    {"second_answers", e.second_answers},
-                                    {"unknown_answers", e.unknown_answers},
-                                    {"late_answers", e.late_answers},
-                                    {"unknown_ends", e.unknown_ends},
-                                    {"open_links", exchange_connections_->connection_count()},
-                                    {"legs", exchange_connections_->call_leg_count()},
-                                    {"listed", exchange_connections_->exchange_count()},
-                                    {"lost_exchanges", e.lost_exchanges},
-                                    {"liveness_connects", e.liveness_connects},
-                                    {"liveness_probes", e.liveness_probes},
-                                    {"doubts", e.suspicions},
-                                    {"doubts_cleared", e.suspicions_cleared},
-                                    {"given_up_silent", e.given_up_silent},
-                                    {"given_up_replaced", e.given_up_replaced},
-                                    {"no_room", e.no_room},
-                                    {"early_ends", e.early_ends},
-                                    {"unreachable", exchange_connections_->unreachable_exchanges()},
-                                    {"standing_unreachable", exchange_connections_->calls_at_unreachable_exchanges()},
-                                    {"longest_silence_ms", exchange_connections_->longest_silence() / 1000}}},
-                                  {"core",
-                                   {{"offered", k.offered},
-                                    {"attempts", k.attempts},
-                                    {"timeouts", k.timeouts},
-                                    {"overdue", k.overdue},
-                                    {"too_late", k.too_late},
-                                    {"refused_full", k.refused_full},
-                                    {"failed_at_end", k.failed_at_end},
-                                    {"stale_answers", k.stale_answers},
-                                    {"open", core_->open_calls()}}},
-                                  {"board",
-                                   {{"connects", b.connects},
-                                    {"breaks", b.breaks},
-                                    {"silences", b.silences},
-                                    {"gaps", b.gaps},
-                                    {"events", b.events},
-                                    {"repeated", b.repeated},
-                                    {"unreadable", b.unreadable},
-                                    {"unanswered", b.unanswered},
-                                    {"response_waited_longest_ms", b.longest_response_wait / 1000},
-                                    {"open_requests", discovery_client_->open_requests()},
-                                    {"last", discovery_client_->last_number()}}}};
-  return metrics.dump();
+  return WriteMetrics(*caller_connections_, *exchange_connections_, *core_, *discovery_client_);
 }
 
 void Node::StartMetricsTimer() {
