Discovery: the first connection that comes up closes those that are still being opened

While no connection to discovery comes up, up to six are being opened; when it is back all come up, and each would send the same request to a service that may be crowded.

Change: DiscoveryClient::SendRequest closes the requests that have no connection yet.

Result: the new test fails before (6 requests in place of 2, with the one from the start) and passes now; 228 of 228 platform tests (Debug, sanitizers).

--- a/src/lab/platform_stand_ins.h
+++ b/src/lab/platform_stand_ins.h
@@ -73,6 +73,7 @@
  public:
   PlatformDiscovery(core::Runtime* runtime, const core::Address& address);
   core::StreamHandler* OnAccept(std::unique_ptr<core::Stream> stream) override;
+  bool CanAccept() override { return is_accepting; }
   // Sends an event to all clients and stores it for later requests.
   void Publish(std::uint64_t number, const std::string& data);
   // Stores an event for later requests without sending it.
@@ -88,6 +89,7 @@
   // Time from a request to the first octet of its response, and from the header to the rest of the response.
   TimeUs response_delay = 0, body_delay = 0;
   bool comment_after_header = false;  // a comment follows the header at once
+  bool is_accepting = true;           // connections wait while it is false
   bool is_answering = true;           // requests that arrive while it is false are never answered
 
  private:
--- a/src/platform/discovery_client.cpp
+++ b/src/platform/discovery_client.cpp
@@ -80,6 +80,8 @@
 }
 
 void DiscoveryClient::SendRequest(const Request* request) {
+  // Connections that are still being opened would only repeat this request.
+  std::erase_if(requests_, [request](const auto& other) { return other.get() != request && !other->is_open; });
   request->stream->Write("GET /board/poll HTTP/1.1\r\nHost: " + core::ToString(address_) +
                          "\r\nAccept: text/event-stream\r\nCache-Control: no-cache\r\nLast-Event-ID: " +
                          std::to_string(last_number_) + "\r\n\r\n");
--- a/tests/discovery_client_test.cpp
+++ b/tests/discovery_client_test.cpp
@@ -100,6 +100,17 @@
   EXPECT_EQ(discovery_.open_connections(), 1U);
 }
 
+// Several connections are opened one after the other, and come up at the same time: only one request is sent.
+TEST_F(DiscoveryClientTest, SendsOneRequestWhenLateConnectionsOpenTogether) {
+  discovery_.is_accepting = false;
+  ReconnectToDiscovery();
+  runtime_.RunFor(5'000 * kMs);
+  EXPECT_GT(DiscoveryMetrics()["open_requests"], 3);
+  discovery_.is_accepting = true;
+  runtime_.RunFor(1'000 * kMs);
+  EXPECT_EQ(discovery_.last_event_ids.size(), 2U);  // with the one from the start
+}
+
 // A failed request does not end one that still waits for its response.
 TEST_F(DiscoveryClientTest, KeepsWaitingRequestWhenAnotherFails) {
   discovery_.response_delay = 2'500 * kMs;
