Releases: none is sent again while its acknowledgement may be on its way to a closed connection

Cause: the call's own connection was gone, the release went to another one of its host, which acknowledges releases, and that connection was closed here before the acknowledgement was read. The release then waited again and was written on the host's next connection, which was closed next, and so on, three tries in all.

Change: connections that a shutdown closes in its last moment end as kClosedByShutdown: a release on them counts as delivered while its acknowledgement is not overdue (0.4 s). On related paths (a shutdown with nothing left to do on a connection, an eviction, a connection that brought nothing) the connection is kept until the acknowledgement is there or overdue, so that it can be read; that is bounded by the same 0.4 s and three tries.

Evidence: the three new tests fail on the former sources: three releases in place of one, connection closed and release sent on the next one, connection evicted.

--- a/src/platform/caller_connections.cpp
+++ b/src/platform/caller_connections.cpp
@@ -424,8 +424,8 @@
 }
 
 void CallerConnections::EndConnection(Connection* connection, ConnectionEnd end) {
-  if (end == ConnectionEnd::kClosedLocally && connection->stream->PendingWriteOctets() > 0)
-    end = ConnectionEnd::kClosedWithUnwrittenData;
+  const bool is_closed_here = end == ConnectionEnd::kClosedLocally || end == ConnectionEnd::kClosedByShutdown;
+  if (is_closed_here && connection->stream->PendingWriteOctets() > 0) end = ConnectionEnd::kClosedWithUnwrittenData;
   releases_.OnConnectionEnded(connection->number, end, runtime_->Now());
   const std::uint32_t host = connection->host;
   // The connection is removed from its calls first, so that the core's reactions do not use it any more.
@@ -449,14 +449,16 @@
 
 // Closes the least useful connection: first one that was never used although it had time for that, then one without an
 // established call, because the release of a call may find no other connection, then the one that has been idle for
-// longest. Connections with an unanswered set-up or recent activity are kept, as a set-up may be on its way.
+// longest. Connections with an unanswered set-up or recent activity are kept, as a set-up may be on its way, and so are
+// those on which an acknowledgement may be.
 bool CallerConnections::EvictConnection() {
   const TimeUs now = runtime_->Now();
+  const std::unordered_set<ConnectionNumber> awaiting = releases_.ConnectionsAwaitingAcknowledgement(now);
   Connection* candidate = nullptr;
   for (const auto& connection : connections_) {
-    if (connection->open_set_ups > 0 ||
-        now < connection->last_used_at + (connection->was_used ? kMinIdleTime : kMinSilentTime))
-      continue;
+    const TimeUs min_idle_time = connection->was_used ? kMinIdleTime : kMinSilentTime;
+    if (connection->open_set_ups > 0 || now < connection->last_used_at + min_idle_time) continue;
+    if (awaiting.count(connection->number) > 0) continue;
     const auto rank = [](const Connection& x) {
       return std::make_tuple(x.was_used, x.established > 0, x.last_used_at);
     };
@@ -485,23 +487,27 @@
   const TimeUs now = runtime_->Now();
   std::vector<Connection*> idle;
   const std::unordered_set<const Connection*> needed = ConnectionsNeededForReleases();
+  const std::unordered_set<ConnectionNumber> awaiting = releases_.ConnectionsAwaitingAcknowledgement(now);
   for (const auto& connection : connections_) {
-    if (!include_established && needed.count(connection.get()) > 0) continue;
+    const bool may_be_needed = needed.count(connection.get()) > 0 || awaiting.count(connection->number) > 0;
+    if (!include_established && may_be_needed) continue;
     const bool nothing_open = connection->open_set_ups == 0 && connection->stream->PendingWriteOctets() == 0;
     if (!nothing_open || connection->reader.has_partial_line() || connection->stream->HasUnreadInput()) continue;
     const bool nothing_left =
         connection->established == 0 && now >= connection->last_activity_at + kQuietTimeBeforeClose;
     if (include_established || nothing_left) idle.push_back(connection.get());
   }
-  for (Connection* const connection : idle) EndConnection(connection, ConnectionEnd::kClosedLocally);
+  const ConnectionEnd end = include_established ? ConnectionEnd::kClosedByShutdown : ConnectionEnd::kClosedLocally;
+  for (Connection* const connection : idle) EndConnection(connection, end);
 }
 
 void CallerConnections::RunPeriodicCheck() {
   const TimeUs now = runtime_->Now();
   std::vector<Connection*> closed;
+  const std::unordered_set<ConnectionNumber> awaiting = releases_.ConnectionsAwaitingAcknowledgement(now);
   for (const auto& connection : connections_) {
-    if (!connection->was_used && now >= connection->accepted_at + kFirstUseTimeout &&
-        !connection->stream->HasUnreadInput()) {
+    const bool is_silent = !connection->was_used && now >= connection->accepted_at + kFirstUseTimeout;
+    if (is_silent && awaiting.count(connection->number) == 0 && !connection->stream->HasUnreadInput()) {
       ++counters_.connections_silent;
       closed.push_back(connection.get());
     } else if ((connection->open_set_ups == 0 && connection->reader.has_partial_line() &&
--- a/src/platform/caller_connections.h
+++ b/src/platform/caller_connections.h
@@ -65,9 +65,11 @@
   // Returns when the last connection was accepted.
   TimeUs last_accepted_at() const { return last_accepted_at_; }
   // Closes the idle connections: those without a set-up, a partial line, unwritten or unread data, recent activity or
-  // an established call, whose release might find no other connection. If the own connection of a call is gone, the
-  // most recently used one of its caller is kept for its release.
-  // With `include_established`, connections with established calls or recent activity are closed as well.
+  // an established call, whose release might find no other connection, and those with a release that their host has yet
+  // to acknowledge. If the own connection of a call is gone, the most recently used one of its caller is kept for its
+  // release.
+  // With `include_established`, connections with established calls, recent activity or an unacknowledged release are
+  // closed as well.
   void CloseIdleConnections(bool include_established);
 
   core::StreamHandler* OnAccept(std::unique_ptr<core::Stream> stream) override;
--- a/src/platform/pending_releases.cpp
+++ b/src/platform/pending_releases.cpp
@@ -109,6 +109,10 @@
     case ConnectionEnd::kPeerClosed:
       if (is_recent) return HostAcknowledges(release.host);
       break;
+    case ConnectionEnd::kClosedByShutdown:
+      // Its acknowledgement may be on its way, and the host's other connections are closed at the same time.
+      if (!IsOverdue(release, now)) return false;
+      break;
     case ConnectionEnd::kClosedLocally:
       break;
   }
@@ -149,6 +153,17 @@
   return now >= release.written_at + (read_by_caller ? kCallerAcknowledgementTimeout : kHostAcknowledgementTimeout);
 }
 
+std::unordered_set<ConnectionNumber> PendingReleases::ConnectionsAwaitingAcknowledgement(TimeUs now) const {
+  std::unordered_set<ConnectionNumber> connections;
+  for (const PendingRelease& release : releases_) {
+    if (release.written_at == 0 || IsOverdue(release, now)) continue;
+    const bool may_be_sent_again =
+        WasAnnouncedElsewhere(release) || (release.recipient == Recipient::kHost && HostAcknowledges(release.host));
+    if (may_be_sent_again) connections.insert(release.written_on);
+  }
+  return connections;
+}
+
 void PendingReleases::OnConnectionEnded(ConnectionNumber connection, ConnectionEnd end, TimeUs now) {
   for (auto release = releases_.begin(); release != releases_.end();) {
     const bool is_affected = release->written_at != 0 && release->written_on == connection;
--- a/src/platform/pending_releases.h
+++ b/src/platform/pending_releases.h
@@ -12,6 +12,8 @@
 //   open, not acknowledged in time     waits if the host acknowledges releases, else delivered
 //     (its time)                       2 s                 0.4 s
 //   closed here, all written           delivered           waits if the host acknowledges, else delivered
+//   closed at the end of a shutdown,   delivered           waits if the host acknowledges and its time (above) is
+//     all written                                          over, else delivered
 //   closed here, unwritten data        waits               waits
 //   closed by the peer within 0.2 s    waits if the host acknowledges, else delivered
 //   closed by the peer later           delivered           waits if the host acknowledges, else delivered
@@ -21,6 +23,10 @@
 // The call's own connection is that of its set-up or announcement: its reader is the caller. The reader of another
 // connection of the host may be another client that does not know the call.
 //
+// A connection of the host is not closed to make room, or because a shutdown has nothing left to do on it, while the
+// host has yet to acknowledge a release (ConnectionsAwaitingAcknowledgement): the acknowledgement could not be read any
+// more.
+//
 // A caller that announces an ended call has not read its release. It is sent on the connection of the announcement,
 // unless its caller acknowledged it or the announcement may have crossed it on the way.
 #ifndef CROFTRUN_PLATFORM_PENDING_RELEASES_H_
@@ -45,6 +51,7 @@
 // How the connection of a caller ended.
 enum class ConnectionEnd : std::uint8_t {
   kClosedLocally,            // closed here after all data was written
+  kClosedByShutdown,         // the same, with all others, at the end of a shutdown that cannot wait any longer
   kClosedWithUnwrittenData,  // closed here before the peer accepted all data
   kPeerClosed,               // in order
   kPeerReset,
@@ -87,6 +94,8 @@
   // A client on this host announces a call on this connection. Returns whether the call has ended here recently. If its
   // release has to be sent on the connection, it waits for the host.
   bool OnAnnounced(std::uint32_t host, const std::string& id, ConnectionNumber connection, TimeUs now);
+  // Returns the connections with a release that may have to be sent again if it is not acknowledged in time.
+  std::unordered_set<ConnectionNumber> ConnectionsAwaitingAcknowledgement(TimeUs now) const;
   // A connection ended: its releases that may be unread wait again.
   void OnConnectionEnded(ConnectionNumber connection, ConnectionEnd end, TimeUs now);
   // Requeues releases that were not acknowledged in time and removes the delivered and the expired ones. Returns the
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -924,6 +924,81 @@
   EXPECT_TRUE(second->FinalMessages(kCall).empty());
 }
 
+// Guards against a release that is sent on each connection of its host in turn (soak seed 5402): the shutdown closed
+// all of them in its last moment, while the acknowledgement was on its way.
+TEST_F(PlatformTest, SendsReleaseOnceIfShutdownClosesAllConnectionsOfItsHost) {
+  const auto gone = ConnectCaller();
+  EstablishCall(*gone, kOtherCall);
+  EndCall(kOtherCall);
+  gone->connection.Send({.type = MessageType::kAcknowledgement, .id = kOtherCall});  // this host sends acknowledgements
+  EstablishCall(*gone, kCall);
+  std::vector<std::unique_ptr<PlatformCaller>> others;
+  for (int i = 0; i < 3; ++i) others.push_back(ConnectCaller());
+  // The connection that was used last, on which the release is sent, is closed first.
+  for (std::size_t i = others.size(); i-- > 0;) EstablishCall(*others[i], "9b1f03aa5c7e2d5" + std::to_string(i));
+  gone->connection.stream.reset();
+  node_->Stop([] {});
+  // All connections are closed 3.45 s after the stop, with a timer of 20 ms.
+  runtime_.RunFor(3'450 * kMs);
+  EndCall(kCall);
+  ASSERT_EQ(others[0]->FinalMessages(kCall).size(), 1U);
+  EXPECT_FALSE(others[0]->connection.end.has_value());
+  runtime_.RunFor(100 * kMs);
+  std::size_t releases = 0;
+  for (const auto& other : others) {
+    EXPECT_TRUE(other->connection.end.has_value());
+    releases += other->FinalMessages(kCall).size();
+  }
+  EXPECT_EQ(releases, 1U);
+}
+
+// Guards against a release that is sent twice: a connection on which nothing else was left was closed here while the
+// acknowledgement of its host was on its way.
+TEST_F(PlatformTest, ShutdownWaitsForAcknowledgementOnOtherConnectionOfHost) {
+  const auto gone = ConnectCaller(), second = ConnectCaller(), third = ConnectCaller();
+  EstablishCall(*gone, kOtherCall);
+  EndCall(kOtherCall);
+  gone->connection.Send({.type = MessageType::kAcknowledgement, .id = kOtherCall});  // this host sends acknowledgements
+  EstablishCall(*gone, kCall);
+  EstablishCall(*third, "9b1f03aa5c7e2d43");
+  EstablishCall(*second, "9b1f03aa5c7e2d44");
+  EndCall("9b1f03aa5c7e2d44");
+  second->connection.Send({.type = MessageType::kAcknowledgement, .id = "9b1f03aa5c7e2d44"});
+  gone->connection.stream.reset();
+  node_->Stop([] {});
+  runtime_.RunFor(1'000 * kMs);
+  EndCall(kCall);
+  ASSERT_EQ(second->FinalMessages(kCall).size(), 1U);
+  runtime_.RunFor(300 * kMs);
+  EXPECT_FALSE(second->connection.end.has_value());
+  second->connection.Send({.type = MessageType::kAcknowledgement, .id = kCall});
+  runtime_.RunFor(100 * kMs);
+  EXPECT_TRUE(second->connection.end.has_value());
+  EXPECT_TRUE(third->FinalMessages(kCall).empty());
+}
+
+// Guards against the same where the connection is closed to make room for another one.
+TEST_F(PlatformTest, EvictsNoConnectionWhoseHostHasYetToAcknowledgeRelease) {
+  const auto gone = ConnectCaller(), idle = ConnectCaller();
+  EstablishCall(*idle, kOtherCall);
+  EndCall(kOtherCall);
+  idle->connection.Send({.type = MessageType::kAcknowledgement, .id = kOtherCall});  // this host sends acknowledgements
+  EstablishCall(*gone, kCall);
+  runtime_.RunFor(300 * kMs);
+  gone->connection.stream.reset();
+  runtime_.RunFor(5 * kMs);
+  std::vector<std::unique_ptr<PlatformCaller>> others;
+  while (node_->callers().connection_count() < kMaxCallerConnections) others.push_back(ConnectCaller(0x7f000009));
+  EndCall(kCall);
+  ASSERT_EQ(idle->FinalMessages(kCall).size(), 1U);
+  // The other connections are too new to be closed.
+  const auto next = ConnectCaller(0x7f000009);
+  EXPECT_FALSE(idle->connection.end.has_value());
+  idle->connection.Send({.type = MessageType::kAcknowledgement, .id = kCall});
+  runtime_.RunFor(300 * kMs);
+  EXPECT_GT(node_->callers().counters().connections_evicted, 0U);  // the next one was let in
+}
+
 TEST_F(PlatformTest, ShutdownWaitsForAcknowledgementOfRecentRelease) {
   const auto caller = ConnectCaller();
   EstablishCall(*caller, kCall);
