Discovery: a response with missing events is kept beside the request for them

What callers saw (by tests on a whole softswitch): an event is missing or unreadable, discovery takes 5 s to begin an answer; a drain that it tells a second later on the response in progress is not heard, and set-ups go on for 4 s.

Cause: the response with the gap was closed and the missing events requested on a new connection. Until that answer began nothing could be heard.

Change: the request with the gap is kept, marked as ahead of the last applied event. Drains and removals in it are applied; it restarts no silence timer, ends no other request, and is the last one to make room. The first new event on another request closes it. EventReader's handler no longer ends the reading.

--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/platform_fuzz.cpp
@@ -27,7 +27,6 @@
   const auto on_event = [](std::string_view, std::string_view event) {
     std::string error;
     ParseDirectoryNotification(nlohmann::json::parse(event, nullptr, false), 0, &error);
-    return true;
   };
   if (events.Feed(text.substr(0, half), on_event)) events.Feed(text.substr(half), on_event);
   std::vector<croftrun::config::SettingsError> mistakes;
--- a/src/platform/discovery_client.cpp
+++ b/src/platform/discovery_client.cpp
@@ -35,6 +35,7 @@
   const std::uint64_t number;  // for the log
   const TimeUs started_at;
   bool is_open = false, has_response = false;
+  bool is_ahead = false;                 // it skipped events, which another request is sent for
   std::optional<TimeUs> speaking_since;  // first data after the start or the last silence
   EventReader reader;
   std::unique_ptr<core::Stream> stream;
@@ -74,6 +75,8 @@
 
 void DiscoveryClient::CloseLeastPromisingRequest() {
   auto chosen = std::find_if(requests_.begin(), requests_.end(), [](const auto& request) { return !request->is_open; });
+  if (chosen == requests_.end())
+    chosen = std::find_if(requests_.begin(), requests_.end(), [](const auto& request) { return !request->is_ahead; });
   if (chosen == requests_.end()) chosen = requests_.begin();
   counters_.unanswered += (*chosen)->has_response ? 0 : 1;
   requests_.erase(chosen);
@@ -106,7 +109,6 @@
 }
 
 void DiscoveryClient::HandleResponse(Request* request, std::string_view bytes) {
-  StartSilenceTimer(kSilenceTimeout);
   if (!std::exchange(request->has_response, true)) {
     const TimeUs waited = runtime_->Now() - request->started_at;
     counters_.longest_response_wait = std::max(counters_.longest_response_wait, waited);
@@ -114,11 +116,14 @@
   }
   if (!request->speaking_since) request->speaking_since = runtime_->Now();
   const std::uint64_t applied_before = counters_.events;
-  const bool wants_more =
-      request->reader.Feed(bytes, [this](std::string_view id, std::string_view data) { return HandleEvent(id, data); });
-  if (!wants_more) return CloseFailedRequest(request);
+  const bool is_usable = request->reader.Feed(
+      bytes, [this, request](std::string_view id, std::string_view data) { HandleEvent(request, id, data); });
+  if (!is_usable) return CloseFailedRequest(request);
+  if (request->is_ahead) return;
+  StartSilenceTimer(kSilenceTimeout);
   const bool is_steady = runtime_->Now() >= *request->speaking_since + kSilenceTimeout;
-  if (is_steady || counters_.events > applied_before) CloseOtherRequests(request);
+  const bool has_new_event = counters_.events > applied_before;
+  if (is_steady || has_new_event) CloseOtherRequests(request, !has_new_event);
 }
 
 void DiscoveryClient::HandleEnd(Request* request, core::StreamEnd end) {
@@ -128,15 +133,23 @@
 
 void DiscoveryClient::CloseFailedRequest(Request* request) {
   ++counters_.breaks;
-  const bool is_newest = request == requests_.back().get();
+  const bool is_newest = request == NewestRequest();
   std::erase_if(requests_, [request](const auto& other) { return other.get() == request; });
   // After the failure of an older request, the newest one is still in progress, and the silence timer observes it.
   if (is_newest) ScheduleRequest();
 }
 
-void DiscoveryClient::CloseOtherRequests(const Request* followed) {
+void DiscoveryClient::CloseOtherRequests(const Request* followed, bool keep_requests_ahead) {
   for (const auto& request : requests_) counters_.unanswered += request->has_response ? 0 : 1;
-  std::erase_if(requests_, [followed](const auto& request) { return request.get() != followed; });
+  std::erase_if(requests_, [followed, keep_requests_ahead](const auto& request) {
+    return request.get() != followed && !(keep_requests_ahead && request->is_ahead);
+  });
+}
+
+const DiscoveryClient::Request* DiscoveryClient::NewestRequest() const {
+  const auto newest =
+      std::find_if(requests_.rbegin(), requests_.rend(), [](const auto& request) { return !request->is_ahead; });
+  return newest == requests_.rend() ? nullptr : newest->get();
 }
 
 void DiscoveryClient::LogRequest(std::string_view event, const Request& request, std::string_view detail) {
@@ -148,17 +161,22 @@
                   std::string(detail));
 }
 
-bool DiscoveryClient::ShouldRequestMissing(std::uint64_t number) {
-  if (requested_number_ == number) return false;  // already requested: the service does not have it
-  requested_number_ = number;
+bool DiscoveryClient::RequestMissingEvents(Request* request) {
+  if (request->is_ahead) return true;
+  const std::uint64_t missing_number = last_number_ + 1;
+  if (requested_number_ == missing_number) return false;  // already requested: the service does not have it
+  requested_number_ = missing_number;
   ++counters_.gaps;
+  const bool is_newest = request == NewestRequest();
+  request->is_ahead = true;
+  if (is_newest) ScheduleRequest();
   return true;
 }
 
 // The numbers of deltas are consecutive. A delta that does not follow the last one, or cannot be parsed, leaves a gap.
 // The missing events are requested once more, starting after the last applied one. The gap is skipped only if the
 // service does not send them then either.
-bool DiscoveryClient::HandleEvent(std::string_view id, std::string_view data) {
+void DiscoveryClient::HandleEvent(Request* request, std::string_view id, std::string_view data) {
   std::uint64_t number = 0;
   std::from_chars(id.data(), id.data() + id.size(), number);
   std::string error;
@@ -167,29 +185,30 @@
   if (!notification) {
     ++counters_.unreadable;
     log_->Write(core::LogLevel::kWarning, "notice-unreadable", 0, std::string(id) + ": " + error);
-    return number <= last_number_ || !ShouldRequestMissing(last_number_ + 1);
+    if (number > last_number_) RequestMissingEvents(request);
+    return;
   }
-  reconnect_delay_ = 0;
+  if (!request->is_ahead) reconnect_delay_ = 0;
   // A full directory with an earlier number is older than what has been applied since, as no gap was left in between.
   if (notification->number <= last_number_ && notification->number != 0) {
     ++counters_.repeated;
-    return true;
+    return;
   }
   if (last_number_ != 0 && notification->number > last_number_ + 1 && !notification->is_full) {
     log_->Write(core::LogLevel::kWarning, "notice-gap", 0,
                 "after " + std::to_string(last_number_) + " came " + std::to_string(notification->number));
-    if (ShouldRequestMissing(last_number_ + 1)) {
+    if (RequestMissingEvents(request)) {
       // Drains and removals are applied immediately, whatever is missing before them.
       DirectoryNotification drains = *notification;
       std::erase_if(drains.targets, [](const Target& x) { return x.status == ExchangeStatus::kReady; });
       if (!drains.targets.empty()) on_notification_(drains);
-      return false;
+      return;
     }
   }
   ++counters_.events;
+  request->is_ahead = false;
   last_number_ = std::max(last_number_, notification->number);
   on_notification_(*notification);
-  return true;
 }
 
 }  // namespace croftrun::platform
--- a/src/platform/discovery_client.h
+++ b/src/platform/discovery_client.h
@@ -4,6 +4,9 @@
 // therefore kept, and another one is sent beside it on a connection of its own. The first request that brings a new
 // event, or data without a silence in between for some time, is followed, and all others are closed. A single line does
 // not decide: the rest of the response may pause as well, or never come.
+//
+// A response that skips events is kept as well, beside another request for the missing ones: drains and removals in it
+// are applied, everything else comes in order with the response to the other request.
 #ifndef CROFTRUN_PLATFORM_DISCOVERY_CLIENT_H_
 #define CROFTRUN_PLATFORM_DISCOVERY_CLIENT_H_
 
@@ -54,18 +57,22 @@
   void ScheduleRequest();
   // Sends another request after this time unless data arrives.
   void StartSilenceTimer(TimeUs delay);
-  // Makes room for a request: closes the oldest one that has no connection yet, else the oldest one.
+  // Makes room for a request: closes the oldest one that has no connection yet, else the oldest one without missing
+  // events, else the oldest one.
   void CloseLeastPromisingRequest();
   void CloseFailedRequest(Request* request);
-  void CloseOtherRequests(const Request* followed);
+  // Follows this request: closes the others. A request with missing events is kept until the missing ones have come.
+  void CloseOtherRequests(const Request* followed, bool keep_requests_ahead);
+  // Returns the newest request that is not ahead of the last applied event, or null if there is none.
+  const Request* NewestRequest() const;
   // These handle the events of a request's connection.
   void SendRequest(const Request* request);
   void HandleResponse(Request* request, std::string_view bytes);
   void HandleEnd(Request* request, core::StreamEnd end);
-  // Returns true once for each number: the events from it on are missing and have to be requested again.
-  bool ShouldRequestMissing(std::uint64_t number);
-  // Returns false if the request has to be closed.
-  bool HandleEvent(std::string_view id, std::string_view data);
+  // The event after the last applied one is missing on this request. Sends another request for it, once. Returns false
+  // if the service does not have it.
+  bool RequestMissingEvents(Request* request);
+  void HandleEvent(Request* request, std::string_view id, std::string_view data);
   void LogRequest(std::string_view event, const Request& request, std::string_view detail);
 
   core::Runtime* runtime_;
--- a/src/platform/event_reader.cpp
+++ b/src/platform/event_reader.cpp
@@ -63,7 +63,8 @@
 bool EventReader::HandleLine(std::string_view line, const OnEvent& on_event) {
   if (line.empty()) {
     const std::string id = std::exchange(id_, {}), data = std::exchange(data_, {});
-    return !std::exchange(has_data_, false) || on_event(id, data);
+    if (std::exchange(has_data_, false)) on_event(id, data);
+    return true;
   }
   const auto colon = line.find(':');
   const auto name = line.substr(0, colon);
--- a/src/platform/event_reader.h
+++ b/src/platform/event_reader.h
@@ -13,12 +13,12 @@
 // events are reported; an event that is cut off is discarded.
 class EventReader {
  public:
-  // Handles one event; `id` is empty if the event has none. Returns false to stop reading.
-  using OnEvent = std::function<bool(std::string_view id, std::string_view data)>;
+  // Handles one event; `id` is empty if the event has none.
+  using OnEvent = std::function<void(std::string_view id, std::string_view data)>;
   EventReader();
   ~EventReader();
-  // Returns false if the stream is of no further use: the status is not 200, the data is not HTTP, an event exceeds the
-  // size limit, or the handler returned false.
+  // Returns false if the stream is of no further use: the status is not 200, the data is not HTTP, or an event exceeds
+  // the size limit.
   bool Feed(std::string_view bytes, const OnEvent& on_event);
 
  private:
--- a/tests/discovery_client_test.cpp
+++ b/tests/discovery_client_test.cpp
@@ -111,6 +111,82 @@
   EXPECT_EQ(discovery_.last_event_ids.size(), 2U);  // with the one from the start
 }
 
+// Events are missing on a response, and discovery is slow to begin the one that brings them. Guards against a drain
+// that is applied late because the response with the gap was given up.
+TEST_F(DiscoveryClientTest, AppliesDrainOnResponseWithGapWhileMissingEventsAreLate) {
+  StartComments();
+  discovery_.response_delay = 5'000 * kMs;
+  discovery_.Store(2, EventJson(2, false, json::array({TargetJson(2)})));
+  PublishChanges(3, {TargetJson(2)});
+  runtime_.RunFor(1'000 * kMs);
+  EXPECT_EQ(DiscoveryMetrics()["gaps"], 1);
+  PublishChanges(4, {TargetJson(1, "Terminating")});
+  runtime_.RunFor(5 * kMs);
+  EXPECT_EQ(DiscoveryMetrics()["last"], 1);
+  const auto caller = ConnectCaller();
+  caller->SetUp(kCall, 1);
+  runtime_.RunFor(2'000 * kMs);
+  EXPECT_TRUE(exchange_1_.Received(MessageType::kSetUp).empty());
+  runtime_.RunFor(2'200 * kMs);
+  EXPECT_EQ(DiscoveryMetrics()["last"], 4);
+  EXPECT_EQ(DiscoveryMetrics()["gaps"], 1);
+  runtime_.RunFor(5'000 * kMs);
+  EXPECT_EQ(discovery_.open_connections(), 1U);
+}
+
+// The same where an event is unreadable.
+TEST_F(DiscoveryClientTest, AppliesDrainAfterUnreadableEventWhileDiscoveryIsSlow) {
+  StartComments();
+  discovery_.response_delay = 5'000 * kMs;
+  discovery_.Store(2, EventJson(2, false, json::array({TargetJson(2)})));
+  discovery_.Write("id: 2\ndata: {\n\n");
+  runtime_.RunFor(1'000 * kMs);
+  PublishChanges(3, {TargetJson(1, "Terminating")});
+  runtime_.RunFor(5 * kMs);
+  const auto caller = ConnectCaller();
+  caller->SetUp(kCall, 1);
+  runtime_.RunFor(2'000 * kMs);
+  EXPECT_TRUE(exchange_1_.Received(MessageType::kSetUp).empty());
+  runtime_.RunFor(2'200 * kMs);
+  EXPECT_EQ(DiscoveryMetrics()["last"], 3);
+}
+
+// The response with the gap goes on, but does not keep the softswitch from sending further requests for what is
+// missing.
+TEST_F(DiscoveryClientTest, SendsFurtherRequestsForMissingEventsWhileNoneIsAnswered) {
+  StartComments();
+  discovery_.is_answering = false;
+  discovery_.Store(2, EventJson(2, false, DrainOfExchange1()));
+  PublishChanges(3, {TargetJson(2)});
+  runtime_.RunFor(30'000 * kMs);
+  EXPECT_EQ(DiscoveryMetrics()["last"], 1);
+  EXPECT_LE(discovery_.open_connections(), 6U);
+  PublishChanges(4, {TargetJson(2, "Terminating")});
+  runtime_.RunFor(5 * kMs);
+  const auto caller = ConnectCaller();
+  caller->SetUp(kCall, 2);
+  runtime_.RunFor(100 * kMs);
+  EXPECT_TRUE(exchange_2_.Received(MessageType::kSetUp).empty());  // the response with the gap was kept
+  discovery_.is_answering = true;
+  runtime_.RunFor(2'600 * kMs);
+  EXPECT_EQ(DiscoveryMetrics()["last"], 4);
+  EXPECT_EQ(discovery_.open_connections(), 1U);
+}
+
+// The service does not have the missing events: the gap is skipped, and the response that brought it is closed.
+TEST_F(DiscoveryClientTest, SkipsGapThatServiceCannotFill) {
+  StartComments();
+  PublishChanges(3, {TargetJson(2)});
+  runtime_.RunFor(100 * kMs);
+  EXPECT_EQ(DiscoveryMetrics()["last"], 3);
+  EXPECT_EQ(DiscoveryMetrics()["gaps"], 1);
+  runtime_.RunFor(100 * kMs);
+  EXPECT_EQ(discovery_.open_connections(), 1U);
+  PublishChanges(4, {TargetJson(1, "Terminating")});
+  runtime_.RunFor(5 * kMs);
+  EXPECT_EQ(DiscoveryMetrics()["last"], 4);
+}
+
 // A failed request does not end one that still waits for its response.
 TEST_F(DiscoveryClientTest, KeepsWaitingRequestWhenAnotherFails) {
   discovery_.response_delay = 2'500 * kMs;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -121,7 +121,6 @@
       std::string events;
       const auto on_event = [&events](std::string_view id, std::string_view data) {
         events += std::string(id) + "=" + std::string(data) + ";";
-        return true;
       };
       EXPECT_TRUE(reader.Feed(text.substr(0, cut), on_event)) << cut;
       EXPECT_TRUE(reader.Feed(text.substr(cut), on_event)) << cut;
@@ -133,10 +132,7 @@
 TEST(EventReaderTest, RejectsOtherStatusAndNonHttpData) {
   for (const std::string text : {"HTTP/1.1 503 Busy\r\n\r\n", "\x01\x02garbage\r\n\r\n"}) {
     EventReader reader;
-    EXPECT_FALSE(reader.Feed(text, [](std::string_view, std::string_view) {
-      ADD_FAILURE();
-      return true;
-    }));
+    EXPECT_FALSE(reader.Feed(text, [](std::string_view, std::string_view) { ADD_FAILURE(); }));
   }
 }
 
