--- a/tests/discovery_client_test.cpp
+++ b/tests/discovery_client_test.cpp
@@ -23,6 +23,20 @@
   }
   json DiscoveryMetrics() const { return json::parse(node_->Metrics())["board"]; }
   bool KnowsDrain() const { return DiscoveryMetrics()["last"] == 2; }
+  // Stores the drain of exchange 1 for later requests and expects it to be applied within this time, on one connection.
+  void ExpectStoredDrainIsApplied(TimeUs within) {
+    discovery_.Store(2, EventJson(2, false, DrainOfExchange1()));
+    runtime_.RunFor(within);
+    EXPECT_TRUE(KnowsDrain());
+    EXPECT_EQ(discovery_.open_connections(), 1U);
+  }
+  // Expects a call to this exchange not to be sent there.
+  void ExpectNoSetUpSentTo(int number, const PlatformExchange& exchange) {
+    const auto caller = ConnectCaller();
+    caller->SetUp(kCall, number);
+    runtime_.RunFor(2'000 * kMs);
+    EXPECT_TRUE(exchange.Received(MessageType::kSetUp).empty());
+  }
 
   core::Timer comment_timer_{&runtime_};
 };
@@ -38,10 +52,7 @@
   // At the latest once the response to the request in progress has begun.
   runtime_.RunFor(GetParam() + 200 * kMs);
   EXPECT_TRUE(KnowsDrain());
-  const auto caller = ConnectCaller();
-  caller->SetUp(kCall, 1);
-  runtime_.RunFor(2'000 * kMs);
-  EXPECT_TRUE(exchange_1_.Received(MessageType::kSetUp).empty());
+  ExpectNoSetUpSentTo(1, exchange_1_);
   runtime_.RunFor(10'000 * kMs);
   EXPECT_EQ(discovery_.open_connections(), 1U);  // the other requests are closed, and none is sent any more
   EXPECT_EQ(DiscoveryMetrics()["open_requests"], 1);
@@ -55,10 +66,7 @@
 TEST_F(DiscoveryClientTest, AppliesDrainIfResponsePausesAfterItsHeader) {
   discovery_.body_delay = 2'500 * kMs;
   ReconnectToDiscovery();
-  discovery_.Store(2, EventJson(2, false, DrainOfExchange1()));
-  runtime_.RunFor(2'700 * kMs);
-  EXPECT_TRUE(KnowsDrain());
-  EXPECT_EQ(discovery_.open_connections(), 1U);
+  ExpectStoredDrainIsApplied(2'700 * kMs);
 }
 
 // A response begins with a comment at once each time, and pauses before its first event.
@@ -66,10 +74,7 @@
   discovery_.comment_after_header = true;
   discovery_.body_delay = 2'500 * kMs;
   discovery_.Reset();
-  discovery_.Store(2, EventJson(2, false, DrainOfExchange1()));
-  runtime_.RunFor(2'700 * kMs);
-  EXPECT_TRUE(KnowsDrain());
-  EXPECT_EQ(discovery_.open_connections(), 1U);
+  ExpectStoredDrainIsApplied(2'700 * kMs);
 }
 
 // A response that has begun pauses, and requests that are sent meanwhile are never answered.
@@ -94,10 +99,7 @@
   runtime_.RunFor(30'000 * kMs);
   EXPECT_LE(discovery_.open_connections(), 6U);
   discovery_.is_answering = true;
-  discovery_.Store(2, EventJson(2, false, DrainOfExchange1()));
-  runtime_.RunFor(2'600 * kMs);
-  EXPECT_TRUE(KnowsDrain());
-  EXPECT_EQ(discovery_.open_connections(), 1U);
+  ExpectStoredDrainIsApplied(2'600 * kMs);
 }
 
 // Several connections are opened one after the other, and come up at the same time: only one request is sent.
@@ -123,10 +125,7 @@
   PublishChanges(4, {TargetJson(1, "Terminating")});
   runtime_.RunFor(5 * kMs);
   EXPECT_EQ(DiscoveryMetrics()["last"], 1);
-  const auto caller = ConnectCaller();
-  caller->SetUp(kCall, 1);
-  runtime_.RunFor(2'000 * kMs);
-  EXPECT_TRUE(exchange_1_.Received(MessageType::kSetUp).empty());
+  ExpectNoSetUpSentTo(1, exchange_1_);
   runtime_.RunFor(2'200 * kMs);
   EXPECT_EQ(DiscoveryMetrics()["last"], 4);
   EXPECT_EQ(DiscoveryMetrics()["gaps"], 1);
@@ -143,10 +142,7 @@
   runtime_.RunFor(1'000 * kMs);
   PublishChanges(3, {TargetJson(1, "Terminating")});
   runtime_.RunFor(5 * kMs);
-  const auto caller = ConnectCaller();
-  caller->SetUp(kCall, 1);
-  runtime_.RunFor(2'000 * kMs);
-  EXPECT_TRUE(exchange_1_.Received(MessageType::kSetUp).empty());
+  ExpectNoSetUpSentTo(1, exchange_1_);
   runtime_.RunFor(2'200 * kMs);
   EXPECT_EQ(DiscoveryMetrics()["last"], 3);
 }
@@ -163,10 +159,7 @@
   EXPECT_LE(discovery_.open_connections(), 6U);
   PublishChanges(4, {TargetJson(2, "Terminating")});
   runtime_.RunFor(5 * kMs);
-  const auto caller = ConnectCaller();
-  caller->SetUp(kCall, 2);
-  runtime_.RunFor(100 * kMs);
-  EXPECT_TRUE(exchange_2_.Received(MessageType::kSetUp).empty());  // the response with the gap was kept
+  ExpectNoSetUpSentTo(2, exchange_2_);  // the response with the gap was kept
   discovery_.is_answering = true;
   runtime_.RunFor(2'600 * kMs);
   EXPECT_EQ(DiscoveryMetrics()["last"], 4);
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -136,6 +136,15 @@
     PlatformExchange::Release(*exchange_1_.OpenConnections()[0], id, 16);
     runtime_.RunFor(5 * kMs);
   }
+  static void Acknowledge(PlatformCaller& caller, const std::string& id) {
+    caller.connection.Send({.type = MessageType::kAcknowledgement, .id = id});
+  }
+  // Lets the softswitch know that the caller's host acknowledges releases, by the end of another call.
+  void AcknowledgeOtherCall(PlatformCaller& caller) {
+    EstablishCall(caller, kOtherCall);
+    EndCall(kOtherCall);
+    Acknowledge(caller, kOtherCall);
+  }
   // Sets up a call to exchange 1 whose caller then closes its connection.
   void EstablishCallAndDisconnect(const std::string& id) {
     const auto caller = ConnectCaller();
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,141 +1,11 @@
 // Tests the platform protocol on virtual time: a complete softswitch with stand-ins.
 #include <gtest/gtest.h>
 
-#include "platform/event_reader.h"
 #include "platform_fixture.h"
 
 namespace croftrun::platform {
 namespace {
 
-// ---- the codec ----
-
-TEST(LineReaderTest, RejectsEndlessLineAtLimit) {
-  LineReader reader;
-  const std::string part(1000, 'x');
-  std::size_t chunks = 0;
-  bool wants_more = true;
-  for (int i = 0; i < 100 && wants_more; ++i) {
-    wants_more = reader.Feed(part, [](std::string_view) { return true; });
-    ++chunks;
-  }
-  EXPECT_FALSE(wants_more);
-  EXPECT_TRUE(reader.too_long());
-  EXPECT_LE(chunks * part.size(), kMaxLineOctets + part.size());
-}
-
-TEST(LineReaderTest, SplitsLinesRegardlessOfChunking) {
-  const std::string text = "{\"t\":\"hb\"}\n\n{\"t\":\"ack\"}\nrest";
-  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
-    LineReader reader;
-    std::vector<std::string> lines;
-    const auto on_line = [&lines](std::string_view line) {
-      lines.emplace_back(line);
-      return true;
-    };
-    EXPECT_TRUE(reader.Feed(text.substr(0, cut), on_line));
-    EXPECT_TRUE(reader.Feed(text.substr(cut), on_line));
-    EXPECT_EQ(lines, (std::vector<std::string>{"{\"t\":\"hb\"}", "", "{\"t\":\"ack\"}"}));
-    EXPECT_TRUE(reader.has_partial_line());
-  }
-}
-
-TEST(CodecTest, PreservesIdsAndDescriptions) {
-  const std::string description = "v=0\r\nc=IN IP4 10.4.7.9\r\n\t\"quoted\\ \xC3\xA9\x01";
-  const Message sent{.type = MessageType::kSetUp,
-                     .id = "9B1f03aa5c7e2d41",
-                     .fields = {{"class", "voice"}},
-                     .cause = {},
-                     .description = description};
-  const std::string line = WriteMessage(sent);
-  ASSERT_FALSE(line.empty());
-  const auto read = ParseMessage(std::string_view(line).substr(0, line.size() - 1));
-  ASSERT_TRUE(read);
-  EXPECT_EQ(read->id, sent.id);
-  EXPECT_EQ(read->description, description);
-}
-
-TEST(CodecTest, RejectsMalformedMessages) {
-  for (const std::string line :
-       {"", "x", "[]", "{}", "{\"t\":7}", "{\"t\":\"new\",\"ref\":7}", "{\"t\":\"new\",\"ref\":\"12\"}",
-        "{\"t\":\"new\",\"ref\":\"9b1f03aa5c7e2d4g\"}", "{\"t\":\"new\",\"f\":[]}",
-        "{\"t\":\"new\",\"f\":{\"left\":{}}}", "{\"t\":\"down\",\"c\":\"16\"}", "{\"t\":\"down\",\"c\":NaN}",
-        "{\"t\":\"down\",\"c\":-1}", "{\"t\":\"down\",\"c\":1e999}", "{\"t\":\"new\",\"d\":7}", "{\"t\":\"new\"",
-        "{\"t\":\"new\"}{\"t\":\"new\"}", "\xff\xfe", "{\"t\":\"\xff\"}"}) {
-    EXPECT_FALSE(ParseMessage(line)) << line;
-  }
-  const auto numbers = ParseMessage("{\"t\":\"new\",\"f\":{\"left\":1500,\"x\":\"y\"}}");
-  ASSERT_TRUE(numbers);
-  EXPECT_EQ(*numbers->Field("left"), "1500");
-}
-
-TEST(CodecTest, RejectsExtrasOutOfRange) {
-  const auto extras = ParseExtras("dest:2;width:1;via:-1;transit:1;at:s-00c41f7a;new:x");
-  ASSERT_TRUE(extras);
-  EXPECT_EQ(extras->destination, 2);
-  EXPECT_EQ(extras->at, "s-00c41f7a");
-  EXPECT_TRUE(extras->transit);
-  for (const std::string text :
-       {"dest:nan", "dest:-2", "dest:1e99", "width:0", "width:99999999", "via:x", "dest:2x", "dest:"})
-    EXPECT_FALSE(ParseExtras(text)) << text;
-}
-
-TEST(NodeConfigTest, ReportsAllErrorsWithPathAndValues) {
-  json bad = ConfigJson();
-  bad["listen"] = "nowhere";
-  bad["board"] = 7;
-  bad["limits"]["sockets"] = -4;
-  bad["known"]["notices"][0]["pool"]["targets"][1]["state"] = "Odd";
-  std::vector<config::SettingsError> mistakes;
-  ParseNodeConfig(bad.dump(), "", "", &mistakes);
-  ASSERT_EQ(mistakes.size(), 4U) << config::ToString(mistakes);
-  EXPECT_EQ(mistakes[0].path, "/listen");
-  EXPECT_NE(mistakes[0].text.find("nowhere"), std::string::npos);
-  EXPECT_EQ(mistakes[3].path, "/known/notices/0");
-  mistakes.clear();
-  ParseNodeConfig(ConfigJson().dump().substr(0, 300), "", "", &mistakes);
-  EXPECT_EQ(mistakes.size(), 1U);
-}
-
-TEST(NodeConfigTest, ParsesNestedSettingsLikeBenchSettings) {
-  std::vector<config::SettingsError> mistakes;
-  const NodeConfig config = ParseNodeConfig(ConfigJson().dump(), "", "", &mistakes);
-  EXPECT_EQ(config.module.own_number, 0);
-  EXPECT_EQ(config.module.resend_guard_us, 300'000U);
-  ASSERT_EQ(config.module.classes.size(), 1U);
-  EXPECT_EQ(config.module.classes[0].target_delay_us, 1'500'000U);
-  EXPECT_EQ(config.module.classes[0].holding_us, 10'000'000U);
-  EXPECT_EQ(config.module.report_fields,
-            (std::vector<ReportField>{ReportField::kFreeCircuits, ReportField::kTotalCircuits}));
-  EXPECT_EQ(config.zones, (std::vector<std::string>{"west", "east"}));
-}
-
-TEST(EventReaderTest, ParsesEventsRegardlessOfChunking) {
-  const std::string plain =
-      "HTTP/1.1 200 OK\r\n\r\n: hello\n\nid: 4\ndata: a\ndata: b\n\nid: 5\r\ndata: c\r\n\r\nid: 6\ndata: cut";
-  const std::string chunked =
-      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n12\r\nid: 4\ndata: a\ndata\r\n1c\r\n: b\n\nid: 5\ndata: "
-      "c\n\nid: 6\nda\r\n";
-  for (const std::string& text : {plain, chunked}) {
-    for (std::size_t cut = 1; cut < text.size(); ++cut) {
-      EventReader reader;
-      std::string events;
-      const auto on_event = [&events](std::string_view id, std::string_view data) {
-        events += std::string(id) + "=" + std::string(data) + ";";
-      };
-      EXPECT_TRUE(reader.Feed(text.substr(0, cut), on_event)) << cut;
-      EXPECT_TRUE(reader.Feed(text.substr(cut), on_event)) << cut;
-      EXPECT_EQ(events, "4=a\nb;5=c;") << cut;
-    }
-  }
-}
-
-TEST(EventReaderTest, RejectsOtherStatusAndNonHttpData) {
-  for (const std::string text : {"HTTP/1.1 503 Busy\r\n\r\n", "\x01\x02garbage\r\n\r\n"}) {
-    EventReader reader;
-    EXPECT_FALSE(reader.Feed(text, [](std::string_view, std::string_view) { ADD_FAILURE(); }));
-  }
-}
-
 // ---- callers ----
 
 TEST_F(PlatformTest, ForwardsDescriptionsAndReleaseOfExchange) {
@@ -285,7 +155,7 @@
   EstablishCall(*caller, kOtherCall);
   EndCall(kOtherCall);
   ASSERT_EQ(caller->FinalMessages(kOtherCall).size(), 2U);
-  caller->connection.Send({.type = MessageType::kAcknowledgement, .id = kOtherCall});
+  Acknowledge(*caller, kOtherCall);
   runtime_.RunFor(5 * kMs);
   EstablishCall(*caller, kCall);
   caller->connection.stream.reset();
@@ -304,7 +174,7 @@
   next->SetUp("9b1f03aa5c7e2d44", 1);
   runtime_.RunFor(2'500 * kMs);
   ASSERT_EQ(next->FinalMessages(kCall).size(), 1U);
-  next->connection.Send({.type = MessageType::kAcknowledgement, .id = kCall});
+  Acknowledge(*next, kCall);
   runtime_.RunFor(20'000 * kMs);
   EXPECT_EQ(next->FinalMessages(kCall).size(), 1U);
   EXPECT_LE(other->FinalMessages(kCall).size(), 1U);
@@ -396,7 +266,7 @@
   ASSERT_EQ(caller->FinalMessages(kCall).size(), 2U);
   next->SetUp(kCall, 1, ";at:s-1");
   runtime_.RunFor(5 * kMs);
-  caller->connection.Send({.type = MessageType::kAcknowledgement, .id = kCall});
+  Acknowledge(*caller, kCall);
   runtime_.RunFor(5 * kMs);
   next->SetUp(kCall, 1, ";at:s-1");
   runtime_.RunFor(10'000 * kMs);
@@ -415,7 +285,7 @@
   PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
   runtime_.RunFor(900 * kMs);
   ASSERT_EQ(next->FinalMessages(kCall).size(), 1U);
-  next->connection.Send({.type = MessageType::kAcknowledgement, .id = kCall});
+  Acknowledge(*next, kCall);
   runtime_.RunFor(5'000 * kMs);
   EXPECT_FALSE(next->connection.end.has_value());
   EndCall(kOtherCall);
@@ -429,7 +299,7 @@
   for (const char* const id : {kOtherCall, "9b1f03aa5c7e2d43"}) {
     EstablishCall(*other_of_caller, id);
     EndCall(id);
-    other_of_caller->connection.Send({.type = MessageType::kAcknowledgement, .id = id});
+    Acknowledge(*other_of_caller, id);
     runtime_.RunFor(5 * kMs);
   }
   EstablishCall(*caller, kCall);
@@ -618,6 +488,27 @@
   EXPECT_TRUE(front->FinalMessages(kCall).empty());
 }
 
+// Guards against a release that is sent twice: its connection was closed to make room for another one while the
+// acknowledgement was on its way.
+TEST_F(PlatformTest, EvictsNoConnectionWhoseHostHasYetToAcknowledgeRelease) {
+  const auto gone = ConnectCaller(), idle = ConnectCaller();
+  AcknowledgeOtherCall(*idle);
+  EstablishCall(*gone, kCall);
+  runtime_.RunFor(300 * kMs);
+  gone->connection.stream.reset();
+  runtime_.RunFor(5 * kMs);
+  std::vector<std::unique_ptr<PlatformCaller>> others;
+  while (node_->callers().connection_count() < kMaxCallerConnections) others.push_back(ConnectCaller(0x7f000009));
+  EndCall(kCall);
+  ASSERT_EQ(idle->FinalMessages(kCall).size(), 1U);
+  // The other connections are too new to be closed.
+  const auto next = ConnectCaller(0x7f000009);
+  EXPECT_FALSE(idle->connection.end.has_value());
+  Acknowledge(*idle, kCall);
+  runtime_.RunFor(300 * kMs);
+  EXPECT_GT(node_->callers().counters().connections_evicted, 0U);  // the next one was let in
+}
+
 // ---- exchanges ----
 
 TEST_F(PlatformTest, MalformedAnswerClosesItsConnectionOnly) {
@@ -820,210 +711,5 @@
   EXPECT_EQ(metrics["exchanges"]["listed"], 3);
 }
 
-TEST_F(PlatformTest, StopAcceptsAndAnswersCallsForAWhile) {
-  bool stopped = false;
-  exchange_1_.on_set_up = [](PlatformConnection&, const Message&) {};
-  const auto caller = ConnectCaller(), idle = ConnectCaller();
-  node_->Stop([&stopped] { stopped = true; });
-  runtime_.RunFor(500 * kMs);
-  caller->SetUp(kCall, 1);
-  runtime_.RunFor(500 * kMs);
-  EXPECT_FALSE(stopped);  // a set-up is unanswered
-  EXPECT_FALSE(caller->connection.end.has_value());
-  caller->SetUp(kOtherCall, 1);  // too late to be set up, but still answered
-  runtime_.RunFor(5 * kMs);
-  ASSERT_EQ(caller->FinalMessages(kOtherCall).size(), 1U);
-  EXPECT_EQ(caller->FinalMessages(kOtherCall)[0].cause, 42);
-  PlatformExchange::Answer(*exchange_1_.OpenConnections()[0], kCall, "good");
-  runtime_.RunFor(90 * kMs);
-  ASSERT_EQ(caller->FinalMessages(kCall).size(), 1U);
-  EXPECT_EQ(caller->FinalMessages(kCall)[0].type, MessageType::kAnswer);
-  // The connection of an established call stays open until its release is sent, and new calls on it are rejected.
-  runtime_.RunFor(500 * kMs);
-  EXPECT_FALSE(caller->connection.end.has_value());
-  EXPECT_TRUE(idle->connection.end.has_value());
-  EXPECT_FALSE(stopped);
-  caller->SetUp("9b1f03aa5c7e2d43", 1);
-  runtime_.RunFor(5 * kMs);
-  ASSERT_EQ(caller->FinalMessages("9b1f03aa5c7e2d43").size(), 1U);
-  EXPECT_EQ(caller->FinalMessages("9b1f03aa5c7e2d43")[0].cause, 42);
-  EndCall(kCall);
-  EXPECT_EQ(caller->FinalMessages(kCall).size(), 2U);
-  runtime_.RunFor(85 * kMs);
-  EXPECT_TRUE(caller->connection.end.has_value());
-  EXPECT_FALSE(stopped);  // a message that crossed the close may be sent again
-  runtime_.RunFor(110 * kMs);
-  EXPECT_TRUE(stopped);
-}
-
-// Guards against a release during a shutdown finding no connection: the own connection of the call was gone, and the
-// last one of its caller had been closed.
-TEST_F(PlatformTest, ShutdownKeepsLastConnectionOfCallerWithEstablishedCall) {
-  const auto caller = ConnectCaller(), second = ConnectCaller(), unrelated = ConnectCaller(0x7f000009);
-  EstablishCall(*caller, kCall);
-  for (PlatformCaller* const other : {second.get(), unrelated.get()}) {
-    const std::string id = other == second.get() ? kOtherCall : "9b1f03aa5c7e2d43";
-    EstablishCall(*other, id);
-    EndCall(id);
-  }
-  caller->connection.stream.reset();
-  runtime_.RunFor(5 * kMs);
-  bool stopped = false;
-  node_->Stop([&stopped] { stopped = true; });
-  runtime_.RunFor(1'200 * kMs);
-  EXPECT_TRUE(unrelated->connection.end.has_value());
-  ASSERT_FALSE(second->connection.end.has_value());
-  EndCall(kCall);
-  ASSERT_EQ(second->FinalMessages(kCall).size(), 1U);
-  EXPECT_EQ(second->FinalMessages(kCall)[0].cause, 16);
-  runtime_.RunFor(200 * kMs);
-  EXPECT_TRUE(second->connection.end.has_value());
-  EXPECT_TRUE(stopped);
-}
-
-TEST_F(PlatformTest, ShutdownSendsReleaseOnce) {
-  const auto caller = ConnectCaller(), second = ConnectCaller();
-  EstablishCall(*caller, kOtherCall);
-  EndCall(kOtherCall);
-  caller->connection.Send(
-      {.type = MessageType::kAcknowledgement, .id = kOtherCall});  // this host sends acknowledgements
-  EstablishCall(*caller, kCall);
-  second->SetUp("9b1f03aa5c7e2d43", 1);
-  runtime_.RunFor(5 * kMs);
-  node_->Stop([] {});
-  runtime_.RunFor(1'000 * kMs);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(1'500 * kMs);
-  EXPECT_TRUE(caller->connection.end.has_value());
-  EXPECT_EQ(caller->FinalMessages(kCall).size(), 2U);
-  EXPECT_TRUE(second->FinalMessages(kCall).empty());
-}
-
-// Guards against a second release (soak seed 730102): a shutdown closed the connection while the acknowledgement was on
-// its way.
-TEST_F(PlatformTest, SendsReleaseOnceIfAcknowledgementCrossesShutdownClose) {
-  const auto caller = ConnectCaller(), second = ConnectCaller();
-  EstablishCall(*caller, kOtherCall);
-  EndCall(kOtherCall);
-  caller->connection.Send(
-      {.type = MessageType::kAcknowledgement, .id = kOtherCall});  // this host sends acknowledgements
-  EstablishCall(*caller, kCall);
-  EstablishCall(*second, "9b1f03aa5c7e2d43");
-  node_->Stop([] {});
-  runtime_.RunFor(1'000 * kMs);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(100 * kMs);
-  ASSERT_TRUE(caller->connection.end.has_value());
-  runtime_.RunFor(2'250 * kMs);
-  EXPECT_FALSE(second->connection.end.has_value());  // could be used to send it again
-  EXPECT_EQ(caller->FinalMessages(kCall).size(), 2U);
-  EXPECT_TRUE(second->FinalMessages(kCall).empty());
-}
-
-// Guards against a release that is sent on each connection of its host in turn (soak seed 5402): the shutdown closed
-// all of them in its last moment, while the acknowledgement was on its way.
-TEST_F(PlatformTest, SendsReleaseOnceIfShutdownClosesAllConnectionsOfItsHost) {
-  const auto gone = ConnectCaller();
-  EstablishCall(*gone, kOtherCall);
-  EndCall(kOtherCall);
-  gone->connection.Send({.type = MessageType::kAcknowledgement, .id = kOtherCall});  // this host sends acknowledgements
-  EstablishCall(*gone, kCall);
-  std::vector<std::unique_ptr<PlatformCaller>> others;
-  for (int i = 0; i < 3; ++i) others.push_back(ConnectCaller());
-  // The connection that was used last, on which the release is sent, is closed first.
-  for (std::size_t i = others.size(); i-- > 0;) EstablishCall(*others[i], "9b1f03aa5c7e2d5" + std::to_string(i));
-  gone->connection.stream.reset();
-  node_->Stop([] {});
-  // All connections are closed 3.45 s after the stop, with a timer of 20 ms.
-  runtime_.RunFor(3'450 * kMs);
-  EndCall(kCall);
-  ASSERT_EQ(others[0]->FinalMessages(kCall).size(), 1U);
-  EXPECT_FALSE(others[0]->connection.end.has_value());
-  runtime_.RunFor(100 * kMs);
-  std::size_t releases = 0;
-  for (const auto& other : others) {
-    EXPECT_TRUE(other->connection.end.has_value());
-    releases += other->FinalMessages(kCall).size();
-  }
-  EXPECT_EQ(releases, 1U);
-}
-
-// Guards against a release that is sent twice: a connection on which nothing else was left was closed here while the
-// acknowledgement of its host was on its way.
-TEST_F(PlatformTest, ShutdownWaitsForAcknowledgementOnOtherConnectionOfHost) {
-  const auto gone = ConnectCaller(), second = ConnectCaller(), third = ConnectCaller();
-  EstablishCall(*gone, kOtherCall);
-  EndCall(kOtherCall);
-  gone->connection.Send({.type = MessageType::kAcknowledgement, .id = kOtherCall});  // this host sends acknowledgements
-  EstablishCall(*gone, kCall);
-  EstablishCall(*third, "9b1f03aa5c7e2d43");
-  EstablishCall(*second, "9b1f03aa5c7e2d44");
-  EndCall("9b1f03aa5c7e2d44");
-  second->connection.Send({.type = MessageType::kAcknowledgement, .id = "9b1f03aa5c7e2d44"});
-  gone->connection.stream.reset();
-  node_->Stop([] {});
-  runtime_.RunFor(1'000 * kMs);
-  EndCall(kCall);
-  ASSERT_EQ(second->FinalMessages(kCall).size(), 1U);
-  runtime_.RunFor(300 * kMs);
-  EXPECT_FALSE(second->connection.end.has_value());
-  second->connection.Send({.type = MessageType::kAcknowledgement, .id = kCall});
-  runtime_.RunFor(100 * kMs);
-  EXPECT_TRUE(second->connection.end.has_value());
-  EXPECT_TRUE(third->FinalMessages(kCall).empty());
-}
-
-// Guards against the same where the connection is closed to make room for another one.
-TEST_F(PlatformTest, EvictsNoConnectionWhoseHostHasYetToAcknowledgeRelease) {
-  const auto gone = ConnectCaller(), idle = ConnectCaller();
-  EstablishCall(*idle, kOtherCall);
-  EndCall(kOtherCall);
-  idle->connection.Send({.type = MessageType::kAcknowledgement, .id = kOtherCall});  // this host sends acknowledgements
-  EstablishCall(*gone, kCall);
-  runtime_.RunFor(300 * kMs);
-  gone->connection.stream.reset();
-  runtime_.RunFor(5 * kMs);
-  std::vector<std::unique_ptr<PlatformCaller>> others;
-  while (node_->callers().connection_count() < kMaxCallerConnections) others.push_back(ConnectCaller(0x7f000009));
-  EndCall(kCall);
-  ASSERT_EQ(idle->FinalMessages(kCall).size(), 1U);
-  // The other connections are too new to be closed.
-  const auto next = ConnectCaller(0x7f000009);
-  EXPECT_FALSE(idle->connection.end.has_value());
-  idle->connection.Send({.type = MessageType::kAcknowledgement, .id = kCall});
-  runtime_.RunFor(300 * kMs);
-  EXPECT_GT(node_->callers().counters().connections_evicted, 0U);  // the next one was let in
-}
-
-TEST_F(PlatformTest, ShutdownWaitsForAcknowledgementOfRecentRelease) {
-  const auto caller = ConnectCaller();
-  EstablishCall(*caller, kCall);
-  node_->Stop([] {});
-  runtime_.RunFor(1'000 * kMs);
-  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
-  runtime_.RunFor(30 * kMs);
-  EXPECT_EQ(caller->FinalMessages(kCall).size(), 2U);
-  EXPECT_FALSE(caller->connection.end.has_value());
-  runtime_.RunFor(60 * kMs);
-  EXPECT_TRUE(caller->connection.end.has_value());
-}
-
-TEST_F(PlatformTest, ShutdownAnswersAllCallsBeforeKill) {
-  bool stopped = false;
-  exchange_1_.on_set_up = [](PlatformConnection&, const Message&) {};
-  const auto caller = ConnectCaller();
-  caller->SetUp(kOtherCall, 1, "", "9000");
-  runtime_.RunFor(5 * kMs);
-  node_->Stop([&stopped] { stopped = true; });
-  runtime_.RunFor(650 * kMs);
-  caller->SetUp(kCall, 1, "", "9000");
-  // The longest deadline is 9 s, so the kill comes 3.7 s after SIGTERM at the earliest.
-  runtime_.RunFor(2'950 * kMs);
-  ASSERT_EQ(caller->FinalMessages(kCall).size(), 1U);
-  ASSERT_EQ(caller->FinalMessages(kOtherCall).size(), 1U);
-  EXPECT_EQ(caller->FinalMessages(kCall)[0].type, MessageType::kRelease);
-  EXPECT_TRUE(stopped);
-}
-
 }  // namespace
 }  // namespace croftrun::platform
