Exchanges: a call answered after the removal of its exchange belongs to the successor

Cause: discovery was down while a machine was replaced at its address. When it returned, the old exchange was removed with a set-up pending on a connection that already led to the successor. The call was answered 30 ms later and stayed with the removed exchange, which is not watched for silence; neither the successor's removal nor its release reached it.

Change: the answer moves the call to the exchange that has the address by then. Without one, the call is terminated after the detection timeout (7.4 s) without data. Connections of removed exchanges are closed once nothing is left on them.

--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -302,6 +302,26 @@
   for (Connection* const connection : idle) EndConnection(connection, DisconnectReason::kClosedLocally);
 }
 
+void ExchangeConnections::CheckRetiredExchange(Exchange* exchange) {
+  if (runtime_->Now() >= exchange->last_sign_at + policy::FailureDetectorSettings{}.detection_timeout_us) {
+    TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory and silent",
+                         RemoteState::kCallsMayExist);
+  }
+  std::vector<Connection*> unused;
+  for (const auto& connection : exchange->connections) {
+    if (connection->set_ups.empty() && connection->established.empty()) unused.push_back(connection.get());
+  }
+  for (Connection* const connection : unused) EndConnection(connection, DisconnectReason::kClosedLocally);
+}
+
+// If a successor has taken over the address of a removed exchange, the connection was opened to the successor before
+// the directory told of it.
+ExchangeConnections::Exchange* ExchangeConnections::AnsweringExchange(const CallLeg& leg) {
+  if (!leg.exchange->is_retired) return leg.exchange;
+  const auto successor = by_address_.find(leg.exchange->target.address);
+  return successor == by_address_.end() ? leg.exchange : exchanges_.at(successor->second).get();
+}
+
 void ExchangeConnections::TerminateCallsBefore(Exchange* exchange, TimeUs before, std::string_view why,
                                                RemoteState remote_state) {
   std::vector<std::string> ids;
@@ -340,7 +360,11 @@
 void ExchangeConnections::StartLivenessTimer() {
   liveness_timer_.Start(policy::kLivenessCheckInterval, [this] {
     for (const auto& [id, exchange] : exchanges_) {
-      if (exchange->established.empty() || exchange->is_retired) continue;
+      if (exchange->is_retired) {
+        CheckRetiredExchange(exchange.get());
+        continue;
+      }
+      if (exchange->established.empty()) continue;
       policy::FailureDetector& detector = exchange->detector;
       const bool was_suspected = exchange->IsSuspected();
       if (detector.HasPendingDenial() && exchange->circuits_used.value_or(0) >= exchange->established.size())
@@ -755,6 +779,7 @@
   LogCall("call-stands", leg, "");
   leg.is_established = true;
   leg.established_at = runtime_->Now();
+  leg.exchange = AnsweringExchange(leg);
   connection->set_ups.erase(message.id);
   connection->established.insert(message.id);
   RecordEstablishedCall(leg.exchange, message.id);
@@ -766,13 +791,16 @@
 
 void ExchangeConnections::HandleRelease(Connection* connection, const Message& message) {
   const auto found = call_legs_.find(message.id);
-  if (found == call_legs_.end() || found->second.exchange != connection->exchange ||
-      (!found->second.is_established && found->second.connection != connection)) {
+  // An established call may be released on any connection to its exchange.
+  const bool is_known =
+      found != call_legs_.end() && (found->second.connection == connection ||
+                                    (found->second.is_established && found->second.exchange == connection->exchange));
+  if (!is_known) {
     ++counters_.unknown_ends;
     early_releases_.Insert(message.id);
     return;
   }
-  Exchange* const exchange = connection->exchange;
+  Exchange* const exchange = found->second.exchange;
   policy::FailureDetector& detector = exchange->detector;
   const bool was_suspected = exchange->IsSuspected();
   if (found->second.is_established && (was_suspected || detector.HasPendingDenial()) &&
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -178,6 +178,11 @@
   // Selects among the connections of the process that holds the calls. Returns null if none is open.
   static Connection* LeastRecentlyProbed(const Exchange& exchange);
   void RetireExchange(Exchange* exchange);
+  // Terminates the calls that were answered after the removal if the exchange is silent, and closes the connections on
+  // which nothing is left.
+  void CheckRetiredExchange(Exchange* exchange);
+  // Returns the exchange that has answered the set-up.
+  Exchange* AnsweringExchange(const CallLeg& leg);
   void SendRelease(Exchange* exchange, Connection* connection, const std::string& id);
   // The log lines name the exchange, its address and the number of the connection, if there is one.
   void LogConnection(core::LogLevel level, std::string_view event, const Connection& connection,
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -366,6 +366,64 @@
   EXPECT_EQ(caller->FinalMessages(kCall)[1].cause, 41);
 }
 
+// Guards against calls that are never ended (soak seed 5): a set-up is pending at an exchange that the directory
+// removes, and is answered afterwards.
+class RemovedExchangeTest : public PlatformTest {
+ protected:
+  // Answers a set-up after this notification.
+  void AnswerAfterNotification(PlatformCaller& caller, const std::vector<json>& targets) {
+    exchange_1_.on_set_up = [](PlatformConnection&, const Message&) {};
+    caller.SetUp(kCall, 1);
+    runtime_.RunFor(5 * kMs);
+    PublishChanges(2, targets);
+    runtime_.RunFor(20 * kMs);
+    PlatformExchange::Answer(*exchange_1_.OpenConnections()[0], kCall, "at the last moment");
+    runtime_.RunFor(5 * kMs);
+    ASSERT_EQ(caller.FinalMessages(kCall).size(), 1U);
+    ASSERT_EQ(caller.FinalMessages(kCall)[0].type, MessageType::kAnswer);
+  }
+};
+
+TEST_F(RemovedExchangeTest, CallIsTerminatedWhenSuccessorAtTheAddressIsRemoved) {
+  const auto caller = ConnectCaller();
+  AnswerAfterNotification(*caller, {TargetJson(1, "Gone"), TargetJson(1, "Ready", "s-new")});
+  PublishChanges(3, {TargetJson(1, "Gone", "s-new")});
+  runtime_.RunFor(1'000 * kMs);
+  EXPECT_EQ(caller->FinalMessages(kCall).size(), 2U);
+}
+
+TEST_F(RemovedExchangeTest, ReleaseOfSuccessorAtTheAddressIsForwarded) {
+  const auto caller = ConnectCaller();
+  AnswerAfterNotification(*caller, {TargetJson(1, "Gone"), TargetJson(1, "Ready", "s-new")});
+  runtime_.RunFor(1'000 * kMs);
+  ASSERT_EQ(exchange_1_.OpenConnections().size(), 2U);
+  PlatformExchange::Release(*exchange_1_.OpenConnections()[1], kCall, 16);
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(caller->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(caller->FinalMessages(kCall)[1].cause, 16);
+  runtime_.RunFor(200 * kMs);
+  EXPECT_EQ(exchange_1_.OpenConnections().size(), 1U);  // nothing is left on the old one
+}
+
+TEST_F(RemovedExchangeTest, CallAtSuccessorIsNotTerminatedWithoutCause) {
+  const auto caller = ConnectCaller();
+  AnswerAfterNotification(*caller, {TargetJson(1, "Gone"), TargetJson(1, "Ready", "s-new")});
+  runtime_.RunFor(20'000 * kMs);
+  EXPECT_EQ(caller->FinalMessages(kCall).size(), 1U);
+  PlatformExchange::Release(*exchange_1_.OpenConnections()[0], kCall, 16);
+  runtime_.RunFor(5 * kMs);
+  EXPECT_EQ(caller->FinalMessages(kCall).size(), 2U);
+}
+
+TEST_F(RemovedExchangeTest, CallIsTerminatedAfterSilenceWithoutSuccessor) {
+  const auto caller = ConnectCaller();
+  AnswerAfterNotification(*caller, {TargetJson(1, "Gone")});
+  runtime_.RunFor(7'000 * kMs);
+  EXPECT_EQ(caller->FinalMessages(kCall).size(), 1U);
+  runtime_.RunFor(1'000 * kMs);
+  EXPECT_EQ(caller->FinalMessages(kCall).size(), 2U);
+}
+
 // Guards against an outage that is too short for the silence threshold, after which the machine has lost its calls.
 TEST_F(PlatformTest, TerminatesCallsDeniedByReportOnNewConnection) {
   const auto caller = ConnectCaller();
