--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-constexpr double kOutageMs = 1500;           // the page allows 1.2 to 3.8 s
-constexpr double kTellMs = 8000 + 50;        // from the end of a call without a release to the word to its caller
+constexpr double kOutageMs = 1500;            // the page allows 1.2 to 3.8 s
+constexpr double kTellMs = 8000 + 50;         // from the end of a call without a release to the word to its caller
 constexpr double kTellReleaseMs = 1000 + 50;  // from a release by the exchange
-constexpr double kListDelayMs = 1500;        // the list tells the restart this long after the return
+constexpr double kListDelayMs = 1500;         // the list tells the restart this long after the return
 
 bool Run(const std::string& root, const std::string& folder, bool trouble) {
   std::mt19937 random(std::random_device{}());
@@ -37,7 +37,8 @@
   n0.folder = folder;
   n0.port = FreePort(n0.host);
   Site site;
-  site.classes = {{"slot-check", 1500000, 9000000, 1, 0.25, 11000000}, {"slot-hold", 1500000, 9000000, 2, 0.1, 13000000}};
+  site.classes = {{"slot-check", 1500000, 9000000, 1, 0.25, 11000000},
+                  {"slot-hold", 1500000, 9000000, 2, 0.1, 13000000}};
   n0.config = ConfigOf(site, n0, board);
   n0.Start();
   n0.AwaitReady();
@@ -101,9 +102,11 @@
     }
     const bool told = call.down_at >= 0 && call.down_at <= since + limit;
     if (call.down_at < 0) {
-      Record("%s %s: its caller was never told, until %.0f ms after its end", told ? "ok" : "BROKEN", ref.c_str(), Now() - since);
+      Record("%s %s: its caller was never told, until %.0f ms after its end", told ? "ok" : "BROKEN", ref.c_str(),
+             Now() - since);
     } else {
-      Record("%s %s: its caller was told %.0f ms after its end", told ? "ok" : "BROKEN", ref.c_str(), call.down_at - since);
+      Record("%s %s: its caller was told %.0f ms after its end", told ? "ok" : "BROKEN", ref.c_str(),
+             call.down_at - since);
     }
     broken += told ? 0 : 1;
   }
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -320,7 +320,10 @@
   std::string host = "127.0.0.1";
   int port = 0;
 
-  void Listen() { fd_ = ListenOn(host, &port), TheLoop().Listen(fd_, [this](int fd) { OnAccept(fd); }); Comment(); }
+  void Listen() {
+    fd_ = ListenOn(host, &port), TheLoop().Listen(fd_, [this](int fd) { OnAccept(fd); });
+    Comment();
+  }
   // Puts an event on the board. The event counts as told from here on.
   std::uint64_t Put(const json& targets, bool all = false) {
     const std::uint64_t number = events_.size() + 1;
@@ -432,10 +435,10 @@
     TheLoop().Listen(fd_, [this](int fd) { OnAccept(fd); });
   }
   json Target(const std::string& state, std::int64_t boot_ms = 0) const {
-    return {{"uid", uid},         {"endpoint", host + ":" + std::to_string(port)},
-            {"az", "east"},       {"model", "std"},
+    return {{"uid", uid},          {"endpoint", host + ":" + std::to_string(port)},
+            {"az", "east"},        {"model", "std"},
             {"pod_group", number}, {"state", state},
-            {"capacity_hint", 4}, {"boot_ms", boot_ms}};
+            {"capacity_hint", 4},  {"boot_ms", boot_ms}};
   }
   std::string DescriptionOf(const std::string& ref) const { return uid + " answers " + ref + "\r\n"; }
   void Answer(const std::string& ref) {
@@ -744,7 +747,8 @@
       call.cause = message.value("c", -1);
       on->open.erase(ref);
       Record("caller got down %s cause %d", ref.c_str(), call.cause);
-      if (call.ups > 0 ? static_cast<bool>(on_over) : static_cast<bool>(on_answer)) (call.ups > 0 ? on_over : on_answer)(call);
+      if (call.ups > 0 ? static_cast<bool>(on_over) : static_cast<bool>(on_answer))
+        (call.ups > 0 ? on_over : on_answer)(call);
     }
   }
 };
@@ -771,40 +775,65 @@
 inline json ConfigOf(const Site& site, const Softswitch& softswitch, const Board& board) {
   json grades = json::array(), widths = json::array(), holding = json::array();
   for (const ClassOf& c : site.classes) {
-    grades.push_back({{"name", c.name}, {"repeat", "idempotent"}, {"group", "all"}, {"slo_us", c.slo_us},
-                      {"hard_limit_us", c.hard_limit_us}, {"worth", c.worth}, {"late_worth", c.late_worth},
-                      {"stream", true}, {"window_us", 5000000}});
+    grades.push_back({{"name", c.name},
+                      {"repeat", "idempotent"},
+                      {"group", "all"},
+                      {"slo_us", c.slo_us},
+                      {"hard_limit_us", c.hard_limit_us},
+                      {"worth", c.worth},
+                      {"late_worth", c.late_worth},
+                      {"stream", true},
+                      {"window_us", 5000000}});
     widths.push_back(1);
     holding.push_back(c.holding_us);
   }
-  const json settings = {
-      {"allowed",
-       {{"conn_idle_us", 600000000}, {"connect_timeout_us", 500000}, {"cpu_us_per_request", 0.0},
-        {"cpu_us_per_s", 300000}, {"max_retry_after_us", 2000000}, {"may_cancel", true}, {"may_duplicate", false},
-        {"most_held", 20000}, {"most_tries", site.most_tries}, {"peers", false}, {"probes", site.probes},
-        {"retry_after", site.retry_after}, {"streams_per_conn", 1048576}}},
-      {"balancers", site.softswitches},
-      {"clients", {{"marks_retry", false}}},
-      {"contract",
-       {{"ask_within_us", 10000000}, {"cold_from", site.cold_from}, {"drain_grace_us", site.drain_grace_us},
-        {"fall_multiple", site.fall_multiple}, {"fall_us", site.fall_us}, {"grace_to_answer_us", 20000},
-        {"warm_up_us", site.warm_up_us}}},
-      {"counted_by", "request"},
-      {"discovery", "automatic"},
-      {"family_info",
-       {{"class_cells", json::array()}, {"holding_us", holding}, {"home_no", site.own_number},
-        {"release_us", site.release_us}, {"remote_load", "off"}, {"repeat_us", 400000}, {"route_advice", false},
-        {"shape", "meshed"}, {"tells_wait", false}, {"widths", widths}}},
-      {"flavors", {"std"}},
-      {"grades", grades},
-      {"layers", {"exchanges"}},
-      {"localities", {"east", "west"}},
-      {"me", site.own_number},
-      {"my_zone", 0},
-      {"report", {{"fields", {"spare", "total"}}, {"how", "on_probe"}}},
-      {"service_type", "trunks"},
-      {"tenants", json::array()},
-      {"weights", "off"}};
+  const json settings = {{"allowed",
+                          {{"conn_idle_us", 600000000},
+                           {"connect_timeout_us", 500000},
+                           {"cpu_us_per_request", 0.0},
+                           {"cpu_us_per_s", 300000},
+                           {"max_retry_after_us", 2000000},
+                           {"may_cancel", true},
+                           {"may_duplicate", false},
+                           {"most_held", 20000},
+                           {"most_tries", site.most_tries},
+                           {"peers", false},
+                           {"probes", site.probes},
+                           {"retry_after", site.retry_after},
+                           {"streams_per_conn", 1048576}}},
+                         {"balancers", site.softswitches},
+                         {"clients", {{"marks_retry", false}}},
+                         {"contract",
+                          {{"ask_within_us", 10000000},
+                           {"cold_from", site.cold_from},
+                           {"drain_grace_us", site.drain_grace_us},
+                           {"fall_multiple", site.fall_multiple},
+                           {"fall_us", site.fall_us},
+                           {"grace_to_answer_us", 20000},
+                           {"warm_up_us", site.warm_up_us}}},
+                         {"counted_by", "request"},
+                         {"discovery", "automatic"},
+                         {"family_info",
+                          {{"class_cells", json::array()},
+                           {"holding_us", holding},
+                           {"home_no", site.own_number},
+                           {"release_us", site.release_us},
+                           {"remote_load", "off"},
+                           {"repeat_us", 400000},
+                           {"route_advice", false},
+                           {"shape", "meshed"},
+                           {"tells_wait", false},
+                           {"widths", widths}}},
+                         {"flavors", {"std"}},
+                         {"grades", grades},
+                         {"layers", {"exchanges"}},
+                         {"localities", {"east", "west"}},
+                         {"me", site.own_number},
+                         {"my_zone", 0},
+                         {"report", {{"fields", {"spare", "total"}}, {"how", "on_probe"}}},
+                         {"service_type", "trunks"},
+                         {"tenants", json::array()},
+                         {"weights", "off"}};
   return {{"name", softswitch.name},
           {"listen", softswitch.host + ":" + std::to_string(softswitch.port)},
           {"seed", NewId()},
@@ -832,7 +861,8 @@
   try {
     const bool broken = run(argv[1], argv[3], with_trouble);
     Record("verdict: the rule %s", broken ? "was BROKEN" : "held");
-    std::printf("%s (%s)\n", broken ? "broken" : "held", with_trouble ? "with the disruption" : "without the disruption");
+    std::printf("%s (%s)\n", broken ? "broken" : "held",
+                with_trouble ? "with the disruption" : "without the disruption");
     result = broken ? 1 : 0;
   } catch (const std::exception& error) {
     Record("could not run: %s", error.what());
