--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -332,6 +332,8 @@
     for (auto& [conn, last] : watches_) Tell(conn.get(), &last);
     return number;
   }
+  // When the last comment was written; one is written each second.
+  double commented_at() const { return commented_at_; }
   json Known() const { return {{"rev", events_.size()}, {"notices", events_}}; }
 
  private:
@@ -355,11 +357,13 @@
   void Comment() {
     TheLoop().Every(1000, [this] {
       std::erase_if(watches_, [](const auto& watch) { return !watch.first->alive(); });
+      commented_at_ = Now();
       for (auto& [conn, last] : watches_) conn->Write(": here\n\n");
       return true;
     });
   }
   int fd_ = -1;
+  double commented_at_ = 0;
   std::vector<json> events_;
   std::list<std::pair<std::shared_ptr<Conn>, std::uint64_t>> watches_;
 };
