Review case 10: a restarted softswitch tells callers over whose calls stand at a new exchange

Need: an independent review looks for faults that break the users' rules. Change: a case in which a softswitch is killed and starts again while the list names two exchanges with one address, the old one draining and its successor ready. Of two exchanges with one address the later one in the list is taken for the newer.

--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -438,6 +438,17 @@
     fd_ = ListenOn(host, &port);
     TheLoop().Listen(fd_, [this](int fd) { OnAccept(fd); });
   }
+  // The process ends: its connections are reset, and nothing listens any more.
+  void Stop() {
+    Record("%s stops, with %zu standing calls", uid.c_str(), standing.size());
+    TheLoop().Unlisten(fd_);
+    for (const auto& conn : std::exchange(conns_, {})) {
+      conn->on_end = nullptr;
+      conn->Reset();
+    }
+    pending.clear();
+    standing.clear();
+  }
   json Target(const std::string& state, std::int64_t boot_ms = 0) const {
     return {{"uid", uid},          {"endpoint", host + ":" + std::to_string(port)},
             {"az", "east"},        {"model", "std"},
@@ -719,6 +730,19 @@
     Record("caller new %s dest %d left %.0f", ref.c_str(), destination, left_ms);
     return ref;
   }
+  // Names a call that stands at the exchange with this uid, after a restart of the softswitch.
+  void Announce(CallerConn* on, const std::string& ref, const std::string& call_class, const std::string& uid) {
+    Call& call = calls[ref];
+    Record("caller new %s at %s", ref.c_str(), uid.c_str());
+    on->conn->Write(Line({{"t", "new"},
+                          {"ref", ref},
+                          {"f",
+                           {{"class", call_class},
+                            {"left", "3000"},
+                            {"key", NewId()},
+                            {"extras", "dest:" + std::to_string(call.destination) + ";width:1;via:-1;at:" + uid}}},
+                          {"d", Offer(ref)}}));
+  }
   void GiveUp(CallerConn* on, const std::string& ref) {
     calls[ref].given_up_at = Now();
     on->open.erase(ref);
