--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -689,6 +689,9 @@
 class Callers {
  public:
   std::string from = "127.0.0.1";
+  std::string name = "caller";
+  std::size_t foreign = 0;   // answers and releases of calls that are not theirs
+  bool acknowledges = true;  // the acknowledgement of a release is free
   Softswitch* to = nullptr;
   std::map<std::string, Call> calls;
   std::function<void(Call&)> on_answer, on_over;
@@ -756,9 +759,11 @@
     if (!message.is_object()) return Record("caller got what cannot be read: %s", line.substr(0, 80).c_str());
     const std::string type = message.value("t", ""), ref = message.value("ref", "");
     const auto found = calls.find(ref);
-    if (type == "down") on->conn->Write(Line({{"t", "ack"}, {"ref", ref}, {"f", json::object()}}));
+    if (type == "down" && acknowledges) on->conn->Write(Line({{"t", "ack"}, {"ref", ref}, {"f", json::object()}}));
     if (found == calls.end()) {
-      if (type != "ack" && type != "hb_ok") Record("caller got %s of an unknown call %s", type.c_str(), ref.c_str());
+      if (type != "ack" && type != "hb_ok")
+        Record("%s got %s of an unknown call %s", name.c_str(), type.c_str(), ref.c_str());
+      if (type == "down" || type == "up") ++foreign;
       return;
     }
     Call& call = found->second;
