Releases: one lost with a spoilt or reset connection is heard on a further one

Cause: EndConnection closes the connection, and EnsureConnected opens another one only if none is left. The exchange repeats its release on the next connection opened, and two more were open, so there was none. Log of the case: connection 7 ends as malformed with four established calls; no connection to that exchange is opened in the next 14.7 s.

Change: an exchange is given one more connection if one is lost with data that may have held releases of calls that stand there (LostReleases). After unreadable data at once; after a reset only when older connections show that the process still runs, as a connection to a successor amid the resets of a crash would hide it from the failure detector. A reset while others stay open passes the same place and is fixed with it.

--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -7,6 +7,7 @@
 
 #include "platform/attempt_results.h"
 #include "platform/causes.h"
+#include "platform/lost_releases.h"
 
 namespace croftrun::platform {
 namespace {
@@ -59,6 +60,7 @@
   policy::FailureDetector detector;  // used while there are established calls
   std::size_t announced = 0;         // number of announced calls among the established ones
   core::Timer announced_check_timer;
+  LostReleases lost_releases;
 };
 
 class ExchangeConnections::Connection final : public core::StreamHandler {
@@ -70,6 +72,7 @@
     opened_at = owner_->runtime_->Now();
     exchange->reconnect_delay = 0;
     exchange->last_sign_at = opened_at;
+    exchange->lost_releases.OnConnectionOpened(requested_at);
     const bool was_suspected = exchange->IsSuspected();
     exchange->detector.OnConnectionOpened(opened_at, exchange->established.size());
     owner_->LogSuspicionChange(*exchange, was_suspected);
@@ -86,6 +89,8 @@
     const bool was_suspected = exchange->IsSuspected();
     exchange->detector.OnDataReceived(last_data_at, opened_at);
     owner_->LogSuspicionChange(*exchange, was_suspected);
+    exchange->lost_releases.OnDataReceived(opened_at);
+    owner_->EnsureConnected(exchange);
     // Handling a line may end other connections, but never this one.
     if (reader.Feed(bytes, [this](std::string_view line) { return owner_->HandleLine(this, line); })) return;
     ++owner_->counters_.spoilt;
@@ -101,7 +106,7 @@
   std::uint64_t number = 0;  // number in the log
   std::unique_ptr<core::Stream> stream;
   std::list<std::unique_ptr<Connection>>::iterator position;
-  TimeUs opened_at = 0, last_data_at = 0;
+  TimeUs requested_at = 0, opened_at = 0, last_data_at = 0;
   TimeUs probed_at = 0;  // when it was last probed for a sign of life
   bool is_open = false;
   bool for_liveness = false;                // opened as a sign of life; set-ups are not queued on it until it is open
@@ -531,21 +536,36 @@
   connection->position = std::prev(exchange->connections.end());
   connection->number = ++last_connection_number_;
   connection->for_liveness = for_liveness;
+  connection->requested_at = runtime_->Now();
   const TimeUs timeout = for_liveness ? std::max(policy::kLivenessConnectTimeout, settings_.connect_timeout_us)
                                       : settings_.connect_timeout_us;
   connection->stream = runtime_->Connect(exchange->target.address, timeout, connection);
   return connection;
 }
 
+bool ExchangeConnections::NeedsConnection(const Exchange& exchange) {
+  if (exchange.is_retired) return false;
+  if (exchange.connections.empty()) return true;
+  if (exchange.established.empty() || !exchange.lost_releases.NeedsConnection()) return false;
+  return std::none_of(exchange.connections.begin(), exchange.connections.end(), [&exchange](const auto& connection) {
+    return connection->requested_at >= exchange.lost_releases.lost_at();
+  });
+}
+
+ExchangeConnections::Connection* ExchangeConnections::OpenNeededConnection(Exchange* exchange) {
+  if (exchange->connections.empty()) return OpenConnection(exchange, Purpose::kKeepConnected);
+  ++counters_.replacements;
+  return OpenConnection(exchange, Purpose::kSignOfLife);
+}
+
 void ExchangeConnections::EnsureConnected(Exchange* exchange) {
-  if (exchange->is_retired || !exchange->connections.empty() || exchange->reconnect_timer.IsRunning()) return;
+  if (!NeedsConnection(*exchange) || exchange->reconnect_timer.IsRunning()) return;
   const TimeUs delay = exchange->reconnect_delay;
   exchange->reconnect_delay = std::clamp(2 * delay, kMinReconnectDelay, kMaxReconnectDelay);
-  if (delay == 0 && OpenConnection(exchange, Purpose::kKeepConnected) != nullptr) return;
+  if (delay == 0 && OpenNeededConnection(exchange) != nullptr) return;
   // If the connection limit is reached, this is tried again later.
   exchange->reconnect_timer.Start(std::max(delay, kMinReconnectDelay), [this, exchange] {
-    if (exchange->connections.empty() && OpenConnection(exchange, Purpose::kKeepConnected) == nullptr)
-      EnsureConnected(exchange);
+    if (NeedsConnection(*exchange) && OpenNeededConnection(exchange) == nullptr) EnsureConnected(exchange);
   });
 }
 
@@ -718,7 +738,10 @@
 }
 
 void ExchangeConnections::RecordEstablishedCall(Exchange* exchange, const std::string& id) {
-  if (exchange->established.empty()) exchange->detector.OnFirstCall(runtime_->Now());
+  if (exchange->established.empty()) {
+    exchange->detector.OnFirstCall(runtime_->Now());
+    exchange->lost_releases.Clear();
+  }
   exchange->established.insert(id);
 }
 
@@ -865,12 +888,22 @@
   LogSuspicionChange(*exchange, was_suspected);
 }
 
+// Data was on its way if the connection was reset, or if this side closed it because the data cannot be read.
+void ExchangeConnections::RecordLostData(const Connection& connection, DisconnectReason reason) {
+  Exchange& exchange = *connection.exchange;
+  if (!connection.is_open || exchange.established.empty()) return;
+  if (reason == DisconnectReason::kMalformed)
+    exchange.lost_releases.OnDataLost(runtime_->Now(), ProcessState::kRunning);
+  if (reason == DisconnectReason::kReset) exchange.lost_releases.OnDataLost(runtime_->Now(), ProcessState::kUnknown);
+}
+
 void ExchangeConnections::EndConnection(Connection* connection, DisconnectReason reason) {
   Exchange* const exchange = connection->exchange;
   ++(reason == DisconnectReason::kRefused          ? counters_.refused
      : reason == DisconnectReason::kConnectTimeout ? counters_.timed_out
                                                    : counters_.broken);
   NotifyDetector(*connection, reason);
+  RecordLostData(*connection, reason);
   const bool was_open = connection->is_open;  // otherwise nothing was sent on it
   const bool first_failure =
       !was_open && NewestOpenConnection(*exchange) == nullptr && !std::exchange(exchange->unreachable, true);
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -48,8 +48,9 @@
   std::uint64_t liveness_connects = 0, liveness_probes = 0;  // requested by the failure detector
   std::uint64_t suspicions = 0, suspicions_cleared = 0;      // suspicions that the process with the calls was replaced
   std::uint64_t given_up_silent = 0, given_up_replaced = 0;  // decisions of the failure detector to give up calls
-  std::uint64_t no_room = 0;                                 // connections not opened because of the limit
-  std::uint64_t early_ends = 0;                              // releases received before their call was adopted
+  std::uint64_t replacements = 0;  // connections opened because releases may have been lost with an earlier one
+  std::uint64_t no_room = 0;       // connections not opened because of the limit
+  std::uint64_t early_ends = 0;    // releases received before their call was adopted
   std::uint64_t reports = 0, changed_reports = 0, second_answers = 0, unknown_answers = 0, late_answers = 0,
                 unknown_ends = 0;
 };
@@ -149,16 +150,22 @@
   void CheckAnnouncedCalls(Exchange* exchange);
   void RecordEstablishedCall(Exchange* exchange, const std::string& id);
   void LogSuspicionChange(const Exchange& exchange, bool was_suspected);
-  // Opens a connection to the exchange if it has none, after the reconnect delay.
+  // Why a connection ended.
+  enum class DisconnectReason : std::uint8_t { kClosed, kReset, kRefused, kConnectTimeout, kMalformed, kClosedLocally };
+  static std::string_view NameOf(DisconnectReason reason);
+  // Returns whether the exchange has no connection, or needs one more because releases may have been lost.
+  static bool NeedsConnection(const Exchange& exchange);
+  // Returns null if the limit has been reached.
+  Connection* OpenNeededConnection(Exchange* exchange);
+  // Opens a connection to the exchange if it needs one, after the reconnect delay.
   void EnsureConnected(Exchange* exchange);
+  // Records whether releases may have been lost with the connection.
+  void RecordLostData(const Connection& connection, DisconnectReason reason);
   // Returns false if the connection has to be closed.
   bool HandleLine(Connection* connection, std::string_view line);
   void HandleRelease(Connection* connection, const Message& message);
   void HandleAnswer(Connection* connection, const Message& message);
   void HandleGroupReport(Connection* connection, const Message& message);
-  // Why a connection ended.
-  enum class DisconnectReason : std::uint8_t { kClosed, kReset, kRefused, kConnectTimeout, kMalformed, kClosedLocally };
-  static std::string_view NameOf(DisconnectReason reason);
   // Removes the connection. Its pending set-ups were not sent if it was never open; otherwise they may have been
   // received.
   void EndConnection(Connection* connection, DisconnectReason reason);
--- a/src/platform/node_metrics.cpp
+++ b/src/platform/node_metrics.cpp
@@ -76,6 +76,7 @@
           {"given_up_silent", counters.given_up_silent},
           {"given_up_replaced", counters.given_up_replaced},
           {"no_room", counters.no_room},
+          {"replacements", counters.replacements},
           {"early_ends", counters.early_ends},
           {"unreachable", exchanges.unreachable_exchanges()},
           {"standing_unreachable", exchanges.calls_at_unreachable_exchanges()},
