Directory: of two exchanges with one address the one with the later start is used

Cause: IsSuperseded told the newer of two exchanges by the order in which this process had heard of them. In the first list after a start that is the order of the ids, which conveys nothing. The draining exchange took the address, and its successor was retired.

Change: the newer one is that with the later start (boot_ms); if equal, the one that does not drain, then the one heard of later. A whole list first frees the addresses of the exchanges that it leaves out, as one of them could otherwise supersede its replacement. This keeps "nothing more is sent for it after that" and "anything still standing is lost". The same place passes: drains and removals that come late (RaceTest, unchanged), an exchange that starts again at its address, forgotten exchanges.

--- a/src/lab/platform_stand_ins.h
+++ b/src/lab/platform_stand_ins.h
@@ -49,6 +49,7 @@
   using OnSetUp = std::function<void(PlatformConnection&, const platform::Message&)>;
   PlatformExchange(core::Runtime* runtime, const core::Address& address);
   core::StreamHandler* OnAccept(std::unique_ptr<core::Stream> stream) override;
+  bool CanAccept() override { return is_accepting; }
   static void Answer(PlatformConnection& connection, const std::string& id, const std::string& description);
   static void Release(PlatformConnection& connection, const std::string& id, int cause, const std::string& note = "");
   // Stop simulates a crash of the process, Start its restart.
@@ -59,6 +60,7 @@
   std::vector<PlatformConnection*> OpenConnections() const;
 
   OnSetUp on_set_up;
+  bool is_accepting = true;  // connections wait while it is false
 
  private:
   core::Runtime* runtime_;
--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -202,14 +202,16 @@
           .started_at_us = exchange.started_at_us};
 }
 
-bool ExchangeConnections::IsSuperseded(ExchangeId before, const Target& target, TimeUs since) const {
+bool ExchangeConnections::IsSuperseded(ExchangeId id, const Target& target, TimeUs since) const {
   if (target.status == ExchangeStatus::kGone) return false;
-  const auto occupant = by_address_.find(target.address);
-  if (occupant == by_address_.end() || occupant->second <= before) return false;
-  // Ids are assigned in the order in which exchanges become known. An exchange that comes back has a later start time
-  // than its successor.
-  const auto newer = exchanges_.find(occupant->second);
-  return newer != exchanges_.end() && !newer->second->is_retired && since <= newer->second->started_at_us;
+  const auto found = by_address_.find(target.address);
+  if (found == by_address_.end() || found->second == id) return false;
+  const auto position = exchanges_.find(found->second);
+  if (position == exchanges_.end() || position->second->is_retired) return false;
+  const Exchange& occupant = *position->second;
+  if (occupant.started_at_us != since) return occupant.started_at_us > since;
+  if (occupant.target.status != target.status) return occupant.target.status == ExchangeStatus::kReady;
+  return occupant.id > id;
 }
 
 void ExchangeConnections::OnDirectoryNotification(const DirectoryNotification& notification) {
@@ -217,18 +219,15 @@
   update.kind = notification.is_full ? DirectoryKind::kFull : DirectoryKind::kDelta;
   update.version = static_cast<std::uint32_t>(notification.number);
   std::vector<Exchange*> gone, restarted;
-  std::unordered_set<std::string> named;
+  if (notification.is_full) gone = RemoveUnlisted(notification.targets);
   for (const Target& target : notification.targets) {
-    named.insert(target.uid);
     const TimeUs since = ToRuntimeTime(target.boot_ms);
     auto& id = by_uid_[target.uid];
     if (id == 0) {
-      if (forgotten_exchanges_.Contains(target.uid) && IsSuperseded(0, target, since)) {
-        by_uid_.erase(target.uid);  // late notification about a forgotten exchange
-        continue;
-      }
-      if (target.status == ExchangeStatus::kGone) {
-        by_uid_.erase(target.uid);  // never known to this softswitch
+      // A forgotten exchange was known before the one that has its address now.
+      const ExchangeId order = forgotten_exchanges_.Contains(target.uid) ? 0 : next_exchange_id_;
+      if (target.status == ExchangeStatus::kGone || IsSuperseded(order, target, since)) {
+        by_uid_.erase(target.uid);  // never used by this softswitch
         continue;
       }
       id = next_exchange_id_++;
@@ -262,7 +261,7 @@
       // A new exchange has the address of an older one, so the older one is gone, even if its own notification arrives
       // later.
       const auto old = exchanges_.find(occupant->second);
-      if (old != exchanges_.end() && old->first < id) {
+      if (old != exchanges_.end() && !old->second->is_retired) {
         old->second->target.status = ExchangeStatus::kGone;
         update.entries.push_back(MakeDirectoryEntry(*old->second));
         gone.push_back(old->second.get());
@@ -270,11 +269,6 @@
       occupant->second = id;
     }
   }
-  if (notification.is_full) {
-    for (auto& [id, e] : exchanges_) {
-      if (named.count(e->target.uid) == 0) gone.push_back(e.get());
-    }
-  }
   core_->OnDirectory(update);
   for (Exchange* const e : restarted) TerminateCallsBefore(e, e->started_at_us, "exchange restarted");
   for (Exchange* const e : gone) RetireExchange(e);
@@ -291,13 +285,29 @@
   });
 }
 
+void ExchangeConnections::FreeAddress(const Exchange& exchange) {
+  const auto occupant = by_address_.find(exchange.target.address);
+  if (occupant != by_address_.end() && occupant->second == exchange.id) by_address_.erase(occupant);
+}
+
+// Their addresses are freed first, because the list may name other exchanges there.
+std::vector<ExchangeConnections::Exchange*> ExchangeConnections::RemoveUnlisted(const std::vector<Target>& list) {
+  std::unordered_set<std::string> listed;
+  for (const Target& target : list) listed.insert(target.uid);
+  std::vector<Exchange*> unlisted;
+  for (const auto& [id, exchange] : exchanges_) {
+    if (listed.count(exchange->target.uid) > 0) continue;
+    FreeAddress(*exchange);
+    unlisted.push_back(exchange.get());
+  }
+  return unlisted;
+}
+
 void ExchangeConnections::RetireExchange(Exchange* exchange) {
   exchange->is_retired = true;
   exchange->reconnect_timer.Stop();
   exchange->queued_releases.clear();
-  if (const auto occupant = by_address_.find(exchange->target.address);
-      occupant != by_address_.end() && occupant->second == exchange->id)
-    by_address_.erase(occupant);
+  FreeAddress(*exchange);
   TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory");
   // Connections with pending set-ups stay open until those are finished.
   std::vector<Connection*> idle;
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -116,9 +116,10 @@
   // Converts Unix time to the runtime's clock. The result is never 0, except for 0.
   TimeUs ToRuntimeTime(std::int64_t unix_ms) const;
   DirectoryEntry MakeDirectoryEntry(const Exchange& exchange) const;
-  // Returns whether a newer exchange has taken over the address that the notification gives for exchange `before`,
-  // which was known earlier (0: and has been forgotten since).
-  bool IsSuperseded(ExchangeId before, const Target& target, TimeUs since) const;
+  // Returns whether a newer exchange has the address of this entry of the directory. The newer of two exchanges is the
+  // one that was started later. If both state the same start, or none, it is the one that does not drain, and otherwise
+  // the one that became known later (`id` 0: before all others).
+  bool IsSuperseded(ExchangeId id, const Target& target, TimeUs since) const;
   // Removes the call leg from all indexes.
   CallLeg RemoveCallLeg(std::unordered_map<std::string, CallLeg>::iterator position);
   Connection* SelectConnection(Exchange* exchange);
@@ -185,6 +186,9 @@
   // Selects among the connections of the process that holds the calls. Returns null if none is open.
   static Connection* LeastRecentlyProbed(const Exchange& exchange);
   void RetireExchange(Exchange* exchange);
+  // Returns the exchanges that are missing in a whole list. They have no address any more and have to be retired.
+  std::vector<Exchange*> RemoveUnlisted(const std::vector<Target>& list);
+  void FreeAddress(const Exchange& exchange);
   // Terminates the calls that were answered after the removal if the exchange is silent, and closes the connections on
   // which nothing is left.
   void CheckRetiredExchange(Exchange* exchange);
--- /dev/null
+++ b/tests/address_succession_test.cpp
@@ -0,0 +1,140 @@
+// Tests an address that passes from one exchange to another, on virtual time: which of the two is reached there, and
+// what becomes of the calls at either.
+#include <gtest/gtest.h>
+
+#include <ostream>
+
+#include "platform_fixture.h"
+
+namespace croftrun::platform {
+namespace {
+
+constexpr int kNumber = 3;
+constexpr char kOld[] = "s-old", kNew[] = "s-new";
+
+// Order of two exchanges in a whole list, and the state in which it lists the one that is gone.
+struct ListTraits {
+  bool successor_first = false;
+  const char* old_state = "";
+  friend void PrintTo(const ListTraits& traits, std::ostream* out) {
+    *out << traits.old_state << (traits.successor_first ? ", successor first" : ", predecessor first");
+  }
+};
+
+class AddressSuccessionTest : public PlatformTest {
+ protected:
+  AddressSuccessionTest() : exchange_(&runtime_, ExchangeAddress(kNumber)), caller_(ConnectCaller()) {}
+  std::int64_t UnixMs() const { return runtime_.WallClockUs() / 1000; }
+  // Publishes the whole list: the exchanges of the fixture and these.
+  void PublishList(std::vector<json> targets) {
+    for (const int number : {0, 1, 2}) targets.push_back(TargetJson(number));
+    ++event_;
+    discovery_.Publish(event_, EventJson(event_, true, targets));
+    runtime_.RunFor(50 * kMs);
+  }
+  void Publish(const std::vector<json>& targets) {
+    PublishChanges(++event_, targets);
+    runtime_.RunFor(50 * kMs);
+  }
+  void PublishOldExchange() { Publish({TargetJson(kNumber, "Ready", kOld)}); }
+  // The process ends and another one starts at once at its address. Returns the time of its start.
+  std::int64_t ReplaceProcess() {
+    exchange_.Stop();
+    exchange_.Start();
+    const std::int64_t started_ms = UnixMs();
+    runtime_.RunFor(100 * kMs);
+    return started_ms;
+  }
+  void SetUpAnsweredCall(const std::string& id) {
+    caller_->SetUp(id, kNumber);
+    runtime_.RunFor(5 * kMs);
+    ASSERT_EQ(caller_->FinalMessages(id).size(), 1U);
+    ASSERT_EQ(caller_->FinalMessages(id)[0].type, MessageType::kAnswer);
+  }
+  void ExpectCallStandsAndItsReleaseIsForwarded() {
+    runtime_.RunFor(200 * kMs);
+    EXPECT_EQ(caller_->FinalMessages(kCall).size(), 1U);
+    EXPECT_TRUE(exchange_.Received(MessageType::kRelease).empty());
+    ASSERT_FALSE(exchange_.OpenConnections().empty());
+    PlatformExchange::Release(*exchange_.OpenConnections().back(), kCall, 16);
+    runtime_.RunFor(5 * kMs);
+    ASSERT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+    EXPECT_EQ(caller_->FinalMessages(kCall)[1].cause, 16);
+  }
+
+  std::uint64_t event_ = 1;
+  PlatformExchange exchange_;
+  std::unique_ptr<PlatformCaller> caller_;
+};
+
+class ListedSuccessionTest : public AddressSuccessionTest, public ::testing::WithParamInterface<ListTraits> {
+ protected:
+  void PublishBoth() {
+    std::vector<json> targets{TargetJson(kNumber, GetParam().old_state, kOld),
+                              TargetJson(kNumber, "Ready", kNew, UnixMs())};
+    if (GetParam().successor_first) std::swap(targets[0], targets[1]);
+    PublishList(targets);
+  }
+};
+
+// Guards against a successor that is taken for the older of two exchanges with one address (review case 7): a call that
+// was announced at it is told over while it stands.
+TEST_P(ListedSuccessionTest, CallAnnouncedAtSuccessorStands) {
+  PublishBoth();
+  caller_->SetUp(kCall, kNumber, std::string(";at:") + kNew);
+  Publish({TargetJson(kNumber, "Gone", kOld)});
+  runtime_.RunFor(200 * kMs);
+  EXPECT_TRUE(caller_->FinalMessages(kCall).empty());
+  ASSERT_FALSE(exchange_.OpenConnections().empty());
+  PlatformExchange::Release(*exchange_.OpenConnections()[0], kCall, 16);
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(caller_->FinalMessages(kCall).size(), 1U);
+  EXPECT_EQ(caller_->FinalMessages(kCall)[0].cause, 16);
+}
+
+// Guards against a successor that is retired with its predecessor, so that calls to its number are refused for good.
+TEST_P(ListedSuccessionTest, CallsToSuccessorStandBeforeAndAfterItsPredecessorIsGone) {
+  PublishBoth();
+  SetUpAnsweredCall(kCall);
+  Publish({TargetJson(kNumber, "Gone", kOld)});
+  SetUpAnsweredCall(kOtherCall);
+  ExpectCallStandsAndItsReleaseIsForwarded();
+}
+
+INSTANTIATE_TEST_SUITE_P(OrdersAndStates, ListedSuccessionTest,
+                         ::testing::Values(ListTraits{false, "Terminating"}, ListTraits{true, "Terminating"},
+                                           ListTraits{false, "Ready"}, ListTraits{true, "Ready"}),
+                         [](const auto& traits) {
+                           return std::string(traits.param.successor_first ? "SuccessorFirst" : "PredecessorFirst") +
+                                  traits.param.old_state;
+                         });
+
+TEST_F(AddressSuccessionTest, CallOfPredecessorEndsWhenSuccessorIsListed) {
+  PublishOldExchange();
+  SetUpAnsweredCall(kCall);
+  runtime_.RunFor(10 * kMs);
+  Publish({TargetJson(kNumber, "Ready", kNew, UnixMs())});
+  ASSERT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(caller_->FinalMessages(kCall)[1].cause, 41);
+}
+
+// Guards against an exchange that is passed over for one which the same list removes.
+TEST_F(AddressSuccessionTest, WholeListReplacesExchangeByOneWithEarlierStart) {
+  Publish({TargetJson(kNumber, "Ready", kOld, UnixMs())});
+  PublishList({TargetJson(kNumber, "Ready", kNew)});
+  EXPECT_EQ(node_->exchanges().Find(kOld), 0U);
+  SetUpAnsweredCall(kCall);
+}
+
+TEST_F(AddressSuccessionTest, ExchangeThatStartsAgainTakesItsAddressBack) {
+  PublishOldExchange();
+  Publish({TargetJson(kNumber, "Ready", kNew, UnixMs())});
+  runtime_.RunFor(10 * kMs);
+  Publish({TargetJson(kNumber, "Ready", kOld, UnixMs())});
+  EXPECT_NE(node_->exchanges().Find(kOld), 0U);
+  EXPECT_EQ(node_->exchanges().Find(kNew), 0U);
+  SetUpAnsweredCall(kCall);
+}
+
+}  // namespace
+}  // namespace croftrun::platform
