Directory: calls answered by a successor that is not listed yet stay with it

Cause: calls belong to an entry of the directory, and RetireExchange ended all of them whichever process had answered. A connection still being opened came up at the new process with the set-ups of the removed one.

Change: connections opened and calls answered since the start of the new exchange move to it (TakeOverFromPredecessors). If the removal is told first, the calls told over are released on the open connections. A connection that is not open when its exchange is removed is closed. This keeps "anything still standing is lost" and "nothing new to an exchange later than the grace after it was told gone".

--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -102,7 +102,7 @@
     owner_->EndConnection(this, kEnds[static_cast<std::size_t>(end)]);
   }
 
-  Exchange* const exchange;
+  Exchange* exchange;        // changes once the directory tells that a successor has the address
   std::uint64_t number = 0;  // number in the log
   std::unique_ptr<core::Stream> stream;
   std::list<std::unique_ptr<Connection>>::iterator position;
@@ -218,7 +218,7 @@
   DirectoryUpdate update;
   update.kind = notification.is_full ? DirectoryKind::kFull : DirectoryKind::kDelta;
   update.version = static_cast<std::uint32_t>(notification.number);
-  std::vector<Exchange*> gone, restarted;
+  std::vector<Exchange*> gone, restarted, successors;
   if (notification.is_full) gone = RemoveUnlisted(notification.targets);
   for (const Target& target : notification.targets) {
     const TimeUs since = ToRuntimeTime(target.boot_ms);
@@ -268,9 +268,11 @@
       }
       occupant->second = id;
     }
+    if (since != 0) successors.push_back(&e);
   }
   core_->OnDirectory(update);
   for (Exchange* const e : restarted) TerminateCallsBefore(e, e->started_at_us, "exchange restarted");
+  for (Exchange* const e : successors) TakeOverFromPredecessors(e);
   for (Exchange* const e : gone) RetireExchange(e);
   for (auto& [id, e] : exchanges_) {
     if (!e->is_retired) EnsureConnected(e.get());
@@ -285,6 +287,44 @@
   });
 }
 
+// The directory tells of a start seconds late. Until then the successor was reached under the name of the exchange that
+// had its address before.
+void ExchangeConnections::TakeOverFromPredecessors(Exchange* successor) {
+  for (const auto& [id, exchange] : exchanges_) {
+    if (exchange.get() != successor && exchange->target.address == successor->target.address)
+      TakeOverFrom(exchange.get(), successor);
+  }
+}
+
+void ExchangeConnections::TakeOverFrom(Exchange* predecessor, Exchange* successor) {
+  const TimeUs started_at = successor->started_at_us;
+  for (auto position = predecessor->connections.begin(); position != predecessor->connections.end();) {
+    const auto connection = position++;
+    if (!(*connection)->is_open || (*connection)->opened_at < started_at) continue;
+    (*connection)->exchange = successor;
+    successor->connections.splice(successor->connections.end(), predecessor->connections, connection);
+    for (const std::string& id : successor->connections.back()->set_ups) call_legs_.at(id).exchange = successor;
+  }
+  std::size_t moved = 0;
+  for (auto position = predecessor->established.begin(); position != predecessor->established.end();) {
+    CallLeg& leg = call_legs_.at(*position);
+    // The caller of an announced call has named the predecessor.
+    if (leg.announced || leg.established_at < started_at) {
+      ++position;
+      continue;
+    }
+    leg.exchange = successor;
+    RecordEstablishedCall(successor, leg.id);
+    position = predecessor->established.erase(position);
+    ++moved;
+  }
+  if (moved == 0) return;
+  counters_.taken_over += moved;
+  log_->Write(core::LogLevel::kInfo, "exchange-succeeded", 0,
+              successor->target.uid + " has the address of " + predecessor->target.uid +
+                  ", established calls taken over: " + std::to_string(moved));
+}
+
 void ExchangeConnections::FreeAddress(const Exchange& exchange) {
   const auto occupant = by_address_.find(exchange.target.address);
   if (occupant != by_address_.end() && occupant->second == exchange.id) by_address_.erase(occupant);
@@ -308,13 +348,26 @@
   exchange->reconnect_timer.Stop();
   exchange->queued_releases.clear();
   FreeAddress(*exchange);
-  TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory");
-  // Connections with pending set-ups stay open until those are finished.
-  std::vector<Connection*> idle;
-  for (const auto& connection : exchange->connections) {
-    if (connection->set_ups.empty()) idle.push_back(connection.get());
+  // If no successor is known at the address, a connection that is still open may lead to one that the directory does
+  // not list yet. Calls that it answered are released there.
+  const bool has_successor = by_address_.count(exchange->target.address) > 0;
+  TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory",
+                       has_successor ? RemoteState::kCallsGone : RemoteState::kCallsMayExist);
+  // Connections with pending set-ups stay open until those are finished. One that is not open yet may come up at the
+  // successor, which must not receive the set-ups.
+  CloseConnectionsIf(exchange,
+                     [](const Connection& connection) { return connection.set_ups.empty() || !connection.is_open; });
+}
+
+template <typename Condition>
+void ExchangeConnections::CloseConnectionsIf(Exchange* exchange, const Condition& is_unused) {
+  // The core's reaction to the end of one connection may change the others.
+  while (true) {
+    const auto found = std::find_if(exchange->connections.begin(), exchange->connections.end(),
+                                    [&is_unused](const auto& connection) { return is_unused(*connection); });
+    if (found == exchange->connections.end()) return;
+    EndConnection(found->get(), DisconnectReason::kClosedLocally);
   }
-  for (Connection* const connection : idle) EndConnection(connection, DisconnectReason::kClosedLocally);
 }
 
 void ExchangeConnections::CheckRetiredExchange(Exchange* exchange) {
@@ -322,11 +375,9 @@
     TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory and silent",
                          RemoteState::kCallsMayExist);
   }
-  std::vector<Connection*> unused;
-  for (const auto& connection : exchange->connections) {
-    if (connection->set_ups.empty() && connection->established.empty()) unused.push_back(connection.get());
-  }
-  for (Connection* const connection : unused) EndConnection(connection, DisconnectReason::kClosedLocally);
+  CloseConnectionsIf(exchange, [](const Connection& connection) {
+    return connection.set_ups.empty() && connection.established.empty();
+  });
 }
 
 // If a successor has taken over the address of a removed exchange, the connection was opened to the successor before
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -48,6 +48,7 @@
   std::uint64_t liveness_connects = 0, liveness_probes = 0;  // requested by the failure detector
   std::uint64_t suspicions = 0, suspicions_cleared = 0;      // suspicions that the process with the calls was replaced
   std::uint64_t given_up_silent = 0, given_up_replaced = 0;  // decisions of the failure detector to give up calls
+  std::uint64_t taken_over = 0;    // calls that turned out to be established at the successor of their exchange
   std::uint64_t replacements = 0;  // connections opened because releases may have been lost with an earlier one
   std::uint64_t no_room = 0;       // connections not opened because of the limit
   std::uint64_t early_ends = 0;    // releases received before their call was adopted
@@ -120,6 +121,10 @@
   // one that was started later. If both state the same start, or none, it is the one that does not drain, and otherwise
   // the one that became known later (`id` 0: before all others).
   bool IsSuperseded(ExchangeId id, const Target& target, TimeUs since) const;
+  // Moves the connections and calls to this exchange that were established since its start with one that had its
+  // address before.
+  void TakeOverFromPredecessors(Exchange* successor);
+  void TakeOverFrom(Exchange* predecessor, Exchange* successor);
   // Removes the call leg from all indexes.
   CallLeg RemoveCallLeg(std::unordered_map<std::string, CallLeg>::iterator position);
   Connection* SelectConnection(Exchange* exchange);
@@ -189,6 +194,9 @@
   // Returns the exchanges that are missing in a whole list. They have no address any more and have to be retired.
   std::vector<Exchange*> RemoveUnlisted(const std::vector<Target>& list);
   void FreeAddress(const Exchange& exchange);
+  // Closes the connections to the exchange for which `is_unused(connection)` returns true.
+  template <typename Condition>
+  void CloseConnectionsIf(Exchange* exchange, const Condition& is_unused);
   // Terminates the calls that were answered after the removal if the exchange is silent, and closes the connections on
   // which nothing is left.
   void CheckRetiredExchange(Exchange* exchange);
--- a/tests/address_succession_test.cpp
+++ b/tests/address_succession_test.cpp
@@ -109,6 +109,38 @@
                                   traits.param.old_state;
                          });
 
+// Guards against a new process that is taken for the one that had its address: a call that it answered before the
+// directory listed it is told over while it stands.
+TEST_F(AddressSuccessionTest, CallAnsweredBeforeSuccessorIsListedStands) {
+  PublishOldExchange();
+  const std::int64_t started_ms = ReplaceProcess();
+  SetUpAnsweredCall(kCall);
+  Publish({TargetJson(kNumber, "Ready", kNew, started_ms)});
+  Publish({TargetJson(kNumber, "Gone", kOld)});
+  EXPECT_EQ(node_->exchanges().counters().taken_over, 1U);
+  ExpectCallStandsAndItsReleaseIsForwarded();
+}
+
+TEST_F(AddressSuccessionTest, CallAnsweredBeforeSuccessorIsListedStandsIfRemovalIsToldWithTheStart) {
+  PublishOldExchange();
+  const std::int64_t started_ms = ReplaceProcess();
+  SetUpAnsweredCall(kCall);
+  Publish({TargetJson(kNumber, "Gone", kOld), TargetJson(kNumber, "Ready", kNew, started_ms)});
+  ExpectCallStandsAndItsReleaseIsForwarded();
+}
+
+// Guards against a call that its caller was told is over, and that stands on at a successor not listed yet.
+TEST_F(AddressSuccessionTest, CallAtUnlistedSuccessorIsReleasedIfRemovalIsToldFirst) {
+  PublishOldExchange();
+  ReplaceProcess();
+  SetUpAnsweredCall(kCall);
+  Publish({TargetJson(kNumber, "Gone", kOld)});
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  const std::vector<Message> releases = exchange_.Received(MessageType::kRelease);
+  ASSERT_EQ(releases.size(), 1U);
+  EXPECT_EQ(releases[0].id, kCall);
+}
+
 TEST_F(AddressSuccessionTest, CallOfPredecessorEndsWhenSuccessorIsListed) {
   PublishOldExchange();
   SetUpAnsweredCall(kCall);
@@ -118,6 +150,36 @@
   EXPECT_EQ(caller_->FinalMessages(kCall)[1].cause, 41);
 }
 
+TEST_F(AddressSuccessionTest, SetUpPendingAtSuccessorWhenItIsListedIsAnsweredAndEnds) {
+  PublishOldExchange();
+  const std::int64_t started_ms = ReplaceProcess();
+  exchange_.on_set_up = [](PlatformConnection&, const Message&) {};
+  caller_->SetUp(kCall, kNumber);
+  runtime_.RunFor(5 * kMs);
+  Publish({TargetJson(kNumber, "Ready", kNew, started_ms), TargetJson(kNumber, "Gone", kOld)});
+  PlatformExchange::Answer(*exchange_.OpenConnections()[0], kCall, "late");
+  runtime_.RunFor(5 * kMs);
+  ExpectCallStandsAndItsReleaseIsForwarded();
+}
+
+// Guards against a set-up that waits for its connection and reaches another exchange at the address.
+TEST_F(AddressSuccessionTest, SetUpThatWaitsForItsConnectionIsNotSentToSuccessor) {
+  PublishOldExchange();
+  exchange_.on_set_up = [](PlatformConnection&, const Message&) {};
+  caller_->SetUp(kOtherCall, kNumber);  // occupies the open connection
+  runtime_.RunFor(5 * kMs);
+  exchange_.is_accepting = false;
+  caller_->SetUp(kCall, kNumber);
+  runtime_.RunFor(5 * kMs);
+  json successor = TargetJson(kNumber, "Ready", kNew, UnixMs());
+  successor["pod_group"] = kNumber + 1;
+  Publish({TargetJson(kNumber, "Gone", kOld), successor});
+  exchange_.is_accepting = true;
+  runtime_.RunFor(1'000 * kMs);
+  for (const Message& set_up : exchange_.Received(MessageType::kSetUp)) EXPECT_NE(set_up.id, kCall);
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 1U);
+}
+
 // Guards against an exchange that is passed over for one which the same list removes.
 TEST_F(AddressSuccessionTest, WholeListReplacesExchangeByOneWithEarlierStart) {
   Publish({TargetJson(kNumber, "Ready", kOld, UnixMs())});
