Discovery: the memory for an event is limited, and so is the number of exchanges

Cause: an event could have 2 MiB on each of its lines on each of six requests, whatever the memory limit, and its JSON takes eight to seventy times its text once it is parsed. The table of exchanges had no limit.

Change: an event may have 16 KiB per megabyte of memory, at most 2 MiB, all its lines together. Its JSON is parsed with a limit for values and nesting (ParseBoundedJson). 64 exchanges per megabyte; entries beyond that are ignored, counted (ignored_exchanges) and logged (exchanges-ignored).

--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/platform_fuzz.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
+#include "platform/bounded_json.h"
 #include "platform/event_reader.h"
 #include "platform/line_codec.h"
 #include "platform/node_config.h"
@@ -23,10 +24,11 @@
     return true;
   };
   if (reader.Feed(text.substr(0, half), on_line)) reader.Feed(text.substr(half), on_line);
-  EventReader events;
+  EventReader events(1 << 20);
   const auto on_event = [](std::string_view, std::string_view event) {
     std::string error;
-    ParseDirectoryNotification(nlohmann::json::parse(event, nullptr, false), 0, &error);
+    const auto object = ParseBoundedJson(event, {.max_values = event.size() / 8, .max_depth = 8});
+    if (object) ParseDirectoryNotification(*object, 0, &error);
   };
   if (events.Feed(text.substr(0, half), on_event)) events.Feed(text.substr(half), on_event);
   std::vector<croftrun::config::SettingsError> mistakes;
--- a/src/platform/discovery_client.cpp
+++ b/src/platform/discovery_client.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "platform/bounded_json.h"
 #include "platform/event_reader.h"
 
 namespace croftrun::platform {
@@ -18,13 +19,17 @@
 constexpr TimeUs kMinReconnectDelay = 20'000, kMaxReconnectDelay = 400'000;
 // Requests in progress at the same time. They are taken from the descriptors that the node reserves.
 constexpr std::size_t kMaxRequests = 6;
+// Limits of an event's JSON. The entry of an exchange has nine values in over 100 octets, four levels deep.
+constexpr std::size_t kMinJsonValues = 64, kOctetsPerJsonValue = 8;
+constexpr int kMaxJsonDepth = 8;
 
 }  // namespace
 
 // One request on its own connection, with its response.
 class DiscoveryClient::Request final : public core::StreamHandler {
  public:
-  Request(DiscoveryClient* owner, std::uint64_t n, TimeUs now) : number(n), started_at(now), owner_(owner) {}
+  Request(DiscoveryClient* owner, std::uint64_t n, TimeUs now)
+      : number(n), started_at(now), reader(owner->max_event_octets_), owner_(owner) {}
   void OnOpen() override {
     is_open = true;
     owner_->SendRequest(this);
@@ -44,11 +49,12 @@
   DiscoveryClient* owner_;
 };
 
-DiscoveryClient::DiscoveryClient(core::Runtime* runtime, core::Logger* log, const core::Address& address,
+DiscoveryClient::DiscoveryClient(const DiscoverySettings& settings, core::Runtime* runtime, core::Logger* log,
                                  std::uint64_t last_number, OnNotification on_notification)
     : runtime_(runtime),
       log_(log),
-      address_(address),
+      address_(settings.address),
+      max_event_octets_(settings.max_event_octets),
       last_number_(last_number),
       on_notification_(std::move(on_notification)),
       next_request_timer_(runtime) {
@@ -180,8 +186,10 @@
   std::uint64_t number = 0;
   std::from_chars(id.data(), id.data() + id.size(), number);
   std::string error;
-  const auto event = nlohmann::json::parse(data, nullptr, false);
-  const auto notification = ParseDirectoryNotification(event, number, &error);
+  const auto event = ParseBoundedJson(
+      data, {.max_values = kMinJsonValues + data.size() / kOctetsPerJsonValue, .max_depth = kMaxJsonDepth});
+  const auto notification = event ? ParseDirectoryNotification(*event, number, &error) : std::nullopt;
+  if (!event) error = "expected JSON of at most one value in " + std::to_string(kOctetsPerJsonValue) + " octets";
   if (!notification) {
     ++counters_.unreadable;
     log_->Write(core::LogLevel::kWarning, "notice-unreadable", 0, std::string(id) + ": " + error);
--- a/src/platform/discovery_client.h
+++ b/src/platform/discovery_client.h
@@ -31,14 +31,20 @@
   TimeUs longest_response_wait = 0;  // longest time from a request to the first octet of its response
 };
 
+// Settings of the discovery client.
+struct DiscoverySettings {
+  core::Address address;
+  std::size_t max_event_octets = 1 << 20;  // limit of an event; one that is larger ends its request
+};
+
 // Follows the directory of the discovery service. Sends another request after the last one failed or has been silent,
 // with delays that grow while the service is unavailable, and reports each notification once and in order.
 class DiscoveryClient final {
  public:
   using OnNotification = std::function<void(const DirectoryNotification&)>;
   // `last_number` is the number of the last event that has been applied already.
-  DiscoveryClient(core::Runtime* runtime, core::Logger* log, const core::Address& address, std::uint64_t last_number,
-                  OnNotification on_notification);
+  DiscoveryClient(const DiscoverySettings& settings, core::Runtime* runtime, core::Logger* log,
+                  std::uint64_t last_number, OnNotification on_notification);
   ~DiscoveryClient();
   // Switches to another address; the event numbers continue.
   void MoveTo(const core::Address& address);
@@ -78,6 +84,7 @@
   core::Runtime* runtime_;
   core::Logger* log_;
   core::Address address_;
+  const std::size_t max_event_octets_;
   std::uint64_t last_number_;
   std::uint64_t requested_number_ = 0;  // the missing event that was requested again, which is done once
   OnNotification on_notification_;
--- a/src/platform/event_reader.cpp
+++ b/src/platform/event_reader.cpp
@@ -7,22 +7,17 @@
 #include <utility>
 
 namespace croftrun::platform {
-namespace {
 
 namespace http = boost::beast::http;
 
-// Maximum size of an event and of a line. It admits a full directory of the largest fleet.
-constexpr std::size_t kMaxEventOctets = 2 << 20;
-
-}  // namespace
-
 struct EventReader::HttpResponse {
   HttpResponse() { parser.body_limit(boost::none); }
   http::response_parser<http::buffer_body> parser;
   std::string unparsed;
 };
 
-EventReader::EventReader() : http_response_(std::make_unique<HttpResponse>()) {}
+EventReader::EventReader(std::size_t max_event_octets)
+    : max_event_octets_(max_event_octets), http_response_(std::make_unique<HttpResponse>()) {}
 EventReader::~EventReader() = default;
 
 bool EventReader::Feed(std::string_view bytes, const OnEvent& on_event) {
@@ -46,7 +41,7 @@
       after_carriage_return_ = c == '\r';
       if (second_of_pair) continue;
       if (!is_line_end) {
-        if (line_.size() >= kMaxEventOctets) return false;
+        if (BufferedOctets() >= max_event_octets_) return false;
         line_ += c;
         continue;
       }
@@ -73,7 +68,7 @@
   if (name == "id") {
     id_ = value;
   } else if (name == "data") {
-    if (data_.size() + value.size() >= kMaxEventOctets) return false;
+    if (BufferedOctets() + value.size() >= max_event_octets_) return false;
     if (has_data_) data_ += '\n';
     data_ += value;
     has_data_ = true;
--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -219,6 +219,7 @@
   update.kind = notification.is_full ? DirectoryKind::kFull : DirectoryKind::kDelta;
   update.version = static_cast<std::uint32_t>(notification.number);
   std::vector<Exchange*> gone, restarted, successors;
+  std::size_t ignored = 0;
   if (notification.is_full) gone = RemoveUnlisted(notification.targets);
   for (const Target& target : notification.targets) {
     const TimeUs since = ToRuntimeTime(target.boot_ms);
@@ -230,6 +231,11 @@
         by_uid_.erase(target.uid);  // never used by this softswitch
         continue;
       }
+      if (by_address_.size() >= settings_.max_exchanges) {
+        by_uid_.erase(target.uid);
+        ++ignored;
+        continue;
+      }
       id = next_exchange_id_++;
       exchanges_[id] = std::make_unique<Exchange>(runtime_);
       exchanges_[id]->id = id;
@@ -270,6 +276,7 @@
     }
     if (since != 0) successors.push_back(&e);
   }
+  LogIgnoredExchanges(ignored);
   core_->OnDirectory(update);
   for (Exchange* const e : restarted) TerminateCallsBefore(e, e->started_at_us, "exchange restarted");
   for (Exchange* const e : successors) TakeOverFromPredecessors(e);
@@ -325,6 +332,13 @@
                   ", established calls taken over: " + std::to_string(moved));
 }
 
+void ExchangeConnections::LogIgnoredExchanges(std::size_t count) {
+  if (count == 0) return;
+  counters_.ignored_exchanges += count;
+  log_->Write(core::LogLevel::kWarning, "exchanges-ignored", 0,
+              std::to_string(count) + " entries beyond the limit of " + std::to_string(settings_.max_exchanges));
+}
+
 void ExchangeConnections::FreeAddress(const Exchange& exchange) {
   const auto occupant = by_address_.find(exchange.target.address);
   if (occupant != by_address_.end() && occupant->second == exchange.id) by_address_.erase(occupant);
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -30,6 +30,7 @@
 // Settings of the connections to the exchanges.
 struct ExchangeSettings {
   std::size_t max_connections = 100;  // limit for all exchanges together
+  std::size_t max_exchanges = 2048;   // entries of the directory beyond that are ignored
   TimeUs connect_timeout_us = 500'000;
   std::vector<std::string> classes;  // names by class index
   std::vector<std::string> zones, kinds;
@@ -48,6 +49,7 @@
   std::uint64_t liveness_connects = 0, liveness_probes = 0;  // requested by the failure detector
   std::uint64_t suspicions = 0, suspicions_cleared = 0;      // suspicions that the process with the calls was replaced
   std::uint64_t given_up_silent = 0, given_up_replaced = 0;  // decisions of the failure detector to give up calls
+  std::uint64_t ignored_exchanges = 0;                       // entries of the directory that exceeded the limit
   std::uint64_t taken_over = 0;    // calls that turned out to be established at the successor of their exchange
   std::uint64_t replacements = 0;  // connections opened because releases may have been lost with an earlier one
   std::uint64_t no_room = 0;       // connections not opened because of the limit
@@ -194,6 +196,7 @@
   // Returns the exchanges that are missing in a whole list. They have no address any more and have to be retired.
   std::vector<Exchange*> RemoveUnlisted(const std::vector<Target>& list);
   void FreeAddress(const Exchange& exchange);
+  void LogIgnoredExchanges(std::size_t count);
   // Closes the connections to the exchange for which `is_unused(connection)` returns true.
   template <typename Condition>
   void CloseConnectionsIf(Exchange* exchange, const Condition& is_unused);
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -16,6 +16,11 @@
 constexpr std::size_t kExchangeSharePercent = 35;
 // Number of calls allowed per megabyte of memory.
 constexpr std::size_t kCallsPerMegabyte = 128;
+// Limits of an event of the discovery service, per megabyte of memory and in total. Several requests may each buffer an
+// event, in twice its size.
+constexpr std::size_t kEventOctetsPerMegabyte = 16 << 10, kMaxEventOctets = 2 << 20;
+// Number of exchanges allowed per megabyte of memory.
+constexpr std::size_t kExchangesPerMegabyte = 64;
 // After a stop request, calls are accepted for kShutdownAcceptTime and then rejected. When all calls are answered, the
 // callers' connections are closed. A message that crossed the close is sent again within kShutdownQuietTime.
 constexpr TimeUs kShutdownAcceptTime = 750'000, kShutdownQuietTime = 100'000;
@@ -66,6 +71,7 @@
   ExchangeSettings exchange_settings;
   exchange_settings.max_connections = available * kExchangeSharePercent / 100;
   exchange_settings.connect_timeout_us = config.connect_timeout_us;
+  exchange_settings.max_exchanges = config.memory_mb * kExchangesPerMegabyte;
   exchange_settings.classes = ClassNames(config.module);
   exchange_settings.zones = config.zones;
   exchange_settings.kinds = config.kinds;
@@ -87,7 +93,10 @@
   caller_settings.classes = exchange_settings.classes;
   caller_connections_ =
       std::make_unique<CallerConnections>(caller_settings, runtime, log, core_.get(), exchange_connections_.get());
-  discovery_client_ = std::make_unique<DiscoveryClient>(runtime, log, config.discovery_address, last,
+  DiscoverySettings discovery_settings;
+  discovery_settings.address = config.discovery_address;
+  discovery_settings.max_event_octets = std::min(kMaxEventOctets, config.memory_mb * kEventOctetsPerMegabyte);
+  discovery_client_ = std::make_unique<DiscoveryClient>(discovery_settings, runtime, log, last,
                                                         [this](const DirectoryNotification& notification) {
                                                           exchange_connections_->OnDirectoryNotification(notification);
                                                         });
--- a/src/platform/node_metrics.cpp
+++ b/src/platform/node_metrics.cpp
@@ -77,6 +77,7 @@
           {"given_up_replaced", counters.given_up_replaced},
           {"no_room", counters.no_room},
           {"replacements", counters.replacements},
+          {"ignored_exchanges", counters.ignored_exchanges},
           {"taken_over", counters.taken_over},
           {"early_ends", counters.early_ends},
           {"unreachable", exchanges.unreachable_exchanges()},
--- a/tests/discovery_client_test.cpp
+++ b/tests/discovery_client_test.cpp
@@ -192,5 +192,38 @@
   EXPECT_TRUE(KnowsDrain());
 }
 
+// Guards against events that take more memory than a small softswitch has (32 MB, with 512 KiB for an event).
+TEST_F(DiscoveryClientTest, RejectsEventsThatTakeTooMuchMemory) {
+  discovery_.Write("id: 2\ndata: " + std::string(600 << 10, 'x'));
+  runtime_.RunFor(100 * kMs);
+  EXPECT_EQ(DiscoveryMetrics()["breaks"], 1);
+  runtime_.RunFor(1'000 * kMs);
+  std::string zeros = R"({"rev":2,"pool":{"rev":2,"all":false,"targets":[0)";
+  for (int i = 0; i < 100'000; ++i) zeros += ",0";
+  discovery_.Publish(2, zeros + "]}}");
+  runtime_.RunFor(100 * kMs);
+  EXPECT_EQ(DiscoveryMetrics()["unreadable"], 2);  // it is requested once more
+  EXPECT_EQ(DiscoveryMetrics()["breaks"], 1);
+}
+
+// Guards against a directory that grows without bound under ever new names (32 MB, with 2,048 exchanges).
+TEST_F(DiscoveryClientTest, IgnoresExchangesBeyondTheLimit) {
+  constexpr int kEvents = 5, kExchangesPerEvent = 500;
+  for (int event = 0; event < kEvents; ++event) {
+    json targets = json::array();
+    for (int i = 0; i < kExchangesPerEvent; ++i) {
+      json target = TargetJson(1, "Ready", "s-new-" + std::to_string(event * kExchangesPerEvent + i));
+      target["endpoint"] =
+          "127.9." + std::to_string(event) + "." + std::to_string(i % 250) + ":" + std::to_string(6000 + i / 250);
+      targets.push_back(target);
+    }
+    discovery_.Publish(static_cast<std::uint64_t>(event) + 2,
+                       EventJson(static_cast<std::uint64_t>(event) + 2, false, targets));
+    runtime_.RunFor(10 * kMs);
+  }
+  EXPECT_EQ(node_->exchanges().exchange_count(), 2048U);
+  EXPECT_EQ(node_->exchanges().counters().ignored_exchanges, 3U + kEvents * kExchangesPerEvent - 2048U);
+}
+
 }  // namespace
 }  // namespace croftrun::platform
--- a/tests/platform_parsers_test.cpp
+++ b/tests/platform_parsers_test.cpp
@@ -1,12 +1,15 @@
 // Tests the parsers of the platform protocol: lines, messages, settings and server-sent events.
 #include <gtest/gtest.h>
 
+#include "platform/bounded_json.h"
 #include "platform/event_reader.h"
 #include "platform_fixture.h"
 
 namespace croftrun::platform {
 namespace {
 
+constexpr std::size_t kMaxEventOctets = 1 << 20;
+
 TEST(LineReaderTest, RejectsEndlessLineAtLimit) {
   LineReader reader;
   const std::string part(1000, 'x');
@@ -115,7 +118,7 @@
       "c\n\nid: 6\nda\r\n";
   for (const std::string& text : {plain, chunked}) {
     for (std::size_t cut = 1; cut < text.size(); ++cut) {
-      EventReader reader;
+      EventReader reader(kMaxEventOctets);
       std::string events;
       const auto on_event = [&events](std::string_view id, std::string_view data) {
         events += std::string(id) + "=" + std::string(data) + ";";
@@ -127,9 +130,35 @@
   }
 }
 
+// Guards against an event whose lines together take more memory than the limit for one of them.
+TEST(EventReaderTest, LimitsTheOctetsOfAllLinesOfAnEvent) {
+  constexpr std::size_t kLimit = 10'000;
+  EventReader reader(kLimit);
+  const auto on_event = [](std::string_view, std::string_view) {};
+  const std::string part(kLimit / 2 - 100, 'x');
+  EXPECT_TRUE(reader.Feed("HTTP/1.1 200 OK\r\n\r\ndata: " + part + "\n", on_event));
+  EXPECT_TRUE(reader.Feed("data: " + part, on_event));
+  EXPECT_FALSE(reader.Feed(std::string(300, 'y'), on_event));
+}
+
+// Guards against text that takes many times its size in memory once it is parsed.
+TEST(BoundedJsonTest, RejectsTooManyValuesAndTooDeepNesting) {
+  constexpr JsonLimits kLimits{.max_values = 4, .max_depth = 2};
+  EXPECT_EQ(ParseBoundedJson(R"({"a":[1,2]})", kLimits), json::parse(R"({"a":[1,2]})"));
+  for (const std::string& text : {std::string(R"({"a":[1,2,3]})"), std::string("[[[1]]]"), std::string(100'000, '['),
+                                  "[" + std::string(50'000, '0') + "]", std::string("[1,"), std::string()}) {
+    EXPECT_FALSE(ParseBoundedJson(text, kLimits)) << text.substr(0, 20);
+  }
+}
+
+TEST(BoundedJsonTest, AcceptsObjectsWithManyKeysWithinTheLimitOfValues) {
+  EXPECT_TRUE(ParseBoundedJson(R"({"a":1,"b":2,"c":{}})", {.max_values = 4, .max_depth = 1}));
+  EXPECT_FALSE(ParseBoundedJson(R"({"a":1,"b":2,"c":{}})", {.max_values = 3, .max_depth = 1}));
+}
+
 TEST(EventReaderTest, RejectsOtherStatusAndNonHttpData) {
   for (const std::string text : {"HTTP/1.1 503 Busy\r\n\r\n", "\x01\x02garbage\r\n\r\n"}) {
-    EventReader reader;
+    EventReader reader(kMaxEventOctets);
     EXPECT_FALSE(reader.Feed(text, [](std::string_view, std::string_view) { ADD_FAILURE(); }));
   }
 }
