Calls: the media description of an established call is freed, those in set-up have a limit

Cause: SendFinalAnswer dropped the description by `session = {}`, which for a string keeps the memory: 2,007 established calls held 16 kB each (by the counters no call was unanswered). Nothing limited the descriptions of calls in set-up.

Change: DropSessions frees them, what is allocated is counted, and calls beyond 128 KiB per megabyte are refused at once (refused_full). A called number, which a call keeps, may have 256 octets.

Three tests are new; what they measure (session_octets) does not exist in the code before.

--- a/src/core/call_core.cpp
+++ b/src/core/call_core.cpp
@@ -12,6 +12,11 @@
 // times.
 constexpr std::size_t kMaxDirectoryEntries = 4096;
 
+// Returns the memory that the text takes outside the string object.
+std::size_t AllocatedOctets(const std::string& text) {
+  return text.capacity() > std::string().capacity() ? text.capacity() : 0;
+}
+
 // Log suffix with the version of the rules that classified the call. It does not change during the call.
 std::string RulesSuffix(const CallRequest& request) {
   return request.rules == 0 ? std::string() : ", rules " + std::to_string(request.rules);
@@ -236,16 +241,25 @@
   call.owner = owner;
   call.origin = origin;
   call.accepted_at = runtime_->Now();
+  session_octets_ += AllocatedOctets(call.request.session);
   return id;
 }
 
-bool CallCore::ShouldRefuseNewCall() {
+void CallCore::DropSessions(Call* call) {
+  session_octets_ -= AllocatedOctets(call->request.session);
+  // Assigning an empty string would keep the memory.
+  std::string().swap(call->request.session);
+  std::string().swap(call->session);
+}
+
+bool CallCore::ShouldRefuseNewCall(const CallRequest& request) {
   overload_gate_.RecordDelay(runtime_->Now(), runtime_->QueueDelay());
   if (stopping_) {
     ++counters_.refused_stopping;
     return true;
   }
-  if (calls_.size() >= settings_.max_calls) {
+  const bool too_many_octets = session_octets_ + AllocatedOctets(request.session) > settings_.max_total_session_octets;
+  if (calls_.size() >= settings_.max_calls || too_many_octets) {
     ++counters_.refused_full;
     return true;
   }
@@ -274,7 +288,7 @@
 
 CallId CallCore::AcceptCall(const CallRequest& request, CallOwner* owner, CallId reserved) {
   ++counters_.offered;
-  const bool refused = ShouldRefuseNewCall();
+  const bool refused = ShouldRefuseNewCall(request);
   const CallId id = NewCall(request, owner, own_number(), reserved);
   if (refused) {
     SendFinalAnswer(id, calls_[id], {FinalKind::kRefused, 0, ReleaseCause::kCongestion});
@@ -289,7 +303,7 @@
                                        const CallRequest& request, int origin) {
   const auto group = groups_.find(number);
   if (group == groups_.end() || circuits.empty()) return SeizureResult::kNotInService;
-  const bool refused = ShouldRefuseNewCall();
+  const bool refused = ShouldRefuseNewCall(request);
   const CallId id = NewCall(request, nullptr, origin);
   Call& call = calls_[id];
   call.in = CircuitSet{number, {}, id};
@@ -305,6 +319,7 @@
       group->second.Release(circuit, id);
       group->second.Confirm(circuit);
     }
+    DropSessions(&call);
     calls_.erase(id);
     const CircuitNumber failed = circuits[seized];
     const bool out_of_service =
@@ -572,7 +587,7 @@
       FinalAnswer with_session = answer;
       // Media descriptions are dropped once they are passed on, as there may be thousands of established calls.
       const std::string session = std::exchange(call.session, {});
-      call.request.session = {};
+      DropSessions(&call);
       with_session.session = session;
       call.owner->OnFinalAnswer(id, with_session);
     } else if (trunks_ != nullptr) {
@@ -609,6 +624,7 @@
 void CallCore::RemoveCall(CallId id, const ReleaseInfo& info) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
+  DropSessions(&found->second);
   Call call = std::move(found->second);
   calls_.erase(found);
   runtime_->CancelTimer(call.deadline);
--- a/src/core/call_core.h
+++ b/src/core/call_core.h
@@ -16,6 +16,7 @@
 #define CROFTRUN_CORE_CALL_CORE_H_
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -215,6 +216,8 @@
   std::uint64_t seed = 1;
   DeciderFactory decider = {};            // empty: the call controller
   std::size_t max_session_octets = 1024;  // longer media descriptions are truncated
+  // Memory for the media descriptions of unanswered calls; a call that would exceed it is refused.
+  std::size_t max_total_session_octets = std::numeric_limits<std::size_t>::max();
   // The network manages the circuits: the core seizes none, OnGroupReport provides the free circuits, calls in transit
   // are offered by the front, and no call terminates at this exchange.
   bool network_manages_circuits = false;
@@ -311,6 +314,8 @@
   void EndAllCalls(ReleaseCause cause);
 
   std::size_t open_calls() const { return calls_.size(); }
+  // Returns the memory that the media descriptions of unanswered calls take, in octets.
+  std::size_t session_octets() const { return session_octets_; }
   // Returns whether this process is overloaded and refuses a share of new calls at once.
   bool IsOverloaded() const { return overload_gate_.share() > 0.0; }
   // The share of new calls that is refused for overload, 0 to 1.
@@ -366,7 +371,9 @@
   Call* Find(CallId id);
   // Returns whether a new call is refused before any work is spent on it (shutdown, call limit or overload), and counts
   // the reason.
-  bool ShouldRefuseNewCall();
+  bool ShouldRefuseNewCall(const CallRequest& request);
+  // Frees the memory for the media descriptions of a call.
+  void DropSessions(Call* call);
   CallId NewCall(const CallRequest& request, CallOwner* owner, int origin, CallId reserved = 0);
   void StartCall(CallId id);
   // Returns whether the caller's time-out has expired; counts it if so.
@@ -405,6 +412,7 @@
   std::vector<CallObserver*> observers_;
   std::map<int, CircuitGroup> groups_;  // by the number of the far exchange
   std::unordered_map<CallId, Call> calls_;
+  std::size_t session_octets_ = 0;  // capacity of the media descriptions in the requests of `calls_`
   std::map<ExchangeId, DirectoryEntry> directory_;
   // Exchanges by number, without those that are gone. The index is needed because free circuits are reported at each
   // seizure and release, and the directory is as large as the network.
--- a/src/platform/caller_connections.cpp
+++ b/src/platform/caller_connections.cpp
@@ -25,6 +25,8 @@
 // Limit of the data that is buffered for a caller who does not read.
 constexpr std::size_t kMaxUnwrittenOctets = 256 << 10;
 constexpr double kMaxCallerTimeoutMs = 600'000;
+// Limit of a called number, which is kept for as long as its call.
+constexpr std::size_t kMaxCalledOctets = 256;
 
 int RefusalCause(core::ReleaseCause cause) {
   return cause == core::ReleaseCause::kNoCircuit ? kNoCircuit : kCongestion;
@@ -232,6 +234,7 @@
   const auto timeout_ms = left != nullptr ? ParseNumber(*left, 0.0, kMaxCallerTimeoutMs) : std::nullopt;
   const bool is_announcement = !extras.at.empty();
   if (found == classes_.end() || (!timeout_ms && !is_announcement) || !message.description) return std::nullopt;
+  if (key != nullptr && key->size() > kMaxCalledOctets) return std::nullopt;
   core::CallRequest request;
   request.calling = message.id;
   request.called = key != nullptr ? *key : std::string();
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kExchangeSharePercent = 35;
 // Number of calls allowed per megabyte of memory.
 constexpr std::size_t kCallsPerMegabyte = 128;
+// Media descriptions of unanswered calls, per megabyte of memory.
+constexpr std::size_t kSessionOctetsPerMegabyte = 128 << 10;
 // Limits of an event of the discovery service, per megabyte of memory and in total. Several requests may each buffer an
 // event, in twice its size.
 constexpr std::size_t kEventOctetsPerMegabyte = 16 << 10, kMaxEventOctets = 2 << 20;
@@ -44,6 +46,7 @@
   settings.answer_margin_us = 0;  // the module may use the caller's whole timeout
   settings.forgotten_call_timeout_us = config.answer_grace_us;
   settings.max_session_octets = kMaxLineOctets;
+  settings.max_total_session_octets = config.memory_mb * kSessionOctetsPerMegabyte;
   settings.max_calls = std::min<std::size_t>(config.module.max_calls, config.memory_mb * kCallsPerMegabyte);
   return settings;
 }
--- a/src/platform/node_metrics.cpp
+++ b/src/platform/node_metrics.cpp
@@ -95,7 +95,8 @@
           {"refused_full", counters.refused_full},
           {"failed_at_end", counters.failed_at_end},
           {"stale_answers", counters.stale_answers},
-          {"open", core.open_calls()}};
+          {"open", core.open_calls()},
+          {"session_octets", core.session_octets()}};
 }
 
 json DiscoveryMetrics(const DiscoveryClient& discovery_client) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -6,6 +6,14 @@
 namespace croftrun::platform {
 namespace {
 
+// A set-up to exchange 1 with a media description of almost the largest size.
+Message LargeSetUp(const std::string& id) {
+  return {.type = MessageType::kSetUp,
+          .id = id,
+          .fields = {{"class", "voice"}, {"left", "3000"}, {"extras", "dest:1;width:1;via:-1"}},
+          .description = std::string(16'000, 'm')};
+}
+
 // ---- callers ----
 
 TEST_F(PlatformTest, ForwardsDescriptionsAndReleaseOfExchange) {
@@ -122,6 +130,52 @@
   EstablishCall(*fresh, kOtherCall);
 }
 
+// Guards against memory for the media descriptions of established calls, which were passed on long ago.
+TEST_F(PlatformTest, FreesMediaDescriptionOnceCallIsEstablished) {
+  exchange_1_.on_set_up = [](PlatformConnection&, const Message&) {};
+  const auto caller = ConnectCaller();
+  caller->connection.Send(LargeSetUp(kCall));
+  runtime_.RunFor(5 * kMs);
+  EXPECT_GE(node_->core().session_octets(), 15'000U);
+  PlatformExchange::Answer(*exchange_1_.OpenConnections()[0], kCall, "answer");
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(caller->FinalMessages(kCall).size(), 1U);
+  EXPECT_EQ(node_->core().open_calls(), 1U);
+  EXPECT_LT(node_->core().session_octets(), 100U);
+}
+
+// Guards against a process that outgrows its memory by the media descriptions of calls in set-up (32 MB, with 4 MB).
+TEST_F(PlatformTest, RefusesCallsBeyondTheMemoryForMediaDescriptions) {
+  constexpr int kCalls = 400;
+  exchange_1_.on_set_up = [](PlatformConnection&, const Message&) {};
+  const auto caller = ConnectCaller();
+  std::size_t refused = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    const std::string id = "9b1f03aa5c7e" + std::to_string(1000 + i);
+    caller->connection.Send(LargeSetUp(id));
+    runtime_.RunFor(kMs);
+    refused += caller->FinalMessages(id).size();
+  }
+  EXPECT_GT(node_->core().session_octets(), 3U << 20U);
+  EXPECT_LE(node_->core().session_octets(), 4U << 20U);
+  EXPECT_GE(node_->core().counters().refused_full, 100U);
+  EXPECT_GE(refused, node_->core().counters().refused_full);
+  caller->connection.stream.reset();
+  runtime_.RunFor(50 * kMs);
+  EXPECT_EQ(node_->core().session_octets(), 0U);
+}
+
+TEST_F(PlatformTest, RejectsSetUpWithEndlessCalledNumber) {
+  const auto caller = ConnectCaller();
+  Message set_up = LargeSetUp(kCall);
+  set_up.description = "offer";
+  set_up.fields.emplace_back("key", std::string(300, '7'));
+  caller->connection.Send(set_up);
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(caller->FinalMessages(kCall).size(), 1U);
+  EXPECT_EQ(caller->FinalMessages(kCall)[0].cause, 100);
+}
+
 // ---- established calls ----
 
 TEST_F(PlatformTest, SendsReleaseOnNextConnectionOfCaller) {
