Discovery: the limits of an event's JSON are checked before anything of it is kept

Cause: the callback parser of the change before looks through all members of a list at the end of each object in it.

Change: a pass that only counts, and stops at the limit, then the ordinary parser.

--- a/src/platform/bounded_json.cpp
+++ b/src/platform/bounded_json.cpp
@@ -1,33 +1,54 @@
 #include "platform/bounded_json.h"
 
 #include <nlohmann/json.hpp>
+#include <string>
 
 namespace croftrun::platform {
+namespace {
 
 using nlohmann::json;
 
+// Counts the values without keeping them, and stops the parser at the first one beyond the limits.
+class LimitChecker final : public nlohmann::json_sax<json> {
+ public:
+  explicit LimitChecker(const JsonLimits& limits) : limits_(limits) {}
+  bool null() override { return Count(); }
+  bool boolean(bool) override { return Count(); }
+  bool number_integer(number_integer_t) override { return Count(); }
+  bool number_unsigned(number_unsigned_t) override { return Count(); }
+  bool number_float(number_float_t, const string_t&) override { return Count(); }
+  bool string(string_t&) override { return Count(); }
+  bool binary(binary_t&) override { return Count(); }
+  bool start_object(std::size_t) override { return Enter(); }
+  bool key(string_t&) override { return true; }
+  bool end_object() override { return Leave(); }
+  bool start_array(std::size_t) override { return Enter(); }
+  bool end_array() override { return Leave(); }
+  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override { return false; }
+
+ private:
+  bool Count() { return ++values_ <= limits_.max_values && depth_ <= limits_.max_depth; }
+  bool Enter() {
+    const bool is_within_limits = Count();
+    ++depth_;
+    return is_within_limits;
+  }
+  bool Leave() {
+    --depth_;
+    return true;
+  }
+
+  const JsonLimits limits_;
+  std::size_t values_ = 0;
+  int depth_ = 0;
+};
+
+}  // namespace
+
 std::optional<json> ParseBoundedJson(std::string_view text, const JsonLimits& limits) {
-  std::size_t values = 0;
-  bool is_too_deep = false;
-  // The parser cannot be stopped by its callback. What comes beyond the limits is dropped as it is read.
-  const auto keep = [&](int depth, json::parse_event_t event, const json&) {
-    switch (event) {
-      case json::parse_event_t::value:
-      case json::parse_event_t::object_start:
-      case json::parse_event_t::array_start:
-        ++values;
-        is_too_deep = is_too_deep || depth > limits.max_depth;
-        return !is_too_deep && values <= limits.max_values;
-      case json::parse_event_t::key:
-      case json::parse_event_t::object_end:
-      case json::parse_event_t::array_end:
-        return !is_too_deep && values <= limits.max_values;
-    }
-    return false;
-  };
-  json parsed = json::parse(text, keep, false);
-  if (parsed.is_discarded() || is_too_deep || values > limits.max_values) return std::nullopt;
-  return parsed;
+  LimitChecker checker(limits);
+  if (!json::sax_parse(text, &checker)) return std::nullopt;
+  return json::parse(text, nullptr, false);
 }
 
 }  // namespace croftrun::platform
--- a/tests/platform_parsers_test.cpp
+++ b/tests/platform_parsers_test.cpp
@@ -151,6 +151,16 @@
   }
 }
 
+// Guards against time that grows with the square of the number of values.
+TEST(BoundedJsonTest, ParsesManyObjects) {
+  constexpr std::size_t kObjects = 200'000;
+  std::string text = "[{}";
+  for (std::size_t i = 1; i < kObjects; ++i) text += ",{}";
+  const auto parsed = ParseBoundedJson(text + "]", {.max_values = kObjects + 1, .max_depth = 1});
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ(parsed->size(), kObjects);
+}
+
 TEST(BoundedJsonTest, AcceptsObjectsWithManyKeysWithinTheLimitOfValues) {
   EXPECT_TRUE(ParseBoundedJson(R"({"a":1,"b":2,"c":{}})", {.max_values = 4, .max_depth = 1}));
   EXPECT_FALSE(ParseBoundedJson(R"({"a":1,"b":2,"c":{}})", {.max_values = 3, .max_depth = 1}));
