Callers: an id that was sent to an exchange is refused when it comes again

Cause: HandleSetUp knew the ids of open calls only, and a call is forgotten as its client leaves.

Change: the last 4,096 ids that were sent to an exchange are remembered; a set-up with one of them is refused like one with the id of an open call. This keeps "no resend of a call within the release time of a time-out, reset or cancel" and "never two attempts of a call out at once". A set-up that no exchange saw may come again, as after a close that it crossed; announcements of standing calls (`at`) go another way.

The test RejectsIdOfSetUpWhoseClientHasLeft fails with caller_connections.cpp as before and passes now.

--- a/src/platform/caller_connections.cpp
+++ b/src/platform/caller_connections.cpp
@@ -202,6 +202,10 @@
     RejectSetUp(connection, message.id, kInvalidContents);
   } else if (!extras->at.empty()) {
     HandleAnnouncement(connection, message.id, *request, extras->at);
+  } else if (exchange_connections_->WasAttempted(message.id)) {
+    // Its client may have left, but the call may still be taking effect at the exchange.
+    ++counters_.repeated_ids;
+    RejectSetUp(connection, message.id, kInvalidContents);
   } else if (connection->open_set_ups >= settings_.max_set_ups_per_connection) {
     RejectSetUp(connection, message.id, kCongestion);
   } else {
--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -14,6 +14,9 @@
 
 // Delays between attempts to connect to an exchange.
 constexpr TimeUs kMinReconnectDelay = 20'000, kMaxReconnectDelay = 1'000'000;
+// Number of set-ups that are remembered, to recognize an id that is used again. It covers the release time and the
+// deadlines of callers at any rate that exchanges accept.
+constexpr std::size_t kMaxAttemptedSetUps = 4096;
 // Number of given-up set-ups that are remembered, to release the call if a late answer arrives.
 constexpr std::size_t kMaxGivenUpSetUps = 2048;
 // Number of removed exchanges that are remembered, to recognize late notifications about them.
@@ -126,6 +129,7 @@
       log_(log),
       core_(core),
       report_reader_(settings.report_fields, settings.own_circuits),
+      attempted_(kMaxAttemptedSetUps),
       given_up_(kMaxGivenUpSetUps),
       forgotten_exchanges_(kMaxForgottenExchanges),
       early_releases_(kMaxEarlyReleases),
@@ -706,6 +710,7 @@
   LogCall("set-up-sent", leg, std::to_string(set_up.budget_us / 1000) + " ms remaining");
   call_ids_[call] = id;
   connection->set_ups.insert(id);
+  attempted_.Insert(id);
   connection->stream->Write(line);
 }
 
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -94,6 +94,8 @@
   void Connect(const core::CircuitSet&, std::string_view) override {}
   void ProbeGroup(int) override {}
 
+  // Returns whether a set-up with this id was sent to an exchange recently.
+  bool WasAttempted(const std::string& id) const { return attempted_.Contains(id); }
   // Returns whether this call is established at the exchange with this uid.
   bool IsEstablishedAt(CallId call, const std::string& uid) const;
   // Adds a call that was adopted by the core, established at this exchange.
@@ -224,6 +226,7 @@
   std::uint64_t last_connection_number_ = 0;            // connections are numbered for the log
   std::unordered_map<std::string, CallLeg> call_legs_;  // by call id
   std::unordered_map<CallId, std::string> call_ids_;
+  RecentNames attempted_;            // ids of set-ups that were sent to an exchange
   RecentNames given_up_;             // ids of set-ups that were given up
   RecentNames forgotten_exchanges_;  // uids of exchanges that were removed and forgotten
   RecentNames early_releases_;       // ids of calls that were released before they were adopted
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -68,6 +68,26 @@
   EXPECT_EQ(caller->FinalMessages(kCall)[0].description, "late but good");
 }
 
+// Guards against a call that runs twice because its id comes again after its client has left.
+TEST_F(PlatformTest, RejectsIdOfSetUpWhoseClientHasLeft) {
+  exchange_1_.on_set_up = [](PlatformConnection&, const Message&) {};
+  const auto first = ConnectCaller();
+  first->SetUp(kCall, 1);
+  runtime_.RunFor(5 * kMs);
+  first->connection.stream.reset();
+  runtime_.RunFor(5 * kMs);
+  const auto second = ConnectCaller();
+  for (const TimeUs pause : {0U, 400U}) {
+    runtime_.RunFor(pause * kMs);
+    second->SetUp(kCall, 1);
+    runtime_.RunFor(5 * kMs);
+  }
+  ASSERT_EQ(second->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(second->FinalMessages(kCall)[0].cause, 100);
+  EXPECT_EQ(exchange_1_.Received(MessageType::kSetUp).size(), 1U);
+  EXPECT_EQ(node_->callers().counters().repeated_ids, 2U);
+}
+
 TEST_F(PlatformTest, MalformedInputClosesOnlyItsConnection) {
   const auto regular = ConnectCaller();
   for (const std::string& octets :
