Callers: set-ups wait while unread input follows them, as their client may have left

Cause: set-ups were started with each 16 KiB read, and a close behind more than the receive buffer takes has not arrived by then, so that HasLeft could not know of it.

Change: set-ups wait while their connection has unread input, for at most 0.25 s. A release further behind its set-up passes the same place.

--- a/src/platform/caller_connections.cpp
+++ b/src/platform/caller_connections.cpp
@@ -22,6 +22,9 @@
 // During a shutdown, a connection stays open for this time after its last data, because a message on its way would
 // cross the close.
 constexpr TimeUs kQuietTimeBeforeClose = 50'000;
+// Longest time for which set-ups wait while unread input follows them. A client that sends without a pause is served
+// after it.
+constexpr TimeUs kMaxReadAheadTime = 250'000;
 // Limit of the data that is buffered for a caller who does not read.
 constexpr std::size_t kMaxUnwrittenOctets = 256 << 10;
 constexpr double kMaxCallerTimeoutMs = 600'000;
@@ -66,13 +69,24 @@
         had_partial_line && reader.has_partial_line() && bytes.find('\n') == std::string_view::npos;
     if (!line_continues) partial_since = owner_->runtime_->Now();
     if (belongs_to_caller) owner_->SendPendingReleases(this);
-    owner_->StartSetUps(this);
+    if (!AwaitsMoreInput()) owner_->StartSetUps(this);
   }
   void OnEnd(core::StreamEnd end) override {
     owner_->EndConnection(this,
                           end == core::StreamEnd::kReset ? ConnectionEnd::kPeerReset : ConnectionEnd::kPeerClosed);
   }
 
+  // Returns whether the new set-ups have to wait for input that is still unread: it may end with their release or with
+  // the end of the connection.
+  bool AwaitsMoreInput() {
+    if (new_set_ups.empty()) return false;
+    const TimeUs now = owner_->runtime_->Now();
+    if (set_ups_waiting_since == 0) set_ups_waiting_since = now;
+    if (stream->HasUnreadInput() && now < set_ups_waiting_since + kMaxReadAheadTime) return true;
+    set_ups_waiting_since = 0;
+    return false;
+  }
+
   void RecordUse() {
     was_used = true;
     last_used_at = owner_->runtime_->Now();
@@ -92,6 +106,7 @@
   std::size_t established = 0;       // number of established calls that were set up on it
   std::unordered_set<CallId> calls;  // both kinds of calls
   std::vector<std::pair<CallId, core::CallRequest>> new_set_ups;  // set-ups not yet passed to the core
+  TimeUs set_ups_waiting_since = 0;                               // 0: none of them waits for unread input
   LineReader reader;
   ConnectionList::iterator position;
 
--- a/tests/race_sockets_test.cpp
+++ b/tests/race_sockets_test.cpp
@@ -130,6 +130,40 @@
   EXPECT_EQ(node_->core().open_calls(), 0U);
 }
 
+// Guards against set-ups of a client that left with so much unread that its close has not arrived yet.
+TEST_F(SocketRaceTest, DropsSetUpsIfCallerHasClosedBehindUnreadInput) {
+  constexpr int kSetUps = 3000;
+  Start();
+  {
+    RawClient client(TestAddress(1));
+    ASSERT_TRUE(client.connected);
+    std::string set_ups;
+    for (int i = 0; i < kSetUps; ++i) set_ups += SetUpLine("9b1f03aa5c7e" + std::to_string(1000 + i), 1);
+    client.Send(set_ups);
+  }
+  ASSERT_TRUE(RunUntil([this] { return node_->callers().counters().given_up > 0; }));
+  RunFor(50 * kMs);
+  EXPECT_TRUE(exchange_1_.Received(MessageType::kSetUp).empty());
+  EXPECT_EQ(node_->core().open_calls(), 0U);
+}
+
+// Guards against set-ups of a client that never pauses and would wait for ever.
+TEST_F(SocketRaceTest, StartsSetUpsOfCallerThatSendsWithoutPause) {
+  Start();
+  RawClient client(TestAddress(1));
+  ASSERT_TRUE(client.connected);
+  client.Send(SetUpLine(kCall, 1));
+  const std::string heartbeats = [] {
+    std::string text;
+    for (int i = 0; i < 300; ++i) text += WriteMessage({.type = MessageType::kAcknowledgement, .id = kOtherCall});
+    return text;
+  }();
+  EXPECT_TRUE(RunUntil([&] {
+    client.TrySend(heartbeats);
+    return !exchange_1_.Received(MessageType::kSetUp).empty();
+  }));
+}
+
 TEST_F(SocketRaceTest, StartsNoAttemptIfCloseOfCallerIsUnread) {
   RawClient* leaving = nullptr;
   exchange_1_.on_set_up = [&](PlatformConnection& connection, const Message& message) {
