Announcements: a call named at an exchange that is not listed yet waits for the listing

Cause: an announcement at an exchange that Find does not know was rejected at once.

Change: it waits until the exchange is listed, for at most 2.6 s, as a client that names what does not exist is owed a rejection within 3 s, and for at most 1,024 calls (PendingAnnouncements). A release of the caller ends the wait. Exchanges known to be gone are answered at once, as before. This keeps "nothing more is sent for it after that".

--- a/src/platform/caller_connections.cpp
+++ b/src/platform/caller_connections.cpp
@@ -28,8 +28,12 @@
 // Limit of the data that is buffered for a caller who does not read.
 constexpr std::size_t kMaxUnwrittenOctets = 256 << 10;
 constexpr double kMaxCallerTimeoutMs = 600'000;
-// Limit of a called number, which is kept for as long as its call.
-constexpr std::size_t kMaxCalledOctets = 256;
+// Time for which an announcement of a call at an unlisted exchange waits. A client that names what does not exist is
+// owed a rejection within three seconds.
+constexpr TimeUs kUnlistedExchangeTimeout = 2'600'000;
+constexpr std::size_t kMaxPendingAnnouncements = 1024;
+// Limit of a called number, which is kept for as long as its call, and of an exchange's uid.
+constexpr std::size_t kMaxNameOctets = 256;
 
 int RefusalCause(core::ReleaseCause cause) {
   return cause == core::ReleaseCause::kNoCircuit ? kNoCircuit : kCongestion;
@@ -121,6 +125,7 @@
       log_(log),
       core_(core),
       exchange_connections_(exchange_connections),
+      announcements_(kMaxPendingAnnouncements),
       check_timer_(runtime) {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i)
     classes_.emplace(settings_.classes[i], static_cast<int>(i));
@@ -253,7 +258,7 @@
   const auto timeout_ms = left != nullptr ? ParseNumber(*left, 0.0, kMaxCallerTimeoutMs) : std::nullopt;
   const bool is_announcement = !extras.at.empty();
   if (found == classes_.end() || (!timeout_ms && !is_announcement) || !message.description) return std::nullopt;
-  if (key != nullptr && key->size() > kMaxCalledOctets) return std::nullopt;
+  if ((key != nullptr && key->size() > kMaxNameOctets) || extras.at.size() > kMaxNameOctets) return std::nullopt;
   core::CallRequest request;
   request.calling = message.id;
   request.called = key != nullptr ? *key : std::string();
@@ -303,13 +308,46 @@
     return;
   }
   const ExchangeId exchange = exchange_connections_->Find(at);
+  if (exchange == 0 && exchange_connections_->IsUnknown(at) &&
+      announcements_.Add({.id = id,
+                          .at = at,
+                          .request = request,
+                          .host = connection->host,
+                          .connection = connection->number,
+                          .expires_at = runtime_->Now() + kUnlistedExchangeTimeout})) {
+    ++counters_.announced_early;
+    return;
+  }
+  if (!AdoptCall(connection, connection->host, id, request, exchange)) RejectSetUp(connection, id, kTemporaryFailure);
+}
+
+bool CallerConnections::AdoptCall(Connection* connection, std::uint32_t host, const std::string& id,
+                                  const core::CallRequest& request, ExchangeId exchange) {
   const CallId call = exchange != 0 ? core_->AdoptCall(request, this, exchange) : 0;
-  if (call == 0) return RejectSetUp(connection, id, kTemporaryFailure);
+  if (call == 0) return false;
   ++counters_.adopted;
-  calls_.emplace(call, OpenCall{id, nullptr, connection->host, true});
+  calls_.emplace(call, OpenCall{id, nullptr, host, true});
   by_id_.emplace(id, call);
-  AttachEstablishedCall(connection, call);
+  if (connection != nullptr) AttachEstablishedCall(connection, call);
   exchange_connections_->AdoptCall(call, id, exchange);
+  return true;
+}
+
+void CallerConnections::HandlePendingAnnouncements() {
+  const auto is_listed = [this](const std::string& uid) { return !exchange_connections_->IsUnknown(uid); };
+  for (const PendingAnnouncement& pending : announcements_.TakeDue(runtime_->Now(), is_listed)) {
+    if (by_id_.count(pending.id) > 0) continue;
+    Connection* const connection = FindConnection(pending.connection);
+    const ExchangeId exchange = exchange_connections_->Find(pending.at);
+    if (!AdoptCall(connection, pending.host, pending.id, pending.request, exchange) && connection != nullptr)
+      RejectSetUp(connection, pending.id, kTemporaryFailure);
+  }
+}
+
+CallerConnections::Connection* CallerConnections::FindConnection(ConnectionNumber number) {
+  const auto found = std::find_if(connections_.begin(), connections_.end(),
+                                  [number](const auto& connection) { return connection->number == number; });
+  return found == connections_.end() ? nullptr : found->get();
 }
 
 void CallerConnections::HandleRepeatedAnnouncement(Connection* connection, CallId call, const std::string& at) {
@@ -335,6 +373,7 @@
 }
 
 void CallerConnections::HandleRelease(Connection* connection, const Message& message) {
+  announcements_.Remove(message.id);
   const auto open = by_id_.find(message.id);
   if (open != by_id_.end()) {
     const CallId call = open->second;
@@ -542,6 +581,7 @@
   }
   // Closing one of them does not close another: the core's reactions only write on connections.
   for (Connection* const connection : closed) EndConnection(connection, ConnectionEnd::kClosedLocally);
+  HandlePendingAnnouncements();
   counters_.ends_dropped += releases_.Expire(now);
   for (const auto& connection : connections_) {
     const bool is_listening = !connection->received_line && !connection->reader.has_partial_line() &&
--- a/src/platform/caller_connections.h
+++ b/src/platform/caller_connections.h
@@ -20,6 +20,7 @@
 #include "core/runtime.h"
 #include "platform/exchange_connections.h"
 #include "platform/line_codec.h"
+#include "platform/pending_announcements.h"
 #include "platform/pending_releases.h"
 
 namespace croftrun::platform {
@@ -41,6 +42,7 @@
   std::uint64_t ended = 0, released_by_caller = 0, ends_without_connection = 0, ends_dropped = 0, tests = 0;
   std::uint64_t ends_told_again = 0, acknowledged = 0;
   std::uint64_t announced_again = 0;      // established calls that their callers named again
+  std::uint64_t announced_early = 0;      // calls announced at exchanges that were not listed yet
   std::uint64_t announced_after_end = 0;  // calls that were announced after they had ended here
   TimeUs end_waited_longest = 0;          // longest time that a release waited for a connection of its caller
 };
@@ -105,6 +107,14 @@
   // A caller names a call that is not known here as established: it is adopted, unless it has ended here.
   void HandleAnnouncement(Connection* connection, const std::string& id, const core::CallRequest& request,
                           const std::string& at);
+  // Adopts the call, which is established at this exchange. `connection` is null if it has ended. Returns false if
+  // there is no room.
+  bool AdoptCall(Connection* connection, std::uint32_t host, const std::string& id, const core::CallRequest& request,
+                 ExchangeId exchange);
+  // Adopts the announced calls whose exchange is listed by now, and rejects those that have waited long enough.
+  void HandlePendingAnnouncements();
+  // Returns null if the connection has ended.
+  Connection* FindConnection(ConnectionNumber number);
   // The caller names an established call once more, usually because its former connection has ended.
   void HandleRepeatedAnnouncement(Connection* connection, CallId call, const std::string& at);
   // Makes this the connection of an established call, in place of its former one: its release is sent on it.
@@ -136,6 +146,7 @@
   ConnectionList connections_;
   std::unordered_map<CallId, OpenCall> calls_;
   std::unordered_map<std::string, CallId> by_id_;
+  PendingAnnouncements announcements_;
   PendingReleases releases_;  // releases that wait for a connection of their caller, or may be unread
   ConnectionNumber last_number_ = 0;
   std::size_t unanswered_ = 0;
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -70,6 +70,11 @@
   void OnDirectoryNotification(const DirectoryNotification& notification);
   // Returns the exchange with this uid, or 0 if the directory has none or it has been removed from the directory.
   ExchangeId Find(const std::string& uid) const;
+  // Returns whether the directory has never named this uid, as far as is remembered: it may be that of an exchange
+  // which has just started.
+  bool IsUnknown(const std::string& uid) const {
+    return by_uid_.count(uid) == 0 && !forgotten_exchanges_.Contains(uid);
+  }
   std::size_t connection_count() const { return connection_count_; }
   std::size_t call_leg_count() const { return call_legs_.size(); }
   // Returns the number of exchanges, including removed ones that still have calls or connections.
--- a/src/platform/node_metrics.cpp
+++ b/src/platform/node_metrics.cpp
@@ -32,6 +32,7 @@
           {"ends_waiting", callers.waiting_releases()},
           {"ends_told_again", counters.ends_told_again},
           {"acknowledged", counters.acknowledged},
+          {"announced_early", counters.announced_early},
           {"announced_again", counters.announced_again},
           {"announced_after_end", counters.announced_after_end},
           {"end_waited_longest_ms", counters.end_waited_longest / 1000},
--- a/tests/address_succession_test.cpp
+++ b/tests/address_succession_test.cpp
@@ -150,6 +150,34 @@
   EXPECT_EQ(caller_->FinalMessages(kCall)[1].cause, 41);
 }
 
+// Guards against a call that is told over after a restart because its exchange is not listed yet (soak seed 8004).
+TEST_F(AddressSuccessionTest, CallAnnouncedBeforeItsExchangeIsListedStands) {
+  PublishOldExchange();
+  const std::int64_t started_ms = ReplaceProcess();
+  caller_->SetUp(kCall, kNumber, std::string(";at:") + kNew);
+  runtime_.RunFor(2'000 * kMs);
+  EXPECT_TRUE(caller_->FinalMessages(kCall).empty());
+  Publish({TargetJson(kNumber, "Ready", kNew, started_ms)});
+  runtime_.RunFor(300 * kMs);
+  EXPECT_TRUE(caller_->FinalMessages(kCall).empty());
+  ASSERT_FALSE(exchange_.OpenConnections().empty());
+  PlatformExchange::Release(*exchange_.OpenConnections().back(), kCall, 16);
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(caller_->FinalMessages(kCall).size(), 1U);
+  EXPECT_EQ(caller_->FinalMessages(kCall)[0].cause, 16);
+}
+
+TEST_F(AddressSuccessionTest, CallAnnouncedAtExchangeThatIsNeverListedIsRejectedInTime) {
+  caller_->SetUp(kCall, kNumber, std::string(";at:") + kNew);
+  caller_->SetUp(kOtherCall, kNumber, std::string(";at:") + kNew);
+  runtime_.RunFor(5 * kMs);
+  caller_->Release(kOtherCall);
+  runtime_.RunFor(2'900 * kMs);
+  ASSERT_EQ(caller_->FinalMessages(kCall).size(), 1U);
+  EXPECT_EQ(caller_->FinalMessages(kCall)[0].cause, 41);
+  EXPECT_TRUE(caller_->FinalMessages(kOtherCall).empty());
+}
+
 TEST_F(AddressSuccessionTest, SetUpPendingAtSuccessorWhenItIsListedIsAnsweredAndEnds) {
   PublishOldExchange();
   const std::int64_t started_ms = ReplaceProcess();
