Soak: spoilt answers that stop half way, successors at an address, floods and clients that leave

Change: five kinds of faults (half-answer, succeed, discovery-half-event, flood, leave-unread), and two checks of the judge: a call told over while it stands at its exchange, and an id that runs again after its client has left. Discovery's stand-in lists newer exchanges first, as ids convey nothing.

--- /dev/null
+++ b/src/lab/soak/client_faults.cpp
@@ -0,0 +1,177 @@
+// Clients of a soak trial that flood the softswitch or leave with set-ups unread.
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lab/soak/bad_client_connection.h"
+#include "lab/soak/client_stand_in.h"
+
+namespace croftrun::lab::soak {
+
+using platform::Message;
+using platform::MessageType;
+
+namespace {
+
+// Octets of a flood that are written together, and the pause before the next ones. The stand-ins share a thread, so
+// that a flood without pauses would delay them.
+constexpr std::size_t kFloodChunkOctets = 64 << 10;
+constexpr TimeUs kFloodPause = 2'000;
+constexpr std::size_t kLargeDescriptionOctets = 15'000;
+constexpr int kLargeSetUps = 60, kPendingSetUps = 8;
+// Time that a leaving client gives its pending set-ups.
+constexpr TimeUs kPendingTime = 3'000;
+// Latest time at which ids come again, and how long the client then stays.
+constexpr TimeUs kMaxReturnDelay = 400'000, kSecondStay = 1'000'000;
+// The hosts of these clients have no other calls.
+constexpr std::uint32_t kFloodHost = 41, kLeaverHost = 42;
+
+}  // namespace
+
+ClientStandIn::BadClientConnection* ClientStandIn::AddBadClient() {
+  bad_clients_.push_back(std::make_unique<BadClientConnection>());
+  bad_clients_.back()->timer = std::make_unique<core::Timer>(runtime_);
+  return bad_clients_.back().get();
+}
+
+std::string ClientStandIn::FloodRequest(FloodKind kind) {
+  Message message{.type = MessageType::kSetUp, .id = NewId()};
+  switch (kind) {
+    case FloodKind::kUnsoundSetUps:
+    case FloodKind::kLargeSetUps:
+      message.fields = {{"class", "none"}, {"left", "500"}, {"extras", "dest:0;width:1;via:-1"}};
+      message.description = std::string(kind == FloodKind::kLargeSetUps ? kLargeDescriptionOctets : 10, 'x');
+      break;
+    case FloodKind::kReleases:
+      message.type = MessageType::kRelease;
+      message.cause = 16;
+      break;
+    case FloodKind::kUnknownAnnouncements:
+      message.fields = {{"class", traits_.classes[0]}, {"extras", "dest:0;width:1;via:-1;at:s-" + NewId()}};
+      message.description = "again";
+      break;
+    case FloodKind::kHeartbeats:
+      message.type = MessageType::kHeartbeat;
+      message.cause = 0;
+      break;
+  }
+  return platform::WriteMessage(message);
+}
+
+void ClientStandIn::WriteFlood(BadClientConnection* bad, FloodKind kind, TimeUs until) {
+  if (bad->closed) return;
+  if (runtime_->Now() >= until) {
+    bad->closed = true;
+    return bad->client.reset();
+  }
+  std::string chunk;
+  while (chunk.size() < kFloodChunkOctets) chunk += FloodRequest(kind);
+  bad->client->Write(chunk);
+}
+
+void ClientStandIn::StartFlood(FloodKind kind, TimeUs duration) {
+  const TimeUs until = runtime_->Now() + duration;
+  BadClientConnection* const bad = AddBadClient();
+  bad->number = next_bad_client_++;
+  const auto served = [this, bad] {
+    if (!std::exchange(bad->served, true)) LogEvent(EventKind::kBadClientServed, 0, "", bad->number);
+  };
+  bad->client = std::make_unique<LineClient>(
+      context_, hosts_from_ + kFloodHost, softswitch_address_,
+      LineClientHandlers{.on_open =
+                             [this, bad, kind, until] {
+                               LogEvent(EventKind::kBadClientConnected, 0, "", bad->number);
+                               WriteFlood(bad, kind, until);
+                             },
+                         .on_line = [served](std::string_view) { served(); },
+                         .on_end =
+                             [served, bad](ConnectionEnd end) {
+                               if (end != ConnectionEnd::kRefused) served();
+                               bad->closed = true;
+                             },
+                         .on_written =
+                             [this, bad, kind, until] {
+                               bad->timer->Start(kFloodPause,
+                                                 [this, bad, kind, until] { WriteFlood(bad, kind, until); });
+                             }});
+}
+
+std::string ClientStandIn::SetUpLine(const std::string& id, const std::string& description) {
+  const int destination = static_cast<int>(random_() % static_cast<std::uint64_t>(destinations_));
+  return platform::WriteMessage({.type = MessageType::kSetUp,
+                                 .id = id,
+                                 .fields = {{"class", traits_.classes[0]},
+                                            {"left", std::to_string(traits_.caller_timeouts[0] / 1000)},
+                                            {"extras", "dest:" + std::to_string(destination) + ";width:1;via:-1"}},
+                                 .description = description});
+}
+
+void ClientStandIn::ConnectLeaver(const std::vector<std::string>& ids, const std::string& description, TimeUs stay,
+                                  std::function<void()> left) {
+  BadClientConnection* const leaver = AddBadClient();
+  auto answered = std::make_shared<std::set<std::string>>();
+  const auto leave = [this, leaver, ids, answered, left = std::move(left)] {
+    for (const std::string& id : ids) {
+      if (answered->count(id) == 0) LogEvent(EventKind::kSetUpCancelled, hosts_from_ + kLeaverHost, id);
+    }
+    leaver->closed = true;
+    leaver->client.reset();
+    if (left) left();
+  };
+  leaver->client = std::make_unique<LineClient>(
+      context_, hosts_from_ + kLeaverHost, softswitch_address_,
+      LineClientHandlers{.on_open = nullptr,
+                         .on_line =
+                             [this, leaver, answered](std::string_view line) {
+                               const auto message = platform::ParseMessage(line);
+                               if (!message || !answered->insert(message->id).second) return;
+                               const bool is_answer = message->type == MessageType::kAnswer;
+                               LogEvent(is_answer ? EventKind::kAnswerReceived : EventKind::kReleaseReceived,
+                                        hosts_from_ + kLeaverHost, message->id, message->cause.value_or(0),
+                                        is_answer ? message->description.value_or("") : "");
+                               if (!is_answer) return;
+                               // It would not be there to read the release of an established call.
+                               leaver->client->Write(platform::WriteMessage(
+                                   {.type = MessageType::kRelease, .id = message->id, .cause = 16}));
+                               LogEvent(EventKind::kReleaseSent, hosts_from_ + kLeaverHost, message->id);
+                             },
+                         .on_end = [leaver](ConnectionEnd) { leaver->closed = true; },
+                         .on_written = [leaver, leave, stay] { leaver->timer->Start(stay, leave); }});
+  for (const std::string& id : ids) {
+    LogEvent(EventKind::kSetUpSent, hosts_from_ + kLeaverHost, id,
+             static_cast<std::int64_t>(traits_.caller_timeouts[0]));
+    leaver->client->Write(SetUpLine(id, description));
+  }
+}
+
+void ClientStandIn::SendAgain(const std::vector<std::string>& ids) {
+  BadClientConnection* const leaver = AddBadClient();
+  leaver->client =
+      std::make_unique<LineClient>(context_, hosts_from_ + kLeaverHost, softswitch_address_,
+                                   LineClientHandlers{.on_open = nullptr,
+                                                      .on_line = [](std::string_view) {},
+                                                      .on_end = [leaver](ConnectionEnd) { leaver->closed = true; }});
+  for (const std::string& id : ids) {
+    LogEvent(EventKind::kSetUpSentAgain, hosts_from_ + kLeaverHost, id);
+    leaver->client->Write(SetUpLine(id, "again " + id));
+  }
+  leaver->timer->Start(kSecondStay, [leaver] {
+    leaver->closed = true;
+    leaver->client.reset();
+  });
+}
+
+void ClientStandIn::LeaveWithSetUps() {
+  std::vector<std::string> large, pending;
+  for (int i = 0; i < kLargeSetUps; ++i) large.push_back(NewId());
+  for (int i = 0; i < kPendingSetUps; ++i) pending.push_back(NewId());
+  ConnectLeaver(large, std::string(kLargeDescriptionOctets, 'x'), 0, nullptr);
+  ConnectLeaver(pending, "offer", kPendingTime, [this, pending] {
+    runtime_->StartTimer(random_() % kMaxReturnDelay, [this, pending] { SendAgain(pending); });
+  });
+}
+
+}  // namespace croftrun::lab::soak
--- a/src/lab/soak/client_stand_in.cpp
+++ b/src/lab/soak/client_stand_in.cpp
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "lab/soak/bad_client_connection.h"
+
 namespace croftrun::lab::soak {
 
 using platform::Message;
@@ -36,13 +38,6 @@
   bool closed = false;
 };
 
-struct ClientStandIn::BadClientConnection {
-  int number = 0;
-  std::unique_ptr<LineClient> client;
-  std::unique_ptr<core::Timer> timer;
-  bool served = false, closed = false;
-};
-
 ClientStandIn::ClientStandIn(boost::asio::io_context* context, core::Runtime* runtime, EventLog* event_log,
                              std::uint64_t seed, const ClientTraits& traits, int softswitch, const core::Address& to,
                              std::uint32_t hosts_from, int destinations)
@@ -411,10 +406,8 @@
 }
 
 void ClientStandIn::ConnectBadClient(int kind) {
-  bad_clients_.push_back(std::make_unique<BadClientConnection>());
-  BadClientConnection* const bad = bad_clients_.back().get();
+  BadClientConnection* const bad = AddBadClient();
   bad->number = next_bad_client_++;
-  bad->timer = std::make_unique<core::Timer>(runtime_);
   const auto served = [this, bad] {
     if (!std::exchange(bad->served, true)) LogEvent(EventKind::kBadClientServed, 0, "", bad->number);
   };
--- a/src/lab/soak/client_stand_in.h
+++ b/src/lab/soak/client_stand_in.h
@@ -36,6 +36,16 @@
   bool probes_from_caller_host = true;  // the readiness probe comes from a host of the callers
 };
 
+// What a flood consists of. All requests have new ids and are owed a refusal or an acknowledgement at most.
+enum class FloodKind : std::uint8_t {
+  kUnsoundSetUps,         // of an unknown class
+  kLargeSetUps,           // likewise, of almost the largest size
+  kReleases,              // of unknown calls
+  kUnknownAnnouncements,  // of calls at an unknown exchange
+  kHeartbeats,
+};
+inline constexpr std::size_t kFloodKindCount = 5;
+
 // Stand-in of all callers of one softswitch.
 class ClientStandIn {
  public:
@@ -66,6 +76,11 @@
   void SetCrowdFactor(double factor) { crowd_factor_ = factor; }
   // Connects a client that misbehaves in one of several ways, selected by `kind`.
   void ConnectBadClient(int kind);
+  // Connects a client that sends requests of one kind at full speed, on one connection as long as it stays open.
+  void StartFlood(FloodKind kind, TimeUs duration);
+  // Connects two clients that leave: one behind large set-ups that it has just written, one with set-ups that are
+  // pending at exchanges. Some of the ids of the latter come again.
+  void LeaveWithSetUps();
   std::size_t established_calls() const { return established_.size(); }
   ClientTraits& traits() { return traits_; }
 
@@ -87,6 +102,8 @@
     std::unique_ptr<core::Timer> release;
   };
   struct BadClientConnection;
+  // Adds a connection without a client.
+  BadClientConnection* AddBadClient();
 
   void ScheduleNextCall();
   void PlaceCall(int host);
@@ -105,6 +122,14 @@
   // otherwise.
   bool Resend(const std::string& id, PendingCall* call, std::uint32_t host);
   void Cancel(const std::string& id, bool close_connection);
+  // Returns one request of a flood.
+  std::string FloodRequest(FloodKind kind);
+  void WriteFlood(BadClientConnection* bad, FloodKind kind, TimeUs until);
+  std::string SetUpLine(const std::string& id, const std::string& description);
+  // Connects a client that writes these set-ups and leaves after `stay`, then calls `left`.
+  void ConnectLeaver(const std::vector<std::string>& ids, const std::string& description, TimeUs stay,
+                     std::function<void()> left);
+  void SendAgain(const std::vector<std::string>& ids);
   void ScheduleSweep();
   void ScheduleContinuousCall();
   void ProbeSoftswitch(const std::function<void(bool)>& done);
--- a/src/lab/soak/discovery_stand_in.cpp
+++ b/src/lab/soak/discovery_stand_in.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -11,6 +12,7 @@
 
 namespace {
 
+constexpr std::size_t kHalfEventOctets = 256 << 10;
 constexpr TimeUs kCommentInterval = 1'000'000;
 constexpr std::string_view kLastEventHeader = "Last-Event-ID: ";
 
@@ -97,6 +99,13 @@
   }
 }
 
+void DiscoveryStandIn::WriteHalfEvent() {
+  const std::string half = "id: 1\ndata: {\"rev\":1,\"pool\":{\"targets\":[" + std::string(kHalfEventOctets, '[');
+  for (const auto& watch : watches_) {
+    if (watch->response_started) watch->stream->Write(half);
+  }
+}
+
 void DiscoveryStandIn::EndResponses() { watches_.clear(); }
 
 void DiscoveryStandIn::UpdateEntry(const DirectoryEntry& entry) {
@@ -134,7 +143,8 @@
 }
 
 json DiscoveryStandIn::KnownDirectory() const {
-  std::map<std::string, DirectoryEntry> present;
+  // Ids convey nothing, so that a successor may come before its predecessor.
+  std::map<std::string, DirectoryEntry, std::greater<>> present;
   for (const Event& event : events_) present[event.entry.uid] = event.entry;
   json targets = json::array();
   for (const auto& [uid, entry] : present) {
--- a/src/lab/soak/discovery_stand_in.h
+++ b/src/lab/soak/discovery_stand_in.h
@@ -42,6 +42,8 @@
   void SetSilent(bool silent);
   // Applies to the requests that arrive from now on.
   void SetResponseDelays(const ResponseDelays& delays) { response_delays_ = delays; }
+  // Writes the first half of a large event on all responses.
+  void WriteHalfEvent();
   // Ends all responses; what was written before still arrives.
   void EndResponses();
   // The current directory, as the value of `known` in a configuration.
--- a/src/lab/soak/event_log.cpp
+++ b/src/lab/soak/event_log.cpp
@@ -6,8 +6,9 @@
 namespace croftrun::lab::soak {
 namespace {
 
-constexpr std::array<std::string_view, 33> kNames{"client sends set-up",
+constexpr std::array<std::string_view, 34> kNames{"client sends set-up",
                                                   "client cancels set-up",
+                                                  "client sends id again",
                                                   "client receives answer",
                                                   "client receives release",
                                                   "client releases",
--- a/src/lab/soak/event_log.h
+++ b/src/lab/soak/event_log.h
@@ -19,6 +19,7 @@
   // Clients.
   kSetUpSent,           // all of it was written to an open connection; `value`: the caller timeout in microseconds
   kSetUpCancelled,      // the client cancelled the set-up or closed its connection
+  kSetUpSentAgain,      // another client sent a set-up with the id of one whose client had left
   kAnswerReceived,      // the client received the answer of the call; `text`: the description
   kReleaseReceived,     // the client received a release; `value`: its cause; `text`: set if it was not acknowledged
   kReleaseSent,         // the client released an established call
--- a/src/lab/soak/exchange_stand_in.cpp
+++ b/src/lab/soak/exchange_stand_in.cpp
@@ -35,6 +35,7 @@
 
   const int softswitch;
   std::unique_ptr<core::Stream> stream;
+  bool is_unreadable = false;  // an answer stopped half way; what follows cannot be read
 
  private:
   ExchangeStandIn* owner_;
@@ -213,6 +214,13 @@
   }
   Message answer{.type = MessageType::kAnswer, .id = id};
   answer.description = "exchange " + std::to_string(instance_) + " call " + id;
+  if (DrawChance(traits_.half_answer_share)) {
+    const std::string line = platform::WriteMessage(answer);
+    LogEvent(EventKind::kAttemptReset, softswitch, id);
+    connection->stream->Write(line.substr(0, line.size() / 2));
+    connection->is_unreadable = true;
+    return;
+  }
   connection->Send(answer);
   LogEvent(EventKind::kAttemptAnswered, softswitch, id);
   if (DrawChance(traits_.duplicate_answer_share)) {
@@ -250,9 +258,8 @@
   }
   connection->Send({.type = MessageType::kRelease, .id = id, .cause = kCauseNormal});
   repeated_releases_[softswitch].push_back(id);
-  LogEvent(proxies_[static_cast<std::size_t>(softswitch)]->IsWorking() ? EventKind::kCallEnded
-                                                                       : EventKind::kCallEndedSilently,
-           softswitch, id);
+  const bool is_readable = proxies_[static_cast<std::size_t>(softswitch)]->IsWorking() && !connection->is_unreadable;
+  LogEvent(is_readable ? EventKind::kCallEnded : EventKind::kCallEndedSilently, softswitch, id);
   if (traits_.reports_circuits) SendReport(connection);
 }
 
--- a/src/lab/soak/exchange_stand_in.h
+++ b/src/lab/soak/exchange_stand_in.h
@@ -31,6 +31,7 @@
   double close_share = 0.0;             // share whose connection is closed instead of an answer
   double malformed_answer_share = 0.0;  // share whose answer is malformed
   double duplicate_answer_share = 0.0;  // share whose answer is sent twice
+  double half_answer_share = 0.0;       // share whose answer stops half way, on a connection that stays open
 };
 
 // Stand-in of one exchange, which may be replaced by successive processes.
--- a/src/lab/soak/judge.cpp
+++ b/src/lab/soak/judge.cpp
@@ -48,7 +48,7 @@
   int softswitch = -1;
   std::uint32_t host = 0;
   std::optional<TimeUs> sent, cancelled, answered, released, closed_before_answer, released_by_client, ended,
-      ended_silently, released_at_exchange, announced;
+      ended_silently, released_at_exchange, announced, sent_again;
   TimeUs caller_timeout = 0;
   bool answered_at_exchange = false;
   std::string description, close_reason;
@@ -102,6 +102,8 @@
   void CollectAttempt(const TrialEvent& event, CallHistory& call);
   void CheckAnswer(const std::string& id, const CallHistory& call);
   void CheckCallEnd(const std::string& id, const CallHistory& call);
+  // The caller was told that its call is over, which has to be so at the exchange as well.
+  void CheckReportedEnd(const std::string& id, const CallHistory& call, std::optional<TimeUs> ended_at);
   void CheckAttempts(const std::string& id, const CallHistory& call);
   void CheckDrains();
   void CheckProcesses();
@@ -226,6 +228,9 @@
     case EventKind::kSetUpCancelled:
       set_first(call.cancelled);
       break;
+    case EventKind::kSetUpSentAgain:
+      set_first(call.sent_again);
+      break;
     case EventKind::kAnswerReceived:
       ++call.answers;
       set_first(call.answered);
@@ -396,6 +401,14 @@
   return first;
 }
 
+void VerdictBuilder::CheckReportedEnd(const std::string& id, const CallHistory& call, std::optional<TimeUs> ended_at) {
+  if (!call.released || settings_.disconnects_may_be_needed) return;
+  if (ended_at && *ended_at <= *call.released + kReleaseReportTimeout) return;
+  AddViolation(Check::kNeedlessDisconnect, *call.released, id,
+               "reported as over while established at exchange " +
+                   std::to_string(call.attempts.empty() ? -1 : call.attempts.back().exchange));
+}
+
 void VerdictBuilder::CheckCallEnd(const std::string& id, const CallHistory& call) {
   if (!call.answered || call.released_by_client) return;
   if (call.cancelled && *call.cancelled <= *call.answered)
@@ -422,6 +435,7 @@
   } else {
     CountCheck(Check::kNeedlessDisconnect);
   }
+  CheckReportedEnd(id, call, ended_at);
   if (!ended_at) return;
   TimeUs limit = *deadline + kTimingTolerance;
   if (call.released && *call.released <= limit) return CountCheck(Check::kCallEnd);
@@ -456,7 +470,8 @@
   for (std::size_t i = 0; i < call.attempts.size(); ++i) {
     const Attempt& attempt = call.attempts[i];
     const std::optional<TimeUs> cancelled = call.cancelled;
-    if (cancelled) {
+    const bool is_of_second_client = call.sent_again && attempt.arrived >= *call.sent_again;
+    if (cancelled && !is_of_second_client) {
       CountCheck(Check::kClientGone);
       if (attempt.arrived > *cancelled + kAbandonTimeout + kTimingTolerance)
         AddViolation(Check::kClientGone, attempt.arrived, id,
@@ -465,6 +480,9 @@
     if (i == 0) continue;
     const Attempt& previous = call.attempts[i - 1];
     CountCheck(Check::kOneAttempt);
+    if (is_of_second_client)
+      AddViolation(Check::kOneAttempt, attempt.arrived, id,
+                   "ran a second time as its id came again after its client had left");
     if (!previous.finished || *previous.finished > attempt.arrived + kTimingTolerance)
       AddViolation(Check::kOneAttempt, attempt.arrived, id,
                    "sent to exchange " + std::to_string(attempt.exchange) +
--- a/src/lab/soak/schedule.cpp
+++ b/src/lab/soak/schedule.cpp
@@ -14,6 +14,8 @@
 constexpr TimeUs kMinResponseDelay = 2 * kSecond, kMaxResponseDelay = 3'500 * kMs;
 // Time that an exchange drains while discovery is slow: longer than the 6 s after which the drain counts as known.
 constexpr TimeUs kMinLongDrainTime = 7 * kSecond, kMaxLongDrainTime = 9 * kSecond;
+// Time from the start of an exchange to its listing.
+constexpr TimeUs kMinListingDelay = 870 * kMs, kMaxListingDelay = 2'500 * kMs;
 constexpr TimeUs kMaxKillDelay = 3 * kSecond, kKillMargin = 700 * kMs;
 
 constexpr std::array<std::string_view, kFaultKindCount> kNames{"vanish",
@@ -31,17 +33,22 @@
                                                                "half-close",
                                                                "trickle",
                                                                "spoil",
+                                                               "half-answer",
+                                                               "succeed",
                                                                "discovery-down",
                                                                "discovery-silent",
                                                                "discovery-late",
                                                                "discovery-half",
+                                                               "discovery-half-event",
                                                                "reconfigure",
                                                                "terminate",
                                                                "kill",
                                                                "bad-clients",
                                                                "crowd",
                                                                "leavers",
-                                                               "reconnect"};
+                                                               "reconnect",
+                                                               "flood",
+                                                               "leave-unread"};
 
 class RandomSource {
  public:
@@ -72,8 +79,11 @@
       return random.Between(500 * kMs, 6 * kSecond);
     case FaultKind::kLateConnections:
       return random.Between(600 * kMs, 950 * kMs);
+    case FaultKind::kSucceed:
+      return random.Between(kMinListingDelay, kMaxListingDelay);
     case FaultKind::kDiscoveryDown:
     case FaultKind::kDiscoverySilent:
+    case FaultKind::kDiscoveryHalfEvent:
       return random.Between(3 * kSecond, 14 * kSecond);
     case FaultKind::kDiscoveryLate:
     case FaultKind::kDiscoveryHalf:
@@ -84,7 +94,9 @@
 }
 
 bool TargetsSoftswitch(FaultKind kind) { return kind >= FaultKind::kReconfigure; }
-bool TargetsDiscovery(FaultKind kind) { return kind >= FaultKind::kDiscoveryDown && kind <= FaultKind::kDiscoveryHalf; }
+bool TargetsDiscovery(FaultKind kind) {
+  return kind >= FaultKind::kDiscoveryDown && kind <= FaultKind::kDiscoveryHalfEvent;
+}
 bool DelaysResponses(FaultKind kind) { return kind == FaultKind::kDiscoveryLate || kind == FaultKind::kDiscoveryHalf; }
 
 bool IsAllowed(FaultKind kind, const GeneratorOptions& options) {
@@ -128,6 +140,12 @@
                                   FaultKind::kDrain, random.Index(schedule->exchanges),
                                   random.Between(kMinLongDrainTime, kMaxLongDrainTime)});
     }
+    // A softswitch is started again while discovery lists a successor beside its predecessor.
+    if (fault.kind == FaultKind::kSucceed && IsAllowed(FaultKind::kKill, options) && random.OneIn(2)) {
+      const TimeUs listed_at = fault.at + kSuccessionDelay + fault.duration;
+      schedule->faults.push_back({std::min(latest, listed_at + random.Between(50 * kMs, kSecond)), FaultKind::kKill,
+                                  random.Index(schedule->softswitches), 0});
+    }
     const FaultKind companion = random.OneIn(2) ? FaultKind::kVanish : FaultKind::kReplace;
     if (TargetsDiscovery(fault.kind) && IsAllowed(companion, options) && random.OneIn(2)) {
       schedule->faults.push_back({std::min(latest, fault.at + random.Between(0, 2 * kSecond)), companion,
--- a/src/lab/soak/schedule.h
+++ b/src/lab/soak/schedule.h
@@ -31,19 +31,25 @@
   kHalfClose,        // an exchange closes the sending half of all connections
   kTrickle,          // data to and from an exchange is forwarded in small pieces
   kSpoil,            // an exchange sends malformed or duplicate answers, or none, for a while
-  kDiscoveryDown,    // discovery refuses connections
-  kDiscoverySilent,  // discovery keeps its connections open and sends nothing
-  kDiscoveryLate,    // discovery ends its responses, and is slow to begin those to the next requests
-  kDiscoveryHalf,    // the same, but the header of each response comes at once and only the rest is late
-  kReconfigure,      // several new configurations in quick succession, with SIGHUP; the last one moves discovery
-  kTerminate,        // SIGTERM, SIGKILL as early as is allowed, then a new process
-  kKill,             // SIGKILL without SIGTERM, then a new process
-  kBadClients,       // a few clients that misbehave
-  kCrowd,            // several times the call rate, over more connections
-  kLeavers,          // more clients cancel or disconnect early
-  kReconnect,        // callers replace their connections again and again and announce their calls on the new ones
+  kHalfAnswer,     // answers of an exchange stop half way and their connection stays open; what it sends later follows
+  kSucceed,        // an exchange's process ends; another one with another name starts at its address, is listed late,
+                   // and the removal of the first is told later still
+  kDiscoveryDown,  // discovery refuses connections
+  kDiscoverySilent,     // discovery keeps its connections open and sends nothing
+  kDiscoveryLate,       // discovery ends its responses, and is slow to begin those to the next requests
+  kDiscoveryHalf,       // the same, but the header of each response comes at once and only the rest is late
+  kDiscoveryHalfEvent,  // the same as silence, after the first half of a large event
+  kReconfigure,         // several new configurations in quick succession, with SIGHUP; the last one moves discovery
+  kTerminate,           // SIGTERM, SIGKILL as early as is allowed, then a new process
+  kKill,                // SIGKILL without SIGTERM, then a new process
+  kBadClients,          // a few clients that misbehave
+  kCrowd,               // several times the call rate, over more connections
+  kLeavers,             // more clients cancel or disconnect early
+  kReconnect,           // callers replace their connections again and again and announce their calls on the new ones
+  kFlood,        // a client sends small or unsound requests at full speed on one connection, under ever new names
+  kLeaveUnread,  // a client leaves with set-ups unread or unanswered, and some of their ids come again
 };
-inline constexpr std::size_t kFaultKindCount = 26;
+inline constexpr std::size_t kFaultKindCount = 31;
 // Returns the printed name of a kind.
 std::string_view NameOf(FaultKind kind);
 // Returns nothing for an unknown name.
@@ -81,6 +87,8 @@
   // but not redials.
   double nominal_set_ups_per_s() const;
 };
+// Time from the end of an exchange's process to the start of its successor.
+inline constexpr TimeUs kSuccessionDelay = 200'000;
 // Factor by which a crowd raises the call rate.
 inline constexpr double kCrowdFactor = 6.0;
 
--- a/src/lab/soak/trial.cpp
+++ b/src/lab/soak/trial.cpp
@@ -40,6 +40,9 @@
 constexpr TimeUs kDiscoveryCloseTime = 50 * kMs;
 // Interval in which the callers of a softswitch replace their connections.
 constexpr TimeUs kReconnectInterval = 1'100 * kMs;
+// Time from the end of an exchange's process to the word of discovery that it is gone.
+constexpr TimeUs kRemovalDelay = 4'900 * kMs;
+constexpr double kHalfAnswerShare = 0.25;
 constexpr int kMaxDescriptors = 256, kMaxMegabytes = 64;
 constexpr int kMaxBindRetries = 20, kBindRetryMs = 100;
 constexpr ColdStartSettings kColdStart;
@@ -77,6 +80,11 @@
     std::unique_ptr<ClientStandIn> clients;
     bool restarting = false;
   };
+  // The name of an exchange's process in the directory, and its number in the event log.
+  struct ProcessName {
+    std::string uid;
+    int instance = 0;
+  };
   struct Exchange {
     std::unique_ptr<ExchangeStandIn> stand_in;
     std::vector<std::unique_ptr<FaultProxy>> proxies;  // by softswitch
@@ -89,6 +97,7 @@
   void RunAfter(TimeUs delay, std::function<void()> callback) { runtime_.StartTimer(delay, std::move(callback)); }
   std::string Configuration(int softswitch) const;
   void ListExchange(int exchange, const std::string& state, std::int64_t boot_ms = 0);
+  void ListProcess(int slot, const ProcessName& process, const std::string& state, std::int64_t boot_ms);
   void StartFleet();
   void InjectFault(const Fault& fault);
   void InjectExchangeFault(const Fault& fault, Exchange& exchange);
@@ -96,6 +105,8 @@
   void LoseHost(Exchange& exchange, TimeUs return_delay);
   void CrashExchange(Exchange& exchange, TimeUs return_delay);
   void ReplaceExchange(Exchange& exchange);
+  // Replaces the process at the address; discovery lists the new one after `listing_delay`, and the removal later.
+  void SucceedExchange(Exchange& exchange, TimeUs listing_delay);
   void DrainExchange(Exchange& exchange, TimeUs drain_time);
   // Assigns the number and the name of a new process to this exchange.
   void AssignNewInstance(Exchange& exchange);
@@ -232,12 +243,16 @@
 }
 
 void Trial::ListExchange(int slot, const std::string& state, std::int64_t boot_ms) {
-  Exchange& exchange = exchanges_[static_cast<std::size_t>(slot)];
+  const Exchange& exchange = exchanges_[static_cast<std::size_t>(slot)];
+  ListProcess(slot, {exchange.uid, exchange.stand_in->instance()}, state, boot_ms);
+}
+
+void Trial::ListProcess(int slot, const ProcessName& process, const std::string& state, std::int64_t boot_ms) {
   for (int s = 0; s < schedule_.softswitches; ++s) {
-    softswitches_[static_cast<std::size_t>(s)].discovery->UpdateEntry({.uid = exchange.uid,
+    softswitches_[static_cast<std::size_t>(s)].discovery->UpdateEntry({.uid = process.uid,
                                                                        .address = addresses_.Exchange(s, slot),
                                                                        .number = slot,
-                                                                       .instance = exchange.stand_in->instance(),
+                                                                       .instance = process.instance,
                                                                        .state = state,
                                                                        .boot_ms = boot_ms});
   }
@@ -293,7 +308,10 @@
 
 void Trial::InjectFault(const Fault& fault) {
   event_log_.Append({.kind = EventKind::kFault, .text = ToString(fault)});
-  if (fault.kind == FaultKind::kDiscoveryDown || fault.kind == FaultKind::kDiscoverySilent) {
+  if (fault.kind == FaultKind::kDiscoveryHalfEvent) {
+    for (Softswitch& softswitch : softswitches_) softswitch.discovery->WriteHalfEvent();
+    StartDiscoveryOutage(fault.duration, true);
+  } else if (fault.kind == FaultKind::kDiscoveryDown || fault.kind == FaultKind::kDiscoverySilent) {
     StartDiscoveryOutage(fault.duration, fault.kind == FaultKind::kDiscoverySilent);
   } else if (fault.kind == FaultKind::kDiscoveryLate || fault.kind == FaultKind::kDiscoveryHalf) {
     DelayDiscoveryResponses(fault);
@@ -318,6 +336,11 @@
       return CrashExchange(exchange, fault.duration);
     case FaultKind::kReplace:
       return ReplaceExchange(exchange);
+    case FaultKind::kSucceed:
+      return SucceedExchange(exchange, fault.duration);
+    case FaultKind::kHalfAnswer:
+      exchange.stand_in->traits().half_answer_share = kHalfAnswerShare;
+      return RunAfter(fault.duration, [exchange_ptr] { exchange_ptr->stand_in->traits().half_answer_share = 0.0; });
     case FaultKind::kDrain:
       return DrainExchange(exchange, fault.duration);
     case FaultKind::kHang:
@@ -416,6 +439,30 @@
   AnnounceColdStart(exchange);
 }
 
+void Trial::SucceedExchange(Exchange& exchange, TimeUs listing_delay) {
+  if (exchange.unavailable || exchange.draining) return;
+  exchange.unavailable = true;
+  exchange.stand_in->LoseState();
+  for (const auto& proxy : exchange.proxies) {
+    proxy->SetRefusing(true);
+    proxy->ResetAll();
+  }
+  Exchange* const exchange_ptr = &exchange;
+  const ProcessName predecessor{exchange.uid, exchange.stand_in->instance()};
+  RunAfter(kSuccessionDelay, [this, exchange_ptr, predecessor, listing_delay] {
+    AssignNewInstance(*exchange_ptr);
+    exchange_ptr->unavailable = true;  // for other faults, until it is listed
+    for (const auto& proxy : exchange_ptr->proxies) proxy->SetRefusing(false);
+    event_log_.Append({.kind = EventKind::kColdStart, .exchange = exchange_ptr->stand_in->instance()});
+    RunAfter(listing_delay, [this, exchange_ptr, started_ms = runtime_.WallClockUs() / 1000] {
+      exchange_ptr->unavailable = false;
+      ListExchange(SlotOf(*exchange_ptr), "Ready", started_ms);
+    });
+    RunAfter(kRemovalDelay - kSuccessionDelay,
+             [this, slot = SlotOf(*exchange_ptr), predecessor] { ListProcess(slot, predecessor, "Gone", 0); });
+  });
+}
+
 void Trial::DrainExchange(Exchange& exchange, TimeUs drain_time) {
   if (exchange.unavailable || exchange.draining) return;
   exchange.draining = true;
@@ -501,6 +548,10 @@
         softswitch_ptr->clients->traits().disconnect_share = schedule_.clients.disconnect_share;
       });
     }
+    case FaultKind::kFlood:
+      return softswitch.clients->StartFlood(static_cast<FloodKind>(fault.duration % kFloodKindCount), fault.duration);
+    case FaultKind::kLeaveUnread:
+      return softswitch.clients->LeaveWithSetUps();
     case FaultKind::kReconnect:
       return ReconnectCallers(fault.target, runtime_.Now() + fault.duration);
     default:
--- a/tests/soak_judge_test.cpp
+++ b/tests/soak_judge_test.cpp
@@ -163,6 +163,29 @@
   EXPECT_EQ(verdict.needless_disconnects, 1U);
 }
 
+TEST(SoakJudgeTest, ReportsCallThatIsReportedAsOverWhileEstablished) {
+  EventLogBuilder builder;
+  builder.AddEstablishedCall();
+  builder.AddClientEvent(2 * kSecond, EventKind::kReleaseReceived, 41);
+  builder.AddExchangeEvent(9 * kSecond, EventKind::kCallEnded);
+  ExpectOnlyViolation(builder.JudgeEvents(), Check::kNeedlessDisconnect);
+  JudgeSettings settings;
+  settings.disconnects_may_be_needed = true;
+  ExpectNoViolation(builder.JudgeEvents(settings));
+}
+
+TEST(SoakJudgeTest, ReportsIdThatRunsAgainAfterItsClientHasLeft) {
+  EventLogBuilder builder;
+  builder.AddClientEvent(kSecond, EventKind::kSetUpSent, 2 * kSecond);
+  builder.AddExchangeEvent(kSecond + kMs, EventKind::kAttemptArrived);
+  builder.AddClientEvent(kSecond + 10 * kMs, EventKind::kSetUpCancelled);
+  builder.AddExchangeEvent(kSecond + 11 * kMs, EventKind::kAttemptAbandoned);
+  builder.AddClientEvent(kSecond + 400 * kMs, EventKind::kSetUpSentAgain);
+  ExpectNoViolation(builder.JudgeEvents());
+  builder.AddExchangeEvent(kSecond + 401 * kMs, EventKind::kAttemptArrived);
+  ExpectOnlyViolation(builder.JudgeEvents(), Check::kOneAttempt);
+}
+
 TEST(SoakJudgeTest, ReportsConcurrentAttempts) {
   ExpectOnlyViolation(EventLogBuilder()
                           .AddClientEvent(kSecond, EventKind::kSetUpSent, 2 * kSecond)
