Soak: a client that comes again sends only the ids that had no answer, and ends its calls

Fault of the stand-in.

Change: answered ids do not come again, clients log messages of their own calls only, and the second client releases what is answered.

--- a/src/lab/soak/client_faults.cpp
+++ b/src/lab/soak/client_faults.cpp
@@ -20,6 +20,7 @@
 // that a flood without pauses would delay them.
 constexpr std::size_t kFloodChunkOctets = 64 << 10;
 constexpr TimeUs kFloodPause = 2'000;
+constexpr int kCauseNormal = 16;
 constexpr std::size_t kLargeDescriptionOctets = 15'000;
 constexpr int kLargeSetUps = 60, kPendingSetUps = 8;
 // Time that a leaving client gives its pending set-ups.
@@ -47,7 +48,7 @@
       break;
     case FloodKind::kReleases:
       message.type = MessageType::kRelease;
-      message.cause = 16;
+      message.cause = kCauseNormal;
       break;
     case FloodKind::kUnknownAnnouncements:
       message.fields = {{"class", traits_.classes[0]}, {"extras", "dest:0;width:1;via:-1;at:s-" + NewId()}};
@@ -109,58 +110,60 @@
                                  .description = description});
 }
 
+void ClientStandIn::ReleaseAnsweredCall(LineClient* client, const std::string& id) {
+  client->Write(platform::WriteMessage({.type = MessageType::kRelease, .id = id, .cause = kCauseNormal}));
+}
+
 void ClientStandIn::ConnectLeaver(const std::vector<std::string>& ids, const std::string& description, TimeUs stay,
-                                  std::function<void()> left) {
+                                  std::function<void(const std::vector<std::string>& unanswered)> left) {
   BadClientConnection* const leaver = AddBadClient();
-  auto answered = std::make_shared<std::set<std::string>>();
-  const auto leave = [this, leaver, ids, answered, left = std::move(left)] {
-    for (const std::string& id : ids) {
-      if (answered->count(id) == 0) LogEvent(EventKind::kSetUpCancelled, hosts_from_ + kLeaverHost, id);
-    }
+  const std::uint32_t host = hosts_from_ + kLeaverHost;
+  auto unanswered = std::make_shared<std::set<std::string>>(ids.begin(), ids.end());
+  const auto leave = [this, leaver, host, unanswered, left = std::move(left)] {
+    for (const std::string& id : *unanswered) LogEvent(EventKind::kSetUpCancelled, host, id);
     leaver->closed = true;
     leaver->client.reset();
-    if (left) left();
+    if (left) left({unanswered->begin(), unanswered->end()});
+  };
+  const auto on_line = [this, leaver, host, unanswered](std::string_view line) {
+    const auto message = platform::ParseMessage(line);
+    if (!message || unanswered->erase(message->id) == 0) return;
+    if (message->type != MessageType::kAnswer)
+      return LogEvent(EventKind::kReleaseReceived, host, message->id, message->cause.value_or(0));
+    LogEvent(EventKind::kAnswerReceived, host, message->id, 0, message->description.value_or(""));
+    // It would not be there to read the release of an established call.
+    ReleaseAnsweredCall(leaver->client.get(), message->id);
+    LogEvent(EventKind::kReleaseSent, host, message->id);
   };
   leaver->client = std::make_unique<LineClient>(
-      context_, hosts_from_ + kLeaverHost, softswitch_address_,
+      context_, host, softswitch_address_,
       LineClientHandlers{.on_open = nullptr,
-                         .on_line =
-                             [this, leaver, answered](std::string_view line) {
-                               const auto message = platform::ParseMessage(line);
-                               if (!message || !answered->insert(message->id).second) return;
-                               const bool is_answer = message->type == MessageType::kAnswer;
-                               LogEvent(is_answer ? EventKind::kAnswerReceived : EventKind::kReleaseReceived,
-                                        hosts_from_ + kLeaverHost, message->id, message->cause.value_or(0),
-                                        is_answer ? message->description.value_or("") : "");
-                               if (!is_answer) return;
-                               // It would not be there to read the release of an established call.
-                               leaver->client->Write(platform::WriteMessage(
-                                   {.type = MessageType::kRelease, .id = message->id, .cause = 16}));
-                               LogEvent(EventKind::kReleaseSent, hosts_from_ + kLeaverHost, message->id);
-                             },
+                         .on_line = on_line,
                          .on_end = [leaver](ConnectionEnd) { leaver->closed = true; },
                          .on_written = [leaver, leave, stay] { leaver->timer->Start(stay, leave); }});
   for (const std::string& id : ids) {
-    LogEvent(EventKind::kSetUpSent, hosts_from_ + kLeaverHost, id,
-             static_cast<std::int64_t>(traits_.caller_timeouts[0]));
+    LogEvent(EventKind::kSetUpSent, host, id, static_cast<std::int64_t>(traits_.caller_timeouts[0]));
     leaver->client->Write(SetUpLine(id, description));
   }
 }
 
 void ClientStandIn::SendAgain(const std::vector<std::string>& ids) {
-  BadClientConnection* const leaver = AddBadClient();
-  leaver->client =
-      std::make_unique<LineClient>(context_, hosts_from_ + kLeaverHost, softswitch_address_,
-                                   LineClientHandlers{.on_open = nullptr,
-                                                      .on_line = [](std::string_view) {},
-                                                      .on_end = [leaver](ConnectionEnd) { leaver->closed = true; }});
+  BadClientConnection* const second = AddBadClient();
+  const auto on_line = [this, second](std::string_view line) {
+    const auto message = platform::ParseMessage(line);
+    if (message && message->type == MessageType::kAnswer) ReleaseAnsweredCall(second->client.get(), message->id);
+  };
+  second->client = std::make_unique<LineClient>(
+      context_, hosts_from_ + kLeaverHost, softswitch_address_,
+      LineClientHandlers{
+          .on_open = nullptr, .on_line = on_line, .on_end = [second](ConnectionEnd) { second->closed = true; }});
   for (const std::string& id : ids) {
     LogEvent(EventKind::kSetUpSentAgain, hosts_from_ + kLeaverHost, id);
-    leaver->client->Write(SetUpLine(id, "again " + id));
+    second->client->Write(SetUpLine(id, "again " + id));
   }
-  leaver->timer->Start(kSecondStay, [leaver] {
-    leaver->closed = true;
-    leaver->client.reset();
+  second->timer->Start(kSecondStay, [second] {
+    second->closed = true;
+    second->client.reset();
   });
 }
 
@@ -169,8 +172,8 @@
   for (int i = 0; i < kLargeSetUps; ++i) large.push_back(NewId());
   for (int i = 0; i < kPendingSetUps; ++i) pending.push_back(NewId());
   ConnectLeaver(large, std::string(kLargeDescriptionOctets, 'x'), 0, nullptr);
-  ConnectLeaver(pending, "offer", kPendingTime, [this, pending] {
-    runtime_->StartTimer(random_() % kMaxReturnDelay, [this, pending] { SendAgain(pending); });
+  ConnectLeaver(pending, "offer", kPendingTime, [this](const std::vector<std::string>& unanswered) {
+    runtime_->StartTimer(random_() % kMaxReturnDelay, [this, unanswered] { SendAgain(unanswered); });
   });
 }
 
--- a/src/lab/soak/client_stand_in.h
+++ b/src/lab/soak/client_stand_in.h
@@ -126,9 +126,12 @@
   std::string FloodRequest(FloodKind kind);
   void WriteFlood(BadClientConnection* bad, FloodKind kind, TimeUs until);
   std::string SetUpLine(const std::string& id, const std::string& description);
-  // Connects a client that writes these set-ups and leaves after `stay`, then calls `left`.
+  static void ReleaseAnsweredCall(LineClient* client, const std::string& id);
+  // Connects a client that writes these set-ups and leaves after `stay`, then calls `left` with those that had no
+  // answer.
   void ConnectLeaver(const std::vector<std::string>& ids, const std::string& description, TimeUs stay,
-                     std::function<void()> left);
+                     std::function<void(const std::vector<std::string>& unanswered)> left);
+  // Connects another client that sends set-ups with these ids once more.
   void SendAgain(const std::vector<std::string>& ids);
   void ScheduleSweep();
   void ScheduleContinuousCall();
--- a/tests/address_succession_test.cpp
+++ b/tests/address_succession_test.cpp
@@ -150,7 +150,7 @@
   EXPECT_EQ(caller_->FinalMessages(kCall)[1].cause, 41);
 }
 
-// Guards against a call that is told over after a restart because its exchange is not listed yet (soak seed 8004).
+// Guards against a call that is told over after a restart because its exchange is not listed yet (soak seed 8005).
 TEST_F(AddressSuccessionTest, CallAnnouncedBeforeItsExchangeIsListedStands) {
   PublishOldExchange();
   const std::int64_t started_ms = ReplaceProcess();
