--- a/src/cli/soak.cpp
+++ b/src/cli/soak.cpp
@@ -129,6 +129,8 @@
   std::map<std::string, int> faults, failed_trials_with;
   int failed = 0;
   std::size_t offered = 0, answered = 0, needless_disconnects = 0, connections = 0, probes = 0;
+  std::int64_t max_megabytes = 0;
+  TimeUs longest_answer_wait = 0;
 };
 
 Summary Summarize(const std::vector<TrialRun>& trials) {
@@ -153,6 +155,8 @@
     summary.needless_disconnects += verdict.needless_disconnects;
     summary.connections += verdict.connections;
     summary.probes += verdict.probes;
+    summary.max_megabytes = std::max(summary.max_megabytes, verdict.max_megabytes);
+    summary.longest_answer_wait = std::max(summary.longest_answer_wait, verdict.longest_answer_wait);
   }
   return summary;
 }
@@ -161,9 +165,10 @@
   std::printf(
       "%zu trials, %d with violations; %zu calls, %zu answered, %zu disconnected needlessly; %zu connections to "
       "exchanges, "
-      "%zu probes\n",
+      "%zu probes; at most %lld MB resident, latest answer after %llu ms\n",
       trials, summary.failed, summary.offered, summary.answered, summary.needless_disconnects, summary.connections,
-      summary.probes);
+      summary.probes, static_cast<long long>(summary.max_megabytes),
+      static_cast<unsigned long long>(summary.longest_answer_wait / 1000));
   for (std::size_t i = 0; i < kCheckCount; ++i) {
     const std::string name(NameOf(static_cast<Check>(i)));
     if (summary.checked[i] == 0) {
@@ -186,7 +191,9 @@
               {"answered", summary.answered},
               {"needless_cuts", summary.needless_disconnects},
               {"connections", summary.connections},
-              {"probes", summary.probes}};
+              {"probes", summary.probes},
+              {"most_mb", summary.max_megabytes},
+              {"latest_answer_us", summary.longest_answer_wait}};
   for (std::size_t i = 0; i < kCheckCount; ++i) {
     out["rules"][std::string(NameOf(static_cast<Check>(i)))] = {{"checked", summary.checked[i]},
                                                                 {"broken", summary.violations[i]}};
--- a/src/lab/soak/client_faults.cpp
+++ b/src/lab/soak/client_faults.cpp
@@ -27,8 +27,12 @@
 constexpr TimeUs kPendingTime = 3'000;
 // Latest time at which ids come again, and how long the client then stays.
 constexpr TimeUs kMaxReturnDelay = 400'000, kSecondStay = 1'000'000;
+// Clients that write slowly, together almost as many as a softswitch accepts, and how they write.
+constexpr int kSlowWriterCount = 140;
+constexpr std::size_t kLargeMessageOctets = 16'000, kSlowPieceOctets = 700;
+constexpr TimeUs kSlowPieceInterval = 50'000;
 // The hosts of these clients have no other calls.
-constexpr std::uint32_t kFloodHost = 41, kLeaverHost = 42;
+constexpr std::uint32_t kFloodHost = 41, kLeaverHost = 42, kSlowHost = 43;
 
 }  // namespace
 
@@ -100,6 +104,44 @@
                              }});
 }
 
+void ClientStandIn::WritePiece(BadClientConnection* bad, std::shared_ptr<std::string> message) {
+  if (bad->closed || message->empty()) return;
+  bad->client->Write(message->substr(0, kSlowPieceOctets));
+  message->erase(0, kSlowPieceOctets);
+  bad->timer->Start(kSlowPieceInterval, [this, bad, message = std::move(message)] { WritePiece(bad, message); });
+}
+
+void ClientStandIn::ConnectSlowWriter(const std::string& message) {
+  BadClientConnection* const bad = AddBadClient();
+  bad->number = next_bad_client_++;
+  const auto served = [this, bad] {
+    if (!std::exchange(bad->served, true)) LogEvent(EventKind::kBadClientServed, 0, "", bad->number);
+  };
+  bad->client = std::make_unique<LineClient>(
+      context_, hosts_from_ + kSlowHost, softswitch_address_,
+      LineClientHandlers{.on_open =
+                             [this, bad, message] {
+                               LogEvent(EventKind::kBadClientConnected, 0, "", bad->number);
+                               WritePiece(bad, std::make_shared<std::string>(message));
+                             },
+                         .on_line = [served](std::string_view) { served(); },
+                         .on_end =
+                             [served, bad](ConnectionEnd end) {
+                               if (end != ConnectionEnd::kRefused) served();
+                               bad->closed = true;
+                             }});
+}
+
+void ClientStandIn::ConnectSlowWriters() {
+  std::string fields = "{\"t\":\"new\",\"ref\":\"" + NewId() + "\",\"f\":{\"a\":\"1\"";
+  for (int i = 0; fields.size() < kLargeMessageOctets; ++i) fields += ",\"" + std::to_string(i) + "\":\"1\"";
+  const std::string half = fields.substr(0, kLargeMessageOctets / 2);
+  for (int i = 0; i < kSlowWriterCount; ++i) {
+    constexpr int kContents = 3;
+    ConnectSlowWriter(i % kContents == 0 ? fields + "}}\n" : i % kContents == 1 ? fields : half);
+  }
+}
+
 std::string ClientStandIn::SetUpLine(const std::string& id, const std::string& description) {
   const int destination = static_cast<int>(random_() % static_cast<std::uint64_t>(destinations_));
   return platform::WriteMessage({.type = MessageType::kSetUp,
--- a/src/lab/soak/client_stand_in.h
+++ b/src/lab/soak/client_stand_in.h
@@ -78,6 +78,9 @@
   void ConnectBadClient(int kind);
   // Connects a client that sends requests of one kind at full speed, on one connection as long as it stays open.
   void StartFlood(FloodKind kind, TimeUs duration);
+  // Connects over a hundred clients that write almost the largest message in small pieces, and most of them no end of
+  // it.
+  void ConnectSlowWriters();
   // Connects two clients that leave: one behind large set-ups that it has just written, one with set-ups that are
   // pending at exchanges. Some of the ids of the latter come again.
   void LeaveWithSetUps();
@@ -125,6 +128,10 @@
   // Returns one request of a flood.
   std::string FloodRequest(FloodKind kind);
   void WriteFlood(BadClientConnection* bad, FloodKind kind, TimeUs until);
+  // Writes the next piece of the message, or the rest once the softswitch should have lost patience.
+  void WritePiece(BadClientConnection* bad, std::shared_ptr<std::string> message);
+  // Connects a client that writes this message in small pieces.
+  void ConnectSlowWriter(const std::string& message);
   std::string SetUpLine(const std::string& id, const std::string& description);
   static void ReleaseAnsweredCall(LineClient* client, const std::string& id);
   // Connects a client that writes these set-ups and leaves after `stay`, then calls `left` with those that had no
--- a/src/lab/soak/judge.cpp
+++ b/src/lab/soak/judge.cpp
@@ -320,6 +320,7 @@
         AddViolation(
             Check::kResources, event.at, "",
             "n" + std::to_string(event.softswitch) + " has " + std::to_string(event.value) + " open descriptors");
+      verdict_.max_megabytes = std::max<std::int64_t>(verdict_.max_megabytes, event.exchange);
       if (event.exchange > settings_.max_megabytes)
         AddViolation(Check::kResources, event.at, "",
                      "n" + std::to_string(event.softswitch) + " has " + std::to_string(event.exchange) +
@@ -358,6 +359,8 @@
   if (call.cancelled && !call.answered && *call.cancelled <= deadline)
     return;  // no answer is due, whichever message came first
   if (final_answer) {
+    verdict_.longest_answer_wait =
+        std::max(verdict_.longest_answer_wait, *final_answer - std::min(*final_answer, *call.sent));
     if (*final_answer > deadline)
       AddViolation(Check::kFinalAnswer, *final_answer, id,
                    "answered " + Milliseconds(*final_answer - deadline) + " late");
--- a/src/lab/soak/judge.h
+++ b/src/lab/soak/judge.h
@@ -63,6 +63,8 @@
   std::array<std::size_t, kCheckCount> checked{};  // how often each check applied
   std::size_t offered = 0, answered = 0;           // set-ups sent by clients, and those of them that were answered
   std::size_t needless_disconnects = 0;            // counted also where `disconnects_may_be_needed`
+  std::int64_t max_megabytes = 0;                  // largest resident memory of a softswitch
+  TimeUs longest_answer_wait = 0;                  // of a client that did not leave
   std::size_t connections = 0, probes = 0;         // from softswitches to exchanges
 };
 
--- a/src/lab/soak/schedule.cpp
+++ b/src/lab/soak/schedule.cpp
@@ -48,7 +48,8 @@
                                                                "leavers",
                                                                "reconnect",
                                                                "flood",
-                                                               "leave-unread"};
+                                                               "leave-unread",
+                                                               "slow-writers"};
 
 class RandomSource {
  public:
--- a/src/lab/soak/schedule.h
+++ b/src/lab/soak/schedule.h
@@ -48,8 +48,9 @@
   kReconnect,           // callers replace their connections again and again and announce their calls on the new ones
   kFlood,        // a client sends small or unsound requests at full speed on one connection, under ever new names
   kLeaveUnread,  // a client leaves with set-ups unread or unanswered, and some of their ids come again
+  kSlowWriters,  // over a hundred clients at once that write slowly, stop half way or send a great many short fields
 };
-inline constexpr std::size_t kFaultKindCount = 31;
+inline constexpr std::size_t kFaultKindCount = 32;
 // Returns the printed name of a kind.
 std::string_view NameOf(FaultKind kind);
 // Returns nothing for an unknown name.
--- a/src/lab/soak/trial.cpp
+++ b/src/lab/soak/trial.cpp
@@ -550,6 +550,8 @@
     }
     case FaultKind::kFlood:
       return softswitch.clients->StartFlood(static_cast<FloodKind>(fault.duration % kFloodKindCount), fault.duration);
+    case FaultKind::kSlowWriters:
+      return softswitch.clients->ConnectSlowWriters();
     case FaultKind::kLeaveUnread:
       return softswitch.clients->LeaveWithSetUps();
     case FaultKind::kReconnect:
