Directory: calls on open connections outlive a removal by 0.8 s, for a start told after it

In soak a caller whose connection had ended meanwhile was never told of a call at an exchange that was never listed.

Change: calls on open connections are kept for 0.8 s after the removal of their exchange, then told and released; such an end is queued for the caller's next connection; set-ups wait for unread input for 1 s or 6 MiB, more than what the socket buffers of a client that has left can hold. Keeps "anything still standing is lost" and "no attempt begins over 0.1 s after its client left".

--- a/src/platform/caller_connections.cpp
+++ b/src/platform/caller_connections.cpp
@@ -22,9 +22,10 @@
 // During a shutdown, a connection stays open for this time after its last data, because a message on its way would
 // cross the close.
 constexpr TimeUs kQuietTimeBeforeClose = 50'000;
-// Longest time for which set-ups wait while unread input follows them. A client that sends without a pause is served
-// after it.
-constexpr TimeUs kMaxReadAheadTime = 250'000;
+// Longest time for which set-ups wait while unread input follows them, and the most octets that are read meanwhile. A
+// client that has left cannot have more of them in the socket buffers of both ends.
+constexpr TimeUs kMaxReadAheadTime = 1'000'000;
+constexpr std::size_t kMaxReadAheadOctets = 6 << 20;
 // Limit of the data that is buffered for a caller who does not read.
 constexpr std::size_t kMaxUnwrittenOctets = 256 << 10;
 constexpr double kMaxCallerTimeoutMs = 600'000;
@@ -73,7 +74,7 @@
         had_partial_line && reader.has_partial_line() && bytes.find('\n') == std::string_view::npos;
     if (!line_continues) partial_since = owner_->runtime_->Now();
     if (belongs_to_caller) owner_->SendPendingReleases(this);
-    if (!AwaitsMoreInput()) owner_->StartSetUps(this);
+    if (!AwaitsMoreInput(bytes.size())) owner_->StartSetUps(this);
   }
   void OnEnd(core::StreamEnd end) override {
     owner_->EndConnection(this,
@@ -82,12 +83,15 @@
 
   // Returns whether the new set-ups have to wait for input that is still unread: it may end with their release or with
   // the end of the connection.
-  bool AwaitsMoreInput() {
+  bool AwaitsMoreInput(std::size_t octets) {
     if (new_set_ups.empty()) return false;
     const TimeUs now = owner_->runtime_->Now();
     if (set_ups_waiting_since == 0) set_ups_waiting_since = now;
-    if (stream->HasUnreadInput() && now < set_ups_waiting_since + kMaxReadAheadTime) return true;
+    octets_read_ahead += octets;
+    const bool may_wait = now < set_ups_waiting_since + kMaxReadAheadTime && octets_read_ahead < kMaxReadAheadOctets;
+    if (may_wait && stream->HasUnreadInput()) return true;
     set_ups_waiting_since = 0;
+    octets_read_ahead = 0;
     return false;
   }
 
@@ -111,6 +115,7 @@
   std::unordered_set<CallId> calls;  // both kinds of calls
   std::vector<std::pair<CallId, core::CallRequest>> new_set_ups;  // set-ups not yet passed to the core
   TimeUs set_ups_waiting_since = 0;                               // 0: none of them waits for unread input
+  std::size_t octets_read_ahead = 0;                              // since then
   LineReader reader;
   ConnectionList::iterator position;
 
@@ -339,8 +344,14 @@
     if (by_id_.count(pending.id) > 0) continue;
     Connection* const connection = FindConnection(pending.connection);
     const ExchangeId exchange = exchange_connections_->Find(pending.at);
-    if (!AdoptCall(connection, pending.host, pending.id, pending.request, exchange) && connection != nullptr)
+    if (AdoptCall(connection, pending.host, pending.id, pending.request, exchange)) continue;
+    if (connection != nullptr && !connection->stream->PeerClosed()) {
       RejectSetUp(connection, pending.id, kTemporaryFailure);
+      continue;
+    }
+    const Message message{.type = MessageType::kRelease, .id = pending.id, .cause = kTemporaryFailure};
+    releases_.Enqueue(
+        {.host = pending.host, .id = pending.id, .line = WriteMessage(message), .call_ended_at = runtime_->Now()});
   }
 }
 
--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t kMaxGivenUpSetUps = 2048;
 // Number of removed exchanges that are remembered, to recognize late notifications about them.
 constexpr std::size_t kMaxForgottenExchanges = 1024;
+// Time for which calls at an exchange that was removed are kept on open connections, in case that a successor at its
+// address is listed a little later than the removal.
+constexpr TimeUs kUnlistedSuccessorTimeout = 800'000;
 // Number of releases per exchange that are queued for the next connection.
 constexpr std::size_t kMaxQueuedReleases = 1024;
 // Number of releases of unknown calls that are remembered: a caller may still announce the call.
@@ -49,6 +52,7 @@
   ExchangeId id = 0;
   Target target;
   TimeUs started_at_us = 0;
+  TimeUs retired_at = 0;    // when `is_retired` was set
   bool is_retired = false;  // removed from the directory, or its address was taken over
   std::list<std::unique_ptr<Connection>> connections;
   std::unordered_set<std::string> established;  // ids of the established calls
@@ -362,19 +366,31 @@
 }
 
 void ExchangeConnections::RetireExchange(Exchange* exchange) {
-  exchange->is_retired = true;
+  if (!std::exchange(exchange->is_retired, true)) exchange->retired_at = runtime_->Now();
   exchange->reconnect_timer.Stop();
   exchange->queued_releases.clear();
   FreeAddress(*exchange);
-  // If no successor is known at the address, a connection that is still open may lead to one that the directory does
-  // not list yet. Calls that it answered are released there.
-  const bool has_successor = by_address_.count(exchange->target.address) > 0;
-  TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory",
-                       has_successor ? RemoteState::kCallsGone : RemoteState::kCallsMayExist);
-  // Connections with pending set-ups stay open until those are finished. One that is not open yet may come up at the
-  // successor, which must not receive the set-ups.
-  CloseConnectionsIf(exchange,
-                     [](const Connection& connection) { return connection.set_ups.empty() || !connection.is_open; });
+  if (by_address_.count(exchange->target.address) > 0) {
+    TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory");
+  } else {
+    TerminateCallsWithoutConnection(exchange);
+  }
+  // Connections with pending set-ups or calls stay open until those are finished. One that is not open yet may come up
+  // at the successor, which must not receive the set-ups.
+  CloseConnectionsIf(exchange, [](const Connection& connection) {
+    return !connection.is_open || (connection.set_ups.empty() && connection.established.empty());
+  });
+}
+
+// A connection that is still open may lead to a successor that the directory does not list yet. Its calls are kept for
+// kUnlistedSuccessorTimeout.
+void ExchangeConnections::TerminateCallsWithoutConnection(Exchange* exchange) {
+  std::vector<std::string> ids;
+  for (const std::string& id : exchange->established) {
+    const Connection* const connection = call_legs_.at(id).connection;
+    if (connection == nullptr || connection->stream->PeerClosed()) ids.push_back(id);
+  }
+  TerminateCalls(exchange, std::move(ids), "removed from the directory", RemoteState::kCallsGone);
 }
 
 template <typename Condition>
@@ -389,6 +405,9 @@
 }
 
 void ExchangeConnections::CheckRetiredExchange(Exchange* exchange) {
+  if (runtime_->Now() >= exchange->retired_at + kUnlistedSuccessorTimeout) {
+    TerminateCallsBefore(exchange, exchange->retired_at + 1, "removed from the directory", RemoteState::kCallsMayExist);
+  }
   if (runtime_->Now() >= exchange->last_sign_at + policy::FailureDetectorSettings{}.detection_timeout_us) {
     TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory and silent",
                          RemoteState::kCallsMayExist);
--- a/tests/address_succession_test.cpp
+++ b/tests/address_succession_test.cpp
@@ -135,12 +135,26 @@
   ReplaceProcess();
   SetUpAnsweredCall(kCall);
   Publish({TargetJson(kNumber, "Gone", kOld)});
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 1U);
+  runtime_.RunFor(900 * kMs);
   EXPECT_EQ(caller_->FinalMessages(kCall).size(), 2U);
   const std::vector<Message> releases = exchange_.Received(MessageType::kRelease);
   ASSERT_EQ(releases.size(), 1U);
   EXPECT_EQ(releases[0].id, kCall);
 }
 
+// Guards against a call that is cut because the removal is told in an event before the start.
+TEST_F(AddressSuccessionTest, CallAtSuccessorStandsIfItsStartIsToldShortlyAfterTheRemoval) {
+  PublishOldExchange();
+  const std::int64_t started_ms = ReplaceProcess();
+  SetUpAnsweredCall(kCall);
+  Publish({TargetJson(kNumber, "Gone", kOld)});
+  runtime_.RunFor(500 * kMs);
+  Publish({TargetJson(kNumber, "Ready", kNew, started_ms)});
+  runtime_.RunFor(1'000 * kMs);
+  ExpectCallStandsAndItsReleaseIsForwarded();
+}
+
 TEST_F(AddressSuccessionTest, CallOfPredecessorEndsWhenSuccessorIsListed) {
   PublishOldExchange();
   SetUpAnsweredCall(kCall);
@@ -178,6 +192,19 @@
   EXPECT_TRUE(caller_->FinalMessages(kOtherCall).empty());
 }
 
+// Guards against an end that is never told because the connection of the announcement has ended (soak seed 990000).
+TEST_F(AddressSuccessionTest, CallerWithNewConnectionIsToldOfCallAtExchangeThatIsNeverListed) {
+  caller_->SetUp(kCall, kNumber, std::string(";at:") + kNew);
+  runtime_.RunFor(5 * kMs);
+  caller_->connection.stream.reset();
+  runtime_.RunFor(3'000 * kMs);
+  const auto next = ConnectCaller();
+  next->SetUp(kOtherCall, 1);
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(next->FinalMessages(kCall).size(), 1U);
+  EXPECT_EQ(next->FinalMessages(kCall)[0].cause, 41);
+}
+
 TEST_F(AddressSuccessionTest, SetUpPendingAtSuccessorWhenItIsListedIsAnsweredAndEnds) {
   PublishOldExchange();
   const std::int64_t started_ms = ReplaceProcess();
