--- a/src/lab/soak/client_faults.cpp
+++ b/src/lab/soak/client_faults.cpp
@@ -191,7 +191,7 @@
 
 void ClientStandIn::SendAgain(const std::vector<std::string>& ids) {
   BadClientConnection* const second = AddBadClient();
-  const auto on_line = [this, second](std::string_view line) {
+  const auto on_line = [second](std::string_view line) {
     const auto message = platform::ParseMessage(line);
     if (message && message->type == MessageType::kAnswer) ReleaseAnsweredCall(second->client.get(), message->id);
   };
