Directory: calls outlive a removal on any open connection; the laboratory keeps time in a flood

By reading: an exchange listed again under its name kept calls of its former process for good. soak_floods_and_successors failed once: set-ups that a client had just left arrived 152 to 184 ms late at stand-ins whose thread was busy with the JSON of a flood (sanitized; by the timeline the cancellation was logged 0.2 s after the set-ups were written).

Change: the calls at a removed exchange are kept for 0.8 s if any connection to it is open; one that is listed again with a new start ends the calls from before. A flood changes only the ids of its requests, and its clients share one function.

--- a/src/lab/soak/bad_client_connection.h
+++ b/src/lab/soak/bad_client_connection.h
@@ -2,7 +2,9 @@
 #ifndef CROFTRUN_LAB_SOAK_BAD_CLIENT_CONNECTION_H_
 #define CROFTRUN_LAB_SOAK_BAD_CLIENT_CONNECTION_H_
 
+#include <functional>
 #include <memory>
+#include <string>
 
 #include "lab/soak/client_stand_in.h"
 
@@ -12,6 +14,8 @@
   int number = 0;  // in the event log
   std::unique_ptr<LineClient> client;
   std::unique_ptr<core::Timer> timer;
+  std::function<void()> on_written;  // called when all that was written has been handed to the kernel; may be empty
+  std::string flood_chunk;           // the requests of a flood that were written last
   bool served = false, closed = false;
 };
 
--- a/src/lab/soak/client_stand_in.h
+++ b/src/lab/soak/client_stand_in.h
@@ -125,8 +125,13 @@
   // otherwise.
   bool Resend(const std::string& id, PendingCall* call, std::uint32_t host);
   void Cancel(const std::string& id, bool close_connection);
+  // Connects a client from this host that is owed an answer or the end of its connection, and records both.
+  BadClientConnection* ConnectJudgedClient(std::uint32_t host,
+                                           const std::function<void(BadClientConnection*)>& on_open);
   // Returns one request of a flood.
   std::string FloodRequest(FloodKind kind);
+  // Gives each of these requests a new id.
+  void ReplaceIds(std::string* requests);
   void WriteFlood(BadClientConnection* bad, FloodKind kind, TimeUs until);
   // Writes the next piece of the message, or the rest once the softswitch should have lost patience.
   void WritePiece(BadClientConnection* bad, std::shared_ptr<std::string> message);
--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -259,7 +259,9 @@
       gone.push_back(&e);
       continue;
     }
-    if (since > e.started_at_us && e.started_at_us != 0) restarted.push_back(&e);
+    // Calls may have been kept on open connections since its removal.
+    const bool is_listed_again = e.is_retired && target.status != ExchangeStatus::kGone;
+    if (since > e.started_at_us && (e.started_at_us != 0 || is_listed_again)) restarted.push_back(&e);
     const core::Address previous = e.target.address;
     e.target = target;
     if (target.status == ExchangeStatus::kGone && target.address == core::Address{}) e.target.address = previous;
@@ -370,27 +372,20 @@
   exchange->reconnect_timer.Stop();
   exchange->queued_releases.clear();
   FreeAddress(*exchange);
-  if (by_address_.count(exchange->target.address) > 0) {
+  // A connection that is still open may lead to a successor that the directory does not list yet. The calls are then
+  // kept for kUnlistedSuccessorTimeout.
+  if (by_address_.count(exchange->target.address) > 0 || NewestOpenConnection(*exchange) == nullptr)
     TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory");
-  } else {
-    TerminateCallsWithoutConnection(exchange);
-  }
-  // Connections with pending set-ups or calls stay open until those are finished. One that is not open yet may come up
-  // at the successor, which must not receive the set-ups.
-  CloseConnectionsIf(exchange, [](const Connection& connection) {
-    return !connection.is_open || (connection.set_ups.empty() && connection.established.empty());
-  });
+  CloseUnusedConnections(exchange);
 }
 
-// A connection that is still open may lead to a successor that the directory does not list yet. Its calls are kept for
-// kUnlistedSuccessorTimeout.
-void ExchangeConnections::TerminateCallsWithoutConnection(Exchange* exchange) {
-  std::vector<std::string> ids;
-  for (const std::string& id : exchange->established) {
-    const Connection* const connection = call_legs_.at(id).connection;
-    if (connection == nullptr || connection->stream->PeerClosed()) ids.push_back(id);
-  }
-  TerminateCalls(exchange, std::move(ids), "removed from the directory", RemoteState::kCallsGone);
+// Connections with pending set-ups or calls stay open until those are finished. One that is not open yet may come up at
+// the successor, which must not receive the set-ups.
+void ExchangeConnections::CloseUnusedConnections(Exchange* exchange) {
+  CloseConnectionsIf(exchange, [](const Connection& connection) {
+    const bool is_idle = connection.set_ups.empty() && connection.established.empty();
+    return !connection.is_open || (is_idle && connection.exchange->established.empty());
+  });
 }
 
 template <typename Condition>
@@ -412,9 +407,7 @@
     TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory and silent",
                          RemoteState::kCallsMayExist);
   }
-  CloseConnectionsIf(exchange, [](const Connection& connection) {
-    return connection.set_ups.empty() && connection.established.empty();
-  });
+  CloseUnusedConnections(exchange);
 }
 
 // If a successor has taken over the address of a removed exchange, the connection was opened to the successor before
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -200,8 +200,8 @@
   // Selects among the connections of the process that holds the calls. Returns null if none is open.
   static Connection* LeastRecentlyProbed(const Exchange& exchange);
   void RetireExchange(Exchange* exchange);
-  // Terminates the calls at a removed exchange whose own connection has ended.
-  void TerminateCallsWithoutConnection(Exchange* exchange);
+  // Closes the connections to a removed exchange on which nothing is left.
+  void CloseUnusedConnections(Exchange* exchange);
   // Returns the exchanges that are missing in a whole list. They have no address any more and have to be retired.
   std::vector<Exchange*> RemoveUnlisted(const std::vector<Target>& list);
   void FreeAddress(const Exchange& exchange);
--- a/tests/address_succession_test.cpp
+++ b/tests/address_succession_test.cpp
@@ -155,6 +155,24 @@
   ExpectCallStandsAndItsReleaseIsForwarded();
 }
 
+// Guards against the same for a call whose own connection has ended, while another one to the successor is open.
+TEST_F(AddressSuccessionTest, CallWithoutItsConnectionStandsAtSuccessorToldAfterTheRemoval) {
+  PublishOldExchange();
+  const std::int64_t started_ms = ReplaceProcess();
+  const auto answers = std::exchange(exchange_.on_set_up, [](PlatformConnection&, const Message&) {});
+  for (const char* const id : {kCall, kOtherCall}) caller_->SetUp(id, kNumber);
+  runtime_.RunFor(5 * kMs);
+  ASSERT_EQ(exchange_.OpenConnections().size(), 2U);
+  PlatformExchange::Answer(*exchange_.OpenConnections()[0], kCall, "answer");
+  PlatformExchange::Release(*exchange_.OpenConnections()[1], kOtherCall, 17);
+  runtime_.RunFor(5 * kMs);
+  exchange_.OpenConnections()[0]->Reset();
+  runtime_.RunFor(5 * kMs);
+  Publish({TargetJson(kNumber, "Gone", kOld)});
+  Publish({TargetJson(kNumber, "Ready", kNew, started_ms)});
+  ExpectCallStandsAndItsReleaseIsForwarded();
+}
+
 TEST_F(AddressSuccessionTest, CallOfPredecessorEndsWhenSuccessorIsListed) {
   PublishOldExchange();
   SetUpAnsweredCall(kCall);
@@ -217,6 +235,16 @@
   ExpectCallStandsAndItsReleaseIsForwarded();
 }
 
+// Guards against a call that was kept after a removal and is taken for one of the process that is listed again.
+TEST_F(AddressSuccessionTest, CallOfRemovedExchangeEndsWhenItIsListedWithANewStart) {
+  PublishOldExchange();
+  SetUpAnsweredCall(kCall);
+  Publish({TargetJson(kNumber, "Gone", kOld)});
+  Publish({TargetJson(kNumber, "Ready", kOld, UnixMs())});
+  ASSERT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(caller_->FinalMessages(kCall)[1].cause, 41);
+}
+
 // Guards against a set-up that waits for its connection and reaches another exchange at the address.
 TEST_F(AddressSuccessionTest, SetUpThatWaitsForItsConnectionIsNotSentToSuccessor) {
   PublishOldExchange();
