Directory: log each listing with its start, and the carrier of each call that is moved

Change: a call remembers the connection that carried its answer; events exchange-listed and call-moved, metric exchanges.successions. No change of behaviour.

--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -36,9 +36,27 @@
 // An exchange is known to be alive if data arrived on one of its connections within this time. After a new connection
 // to such an exchange has failed, no further one is opened for as long while others can be used.
 constexpr TimeUs kRecentDataTime = 1'000'000;
+// Number of moved calls that are logged singly for each start.
+constexpr std::size_t kMaxLoggedMoves = 16;
 // Number of idle connections to one exchange that are kept when another one has been opened for a sign of life.
 constexpr std::size_t kKeptIdleConnections = 2;
 
+std::string MillisecondsSince(TimeUs start, TimeUs time) {
+  return std::to_string((static_cast<std::int64_t>(time) - static_cast<std::int64_t>(start)) / 1000) + " ms";
+}
+
+std::string_view StatusName(ExchangeStatus status) {
+  switch (status) {
+    case ExchangeStatus::kReady:
+      return "ready";
+    case ExchangeStatus::kDraining:
+      return "draining";
+    case ExchangeStatus::kGone:
+      return "gone";
+  }
+  return "";
+}
+
 int IndexOf(const std::vector<std::string>& names, const std::string& name) {
   const auto found = std::find(names.begin(), names.end(), name);
   return found == names.end() ? 0 : static_cast<int>(found - names.begin());
@@ -231,6 +249,7 @@
   if (notification.is_full) gone = RemoveUnlisted(notification.targets);
   for (const Target& target : notification.targets) {
     const TimeUs since = ToRuntimeTime(target.boot_ms);
+    if (!notification.is_full) LogListing(target, since);
     auto& id = by_uid_[target.uid];
     if (id == 0) {
       // A forgotten exchange was known before the one that has its address now.
@@ -304,12 +323,30 @@
   });
 }
 
+void ExchangeConnections::LogListing(const Target& target, TimeUs started_at) {
+  if (!log_->IsEnabled(core::LogLevel::kInfo)) return;
+  std::string text = target.uid + " " + core::ToString(target.address) + " ";
+  text.append(StatusName(target.status));
+  if (started_at != 0) text += ", started " + MillisecondsSince(started_at, runtime_->Now()) + " ago";
+  log_->Write(core::LogLevel::kInfo, "exchange-listed", 0, text);
+}
+
+void ExchangeConnections::LogMovedCall(const CallLeg& leg, TimeUs started_at) {
+  log_->Write(core::LogLevel::kInfo, "call-moved", leg.call,
+              leg.id + " to " + leg.exchange->target.uid + ", answered on connection " +
+                  std::to_string(leg.carrier.connection) + "; after the start it was requested " +
+                  MillisecondsSince(started_at, leg.carrier.requested_at) + ", opened " +
+                  MillisecondsSince(started_at, leg.carrier.opened_at) + ", the answer read " +
+                  MillisecondsSince(started_at, leg.established_at));
+}
+
 // The directory tells of a start seconds late. Until then the successor was reached under the name of the exchange that
 // had its address before.
 void ExchangeConnections::TakeOverFromPredecessors(Exchange* successor) {
   for (const auto& [id, exchange] : exchanges_) {
-    if (exchange.get() != successor && exchange->target.address == successor->target.address)
-      TakeOverFrom(exchange.get(), successor);
+    if (exchange.get() == successor || exchange->target.address != successor->target.address) continue;
+    ++counters_.successions;
+    TakeOverFrom(exchange.get(), successor);
   }
 }
 
@@ -333,7 +370,7 @@
     leg.exchange = successor;
     RecordEstablishedCall(successor, leg.id);
     position = predecessor->established.erase(position);
-    ++moved;
+    if (++moved <= kMaxLoggedMoves) LogMovedCall(leg, started_at);
   }
   if (moved == 0) return;
   counters_.taken_over += moved;
@@ -894,6 +931,7 @@
   LogCall("call-stands", leg, "");
   leg.is_established = true;
   leg.established_at = runtime_->Now();
+  leg.carrier = {connection->number, connection->requested_at, connection->opened_at};
   leg.exchange = AnsweringExchange(leg);
   connection->set_ups.erase(message.id);
   connection->established.insert(message.id);
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -50,6 +50,7 @@
   std::uint64_t suspicions = 0, suspicions_cleared = 0;      // suspicions that the process with the calls was replaced
   std::uint64_t given_up_silent = 0, given_up_replaced = 0;  // decisions of the failure detector to give up calls
   std::uint64_t ignored_exchanges = 0;                       // entries of the directory that exceeded the limit
+  std::uint64_t successions = 0;   // starts that the directory told of at the address of another exchange
   std::uint64_t taken_over = 0;    // calls that turned out to be established at the successor of their exchange
   std::uint64_t replacements = 0;  // connections opened because releases may have been lost with an earlier one
   std::uint64_t no_room = 0;       // connections not opened because of the limit
@@ -109,6 +110,11 @@
  private:
   class Connection;
   struct Exchange;
+  // The connection that carried the answer of a call, which may have ended since.
+  struct Carrier {
+    std::uint64_t connection = 0;  // its number in the log; 0: the call was announced
+    TimeUs requested_at = 0, opened_at = 0;
+  };
   // The call leg to an exchange: a pending set-up or the established call that resulted from it.
   struct CallLeg {
     CallId call = 0;
@@ -118,6 +124,7 @@
     bool is_established = false;
     TimeUs established_at = 0;
     std::string id;
+    Carrier carrier = {};
     bool announced = false;  // set up by a former process and announced by its caller
     // Returns whether the call was established before `time`. An announced call may be of any age.
     bool WasEstablishedBefore(TimeUs time) const { return announced || established_at < time; }
@@ -134,6 +141,10 @@
   // address before.
   void TakeOverFromPredecessors(Exchange* successor);
   void TakeOverFrom(Exchange* predecessor, Exchange* successor);
+  // Logs a change that the directory tells, with the start that it states.
+  void LogListing(const Target& target, TimeUs started_at);
+  // Logs when a moved call was answered, and on which connection, relative to the start of the new process.
+  void LogMovedCall(const CallLeg& leg, TimeUs started_at);
   // Removes the call leg from all indexes.
   CallLeg RemoveCallLeg(std::unordered_map<std::string, CallLeg>::iterator position);
   Connection* SelectConnection(Exchange* exchange);
--- a/src/platform/node_metrics.cpp
+++ b/src/platform/node_metrics.cpp
@@ -79,6 +79,7 @@
           {"no_room", counters.no_room},
           {"replacements", counters.replacements},
           {"ignored_exchanges", counters.ignored_exchanges},
+          {"successions", counters.successions},
           {"taken_over", counters.taken_over},
           {"early_ends", counters.early_ends},
           {"unreachable", exchanges.unreachable_exchanges()},
