Soak: processes replaced at once, with their last answers on the way; known to fail

A call that ends silently counts at the exchange whose answer its caller has read: an answer may be lost with its process, and the next attempt answered elsewhere.

--- a/src/lab/soak/discovery_stand_in.cpp
+++ b/src/lab/soak/discovery_stand_in.cpp
@@ -108,11 +108,20 @@
 
 void DiscoveryStandIn::EndResponses() { watches_.clear(); }
 
-void DiscoveryStandIn::UpdateEntry(const DirectoryEntry& entry) {
-  events_.push_back({events_.empty() ? 1 : events_.back().number + 1, entry});
-  if (entry.state != "Ready") {
+void DiscoveryStandIn::UpdateEntries(std::vector<DirectoryEntry> entries) { Append(std::move(entries), false); }
+
+void DiscoveryStandIn::UpdateWholeList(std::vector<DirectoryEntry> entries) { Append(std::move(entries), true); }
+
+void DiscoveryStandIn::Append(std::vector<DirectoryEntry> entries, bool full) {
+  for (const DirectoryEntry& entry : entries) {
+    if (entry.state == "Ready") continue;
     event_log_->Append({.kind = EventKind::kDrainListed, .softswitch = softswitch_, .exchange = entry.instance});
   }
+  const std::uint64_t number = events_.empty() ? 1 : events_.back().number + 1;
+  json targets = json::array();
+  for (const DirectoryEntry& entry : entries) targets.push_back(TargetJson(entry));
+  events_.push_back({number, std::move(entries), {}});
+  events_.back().data = EventJson(number, full, full ? PresentTargets() : targets).dump();
   for (const auto& watch : watches_) {
     if (watch->response_started) WriteEvents(watch.get());
   }
@@ -132,26 +141,33 @@
   for (const Event& event : events_) {
     if (event.number <= watch->last_event) continue;
     watch->last_event = event.number;
-    watch->stream->Write("id: " + std::to_string(event.number) + "\ndata: " +
-                         EventJson(event.number, false, json::array({TargetJson(event.entry)})).dump() + "\n\n");
-    const bool draining = event.entry.state != "Ready";
-    if (!draining && event.entry.boot_ms == 0) continue;
-    event_log_->Append({.kind = draining ? EventKind::kDrainWritten : EventKind::kColdStartWritten,
-                        .softswitch = softswitch_,
-                        .exchange = event.entry.instance});
+    watch->stream->Write("id: " + std::to_string(event.number) + "\ndata: " + event.data + "\n\n");
+    for (const DirectoryEntry& entry : event.entries) {
+      const bool draining = entry.state != "Ready";
+      if (!draining && entry.boot_ms == 0) continue;
+      event_log_->Append({.kind = draining ? EventKind::kDrainWritten : EventKind::kColdStartWritten,
+                          .softswitch = softswitch_,
+                          .exchange = entry.instance});
+    }
   }
 }
 
-json DiscoveryStandIn::KnownDirectory() const {
+json DiscoveryStandIn::PresentTargets() const {
   // Ids convey nothing, so that a successor may come before its predecessor.
   std::map<std::string, DirectoryEntry, std::greater<>> present;
-  for (const Event& event : events_) present[event.entry.uid] = event.entry;
+  for (const Event& event : events_) {
+    for (const DirectoryEntry& entry : event.entries) present[entry.uid] = entry;
+  }
   json targets = json::array();
   for (const auto& [uid, entry] : present) {
     if (entry.state != "Gone") targets.push_back(TargetJson(entry));
   }
+  return targets;
+}
+
+json DiscoveryStandIn::KnownDirectory() const {
   const std::uint64_t number = events_.empty() ? 0 : events_.back().number;
-  return {{"rev", number}, {"notices", json::array({EventJson(number, true, targets)})}};
+  return {{"rev", number}, {"notices", json::array({EventJson(number, true, PresentTargets())})}};
 }
 
 }  // namespace croftrun::lab::soak
--- a/src/lab/soak/discovery_stand_in.h
+++ b/src/lab/soak/discovery_stand_in.h
@@ -36,8 +36,10 @@
   DiscoveryStandIn(core::Runtime* runtime, EventLog* event_log, int softswitch, const core::Address& listen);
   ~DiscoveryStandIn() override;
 
-  // Adds or changes an entry, as the event with the next number.
-  void UpdateEntry(const DirectoryEntry& entry);
+  // Adds or changes these entries, as the event with the next number.
+  void UpdateEntries(std::vector<DirectoryEntry> entries);
+  // Likewise, but the event is the whole list.
+  void UpdateWholeList(std::vector<DirectoryEntry> entries);
   // While silent, nothing is written on any connection, not even comments, and requests are not answered.
   void SetSilent(bool silent);
   // Applies to the requests that arrive from now on.
@@ -54,8 +56,13 @@
   class Watch;
   struct Event {
     std::uint64_t number = 0;
-    DirectoryEntry entry;
+    std::vector<DirectoryEntry> entries;  // those that have changed
+    std::string data;                     // as it is sent
   };
+  // Returns the entries that are not gone.
+  nlohmann::json PresentTargets() const;
+  // Appends an event and sends it.
+  void Append(std::vector<DirectoryEntry> entries, bool full);
   // Begins the response to the request after the present delays.
   void ScheduleResponse(Watch* watch);
   void WriteEvents(Watch* watch);
--- a/src/lab/soak/exchange_stand_in.cpp
+++ b/src/lab/soak/exchange_stand_in.cpp
@@ -100,10 +100,19 @@
   repeated_releases_.clear();
   used_circuits_.clear();
   connections_.clear();
-  hanging_ = false;
+  hanging_ = holding_answers_ = false;
   hang_timer_.Stop();
 }
 
+void ExchangeStandIn::AnswerAll() {
+  holding_answers_ = false;
+  std::vector<std::string> due;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.answer != nullptr) due.push_back(id);
+  }
+  for (const std::string& id : due) AnswerSetUp(id);
+}
+
 void ExchangeStandIn::Hang(TimeUs time) {
   hanging_ = true;
   hang_timer_.Start(time, [this] {
@@ -193,7 +202,7 @@
 
 void ExchangeStandIn::AnswerSetUp(const std::string& id) {
   const auto found = attempts_.find(id);
-  if (found == attempts_.end()) return;
+  if (found == attempts_.end() || holding_answers_) return;
   if (hanging_) {
     // Retried until the exchange no longer hangs.
     return found->second.answer->Start(10'000, [this, id] { AnswerSetUp(id); });
--- a/src/lab/soak/exchange_stand_in.h
+++ b/src/lab/soak/exchange_stand_in.h
@@ -49,6 +49,10 @@
   // Drops all calls and connections without notice, as a crash does. The fault proxies decide what becomes visible on
   // the connections.
   void LoseState();
+  // Defers answers until AnswerAll or LoseState.
+  void HoldAnswers() { holding_answers_ = true; }
+  // Answers all pending set-ups that will have an answer.
+  void AnswerAll();
   // Sends nothing for `time` and defers answers and ends of calls; what arrives meanwhile is still recorded.
   void Hang(TimeUs time);
   std::size_t established_calls() const { return calls_.size(); }
@@ -93,7 +97,7 @@
   std::map<int, std::vector<std::string>> unsent_releases_;    // by softswitch; sent on its next connection
   std::map<int, std::vector<std::string>> repeated_releases_;  // by softswitch; sent once more on its next connection
   std::map<int, int> used_circuits_;                           // by softswitch
-  bool hanging_ = false;
+  bool hanging_ = false, holding_answers_ = false;
   core::Timer hang_timer_, report_timer_;
 };
 
--- a/src/lab/soak/judge.cpp
+++ b/src/lab/soak/judge.cpp
@@ -37,6 +37,11 @@
 
 std::string Milliseconds(TimeUs time) { return std::to_string(time / 1000) + " ms"; }
 
+// The description in the answer of an exchange to this call.
+std::string DescriptionOf(int exchange, const std::string& call) {
+  return "exchange " + std::to_string(exchange) + " call " + call;
+}
+
 struct Attempt {
   TimeUs arrived = 0;
   int exchange = -1;
@@ -48,9 +53,10 @@
   int softswitch = -1;
   std::uint32_t host = 0;
   std::optional<TimeUs> sent, cancelled, answered, released, closed_before_answer, released_by_client, ended,
-      ended_silently, released_at_exchange, announced, sent_again;
+      released_at_exchange, announced, sent_again;
   TimeUs caller_timeout = 0;
   bool answered_at_exchange = false;
+  std::vector<std::pair<int, TimeUs>> silent_ends;  // by exchange; an answer lost on its way may be followed by another
   std::string description, close_reason;
   int answers = 0, releases = 0;
   std::vector<Attempt> attempts;
@@ -78,7 +84,7 @@
   Verdict Build() {
     for (const auto& [id, call] : calls_) {
       CheckAnswer(id, call);
-      CheckCallEnd(id, call);
+      CheckCallEnd(id, call, SilentEndOf(id, call));
       CheckAttempts(id, call);
     }
     CheckDrains();
@@ -101,7 +107,9 @@
   void CollectProcessEvent(const TrialEvent& event);
   void CollectAttempt(const TrialEvent& event, CallHistory& call);
   void CheckAnswer(const std::string& id, const CallHistory& call);
-  void CheckCallEnd(const std::string& id, const CallHistory& call);
+  // Returns when the call ended without a release at the exchange whose answer its caller has received.
+  static std::optional<TimeUs> SilentEndOf(const std::string& id, const CallHistory& call);
+  void CheckCallEnd(const std::string& id, const CallHistory& call, std::optional<TimeUs> ended_silently);
   // The caller was told that its call is over, which has to be so at the exchange as well.
   void CheckReportedEnd(const std::string& id, const CallHistory& call, std::optional<TimeUs> ended_at);
   void CheckAttempts(const std::string& id, const CallHistory& call);
@@ -167,7 +175,7 @@
       break;
     case EventKind::kAttemptAnswered:
       call.answered_at_exchange = true;
-      call.exchange_descriptions.insert("exchange " + std::to_string(event.exchange) + " call " + event.call);
+      call.exchange_descriptions.insert(DescriptionOf(event.exchange, event.call));
       finish_attempt(false);
       break;
     case EventKind::kAttemptRefused:
@@ -261,7 +269,7 @@
       set_first(call.ended);
       break;
     case EventKind::kCallEndedSilently:
-      set_first(call.ended_silently);
+      call.silent_ends.emplace_back(event.exchange, event.at);
       break;
     case EventKind::kCallReleased:
       set_first(call.released_at_exchange);
@@ -412,15 +420,25 @@
                    std::to_string(call.attempts.empty() ? -1 : call.attempts.back().exchange));
 }
 
-void VerdictBuilder::CheckCallEnd(const std::string& id, const CallHistory& call) {
+std::optional<TimeUs> VerdictBuilder::SilentEndOf(const std::string& id, const CallHistory& call) {
+  if (call.silent_ends.empty()) return std::nullopt;
+  if (call.exchange_descriptions.count(call.description) == 0) return call.silent_ends[0].second;
+  for (const auto& [exchange, at] : call.silent_ends) {
+    if (call.description == DescriptionOf(exchange, id)) return at;
+  }
+  return std::nullopt;
+}
+
+void VerdictBuilder::CheckCallEnd(const std::string& id, const CallHistory& call,
+                                  std::optional<TimeUs> ended_silently) {
   if (!call.answered || call.released_by_client) return;
   if (call.cancelled && *call.cancelled <= *call.answered)
     return;  // the answer was sent before the cancellation arrived
   // The call ended without a release, by a release of the exchange, or by a release of the softswitch.
   std::optional<TimeUs> deadline, ended_at;
-  if (call.ended_silently) {
-    ended_at = call.ended_silently;
-    deadline = *call.ended_silently + kSilentEndReportTimeout;
+  if (ended_silently) {
+    ended_at = ended_silently;
+    deadline = *ended_silently + kSilentEndReportTimeout;
   }
   if (call.ended) {
     if (!ended_at) ended_at = call.ended;
@@ -460,9 +478,9 @@
   if (limit > log_end_) return;
   CountCheck(Check::kCallEnd);
   if (call.released && *call.released <= limit) return;
-  const std::string cause = call.ended_silently ? "ended without a release"
-                            : call.ended        ? "released by the exchange"
-                                                : "released by the softswitch";
+  const std::string cause = ended_silently ? "ended without a release"
+                            : call.ended   ? "released by the exchange"
+                                           : "released by the softswitch";
   AddViolation(
       Check::kCallEnd, limit, id,
       cause + " " + Milliseconds(limit - *ended_at) + " before, and its caller was " +
--- a/src/lab/soak/schedule.cpp
+++ b/src/lab/soak/schedule.cpp
@@ -35,6 +35,7 @@
                                                                "spoil",
                                                                "half-answer",
                                                                "succeed",
+                                                               "replace-at-once",
                                                                "discovery-down",
                                                                "discovery-silent",
                                                                "discovery-late",
@@ -51,6 +52,9 @@
                                                                "leave-unread",
                                                                "slow-writers"};
 
+constexpr std::array<std::string_view, kListingOrderCount> kListingNames{
+    "removal then start", "start then removal", "removal before the start", "start before the removal", "whole list"};
+
 class RandomSource {
  public:
   explicit RandomSource(std::uint64_t seed) : random_(seed * 0x9e3779b97f4a7c15U + 1) {}
@@ -65,6 +69,20 @@
   std::mt19937_64 random_;
 };
 
+// Half of the replacements are those of report 3b80c6: listed after 0.45 s, with the address dark until then.
+SuccessionTraits DrawSuccession(RandomSource& random) {
+  constexpr std::array<std::int64_t, 5> kClockOffsetsMs{0, 0, -30, -300, 30};
+  SuccessionTraits traits;
+  traits.listing = static_cast<ListingOrder>(random.Index(kListingOrderCount));
+  traits.listing_gap = random.Between(50 * kMs, 900 * kMs);
+  traits.pause = random.OneIn(3) ? random.Between(kMs, 400 * kMs) : 40 * kMs;
+  traits.dark_time = random.OneIn(2) ? random.Between(450 * kMs, 600 * kMs) : 0;
+  traits.clock_offset_ms = kClockOffsetsMs[static_cast<std::size_t>(random.Index(kClockOffsetsMs.size()))];
+  traits.closes_in_order = random.OneIn(2);
+  traits.keeps_name = random.OneIn(5);
+  return traits;
+}
+
 TimeUs DrawDuration(FaultKind kind, RandomSource& random) {
   switch (kind) {
     case FaultKind::kVanishAndReturn:
@@ -82,6 +100,8 @@
       return random.Between(600 * kMs, 950 * kMs);
     case FaultKind::kSucceed:
       return random.Between(kMinListingDelay, kMaxListingDelay);
+    case FaultKind::kReplaceAtOnce:
+      return random.OneIn(2) ? 450 * kMs : random.Between(30 * kMs, 5 * kSecond);
     case FaultKind::kDiscoveryDown:
     case FaultKind::kDiscoverySilent:
     case FaultKind::kDiscoveryHalfEvent:
@@ -125,6 +145,7 @@
     fault.duration = DrawDuration(fault.kind, random);
     fault.target = random.Index(TargetsSoftswitch(fault.kind) ? schedule->softswitches : schedule->exchanges);
     if (DelaysResponses(fault.kind)) fault.response_delay = random.Between(kMinResponseDelay, kMaxResponseDelay);
+    if (fault.kind == FaultKind::kReplaceAtOnce) fault.succession = DrawSuccession(random);
     anchor = random.OneIn(2) ? fault.at : std::min(latest, fault.at + fault.duration);
     schedule->faults.push_back(fault);
     // Softswitches are terminated in a series. An exchange may be lost or replaced during an outage of discovery.
@@ -161,6 +182,8 @@
 
 std::string_view NameOf(FaultKind kind) { return kNames[static_cast<std::size_t>(kind)]; }
 
+std::string_view NameOf(ListingOrder order) { return kListingNames[static_cast<std::size_t>(order)]; }
+
 std::optional<FaultKind> ParseFaultKind(std::string_view name) {
   for (std::size_t i = 0; i < kFaultKindCount; ++i) {
     if (kNames[i] == name) return static_cast<FaultKind>(i);
@@ -181,10 +204,22 @@
   return set_ups_per_softswitch * static_cast<double>(softswitches) / static_cast<double>(std::max(1, exchanges - 1));
 }
 
+std::string ToString(const SuccessionTraits& traits) {
+  char text[160];
+  std::snprintf(
+      text, sizeof(text), "%s (gap %llu ms), softswitches stopped for %llu ms, dark for %llu ms, clock %+lld ms",
+      std::string(NameOf(traits.listing)).c_str(), static_cast<unsigned long long>(traits.listing_gap / kMs),
+      static_cast<unsigned long long>(traits.pause / kMs), static_cast<unsigned long long>(traits.dark_time / kMs),
+      static_cast<long long>(traits.clock_offset_ms));
+  return std::string(text) + (traits.closes_in_order ? ", closed in order" : ", reset") +
+         (traits.keeps_name ? ", same name" : "");
+}
+
 std::string ToString(const Fault& fault) {
   char text[128];
   std::snprintf(text, sizeof(text), "%.3f s %s of %d for %.3f s", static_cast<double>(fault.at) / 1e6,
                 std::string(NameOf(fault.kind)).c_str(), fault.target, static_cast<double>(fault.duration) / 1e6);
+  if (fault.kind == FaultKind::kReplaceAtOnce) return text + (", " + ToString(fault.succession));
   if (fault.response_delay == 0) return text;
   return text + std::string(", responses delayed by ") + std::to_string(fault.response_delay / kMs) + " ms";
 }
--- a/src/lab/soak/schedule.h
+++ b/src/lab/soak/schedule.h
@@ -34,6 +34,8 @@
   kHalfAnswer,     // answers of an exchange stop half way and their connection stays open; what it sends later follows
   kSucceed,        // an exchange's process ends; another one with another name starts at its address, is listed late,
                    // and the removal of the first is told later still
+  kReplaceAtOnce,  // an exchange answers all pending set-ups and its process ends; at the same moment another one is
+                   // at its address, see SuccessionTraits
   kDiscoveryDown,  // discovery refuses connections
   kDiscoverySilent,     // discovery keeps its connections open and sends nothing
   kDiscoveryLate,       // discovery ends its responses, and is slow to begin those to the next requests
@@ -50,12 +52,28 @@
   kLeaveUnread,  // a client leaves with set-ups unread or unanswered, and some of their ids come again
   kSlowWriters,  // over a hundred clients at once that write slowly, stop half way or send a great many short fields
 };
-inline constexpr std::size_t kFaultKindCount = 32;
+inline constexpr std::size_t kFaultKindCount = 33;
 // Returns the printed name of a kind.
 std::string_view NameOf(FaultKind kind);
 // Returns nothing for an unknown name.
 std::optional<FaultKind> ParseFaultKind(std::string_view name);
 
+// How discovery tells that a process was replaced.
+enum class ListingOrder : std::uint8_t { kRemovalThenStart, kStartThenRemoval, kTwoEvents, kStartFirst, kWholeList };
+inline constexpr int kListingOrderCount = 5;
+std::string_view NameOf(ListingOrder order);
+
+// Variants of kReplaceAtOnce; Fault::duration is the time from the end of the process to the listing.
+struct SuccessionTraits {
+  ListingOrder listing = ListingOrder::kRemovalThenStart;
+  TimeUs listing_gap = 0;            // between the two events, where there are two
+  TimeUs pause = 40'000;             // the softswitches are stopped for this time, from before the last answers
+  TimeUs dark_time = 0;              // new connections to the address do not open for this time
+  std::int64_t clock_offset_ms = 0;  // by which the clock that states the start is ahead
+  bool closes_in_order = false;      // the connections are closed in place of reset
+  bool keeps_name = false;           // the new process has the name of the old one
+};
+
 // A fault to inject.
 struct Fault {
   TimeUs at = 0;  // after the start of the traffic
@@ -63,6 +81,7 @@
   int target = 0;  // index of an exchange or a softswitch, depending on the kind
   TimeUs duration = 0;
   TimeUs response_delay = 0;  // of discovery
+  SuccessionTraits succession = {};
 };
 
 // The schedule of one trial.
@@ -101,6 +120,7 @@
 
 // Generates the schedule for a seed.
 Schedule GenerateSchedule(std::uint64_t seed, const GeneratorOptions& options);
+std::string ToString(const SuccessionTraits& traits);
 // Describes a fault with its time, target and duration.
 std::string ToString(const Fault& fault);
 
--- a/src/lab/soak/trial.cpp
+++ b/src/lab/soak/trial.cpp
@@ -42,6 +42,8 @@
 constexpr TimeUs kReconnectInterval = 1'100 * kMs;
 // Time from the end of an exchange's process to the word of discovery that it is gone.
 constexpr TimeUs kRemovalDelay = 4'900 * kMs;
+// Time in which an exchange that is about to be replaced holds its answers, and from these answers to its end.
+constexpr TimeUs kAnswerHoldTime = 250 * kMs, kLastAnswersTime = 5 * kMs;
 constexpr double kHalfAnswerShare = 0.25;
 constexpr int kMaxDescriptors = 256, kMaxMegabytes = 64;
 constexpr int kMaxBindRetries = 20, kBindRetryMs = 100;
@@ -98,6 +100,9 @@
   std::string Configuration(int softswitch) const;
   void ListExchange(int exchange, const std::string& state, std::int64_t boot_ms = 0);
   void ListProcess(int slot, const ProcessName& process, const std::string& state, std::int64_t boot_ms);
+  // Returns the entry of the process in the directory of a softswitch.
+  DirectoryEntry EntryOf(int softswitch, int slot, const ProcessName& process, const std::string& state,
+                         std::int64_t boot_ms) const;
   void StartFleet();
   void InjectFault(const Fault& fault);
   void InjectExchangeFault(const Fault& fault, Exchange& exchange);
@@ -107,6 +112,14 @@
   void ReplaceExchange(Exchange& exchange);
   // Replaces the process at the address; discovery lists the new one after `listing_delay`, and the removal later.
   void SucceedExchange(Exchange& exchange, TimeUs listing_delay);
+  // Lets the process answer its pending set-ups and end, with the softswitches stopped meanwhile. Another one is at its
+  // address in the same moment.
+  void ReplaceExchangeAtOnce(Exchange& exchange, const Fault& fault);
+  void EndProcessAndStartNext(Exchange& exchange, const Fault& fault);
+  void ListSuccession(int slot, const ProcessName& predecessor, const ProcessName& successor, std::int64_t boot_ms,
+                      const SuccessionTraits& traits);
+  // Stops a softswitch with SIGSTOP and lets it go on after this time.
+  void PauseSoftswitch(int softswitch, TimeUs time);
   void DrainExchange(Exchange& exchange, TimeUs drain_time);
   // Assigns the number and the name of a new process to this exchange.
   void AssignNewInstance(Exchange& exchange);
@@ -249,15 +262,20 @@
 
 void Trial::ListProcess(int slot, const ProcessName& process, const std::string& state, std::int64_t boot_ms) {
   for (int s = 0; s < schedule_.softswitches; ++s) {
-    softswitches_[static_cast<std::size_t>(s)].discovery->UpdateEntry({.uid = process.uid,
-                                                                       .address = addresses_.Exchange(s, slot),
-                                                                       .number = slot,
-                                                                       .instance = process.instance,
-                                                                       .state = state,
-                                                                       .boot_ms = boot_ms});
+    softswitches_[static_cast<std::size_t>(s)].discovery->UpdateEntries({EntryOf(s, slot, process, state, boot_ms)});
   }
 }
 
+DirectoryEntry Trial::EntryOf(int softswitch, int slot, const ProcessName& process, const std::string& state,
+                              std::int64_t boot_ms) const {
+  return {.uid = process.uid,
+          .address = addresses_.Exchange(softswitch, slot),
+          .number = slot,
+          .instance = process.instance,
+          .state = state,
+          .boot_ms = boot_ms};
+}
+
 void Trial::StartFleet() {
   for (int e = 0; e < schedule_.exchanges; ++e) ListExchange(e, "Ready");
   auto remaining = std::make_shared<int>(schedule_.softswitches);
@@ -338,6 +356,8 @@
       return ReplaceExchange(exchange);
     case FaultKind::kSucceed:
       return SucceedExchange(exchange, fault.duration);
+    case FaultKind::kReplaceAtOnce:
+      return ReplaceExchangeAtOnce(exchange, fault);
     case FaultKind::kHalfAnswer:
       exchange.stand_in->traits().half_answer_share = kHalfAnswerShare;
       return RunAfter(fault.duration, [exchange_ptr] { exchange_ptr->stand_in->traits().half_answer_share = 0.0; });
@@ -463,6 +483,75 @@
   });
 }
 
+void Trial::ReplaceExchangeAtOnce(Exchange& exchange, const Fault& fault) {
+  if (exchange.unavailable || exchange.draining) return;
+  exchange.unavailable = true;
+  exchange.stand_in->HoldAnswers();
+  Exchange* const exchange_ptr = &exchange;
+  RunAfter(kAnswerHoldTime, [this, exchange_ptr, fault] {
+    for (int s = 0; s < schedule_.softswitches; ++s) PauseSoftswitch(s, fault.succession.pause);
+    exchange_ptr->stand_in->AnswerAll();
+    RunAfter(kLastAnswersTime, [this, exchange_ptr, fault] { EndProcessAndStartNext(*exchange_ptr, fault); });
+  });
+}
+
+void Trial::EndProcessAndStartNext(Exchange& exchange, const Fault& fault) {
+  const SuccessionTraits& traits = fault.succession;
+  const ProcessName predecessor{exchange.uid, exchange.stand_in->instance()};
+  exchange.stand_in->LoseState();
+  for (const auto& proxy : exchange.proxies) {
+    if (traits.dark_time > 0) proxy->DelayConnections(traits.dark_time);
+    if (traits.closes_in_order) {
+      proxy->CloseIdle(0);
+    } else {
+      proxy->ResetAll();
+    }
+  }
+  // Clients take the name of the exchange of a call from its number.
+  if (!traits.keeps_name) AssignNewInstance(exchange);
+  exchange.unavailable = true;  // for other faults, until it is listed
+  event_log_.Append({.kind = EventKind::kColdStart, .exchange = exchange.stand_in->instance()});
+  const ProcessName successor{exchange.uid, exchange.stand_in->instance()};
+  const std::int64_t boot_ms = runtime_.WallClockUs() / 1000 + traits.clock_offset_ms;
+  Exchange* const exchange_ptr = &exchange;
+  RunAfter(fault.duration, [this, exchange_ptr, predecessor, successor, boot_ms, traits] {
+    exchange_ptr->unavailable = false;
+    ListSuccession(SlotOf(*exchange_ptr), predecessor, successor, boot_ms, traits);
+  });
+}
+
+void Trial::ListSuccession(int slot, const ProcessName& predecessor, const ProcessName& successor, std::int64_t boot_ms,
+                           const SuccessionTraits& traits) {
+  if (traits.keeps_name) return ListProcess(slot, successor, "Ready", boot_ms);
+  if (traits.listing == ListingOrder::kTwoEvents) {
+    ListProcess(slot, predecessor, "Gone", 0);
+    return RunAfter(traits.listing_gap,
+                    [this, slot, successor, boot_ms] { ListProcess(slot, successor, "Ready", boot_ms); });
+  }
+  if (traits.listing == ListingOrder::kStartFirst) {
+    ListProcess(slot, successor, "Ready", boot_ms);
+    return RunAfter(traits.listing_gap, [this, slot, predecessor] { ListProcess(slot, predecessor, "Gone", 0); });
+  }
+  for (int s = 0; s < schedule_.softswitches; ++s) {
+    std::vector<DirectoryEntry> entries{EntryOf(s, slot, predecessor, "Gone", 0),
+                                        EntryOf(s, slot, successor, "Ready", boot_ms)};
+    if (traits.listing == ListingOrder::kStartThenRemoval) std::swap(entries[0], entries[1]);
+    DiscoveryStandIn& discovery = *softswitches_[static_cast<std::size_t>(s)].discovery;
+    if (traits.listing == ListingOrder::kWholeList) {
+      discovery.UpdateWholeList(std::move(entries));
+    } else {
+      discovery.UpdateEntries(std::move(entries));
+    }
+  }
+}
+
+void Trial::PauseSoftswitch(int number, TimeUs time) {
+  Softswitch& softswitch = softswitches_[static_cast<std::size_t>(number)];
+  if (time == 0 || softswitch.restarting || !softswitch.process->running()) return;
+  softswitch.process->Signal(SIGSTOP);
+  RunAfter(time, [process = softswitch.process.get()] { process->Signal(SIGCONT); });
+}
+
 void Trial::DrainExchange(Exchange& exchange, TimeUs drain_time) {
   if (exchange.unavailable || exchange.draining) return;
   exchange.draining = true;
--- a/tests/address_succession_test.cpp
+++ b/tests/address_succession_test.cpp
@@ -182,6 +182,88 @@
   EXPECT_EQ(caller_->FinalMessages(kCall)[1].cause, 41);
 }
 
+// How a replacement is listed, relative to the listing of the removal.
+enum class StartListing : std::uint8_t { kBefore, kTogether, kAfter, kWholeList };
+
+class LateAnswerTest : public AddressSuccessionTest, public ::testing::WithParamInterface<StartListing> {
+ protected:
+  // Sets up a call whose answer is read after the start that the directory will state. Returns that start.
+  std::int64_t SetUpCallWithLateAnswer() {
+    const auto answers = std::exchange(exchange_.on_set_up, [](PlatformConnection&, const Message&) {});
+    caller_->SetUp(kCall, kNumber);
+    runtime_.RunFor(2'000 * kMs);
+    const std::int64_t started_ms = UnixMs();
+    runtime_.RunFor(40 * kMs);
+    PlatformExchange::Answer(*exchange_.OpenConnections()[0], kCall, "late");
+    runtime_.RunFor(5 * kMs);
+    exchange_.on_set_up = answers;
+    exchange_.Stop();
+    exchange_.Start();
+    return started_ms;
+  }
+  void PublishReplacement(std::int64_t started_ms) {
+    const json removal = TargetJson(kNumber, "Gone", kOld), start = TargetJson(kNumber, "Ready", kNew, started_ms);
+    switch (GetParam()) {
+      case StartListing::kBefore:
+        Publish({start});
+        return Publish({removal});
+      case StartListing::kTogether:
+        return Publish({removal, start});
+      case StartListing::kAfter:
+        Publish({removal});
+        return Publish({start});
+      case StartListing::kWholeList:
+        return PublishList({start});
+    }
+  }
+};
+
+// Report 3b80c6: the answer of a process that ended was read after the start of the next one at its address.
+TEST_P(LateAnswerTest, CallAnsweredByProcessThatEndedIsToldOver) {
+  PublishOldExchange();
+  const std::int64_t started_ms = SetUpCallWithLateAnswer();
+  runtime_.RunFor(400 * kMs);
+  PublishReplacement(started_ms);
+  runtime_.RunFor(200 * kMs);
+  ASSERT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(caller_->FinalMessages(kCall)[1].cause, 41);
+}
+
+TEST_P(LateAnswerTest, CallOfNewProcessStandsBesideOneOfTheProcessThatEnded) {
+  PublishOldExchange();
+  const std::int64_t started_ms = SetUpCallWithLateAnswer();
+  runtime_.RunFor(400 * kMs);
+  SetUpAnsweredCall(kOtherCall);
+  PublishReplacement(started_ms);
+  runtime_.RunFor(10'000 * kMs);
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(caller_->FinalMessages(kOtherCall).size(), 1U);
+  for (const Message& release : exchange_.Received(MessageType::kRelease)) EXPECT_NE(release.id, kOtherCall);
+}
+
+std::string ListingName(const ::testing::TestParamInfo<StartListing>& listing) {
+  constexpr const char* kNames[] = {"StartFirst", "Together", "RemovalFirst", "WholeList"};
+  return kNames[static_cast<std::size_t>(listing.param)];
+}
+
+INSTANTIATE_TEST_SUITE_P(Listings, LateAnswerTest,
+                         ::testing::Values(StartListing::kBefore, StartListing::kTogether, StartListing::kAfter,
+                                           StartListing::kWholeList),
+                         ListingName);
+
+// Guards against a process that starts again under the same name, with no start stated for the one before.
+TEST_F(AddressSuccessionTest, CallEndsWhenItsExchangeStatesALateStartUnderTheSameName) {
+  PublishOldExchange();
+  SetUpAnsweredCall(kCall);
+  runtime_.RunFor(2'000 * kMs);
+  const std::int64_t started_ms = ReplaceProcess();
+  SetUpAnsweredCall(kOtherCall);
+  Publish({TargetJson(kNumber, "Ready", kOld, started_ms)});
+  ASSERT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(caller_->FinalMessages(kCall)[1].cause, 41);
+  EXPECT_EQ(caller_->FinalMessages(kOtherCall).size(), 1U);
+}
+
 // Guards against a call that is told over after a restart because its exchange is not listed yet (soak seed 8005).
 TEST_F(AddressSuccessionTest, CallAnnouncedBeforeItsExchangeIsListedStands) {
   PublishOldExchange();
--- a/tests/soak_trial_test.cpp
+++ b/tests/soak_trial_test.cpp
@@ -148,6 +148,25 @@
   ExpectNoViolations(Run());
 }
 
+// Report 3b80c6: the softswitch reads the last answers of a process after the start of the next one at its address.
+TEST_F(SoakTrialTest, NotifiesEndOfCallsAnsweredJustBeforeTheirProcessIsReplaced) {
+  schedule_.clients.calls_per_s = 20.0;
+  schedule_.exchange.circuits = 100;
+  schedule_.exchange.reports_circuits = schedule_.exchange.reports_on_connect = false;
+  schedule_.traffic_duration = 10 * kSecond;
+  const auto replace = [this](TimeUs at, int slot, const SuccessionTraits& traits) {
+    schedule_.faults.push_back({at, FaultKind::kReplaceAtOnce, slot, 450 * kMs, 0, traits});
+  };
+  replace(2'000 * kMs, 0, {.dark_time = 550 * kMs});
+  replace(2'400 * kMs, 1, {.dark_time = 550 * kMs, .closes_in_order = true});
+  replace(2'800 * kMs, 2, {.listing = ListingOrder::kTwoEvents, .listing_gap = 100 * kMs});
+  replace(3'200 * kMs, 3, {.listing = ListingOrder::kWholeList, .dark_time = 550 * kMs, .clock_offset_ms = -300});
+  replace(5'000 * kMs, 0, {.dark_time = 550 * kMs, .keeps_name = true});
+  const TrialResult result = Run();
+  EXPECT_GT(Checked(result, Check::kCallEnd), 20U);
+  ExpectNoViolations(result);
+}
+
 // Shorter outages are noticed by a gap in the regular reports, or by probes where there are no reports.
 TEST_F(SoakTrialTest, NotifiesEndOfCallsLostInShortOutageWithFrequentReports) {
   schedule_.exchange.report_interval = 500 * kMs;
