Succession: a call belongs to the process at the far end of the connection that answered it

Callers were never told that their call was over if an exchange's process had answered it in its last moments: the softswitch read the answer after the start of the next process at the address, and gave the call to that one.

Cause: TakeOverFrom, AnsweringExchange and the restart under the same name compared the time at which the answer was read with the start that discovery states, or went by the address. The suspicion that follows lost connections stayed behind with the old exchange.

Change: policy/process_succession decides which process a connection led to: by the window of the stated start (1 s either way, more if the wall clock was stepped), and within it by the moments at which the far end had ended all connections. Calls and queued releases follow their connection; where it cannot be known, a call is confirmed by data on its connection after the start, a report that accounts for all calls, or a release of another call of that process, or it is released and told over 7.4 s after its connection was requested. What the failure detector knows goes with the calls. A start that is stated later for the same name counts also if none was stated before ('boot_ms is 0, or the Unix millisecond of a late start').

--- a/src/lab/soak/schedule.cpp
+++ b/src/lab/soak/schedule.cpp
@@ -16,6 +16,9 @@
 constexpr TimeUs kMinLongDrainTime = 7 * kSecond, kMaxLongDrainTime = 9 * kSecond;
 // Time from the start of an exchange to its listing.
 constexpr TimeUs kMinListingDelay = 870 * kMs, kMaxListingDelay = 2'500 * kMs;
+// Time from the removal of an exchange to the listing of its successor. Calls at a process that is not listed yet are
+// kept for 0.8 s after the removal and released then.
+constexpr TimeUs kMaxListingGap = 700 * kMs;
 constexpr TimeUs kMaxKillDelay = 3 * kSecond, kKillMargin = 700 * kMs;
 
 constexpr std::array<std::string_view, kFaultKindCount> kNames{"vanish",
@@ -74,7 +77,7 @@
   constexpr std::array<std::int64_t, 5> kClockOffsetsMs{0, 0, -30, -300, 30};
   SuccessionTraits traits;
   traits.listing = static_cast<ListingOrder>(random.Index(kListingOrderCount));
-  traits.listing_gap = random.Between(50 * kMs, 900 * kMs);
+  traits.listing_gap = random.Between(50 * kMs, kMaxListingGap);
   traits.pause = random.OneIn(3) ? random.Between(kMs, 400 * kMs) : 40 * kMs;
   traits.dark_time = random.OneIn(2) ? random.Between(450 * kMs, 600 * kMs) : 0;
   traits.clock_offset_ms = kClockOffsetsMs[static_cast<std::size_t>(random.Index(kClockOffsetsMs.size()))];
--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -110,7 +110,7 @@
 }
 
 void ExchangeConnections::TerminateCalls(Exchange* exchange, std::vector<std::string> ids, std::string_view why,
-                                         RemoteState remote_state) {
+                                         RemoteState remote_state, Exchange* release_at) {
   std::sort(ids.begin(), ids.end());
   if (!ids.empty()) {
     ++counters_.lost_exchanges;
@@ -125,7 +125,8 @@
     LogCall("call-cut", found->second, why);
     const CallLeg leg = RemoveCallLeg(found);
     ++counters_.cut_with_exchange;
-    if (remote_state == RemoteState::kCallsMayExist) SendRelease(exchange, nullptr, id);
+    if (remote_state == RemoteState::kCallsMayExist)
+      SendRelease(release_at != nullptr ? release_at : exchange, leg.connection, id, leg.carrier);
     core_->OnTrunkReleased(leg.call, leg.attempt, {core::ReleaseCause::kTemporaryFailure});
   }
 }
@@ -133,11 +134,13 @@
 void ExchangeConnections::SetDecisionDeadline(TimeUs at) {
   decision_deadline_ = at;
   for (const auto& [id, exchange] : exchanges_) exchange->detector.SetDecisionDeadline(at);
+  for (auto& [id, leg] : call_legs_) leg.claim.LimitDeadline(at);
 }
 
 void ExchangeConnections::StartLivenessTimer() {
   liveness_timer_.Start(policy::kLivenessCheckInterval, [this] {
     for (const auto& [id, exchange] : exchanges_) {
+      CheckClaims(exchange.get());
       if (exchange->is_retired) {
         CheckRetiredExchange(exchange.get());
         continue;
@@ -201,15 +204,17 @@
   SendProbe(connection);
 }
 
-policy::CircuitUse ExchangeConnections::ComputeCircuitUse(const Exchange& exchange, TimeUs established_before) const {
+policy::CircuitUse ExchangeConnections::ComputeCircuitUse(const Exchange& exchange, TimeUs carried_before) const {
   policy::CircuitUse use{.used = *exchange.circuits_used, .established = exchange.established.size()};
   const TimeUs now = runtime_->Now();
   for (const std::string& id : exchange.established) {
     const CallLeg& leg = call_legs_.at(id);
-    if (leg.WasEstablishedBefore(established_before)) {
+    const bool is_settled =
+        leg.established_at < carried_before || now >= leg.established_at + policy::kCallSettlingTime;
+    if (leg.WasCarriedBefore(carried_before) && is_settled) {
       ++use.in_question;
       use.announced += leg.announced ? 1 : 0;
-    } else if (now < leg.established_at + policy::kCallSettlingTime) {
+    } else if (!is_settled) {
       ++use.unsettled;
     }
   }
@@ -220,6 +225,7 @@
 void ExchangeConnections::CheckCircuitReport(const Connection& connection) {
   Exchange* const exchange = connection.exchange;
   if (!exchange->circuits_used || exchange->established.empty()) return;
+  ConfirmClaimsByReport(exchange);
   policy::FailureDetector& detector = exchange->detector;
   const bool was_suspected = exchange->IsSuspected();
   // Most reports arrive without any suspicion and are not compared call by call.
@@ -235,7 +241,7 @@
   ++counters_.given_up_replaced;
   std::vector<std::string> ids;
   for (const std::string& id : exchange->established) {
-    if (call_legs_.at(id).WasEstablishedBefore(exchange->detector.give_up_before())) ids.push_back(id);
+    if (call_legs_.at(id).WasCarriedBefore(exchange->detector.give_up_before())) ids.push_back(id);
   }
   TerminateCalls(exchange, std::move(ids), why, remote_state);
   exchange->detector.OnCallsGivenUp();
@@ -425,14 +431,16 @@
     if (!leg.connection->is_open && leg.connection->set_ups.empty())
       return EndConnection(leg.connection, DisconnectReason::kClosedLocally);
   }
-  SendRelease(leg.exchange, leg.connection, leg.id);
+  SendRelease(leg.exchange, leg.connection, leg.id, leg.carrier);
 }
 
-void ExchangeConnections::SendRelease(Exchange* exchange, Connection* connection, const std::string& id) {
+void ExchangeConnections::SendRelease(Exchange* exchange, Connection* connection, const std::string& id,
+                                      const Carrier& carrier) {
+  exchange->released_at = runtime_->Now();
   if (connection == nullptr) connection = NewestOpenConnection(*exchange);
   if (connection == nullptr) {
-    if (exchange->is_retired) return;
-    if (exchange->queued_releases.size() < kMaxQueuedReleases) exchange->queued_releases.push_back(id);
+    // A removed exchange keeps it for a successor at its address that is listed later.
+    if (exchange->queued_releases.size() < kMaxQueuedReleases) exchange->queued_releases.push_back({id, carrier.span});
     return EnsureConnected(exchange);
   }
   connection->stream->Write(WriteMessage({.type = MessageType::kRelease, .id = id, .cause = kNormal}));
@@ -485,7 +493,7 @@
   if (found == exchanges_.end()) return;
   // Anything left of a former set-up with this id is obsolete: its queued release must not reach the call that is
   // adopted now.
-  std::erase(found->second->queued_releases, id);
+  std::erase_if(found->second->queued_releases, [&id](const QueuedRelease& release) { return release.id == id; });
   given_up_.Remove(id);
   if (const auto former = call_legs_.find(id); former != call_legs_.end()) RemoveCallLeg(former);
   Exchange* const exchange = found->second.get();
@@ -565,7 +573,7 @@
       return;
     }
     ++counters_.late_answers;
-    return SendRelease(connection->exchange, connection, message.id);
+    return SendRelease(connection->exchange, connection, message.id, {});
   }
   CallLeg& leg = found->second;
   if (leg.is_established || leg.connection != connection) {
@@ -576,8 +584,9 @@
   LogCall("call-stands", leg, "");
   leg.is_established = true;
   leg.established_at = runtime_->Now();
-  leg.carrier = {connection->number, connection->requested_at, connection->opened_at};
+  leg.carrier = {connection->number, connection->span()};
   leg.exchange = AnsweringExchange(leg);
+  if (connection->claim.IsUnconfirmed()) RequestConfirmation(leg.exchange, &leg, runtime_->Now());
   connection->set_ups.erase(message.id);
   connection->established.insert(message.id);
   RecordEstablishedCall(leg.exchange, message.id);
@@ -592,7 +601,8 @@
   // An established call may be released on any connection to its exchange.
   const bool is_known =
       found != call_legs_.end() && (found->second.connection == connection ||
-                                    (found->second.is_established && found->second.exchange == connection->exchange));
+                                    (found->second.is_established &&
+                                     found->second.exchange->target.address == connection->exchange->target.address));
   if (!is_known) {
     ++counters_.unknown_ends;
     early_releases_.Insert(message.id);
@@ -602,10 +612,12 @@
   policy::FailureDetector& detector = exchange->detector;
   const bool was_suspected = exchange->IsSuspected();
   if (found->second.is_established && (was_suspected || detector.HasPendingDenial()) &&
-      found->second.WasEstablishedBefore(detector.CallsInQuestionBefore(connection->opened_at))) {
-    detector.OnCallConfirmed(runtime_->Now(), found->second.announced ? 0 : found->second.established_at);
+      found->second.WasCarriedBefore(detector.CallsInQuestionBefore(connection->opened_at))) {
+    detector.OnCallConfirmed(runtime_->Now(), found->second.announced ? 0 : found->second.carrier.span.opened_at);
     LogSuspicionChange(*exchange, was_suspected);
   }
+  if (found->second.is_established && !found->second.announced && exchange->has_claims)
+    ConfirmProcess(exchange, found->second.carrier);
   const int cause = message.cause.value_or(kTemporaryFailure);
   LogCall(found->second.is_established ? "call-ended" : "set-up-ended", found->second,
           "cause " + std::to_string(cause));
@@ -691,9 +703,13 @@
   const std::unique_ptr<Connection> ended = std::move(*connection->position);
   exchange->connections.erase(connection->position);
   --connection_count_;
+  const std::vector<std::string> carried(ended->established.begin(), ended->established.end());
   // The handler outlives its stream, which ends here.
   ended->stream.reset();
   for (const std::string& id : ended->established) call_legs_.at(id).connection = nullptr;
+  const bool ended_by_exchange = reason == DisconnectReason::kClosed || reason == DisconnectReason::kReset;
+  if (was_open && ended_by_exchange && NewestOpenConnection(*exchange) == nullptr)
+    exchange->history.OnAllConnectionsLost(runtime_->Now());
   // Determined before the core reacts: nothing was sent on this connection, and the exchange may still be healthy.
   const bool exchange_alive = !was_open && IsKnownAlive(*exchange);
   if (exchange_alive) exchange->connect_failed_at = runtime_->Now();
@@ -713,7 +729,8 @@
   if (reason == DisconnectReason::kRefused && exchange->connections.empty())
     TerminateCallsBefore(exchange, runtime_->Now() + 1, "refuses connections");
   if (exchange->is_retired && exchange->connections.empty())
-    TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory");
+    TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory", RemoteState::kCallsMayExist);
+  DecideCallsOfEndedConnection(exchange, carried);
   EnsureConnected(exchange);
 }
 
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -24,6 +24,7 @@
 #include "platform/node_config.h"
 #include "platform/recent_names.h"
 #include "policy/failure_detector.h"
+#include "policy/process_succession.h"
 
 namespace croftrun::platform {
 
@@ -50,7 +51,9 @@
   std::uint64_t suspicions = 0, suspicions_cleared = 0;      // suspicions that the process with the calls was replaced
   std::uint64_t given_up_silent = 0, given_up_replaced = 0;  // decisions of the failure detector to give up calls
   std::uint64_t ignored_exchanges = 0;                       // entries of the directory that exceeded the limit
-  std::uint64_t successions = 0;   // starts that the directory told of at the address of another exchange
+  std::uint64_t successions = 0;  // starts that the directory told of at the address of another exchange
+  std::uint64_t undecided = 0;    // calls of which a start left open whether its process holds them
+  std::uint64_t undecided_confirmed = 0, undecided_released = 0;  // how that was decided
   std::uint64_t taken_over = 0;    // calls that turned out to be established at the successor of their exchange
   std::uint64_t replacements = 0;  // connections opened because releases may have been lost with an earlier one
   std::uint64_t no_room = 0;       // connections not opened because of the limit
@@ -113,7 +116,7 @@
   // The connection that carried the answer of a call, which may have ended since.
   struct Carrier {
     std::uint64_t connection = 0;  // its number in the log; 0: the call was announced
-    TimeUs requested_at = 0, opened_at = 0;
+    policy::ConnectionSpan span;
   };
   // The call leg to an exchange: a pending set-up or the established call that resulted from it.
   struct CallLeg {
@@ -126,8 +129,9 @@
     std::string id;
     Carrier carrier = {};
     bool announced = false;  // set up by a former process and announced by its caller
-    // Returns whether the call was established before `time`. An announced call may be of any age.
-    bool WasEstablishedBefore(TimeUs time) const { return announced || established_at < time; }
+    policy::ProcessClaim claim = {};
+    // Returns whether the process that holds the call was reached before `time`. An announced call may be of any age.
+    bool WasCarriedBefore(TimeUs time) const { return announced || carrier.span.opened_at < time; }
   };
 
   // Converts Unix time to the runtime's clock. The result is never 0, except for 0.
@@ -137,14 +141,45 @@
   // one that was started later. If both state the same start, or none, it is the one that does not drain, and otherwise
   // the one that became known later (`id` 0: before all others).
   bool IsSuperseded(ExchangeId id, const Target& target, TimeUs since) const;
-  // Moves the connections and calls to this exchange that were established since its start with one that had its
-  // address before.
+  // Returns the bounds of a start on the runtime's clock.
+  policy::StartWindow StartWindowOf(std::int64_t boot_ms) const;
+  // Moves to this exchange the connections and calls that were carried by its process, or may have been, while it was
+  // reached under the name of an exchange that had its address before. Ends the other calls there.
   void TakeOverFromPredecessors(Exchange* successor);
-  void TakeOverFrom(Exchange* predecessor, Exchange* successor);
+  void TakeOverFrom(Exchange* predecessor, Exchange* successor, const policy::StartWindow& start);
+  void MoveConnections(Exchange* predecessor, Exchange* successor, const policy::StartWindow& start);
+  void MoveCalls(Exchange* predecessor, Exchange* successor, const policy::StartWindow& start);
+  void MoveQueuedReleases(Exchange* predecessor, Exchange* successor, const policy::StartWindow& start);
+  // Applies a start that is told of an exchange under the name that it had before.
+  void RestartExchange(Exchange* exchange, const policy::StartWindow& start);
+  // Returns whether a connection from before the start has carried data since, so that its process has outlived it.
+  bool HasOutlived(const Exchange& exchange, const policy::StartWindow& start) const;
+  // Returns which process holds an established call.
+  static policy::ProcessOrder HolderOf(const Exchange& exchange, const CallLeg& leg, const policy::StartWindow& start);
+  // Ends the calls of the process before a start. They are released at `release_at` if their carrier came up so close
+  // to the start that only the stated time speaks against the new process.
+  void EndCallsBeforeStart(Exchange* exchange, Exchange* release_at, const policy::StartWindow& start,
+                           std::string_view why);
+  // Returns the exchange that has answered the set-up.
+  Exchange* AnsweringExchange(const CallLeg& leg);
+  // A connection to the exchange has ended; `carried` are the established calls that were answered on it.
+  void DecideCallsOfEndedConnection(Exchange* exchange, const std::vector<std::string>& carried);
+  // Puts the claim on a connection or call in question.
+  void RequestConfirmation(Exchange* exchange, Connection* connection, TimeUs evidence_from);
+  void RequestConfirmation(Exchange* exchange, CallLeg* leg, TimeUs evidence_from);
+  // Carries a suspicion of the failure detector over to the call, which the detector stops watching.
+  void KeepSuspicion(Exchange* exchange, CallLeg* leg);
+  // Decides the claims at this exchange for which there is evidence, and those whose time has passed.
+  void CheckClaims(Exchange* exchange);
+  // The process that `carrier` led to is alive: confirms its claims, and those on what was carried later.
+  void ConfirmProcess(Exchange* exchange, const Carrier& carrier);
+  void ConfirmCall(CallLeg* leg, std::string_view why);
+  // Confirms all claims if the last report accounts for all calls.
+  void ConfirmClaimsByReport(Exchange* exchange);
   // Logs a change that the directory tells, with the start that it states.
   void LogListing(const Target& target, TimeUs started_at);
   // Logs when a moved call was answered, and on which connection, relative to the start of the new process.
-  void LogMovedCall(const CallLeg& leg, TimeUs started_at);
+  void LogMovedCall(const CallLeg& leg, const policy::StartWindow& start);
   // Removes the call leg from all indexes.
   CallLeg RemoveCallLeg(std::unordered_map<std::string, CallLeg>::iterator position);
   Connection* SelectConnection(Exchange* exchange);
@@ -170,8 +205,9 @@
   void ExecuteLivenessAction(Exchange* exchange, policy::LivenessAction action);
   // Passes the last report, received on `connection`, to the failure detector.
   void CheckCircuitReport(const Connection& connection);
-  // Compares the last report with the established calls; those established before the given time are in question.
-  policy::CircuitUse ComputeCircuitUse(const Exchange& exchange, TimeUs established_before) const;
+  // Compares the last report with the established calls; those whose carrier is older than the given time are in
+  // question.
+  policy::CircuitUse ComputeCircuitUse(const Exchange& exchange, TimeUs carried_before) const;
   // Terminates the announced calls if the last report of the exchange denies them.
   void CheckAnnouncedCalls(Exchange* exchange);
   void RecordEstablishedCall(Exchange* exchange, const std::string& id);
@@ -201,8 +237,10 @@
   // Terminates the calls at the exchange that were established before `before`.
   void TerminateCallsBefore(Exchange* exchange, TimeUs before, std::string_view why,
                             RemoteState remote_state = RemoteState::kCallsGone);
-  // Terminates the given calls.
-  void TerminateCalls(Exchange* exchange, std::vector<std::string> ids, std::string_view why, RemoteState remote_state);
+  // Terminates the given calls. If they may still exist, they are released on their own connection or at `release_at`,
+  // by default the exchange itself.
+  void TerminateCalls(Exchange* exchange, std::vector<std::string> ids, std::string_view why, RemoteState remote_state,
+                      Exchange* release_at = nullptr);
   // Terminates the calls that the current process of the exchange does not know, as decided by the failure detector.
   void GiveUpSuspectedCalls(Exchange* exchange, std::string_view why, RemoteState remote_state);
   void SendProbe(Connection* connection);
@@ -223,9 +261,8 @@
   // Terminates the calls that were answered after the removal if the exchange is silent, and closes the connections on
   // which nothing is left.
   void CheckRetiredExchange(Exchange* exchange);
-  // Returns the exchange that has answered the set-up.
-  Exchange* AnsweringExchange(const CallLeg& leg);
-  void SendRelease(Exchange* exchange, Connection* connection, const std::string& id);
+  // Releases a call on its connection, or on any other one to the exchange. Without one, the release is queued.
+  void SendRelease(Exchange* exchange, Connection* connection, const std::string& id, const Carrier& carrier);
   // The log lines name the exchange, its address and the number of the connection, if there is one.
   void LogConnection(core::LogLevel level, std::string_view event, const Connection& connection,
                      std::string_view detail);
--- a/src/platform/exchange_connections_state.h
+++ b/src/platform/exchange_connections_state.h
@@ -3,6 +3,7 @@
 #ifndef CROFTRUN_PLATFORM_EXCHANGE_CONNECTIONS_STATE_H_
 #define CROFTRUN_PLATFORM_EXCHANGE_CONNECTIONS_STATE_H_
 
+#include <algorithm>
 #include <list>
 #include <memory>
 #include <optional>
@@ -17,6 +18,12 @@
 
 namespace croftrun::platform {
 
+// The release of a call that waits for a connection to the exchange.
+struct QueuedRelease {
+  std::string id;
+  policy::ConnectionSpan carrier;
+};
+
 struct ExchangeConnections::Exchange {
   explicit Exchange(core::Runtime* runtime) : reconnect_timer(runtime), detector({}), announced_check_timer(runtime) {}
   bool IsSuspected() const { return detector.suspected_since() != 0; }
@@ -29,7 +36,8 @@
   std::unordered_set<std::string> established;  // ids of the established calls
   std::string last_report;                      // text of the last report
   std::optional<std::size_t> circuits_used;     // according to the last report, if it states them
-  std::vector<std::string> queued_releases;     // ids of calls to release on the next connection
+  std::vector<QueuedRelease> queued_releases;   // sent on the next connection
+  TimeUs released_at = 0;                       // when this softswitch last released a call there
   core::Timer reconnect_timer;
   TimeUs reconnect_delay = 0;
   TimeUs last_sign_at = 0;           // when data last arrived or a connection was opened
@@ -39,6 +47,8 @@
   std::size_t announced = 0;         // number of announced calls among the established ones
   core::Timer announced_check_timer;
   LostReleases lost_releases;
+  policy::AddressHistory history;
+  bool has_claims = false;  // a claim of its process on a connection or call may be unconfirmed
 };
 
 class ExchangeConnections::Connection final : public core::StreamHandler {
@@ -57,7 +67,8 @@
     owner_->LogConnection(exchange->unreachable ? core::LogLevel::kInfo : core::LogLevel::kDebug, "exchange-connected",
                           *this, std::to_string(exchange->queued_releases.size()) + " releases queued");
     exchange->unreachable = false;
-    for (const std::string& id : std::exchange(exchange->queued_releases, {})) owner_->SendRelease(exchange, this, id);
+    for (const QueuedRelease& release : std::exchange(exchange->queued_releases, {}))
+      owner_->SendRelease(exchange, this, release.id, {});
     owner_->CloseSurplusConnection(exchange);
   }
   void OnBytes(std::string_view bytes) override {
@@ -80,12 +91,14 @@
     owner_->EndConnection(this, kEnds[static_cast<std::size_t>(end)]);
   }
 
-  Exchange* exchange;        // changes once the directory tells that a successor has the address
+  Exchange* exchange;  // changes once the directory tells that a successor has the address
+  policy::ConnectionSpan span() const { return {requested_at, opened_at}; }
   std::uint64_t number = 0;  // number in the log
   std::unique_ptr<core::Stream> stream;
   std::list<std::unique_ptr<Connection>>::iterator position;
   TimeUs requested_at = 0, opened_at = 0, last_data_at = 0;
-  TimeUs probed_at = 0;  // when it was last probed for a sign of life
+  TimeUs probed_at = 0;        // when it was last probed for a sign of life
+  policy::ProcessClaim claim;  // of the current process of the exchange on this connection
   bool is_open = false;
   bool for_liveness = false;                // opened as a sign of life; set-ups are not queued on it until it is open
   bool is_unresponsive = false;             // a set-up was given up on it and no data has arrived since
@@ -97,6 +110,17 @@
   ExchangeConnections* owner_;
 };
 
+template <typename Condition>
+void ExchangeConnections::CloseConnectionsIf(Exchange* exchange, const Condition& is_unused) {
+  // The core's reaction to the end of one connection may change the others.
+  while (true) {
+    const auto found = std::find_if(exchange->connections.begin(), exchange->connections.end(),
+                                    [&is_unused](const auto& connection) { return is_unused(*connection); });
+    if (found == exchange->connections.end()) return;
+    EndConnection(found->get(), DisconnectReason::kClosedLocally);
+  }
+}
+
 }  // namespace croftrun::platform
 
 #endif  // CROFTRUN_PLATFORM_EXCHANGE_CONNECTIONS_STATE_H_
--- a/src/platform/exchange_directory.cpp
+++ b/src/platform/exchange_directory.cpp
@@ -11,8 +11,8 @@
 // Time for which calls at an exchange that was removed are kept on open connections, in case that a successor at its
 // address is listed a little later than the removal.
 constexpr TimeUs kUnlistedSuccessorTimeout = 800'000;
-// Number of moved calls that are logged singly for each start.
-constexpr std::size_t kMaxLoggedMoves = 16;
+// Time for which a removed exchange is remembered for the releases that wait for its successor.
+constexpr TimeUs kQueuedReleaseTimeout = 10'000'000;
 
 std::string MillisecondsSince(TimeUs start, TimeUs time) {
   return std::to_string((static_cast<std::int64_t>(time) - static_cast<std::int64_t>(start)) / 1000) + " ms";
@@ -75,7 +75,9 @@
   DirectoryUpdate update;
   update.kind = notification.is_full ? DirectoryKind::kFull : DirectoryKind::kDelta;
   update.version = static_cast<std::uint32_t>(notification.number);
-  std::vector<Exchange*> gone, restarted, successors;
+  std::vector<Exchange*> gone;
+  std::vector<std::pair<Exchange*, policy::StartWindow>> restarted;
+  std::vector<Exchange*> successors;
   std::size_t ignored = 0;
   if (notification.is_full) gone = RemoveUnlisted(notification.targets);
   for (const Target& target : notification.targets) {
@@ -109,9 +111,8 @@
       gone.push_back(&e);
       continue;
     }
-    // Calls may have been kept on open connections since its removal.
-    const bool is_listed_again = e.is_retired && target.status != ExchangeStatus::kGone;
-    if (since > e.started_at_us && (e.started_at_us != 0 || is_listed_again)) restarted.push_back(&e);
+    if (since > e.started_at_us && target.status != ExchangeStatus::kGone)
+      restarted.emplace_back(&e, StartWindowOf(target.boot_ms));
     const core::Address previous = e.target.address;
     e.target = target;
     if (target.status == ExchangeStatus::kGone && target.address == core::Address{}) e.target.address = previous;
@@ -123,7 +124,8 @@
     }
     e.is_retired = false;
     const auto [occupant, opened] = by_address_.try_emplace(e.target.address, id);
-    if (!opened && occupant->second != id) {
+    const bool replaces_another = !opened && occupant->second != id;
+    if (replaces_another) {
       // A new exchange has the address of an older one, so the older one is gone, even if its own notification arrives
       // later.
       const auto old = exchanges_.find(occupant->second);
@@ -134,11 +136,11 @@
       }
       occupant->second = id;
     }
-    if (since != 0) successors.push_back(&e);
+    if (since != 0 || replaces_another) successors.push_back(&e);
   }
   LogIgnoredExchanges(ignored);
   core_->OnDirectory(update);
-  for (Exchange* const e : restarted) TerminateCallsBefore(e, e->started_at_us, "exchange restarted");
+  for (const auto& [e, start] : restarted) RestartExchange(e, start);
   for (Exchange* const e : successors) TakeOverFromPredecessors(e);
   for (Exchange* const e : gone) RetireExchange(e);
   for (auto& [id, e] : exchanges_) {
@@ -148,6 +150,7 @@
   std::erase_if(exchanges_, [this](const auto& item) {
     Exchange& e = *item.second;
     if (!e.is_retired || !e.connections.empty() || !e.established.empty()) return false;
+    if (!e.queued_releases.empty() && runtime_->Now() < e.retired_at + kQueuedReleaseTimeout) return false;
     by_uid_.erase(e.target.uid);
     forgotten_exchanges_.Insert(e.target.uid);
     return true;
@@ -162,54 +165,6 @@
   log_->Write(core::LogLevel::kInfo, "exchange-listed", 0, text);
 }
 
-void ExchangeConnections::LogMovedCall(const CallLeg& leg, TimeUs started_at) {
-  log_->Write(core::LogLevel::kInfo, "call-moved", leg.call,
-              leg.id + " to " + leg.exchange->target.uid + ", answered on connection " +
-                  std::to_string(leg.carrier.connection) + "; after the start it was requested " +
-                  MillisecondsSince(started_at, leg.carrier.requested_at) + ", opened " +
-                  MillisecondsSince(started_at, leg.carrier.opened_at) + ", the answer read " +
-                  MillisecondsSince(started_at, leg.established_at));
-}
-
-// The directory tells of a start seconds late. Until then the successor was reached under the name of the exchange that
-// had its address before.
-void ExchangeConnections::TakeOverFromPredecessors(Exchange* successor) {
-  for (const auto& [id, exchange] : exchanges_) {
-    if (exchange.get() == successor || exchange->target.address != successor->target.address) continue;
-    ++counters_.successions;
-    TakeOverFrom(exchange.get(), successor);
-  }
-}
-
-void ExchangeConnections::TakeOverFrom(Exchange* predecessor, Exchange* successor) {
-  const TimeUs started_at = successor->started_at_us;
-  for (auto position = predecessor->connections.begin(); position != predecessor->connections.end();) {
-    const auto connection = position++;
-    if (!(*connection)->is_open || (*connection)->opened_at < started_at) continue;
-    (*connection)->exchange = successor;
-    successor->connections.splice(successor->connections.end(), predecessor->connections, connection);
-    for (const std::string& id : successor->connections.back()->set_ups) call_legs_.at(id).exchange = successor;
-  }
-  std::size_t moved = 0;
-  for (auto position = predecessor->established.begin(); position != predecessor->established.end();) {
-    CallLeg& leg = call_legs_.at(*position);
-    // The caller of an announced call has named the predecessor.
-    if (leg.announced || leg.established_at < started_at) {
-      ++position;
-      continue;
-    }
-    leg.exchange = successor;
-    RecordEstablishedCall(successor, leg.id);
-    position = predecessor->established.erase(position);
-    if (++moved <= kMaxLoggedMoves) LogMovedCall(leg, started_at);
-  }
-  if (moved == 0) return;
-  counters_.taken_over += moved;
-  log_->Write(core::LogLevel::kInfo, "exchange-succeeded", 0,
-              successor->target.uid + " has the address of " + predecessor->target.uid +
-                  ", established calls taken over: " + std::to_string(moved));
-}
-
 void ExchangeConnections::LogIgnoredExchanges(std::size_t count) {
   if (count == 0) return;
   counters_.ignored_exchanges += count;
@@ -238,12 +193,14 @@
 void ExchangeConnections::RetireExchange(Exchange* exchange) {
   if (!std::exchange(exchange->is_retired, true)) exchange->retired_at = runtime_->Now();
   exchange->reconnect_timer.Stop();
-  exchange->queued_releases.clear();
   FreeAddress(*exchange);
+  for (const std::string& id : exchange->established) KeepSuspicion(exchange, &call_legs_.at(id));
   // A connection that is still open may lead to a successor that the directory does not list yet. The calls are then
   // kept for kUnlistedSuccessorTimeout.
-  if (by_address_.count(exchange->target.address) > 0 || NewestOpenConnection(*exchange) == nullptr)
-    TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory");
+  const bool is_replaced = by_address_.count(exchange->target.address) > 0;
+  if (is_replaced || NewestOpenConnection(*exchange) == nullptr)
+    TerminateCallsBefore(exchange, runtime_->Now() + 1, "removed from the directory",
+                         is_replaced ? RemoteState::kCallsGone : RemoteState::kCallsMayExist);
   CloseUnusedConnections(exchange);
 }
 
@@ -256,17 +213,6 @@
   });
 }
 
-template <typename Condition>
-void ExchangeConnections::CloseConnectionsIf(Exchange* exchange, const Condition& is_unused) {
-  // The core's reaction to the end of one connection may change the others.
-  while (true) {
-    const auto found = std::find_if(exchange->connections.begin(), exchange->connections.end(),
-                                    [&is_unused](const auto& connection) { return is_unused(*connection); });
-    if (found == exchange->connections.end()) return;
-    EndConnection(found->get(), DisconnectReason::kClosedLocally);
-  }
-}
-
 void ExchangeConnections::CheckRetiredExchange(Exchange* exchange) {
   if (runtime_->Now() >= exchange->retired_at + kUnlistedSuccessorTimeout) {
     TerminateCallsBefore(exchange, exchange->retired_at + 1, "removed from the directory", RemoteState::kCallsMayExist);
@@ -278,12 +224,4 @@
   CloseUnusedConnections(exchange);
 }
 
-// If a successor has taken over the address of a removed exchange, the connection was opened to the successor before
-// the directory told of it.
-ExchangeConnections::Exchange* ExchangeConnections::AnsweringExchange(const CallLeg& leg) {
-  if (!leg.exchange->is_retired) return leg.exchange;
-  const auto successor = by_address_.find(leg.exchange->target.address);
-  return successor == by_address_.end() ? leg.exchange : exchanges_.at(successor->second).get();
-}
-
 }  // namespace croftrun::platform
--- a/src/policy/failure_detector.cpp
+++ b/src/policy/failure_detector.cpp
@@ -215,6 +215,21 @@
   if (suspicions_.empty()) ClearSuspicions(last_sign_at_);
 }
 
+void FailureDetector::ForgetSuspicionsUpTo(TimeUs oldest_connection_opened_at) {
+  const bool was_suspected = !suspicions_.empty();
+  std::erase_if(suspicions_, [oldest_connection_opened_at](const Suspicion& suspicion) {
+    return suspicion.since <= oldest_connection_opened_at;
+  });
+  if (was_suspected && suspicions_.empty()) ClearSuspicions(last_sign_at_);
+}
+
+TimeUs FailureDetector::GiveUpDeadline(TimeUs connection_opened_at) const {
+  const auto found = std::find_if(
+      suspicions_.begin(), suspicions_.end(),
+      [connection_opened_at](const Suspicion& suspicion) { return connection_opened_at < suspicion.since; });
+  return found == suspicions_.end() ? 0 : found->alive_at + settings_.detection_timeout_us;
+}
+
 TimeUs FailureDetector::ReplacementCutoff(TimeUs now) const {
   if (suspicions_.empty()) return 0;
   const bool denial_confirmed = denied_at_ != 0 && now >= denied_at_ + kDenialConfirmationTimeout;
--- a/src/policy/failure_detector.h
+++ b/src/policy/failure_detector.h
@@ -126,6 +126,11 @@
   TimeUs give_up_before() const { return give_up_before_; }
   // The owner gave up the calls as requested.
   void OnCallsGivenUp();
+  // The calls on connections opened before this time have ended otherwise, so that suspicions of them are obsolete.
+  void ForgetSuspicionsUpTo(TimeUs oldest_connection_opened_at);
+  // Returns when a call that was answered on a connection opened at this time has to be given up, if nothing clears the
+  // suspicions until then, or 0 if it is not suspected.
+  TimeUs GiveUpDeadline(TimeUs connection_opened_at) const;
   // Sets the time by which open suspicions are decided, because their evidence is lost when this process shuts down.
   // Signs of life are requested sooner from now on. At the deadline, suspected calls and the calls at an unreachable
   // exchange are given up.
--- a/tests/address_succession_test.cpp
+++ b/tests/address_succession_test.cpp
@@ -2,6 +2,7 @@
 // what becomes of the calls at either.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <ostream>
 
 #include "platform_fixture.h"
@@ -190,12 +191,14 @@
   // Sets up a call whose answer is read after the start that the directory will state. Returns that start.
   std::int64_t SetUpCallWithLateAnswer() {
     const auto answers = std::exchange(exchange_.on_set_up, [](PlatformConnection&, const Message&) {});
-    caller_->SetUp(kCall, kNumber);
     runtime_.RunFor(2'000 * kMs);
+    caller_->SetUp(kCall, kNumber);
+    runtime_.RunFor(5 * kMs);
     const std::int64_t started_ms = UnixMs();
     runtime_.RunFor(40 * kMs);
     PlatformExchange::Answer(*exchange_.OpenConnections()[0], kCall, "late");
     runtime_.RunFor(5 * kMs);
+    EXPECT_EQ(caller_->FinalMessages(kCall).size(), 1U);
     exchange_.on_set_up = answers;
     exchange_.Stop();
     exchange_.Start();
@@ -229,6 +232,33 @@
   EXPECT_EQ(caller_->FinalMessages(kCall)[1].cause, 41);
 }
 
+// Guards against a start that is converted by the clock as it was when the softswitch started.
+TEST_P(LateAnswerTest, WallClockThatIsSteppedChangesNothing) {
+  constexpr std::int64_t kStepMs = 3'600'000;
+  PublishOldExchange();
+  std::int64_t started_ms = SetUpCallWithLateAnswer();
+  runtime_.RunFor(400 * kMs);
+  SetUpAnsweredCall(kOtherCall);
+  runtime_.SetWallClock(runtime_.WallClockUs() - static_cast<std::int64_t>(runtime_.Now()) + kStepMs * kMs);
+  started_ms += GetParam() == StartListing::kTogether ? kStepMs : 0;  // by a clock that was stepped as well
+  PublishReplacement(started_ms);
+  runtime_.RunFor(10'000 * kMs);
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(caller_->FinalMessages(kOtherCall).size(), 1U);
+}
+
+TEST_P(LateAnswerTest, ClockOfTheStartMayBeOff) {
+  PublishOldExchange();
+  constexpr char kThirdCall[] = "9b1f03aa5c7e2d43";
+  const std::int64_t started_ms = SetUpCallWithLateAnswer();
+  runtime_.RunFor(400 * kMs);
+  SetUpAnsweredCall(kThirdCall);
+  PublishReplacement(started_ms + (GetParam() == StartListing::kTogether ? 300 : -300));
+  runtime_.RunFor(10'000 * kMs);
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(caller_->FinalMessages(kThirdCall).size(), 1U);
+}
+
 TEST_P(LateAnswerTest, CallOfNewProcessStandsBesideOneOfTheProcessThatEnded) {
   PublishOldExchange();
   const std::int64_t started_ms = SetUpCallWithLateAnswer();
@@ -264,6 +294,163 @@
   EXPECT_EQ(caller_->FinalMessages(kOtherCall).size(), 1U);
 }
 
+// Guards against an answer that is given to the exchange which has the address by then.
+TEST_F(AddressSuccessionTest, CallAnsweredByRemovedProcessAfterTheListingEndsWithItsConnection) {
+  PublishOldExchange();
+  exchange_.on_set_up = [](PlatformConnection&, const Message&) {};
+  runtime_.RunFor(2'000 * kMs);
+  caller_->SetUp(kCall, kNumber);
+  runtime_.RunFor(5 * kMs);
+  Publish({TargetJson(kNumber, "Gone", kOld), TargetJson(kNumber, "Ready", kNew, UnixMs())});
+  PlatformExchange::Answer(*exchange_.OpenConnections()[0], kCall, "late");
+  runtime_.RunFor(5 * kMs);
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 1U);
+  exchange_.OpenConnections()[0]->Reset();
+  runtime_.RunFor(50 * kMs);
+  ASSERT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(caller_->FinalMessages(kCall)[1].cause, 41);
+}
+
+// Guards against a silence that counts only from the listing on.
+TEST_F(AddressSuccessionTest, SilenceOfSuccessorCountsFromItsLastSignOfLife) {
+  PublishOldExchange();
+  const std::int64_t started_ms = ReplaceProcess();
+  runtime_.RunFor(2'000 * kMs);
+  SetUpAnsweredCall(kCall);
+  exchange_.is_accepting = false;
+  runtime_.RunFor(5'000 * kMs);
+  Publish({TargetJson(kNumber, "Gone", kOld), TargetJson(kNumber, "Ready", kNew, started_ms)});
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 1U);
+  runtime_.RunFor(2'900 * kMs);
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+}
+
+// Guards against a call that is released here and stands on at a process which is listed later.
+TEST_F(AddressSuccessionTest, ReleaseThatWaitsForAConnectionReachesTheSuccessorThatHoldsTheCall) {
+  PublishOldExchange();
+  const std::int64_t started_ms = ReplaceProcess();
+  SetUpAnsweredCall(kCall);
+  exchange_.is_accepting = false;
+  for (PlatformConnection* const connection : exchange_.OpenConnections()) connection->Reset();
+  runtime_.RunFor(5 * kMs);
+  caller_->Release(kCall);
+  runtime_.RunFor(5 * kMs);
+  Publish({TargetJson(kNumber, "Gone", kOld)});
+  Publish({TargetJson(kNumber, "Ready", kNew, started_ms)});
+  exchange_.is_accepting = true;
+  runtime_.RunFor(2'000 * kMs);
+  const std::vector<Message> releases = exchange_.Received(MessageType::kRelease);
+  ASSERT_EQ(releases.size(), 1U);
+  EXPECT_EQ(releases[0].id, kCall);
+}
+
+class ThreeProcessesTest : public AddressSuccessionTest, public ::testing::WithParamInterface<bool> {};
+
+// Guards against calls of a process in the middle that was never used under its own name.
+TEST_P(ThreeProcessesTest, CallsOfFormerProcessesEndWhenAllChangesAreToldAtOnce) {
+  constexpr char kThirdCall[] = "9b1f03aa5c7e2d43";
+  PublishOldExchange();
+  runtime_.RunFor(2'000 * kMs);
+  SetUpAnsweredCall(kCall);
+  const std::int64_t middle_started_ms = ReplaceProcess();
+  SetUpAnsweredCall(kOtherCall);
+  runtime_.RunFor(300 * kMs);
+  const std::int64_t newest_started_ms = ReplaceProcess();
+  SetUpAnsweredCall(kThirdCall);
+  std::vector<json> changes{TargetJson(kNumber, "Gone", kOld),
+                            TargetJson(kNumber, "Ready", "s-middle", middle_started_ms),
+                            TargetJson(kNumber, "Gone", "s-middle", middle_started_ms),
+                            TargetJson(kNumber, "Ready", kNew, newest_started_ms)};
+  if (GetParam()) std::swap(changes[0], changes[3]);
+  Publish(changes);
+  runtime_.RunFor(7'500 * kMs);
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(caller_->FinalMessages(kOtherCall).size(), 2U);
+  EXPECT_EQ(caller_->FinalMessages(kThirdCall).size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(NewestLastOrFirst, ThreeProcessesTest, ::testing::Bool());
+
+// A connection that is requested while the process is replaced and comes up after it.
+class UndecidedCallTest : public AddressSuccessionTest {
+ protected:
+  void SetUpCallAcrossReplacement() {
+    PublishOldExchange();
+    runtime_.RunFor(2'000 * kMs);
+    const auto answers = std::exchange(exchange_.on_set_up, [](PlatformConnection&, const Message&) {});
+    caller_->SetUp(kOtherCall, kNumber);  // occupies the open connection
+    runtime_.RunFor(5 * kMs);
+    exchange_.is_accepting = false;
+    caller_->SetUp(kCall, kNumber);
+    runtime_.RunFor(20 * kMs);
+    caller_->Release(kOtherCall);
+    runtime_.RunFor(kMs);
+    exchange_.OpenConnections()[0]->Reset();
+    started_ms_ = UnixMs();
+    exchange_.on_set_up = answers;
+    runtime_.RunFor(20 * kMs);
+    exchange_.is_accepting = true;
+    runtime_.RunFor(100 * kMs);
+    ASSERT_EQ(caller_->FinalMessages(kCall).size(), 1U);
+    ASSERT_EQ(caller_->FinalMessages(kCall)[0].type, MessageType::kAnswer);
+    carrier_ = exchange_.OpenConnections()[0];
+  }
+  void PublishReplacement() {
+    Publish({TargetJson(kNumber, "Gone", kOld), TargetJson(kNumber, "Ready", kNew, started_ms_)});
+    EXPECT_EQ(node_->exchanges().counters().undecided, 1U);
+  }
+  std::size_t ReleasesOfCall() const {
+    const std::vector<Message> releases = exchange_.Received(MessageType::kRelease);
+    return static_cast<std::size_t>(
+        std::count_if(releases.begin(), releases.end(), [](const Message& release) { return release.id == kCall; }));
+  }
+
+  std::int64_t started_ms_ = 0;
+  PlatformConnection* carrier_ = nullptr;
+};
+
+TEST_F(UndecidedCallTest, StandsOnceItsConnectionHasCarriedDataAfterTheStart) {
+  SetUpCallAcrossReplacement();
+  PublishReplacement();
+  ReportCircuits(*carrier_, 7);
+  runtime_.RunFor(10'000 * kMs);
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 1U);
+  EXPECT_EQ(node_->exchanges().counters().undecided_confirmed, 1U);
+}
+
+TEST_F(UndecidedCallTest, IsReleasedAndToldOverInTimeWithoutEvidence) {
+  SetUpCallAcrossReplacement();
+  carrier_->Reset();
+  PublishReplacement();
+  runtime_.RunFor(7'800 * kMs);
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(ReleasesOfCall(), 1U);
+}
+
+// Guards against a report of other calls that makes up for a call in question.
+TEST_F(UndecidedCallTest, IsNotConfirmedByAReportOfFewerCircuitsThanCalls) {
+  SetUpCallAcrossReplacement();
+  carrier_->Reset();
+  PublishReplacement();
+  constexpr char kThirdCall[] = "9b1f03aa5c7e2d43";
+  SetUpAnsweredCall(kThirdCall);
+  runtime_.RunFor(1'500 * kMs);
+  ReportCircuits(*exchange_.OpenConnections().back(), 1);
+  runtime_.RunFor(7'000 * kMs);
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(caller_->FinalMessages(kThirdCall).size(), 1U);
+}
+
+TEST_F(UndecidedCallTest, IsConfirmedByAReportThatAccountsForAllCalls) {
+  SetUpCallAcrossReplacement();
+  carrier_->Reset();
+  PublishReplacement();
+  runtime_.RunFor(500 * kMs);
+  ReportCircuits(*exchange_.OpenConnections().back(), 1);
+  runtime_.RunFor(8'000 * kMs);
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 1U);
+}
+
 // Guards against a call that is told over after a restart because its exchange is not listed yet (soak seed 8005).
 TEST_F(AddressSuccessionTest, CallAnnouncedBeforeItsExchangeIsListedStands) {
   PublishOldExchange();
