Failure detector: a successor reached before the last reset of the holder clears no suspicion

Cause: the suspicion began at the reset, so that the successor's connection counted as older, and the answer to a probe on it cleared the suspicion.

Change: while a probe of the holder is outstanding, the first connection that comes up is remembered, and a suspicion begins there.

Measured: DataOfSuccessorReachedBeforeTheResetOfHolderClearsNoSuspicion fails on the code before (suspicion cleared) and passes; 37 tests of the policy and 310 of the platform pass (ASan, UBSan, arm64).

--- a/src/policy/failure_detector.cpp
+++ b/src/policy/failure_detector.cpp
@@ -74,7 +74,7 @@
   confirmed_at_ = std::max(confirmed_at_, alive_at);
   suspicions_.clear();
   denied_at_ = 0;
-  holder_probed_at_ = machine_reached_at_ = others_opened_at_ = others_last_data_at_ = 0;
+  holder_probed_at_ = machine_reached_at_ = unproven_opened_at_ = others_opened_at_ = others_last_data_at_ = 0;
   give_up_not_before_ = 0;
   probe_newest_next_ = false;
   unconfirmed_since_ = 0;
@@ -124,9 +124,9 @@
   return suspicions_.empty() ? connection_opened_at <= confirmed_at_ : connection_opened_at < suspicions_.back().since;
 }
 
-void FailureDetector::OnFirstCall(TimeUs now) {
-  ConfirmHolder(now);
-  last_data_at_ = now;
+void FailureDetector::OnFirstCall(TimeUs alive_at) {
+  ConfirmHolder(alive_at);
+  last_data_at_ = alive_at;
 }
 
 void FailureDetector::OnDataReceived(TimeUs now, TimeUs connection_opened_at) {
@@ -155,6 +155,7 @@
   if (!uses_probes_) return ConfirmHolder(now);
   // The machine is reachable. Only the older connections can show whether the process is still the same.
   if (holder_probed_at_ == 0 || machine_reached_at_ != 0) return;
+  if (unproven_opened_at_ == 0) unproven_opened_at_ = now;
   machine_reached_at_ = now;
   probe_newest_next_ = true;
   next_probe_at_ = now;
@@ -168,10 +169,17 @@
 
 void FailureDetector::OnConnectionReset(TimeUs now, std::size_t others_open, std::size_t established) {
   if (others_open > 0 || established == 0) return;
-  AddSuspicion(suspicions_.empty() && others_opened_at_ != 0 ? others_opened_at_ : now);
+  AddSuspicion(suspicions_.empty() ? FirstUnprovenConnection(now) : now);
   denied_at_ = 0;
 }
 
+TimeUs FailureDetector::FirstUnprovenConnection(TimeUs now) const {
+  TimeUs first = now;
+  if (others_opened_at_ != 0) first = std::min(first, others_opened_at_);
+  if (unproven_opened_at_ != 0) first = std::min(first, unproven_opened_at_);
+  return first;
+}
+
 void FailureDetector::OnUnconfirmedCallAnnounced(TimeUs now) {
   if (unconfirmed_since_ == 0) unconfirmed_since_ = now;
 }
--- a/src/policy/failure_detector.h
+++ b/src/policy/failure_detector.h
@@ -95,8 +95,9 @@
  public:
   explicit FailureDetector(const FailureDetectorSettings& settings) : settings_(settings) {}
 
-  // The first call is established at the exchange. Earlier evidence is discarded.
-  void OnFirstCall(TimeUs now);
+  // The first call is established at the exchange, whose process was alive at `alive_at`. Earlier evidence is
+  // discarded.
+  void OnFirstCall(TimeUs alive_at);
   // Data arrived on a connection that was opened at `connection_opened_at`.
   void OnDataReceived(TimeUs now, TimeUs connection_opened_at);
   // A connection was established while the exchange had `established` calls.
@@ -167,6 +168,8 @@
   // Clears all suspicions: the process that gave a sign of life at `alive_at` holds all calls.
   void ClearSuspicions(TimeUs alive_at);
   void AddSuspicion(TimeUs since);
+  // Returns when the oldest connection was opened that may lead to a successor, or `now` if there is none.
+  TimeUs FirstUnprovenConnection(TimeUs now) const;
   // Records that a process that was present at `known_since` is still present, which clears later suspicions.
   void ConfirmProcess(TimeUs now, TimeUs known_since);
   // Records a sign of life of any process at the exchange.
@@ -199,6 +202,7 @@
   bool probe_newest_next_ = false;  // the holder and the newest connection are probed in turn
   TimeUs holder_probed_at_ = 0;     // when the outstanding probe of the holder was sent; 0: none
   TimeUs machine_reached_at_ = 0;   // when a connection was established after that probe; 0: none was
+  TimeUs unproven_opened_at_ = 0;   // when the first one was; it may lead to a successor
   TimeUs others_opened_at_ = 0;     // when the oldest connection was opened that had data after the holder; 0: none
   TimeUs others_last_data_at_ = 0;  // when data last arrived on such a connection
   TimeUs give_up_not_before_ = 0;   // after a hang, data of the holder may arrive a little later than that of others
--- a/tests/failure_detector_test.cpp
+++ b/tests/failure_detector_test.cpp
@@ -382,6 +382,19 @@
   EXPECT_EQ(detector_.state(now_), LivenessState::kSuspected);
 }
 
+// Guards against a successor that clears the suspicion of its own connection: one to it comes up shortly before the
+// last connection of the holder is reset.
+TEST_F(HolderProbeTest, DataOfSuccessorReachedBeforeTheResetOfHolderClearsNoSuspicion) {
+  RunFor(2'600 * kMs, false, false);
+  ASSERT_TRUE(detector_.IsProbingHolder());
+  const TimeUs successor_opened = now_ + 10 * kMs;
+  detector_.OnConnectionOpened(successor_opened, 1);
+  detector_.OnConnectionReset(successor_opened + 14 * kMs, 0, 1);
+  detector_.OnDataReceived(successor_opened + 20 * kMs, successor_opened);
+  EXPECT_EQ(detector_.state(now_ + 40 * kMs), LivenessState::kSuspected);
+  EXPECT_EQ(detector_.suspected_since(), successor_opened);
+}
+
 // A suspicion is lost when this process ends, so it has to be decided before.
 TEST_F(FailureDetectorTest, GivesUpSuspectedOrUnreachableCallsByDecisionDeadline) {
   const TimeUs stop = now_;
