Exchanges: data in front of the end of its connection is no sign of life

The data counted as a sign of life of that moment, cleared suspicions that had arisen before, and set the time from which the 8 s for notifying callers are counted, although the process had ended up to as long ago as the standstill.

Change: data confirms nothing if the far end has closed or reset the connection by the time it is read. The first call at an exchange then counts as confirmed at the time its set-up was sent.

--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -406,7 +406,8 @@
         MakeReleaseInfo({Outcome::kError, RejectCause::kNone}, core::ReleaseCause::kTemporaryFailure));
   }
   ++counters_.set_ups;
-  const CallLeg& leg = call_legs_[id] = {call, set_up.attempt, found->second.get(), connection, false, 0, id};
+  CallLeg& leg = call_legs_[id] = {call, set_up.attempt, found->second.get(), connection, false, 0, id};
+  leg.sent_at = runtime_->Now();
   LogCall("set-up-sent", leg, std::to_string(set_up.budget_us / 1000) + " ms remaining");
   call_ids_[call] = id;
   connection->set_ups.insert(id);
@@ -501,7 +502,7 @@
   call_ids_[call] = id;
   call_legs_[id].announced = true;
   ++exchange->announced;
-  RecordEstablishedCall(exchange, id);
+  RecordEstablishedCall(exchange, id, runtime_->Now());
   if (NewestOpenConnection(*exchange) == nullptr) exchange->detector.OnUnconfirmedCallAnnounced(runtime_->Now());
   if (!exchange->announced_check_timer.IsRunning())
     exchange->announced_check_timer.Start(kAnnouncementWindow, [this, exchange] { CheckAnnouncedCalls(exchange); });
@@ -519,9 +520,18 @@
   });
 }
 
-void ExchangeConnections::RecordEstablishedCall(Exchange* exchange, const std::string& id) {
+void ExchangeConnections::RecordSignOfLife(Connection* connection) {
+  Exchange* const exchange = connection->exchange;
+  const bool was_suspected = exchange->IsSuspected();
+  exchange->last_sign_at = connection->last_data_at;
+  exchange->detector.OnDataReceived(connection->last_data_at, connection->opened_at);
+  LogSuspicionChange(*exchange, was_suspected);
+  exchange->lost_releases.OnDataReceived(connection->opened_at);
+}
+
+void ExchangeConnections::RecordEstablishedCall(Exchange* exchange, const std::string& id, TimeUs alive_at) {
   if (exchange->established.empty()) {
-    exchange->detector.OnFirstCall(runtime_->Now());
+    exchange->detector.OnFirstCall(alive_at);
     exchange->lost_releases.Clear();
   }
   exchange->established.insert(id);
@@ -589,7 +599,8 @@
   if (connection->claim.IsUnconfirmed()) RequestConfirmation(leg.exchange, &leg, runtime_->Now());
   connection->set_ups.erase(message.id);
   connection->established.insert(message.id);
-  RecordEstablishedCall(leg.exchange, message.id);
+  // An answer follows its set-up, but it may have been read some time after the end of its process.
+  RecordEstablishedCall(leg.exchange, message.id, connection->stream->PeerClosed() ? leg.sent_at : leg.established_at);
   const CallId call = leg.call;
   const int attempt = leg.attempt;
   core_->OnTrunkSession(call, attempt, message.description.value_or(std::string()));
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -127,6 +127,7 @@
     bool is_established = false;
     TimeUs established_at = 0;
     std::string id;
+    TimeUs sent_at = 0;  // of the set-up
     Carrier carrier = {};
     bool announced = false;  // set up by a former process and announced by its caller
     policy::ProcessClaim claim = {};
@@ -210,7 +211,10 @@
   policy::CircuitUse ComputeCircuitUse(const Exchange& exchange, TimeUs carried_before) const;
   // Terminates the announced calls if the last report of the exchange denies them.
   void CheckAnnouncedCalls(Exchange* exchange);
-  void RecordEstablishedCall(Exchange* exchange, const std::string& id);
+  // Data has arrived on a connection that its far end keeps open.
+  void RecordSignOfLife(Connection* connection);
+  // `alive_at` is a time at which the process that holds the call was alive.
+  void RecordEstablishedCall(Exchange* exchange, const std::string& id, TimeUs alive_at);
   void LogSuspicionChange(const Exchange& exchange, bool was_suspected);
   // Why a connection ended.
   enum class DisconnectReason : std::uint8_t { kClosed, kReset, kRefused, kConnectTimeout, kMalformed, kClosedLocally };
--- a/src/platform/exchange_connections_state.h
+++ b/src/platform/exchange_connections_state.h
@@ -74,11 +74,8 @@
   void OnBytes(std::string_view bytes) override {
     is_unresponsive = false;
     last_data_at = owner_->runtime_->Now();
-    exchange->last_sign_at = last_data_at;
-    const bool was_suspected = exchange->IsSuspected();
-    exchange->detector.OnDataReceived(last_data_at, opened_at);
-    owner_->LogSuspicionChange(*exchange, was_suspected);
-    exchange->lost_releases.OnDataReceived(opened_at);
+    // The process may have ended behind this data, some time before it was read.
+    if (!stream->PeerClosed()) owner_->RecordSignOfLife(this);
     owner_->EnsureConnected(exchange);
     // Handling a line may end other connections, but never this one.
     if (reader.Feed(bytes, [this](std::string_view line) { return owner_->HandleLine(this, line); })) return;
