Directory: a new exchange is used although its predecessor's clock was ahead

Calls to a number would be refused until the next whole list: an exchange that discovery tells of for the first time, with a start stated up to a second before that of the one at its address, counted as the older of the two and was never used. Also if the removal came first in the same event. Found by reading.

Change: in changes, which are told in their order, an exchange that was never told of is newer than one told by an earlier event unless the stated starts differ by more than the clocks may. A removed occupant supersedes nothing. And a report confirms calls in question only if it covers the set-ups that it may count as well.

--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -140,8 +140,10 @@
   DirectoryEntry MakeDirectoryEntry(const Exchange& exchange) const;
   // Returns whether a newer exchange has the address of this entry of the directory. The newer of two exchanges is the
   // one that was started later. If both state the same start, or none, it is the one that does not drain, and otherwise
-  // the one that became known later (`id` 0: before all others).
-  bool IsSuperseded(ExchangeId id, const Target& target, TimeUs since) const;
+  // the one that became known later (`id` 0: before all others). `clock_difference` is by how much the start of the
+  // other one may be stated too late, if an earlier notification listed it.
+  bool IsSuperseded(ExchangeId id, const Target& target, TimeUs since, TimeUs clock_difference,
+                    std::uint64_t notification_number) const;
   // Returns the bounds of a start on the runtime's clock.
   policy::StartWindow StartWindowOf(std::int64_t boot_ms) const;
   // Moves to this exchange the connections and calls that were carried by its process, or may have been, while it was
--- a/src/platform/exchange_connections_state.h
+++ b/src/platform/exchange_connections_state.h
@@ -30,8 +30,9 @@
   ExchangeId id = 0;
   Target target;
   TimeUs started_at_us = 0;
-  TimeUs retired_at = 0;    // when `is_retired` was set
-  bool is_retired = false;  // removed from the directory, or its address was taken over
+  std::uint64_t listed_by = 0;  // number of the last notification that listed it
+  TimeUs retired_at = 0;        // when `is_retired` was set
+  bool is_retired = false;      // removed from the directory, or its address was taken over
   std::list<std::unique_ptr<Connection>> connections;
   std::unordered_set<std::string> established;  // ids of the established calls
   std::string last_report;                      // text of the last report
--- a/src/platform/exchange_directory.cpp
+++ b/src/platform/exchange_directory.cpp
@@ -59,14 +59,18 @@
           .started_at_us = exchange.started_at_us};
 }
 
-bool ExchangeConnections::IsSuperseded(ExchangeId id, const Target& target, TimeUs since) const {
+bool ExchangeConnections::IsSuperseded(ExchangeId id, const Target& target, TimeUs since, TimeUs clock_difference,
+                                       std::uint64_t notification_number) const {
   if (target.status == ExchangeStatus::kGone) return false;
   const auto found = by_address_.find(target.address);
   if (found == by_address_.end() || found->second == id) return false;
   const auto position = exchanges_.find(found->second);
   if (position == exchanges_.end() || position->second->is_retired) return false;
   const Exchange& occupant = *position->second;
-  if (occupant.started_at_us != since) return occupant.started_at_us > since;
+  if (occupant.target.status == ExchangeStatus::kGone) return false;  // removed by the same notification
+  // Within one notification the order says nothing.
+  if (occupant.listed_by == notification_number) clock_difference = 0;
+  if (occupant.started_at_us != since) return occupant.started_at_us > since + clock_difference;
   if (occupant.target.status != target.status) return occupant.target.status == ExchangeStatus::kReady;
   return occupant.id > id;
 }
@@ -84,10 +88,16 @@
     const TimeUs since = ToRuntimeTime(target.boot_ms);
     if (!notification.is_full) LogListing(target, since);
     auto& id = by_uid_[target.uid];
+    TimeUs clock_difference = 0;
     if (id == 0) {
       // A forgotten exchange was known before the one that has its address now.
-      const ExchangeId order = forgotten_exchanges_.Contains(target.uid) ? 0 : next_exchange_id_;
-      if (target.status == ExchangeStatus::kGone || IsSuperseded(order, target, since)) {
+      const bool was_forgotten = forgotten_exchanges_.Contains(target.uid);
+      const ExchangeId order = was_forgotten ? 0 : next_exchange_id_;
+      // Changes are told in their order, so that one which was never told of before is new, whatever its clock states.
+      const bool is_news = !notification.is_full && !was_forgotten;
+      if (is_news) clock_difference = policy::kMaxClockDifference;
+      if (target.status == ExchangeStatus::kGone ||
+          IsSuperseded(order, target, since, clock_difference, notification.number)) {
         by_uid_.erase(target.uid);  // never used by this softswitch
         continue;
       }
@@ -103,7 +113,7 @@
       exchanges_[id]->detector.SetDecisionDeadline(decision_deadline_);
     }
     Exchange& e = *exchanges_.at(id);
-    if (IsSuperseded(id, target, since)) {
+    if (IsSuperseded(id, target, since, clock_difference, notification.number)) {
       // A newer exchange has taken over the address, so this notification is late and is treated as a removal whatever
       // its state.
       e.target.status = ExchangeStatus::kGone;
@@ -117,6 +127,7 @@
     e.target = target;
     if (target.status == ExchangeStatus::kGone && target.address == core::Address{}) e.target.address = previous;
     e.started_at_us = since;
+    e.listed_by = notification.number;
     update.entries.push_back(MakeDirectoryEntry(e));
     if (target.status == ExchangeStatus::kGone) {
       gone.push_back(&e);
--- a/src/policy/failure_detector.cpp
+++ b/src/policy/failure_detector.cpp
@@ -205,7 +205,8 @@
     return true;
   }
   const bool is_fresh = now - connection_opened_at <= kMaxFreshConnectionAge;
-  const bool all_accounted_for = use.used >= use.established && (is_fresh || denied_at_ != 0);
+  // Circuits of set-ups that are about to be answered would make up for calls that are gone.
+  const bool all_accounted_for = use.used >= use.established + use.pending && (is_fresh || denied_at_ != 0);
   if (all_accounted_for || (denied_at_ != 0 && ConfirmsMostCalls(use))) {
     ConfirmHolder(now);
   } else if (suspicions_.empty() && denied_at_ == 0 && DeniesNearlyAllCalls(use)) {
--- a/src/policy/process_succession.cpp
+++ b/src/policy/process_succession.cpp
@@ -5,8 +5,6 @@
 namespace croftrun::policy {
 namespace {
 
-// Largest difference of synchronized clocks of two machines that is expected.
-constexpr TimeUs kMaxClockDifference = 1'000'000;
 // Number of losses that are remembered of an address.
 constexpr std::size_t kMaxLosses = 16;
 // A process counts as alive at the time of its last data if its connection is still open this long after it.
--- a/src/policy/process_succession.h
+++ b/src/policy/process_succession.h
@@ -34,6 +34,9 @@
 
 namespace croftrun::policy {
 
+// Largest difference of synchronized clocks of two machines that is expected.
+inline constexpr TimeUs kMaxClockDifference = 1'000'000;
+
 // When a connection was requested and when it was seen to be open. Its far end accepted it in between.
 struct ConnectionSpan {
   TimeUs requested_at = 0, opened_at = 0;
--- a/tests/address_succession_test.cpp
+++ b/tests/address_succession_test.cpp
@@ -540,6 +540,22 @@
   SetUpAnsweredCall(kCall);
 }
 
+// Guards against an exchange that is passed over because the clock of its predecessor was ahead.
+TEST_F(AddressSuccessionTest, SuccessorIsUsedIfItsStartIsStatedBeforeThatOfItsPredecessor) {
+  for (const bool start_first : {false, true}) {
+    SCOPED_TRACE(start_first);
+    const std::string old = start_first ? "s-old-1" : "s-old-0", newer = start_first ? "s-new-1" : "s-new-0";
+    Publish({TargetJson(kNumber, "Ready", old, UnixMs())});
+    std::vector<json> changes{TargetJson(kNumber, "Gone", old, UnixMs()),
+                              TargetJson(kNumber, "Ready", newer, UnixMs() - 300)};
+    if (start_first) std::swap(changes[0], changes[1]);
+    Publish(changes);
+    EXPECT_NE(node_->exchanges().Find(newer), 0U);
+    EXPECT_EQ(node_->exchanges().Find(old), 0U);
+    Publish({TargetJson(kNumber, "Gone", newer, UnixMs())});
+  }
+}
+
 TEST_F(AddressSuccessionTest, ExchangeThatStartsAgainTakesItsAddressBack) {
   PublishOldExchange();
   Publish({TargetJson(kNumber, "Ready", kNew, UnixMs())});
