Succession: a process can also have changed while no connection could be established

By its timeline a softswitch that had just started reached the exchange for the first time 0.1 s after that had come back cold; the start, stated for the same name, left open which process the connection led to, nothing more was sent on it (no reports, no probes), and the call was released 7.4 s after the request of the connection.

Change: the history of an address records outages in place of single losses: from the loss of the last connection, or a failed connect, to the next open connection. Outages that began otherwise than with a loss count only if they last beyond the stated time.

--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -695,6 +695,20 @@
   if (reason == DisconnectReason::kReset) exchange.lost_releases.OnDataLost(runtime_->Now(), ProcessState::kUnknown);
 }
 
+void ExchangeConnections::RecordOutage(Exchange* exchange, DisconnectReason reason) {
+  switch (reason) {
+    case DisconnectReason::kClosed:
+    case DisconnectReason::kReset:
+      return exchange->history.OnAllConnectionsLost(runtime_->Now());
+    case DisconnectReason::kRefused:
+    case DisconnectReason::kConnectTimeout:
+      return exchange->history.OnConnectFailed(runtime_->Now());
+    case DisconnectReason::kMalformed:
+    case DisconnectReason::kClosedLocally:
+      return;
+  }
+}
+
 void ExchangeConnections::EndConnection(Connection* connection, DisconnectReason reason) {
   Exchange* const exchange = connection->exchange;
   ++(reason == DisconnectReason::kRefused          ? counters_.refused
@@ -718,9 +732,7 @@
   // The handler outlives its stream, which ends here.
   ended->stream.reset();
   for (const std::string& id : ended->established) call_legs_.at(id).connection = nullptr;
-  const bool ended_by_exchange = reason == DisconnectReason::kClosed || reason == DisconnectReason::kReset;
-  if (was_open && ended_by_exchange && NewestOpenConnection(*exchange) == nullptr)
-    exchange->history.OnAllConnectionsLost(runtime_->Now());
+  if (NewestOpenConnection(*exchange) == nullptr) RecordOutage(exchange, reason);
   // Determined before the core reacts: nothing was sent on this connection, and the exchange may still be healthy.
   const bool exchange_alive = !was_open && IsKnownAlive(*exchange);
   if (exchange_alive) exchange->connect_failed_at = runtime_->Now();
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -229,6 +229,8 @@
   void EnsureConnected(Exchange* exchange);
   // Records whether releases may have been lost with the connection.
   void RecordLostData(const Connection& connection, DisconnectReason reason);
+  // Records that no connection to the exchange is open.
+  void RecordOutage(Exchange* exchange, DisconnectReason reason);
   // Returns false if the connection has to be closed.
   bool HandleLine(Connection* connection, std::string_view line);
   void HandleRelease(Connection* connection, const Message& message);
--- a/src/platform/exchange_connections_state.h
+++ b/src/platform/exchange_connections_state.h
@@ -61,6 +61,7 @@
     opened_at = owner_->runtime_->Now();
     exchange->reconnect_delay = 0;
     exchange->last_sign_at = opened_at;
+    exchange->history.OnConnectionOpened(opened_at);
     exchange->lost_releases.OnConnectionOpened(requested_at);
     const bool was_suspected = exchange->IsSuspected();
     exchange->detector.OnConnectionOpened(opened_at, exchange->established.size());
--- a/src/policy/process_succession.cpp
+++ b/src/policy/process_succession.cpp
@@ -5,8 +5,8 @@
 namespace croftrun::policy {
 namespace {
 
-// Number of losses that are remembered of an address.
-constexpr std::size_t kMaxLosses = 16;
+// Number of outages that are remembered of an address.
+constexpr std::size_t kMaxOutages = 32;
 // A process counts as alive at the time of its last data if its connection is still open this long after it.
 constexpr TimeUs kDataSettlingTime = 200'000;
 // Time for a confirmation, even if the deadline of the call is closer.
@@ -40,25 +40,43 @@
   return "";
 }
 
-void AddressHistory::OnAllConnectionsLost(TimeUs now) {
-  losses_.push_back(now);
-  if (losses_.size() > kMaxLosses) losses_.erase(losses_.begin());
+void AddressHistory::OnAllConnectionsLost(TimeUs now) { BeginOutage({.from = now, .began_with_loss = true}); }
+
+void AddressHistory::OnConnectFailed(TimeUs now) { BeginOutage({.from = now}); }
+
+void AddressHistory::BeginOutage(const Outage& outage) {
+  if (IsOngoing()) return;
+  outages_.push_back(outage);
+  if (outages_.size() > kMaxOutages) outages_.erase(outages_.begin());
+}
+
+void AddressHistory::OnConnectionOpened(TimeUs now) {
+  if (IsOngoing()) outages_.back().to = now;
 }
 
 void AddressHistory::Merge(const AddressHistory& other) {
-  losses_.insert(losses_.end(), other.losses_.begin(), other.losses_.end());
-  std::sort(losses_.begin(), losses_.end());
-  if (losses_.size() > kMaxLosses) losses_.erase(losses_.begin(), losses_.end() - kMaxLosses);
+  const bool was_never_reached = outages_.size() == 1 && IsOngoing();
+  if (was_never_reached) {
+    outages_ = other.outages_;
+    return;
+  }
+  for (const Outage& outage : other.outages_) {
+    if (outage.to != kOngoing) outages_.push_back(outage);
+  }
+  std::sort(outages_.begin(), outages_.end(), [](const Outage& a, const Outage& b) { return a.to < b.to; });
+  if (outages_.size() > kMaxOutages) outages_.erase(outages_.begin(), outages_.end() - kMaxOutages);
 }
 
 ProcessOrder AddressHistory::OrderOf(const ConnectionSpan& connection, const StartWindow& start) const {
   if (connection.opened_at < start.earliest) return ProcessOrder::kEarlier;
   if (connection.requested_at > start.latest) return ProcessOrder::kStarted;
-  const auto first = std::lower_bound(losses_.begin(), losses_.end(), start.earliest);
-  const auto end = std::upper_bound(first, losses_.end(), start.latest);
-  if (first == end) return connection.opened_at < start.nominal ? ProcessOrder::kEarlier : ProcessOrder::kUndecided;
-  if (connection.opened_at <= *first) return ProcessOrder::kEarlier;
-  return connection.requested_at >= *std::prev(end) ? ProcessOrder::kStarted : ProcessOrder::kUndecided;
+  const auto is_in_window = [&start](const Outage& outage) { return outage.MayContain(start); };
+  const auto first = std::find_if(outages_.begin(), outages_.end(), is_in_window);
+  if (first == outages_.end())
+    return connection.opened_at < start.nominal ? ProcessOrder::kEarlier : ProcessOrder::kUndecided;
+  const auto last = std::find_if(outages_.rbegin(), outages_.rend(), is_in_window);
+  if (connection.opened_at <= first->from) return ProcessOrder::kEarlier;
+  return connection.requested_at >= last->from ? ProcessOrder::kStarted : ProcessOrder::kUndecided;
 }
 
 void ProcessClaim::OnUndecided(TimeUs evidence_from, TimeUs confirm_by) {
--- a/src/policy/process_succession.h
+++ b/src/policy/process_succession.h
@@ -8,11 +8,11 @@
 //
 // - The start lies in a window around the stated time (StartWindow). A connection that was up before the window never
 //   led to the process that started, and one that was requested after the window did not lead to an earlier one.
-// - The end of a process ends its connections. Each time at which the far end has ended the last open connection is
-//   therefore a possible change (AddressHistory). With a single one in the window, it separates the connections that
-//   were up before it from those requested after it.
+// - The end of a process ends its connections. The process can therefore have changed in each time in which no
+//   connection was open because the far end had ended the last one, or none could be established (AddressHistory). With
+//   a single such time in the window, it separates the connections that were up before it from those requested since.
 //
-// A connection that was requested before the change and came up after it is undecided. The claim of the current process
+// A connection that was requested before that time and came up after it is undecided. The claim of the current process
 // on an undecided connection or call is a state of its own (ProcessClaim):
 //
 //   kHeld         the current process holds the call, as far as is known
@@ -61,18 +61,33 @@
 enum class ProcessOrder : std::uint8_t { kEarlier, kUndecided, kStarted };
 std::string_view NameOf(ProcessOrder order);
 
-// The possible changes of the process at one address.
+// The times in which the process at one address can have changed.
 class AddressHistory {
  public:
-  // The far end ended the last open connection, in order or not.
+  // The far end has ended the last open connection, in order or not.
   void OnAllConnectionsLost(TimeUs now);
+  // A connection could not be established while none was open.
+  void OnConnectFailed(TimeUs now);
+  void OnConnectionOpened(TimeUs now);
   // Adds the history of the same address that was recorded under another name of the directory.
   void Merge(const AddressHistory& other);
   // Attributes a connection that has been open.
   ProcessOrder OrderOf(const ConnectionSpan& connection, const StartWindow& start) const;
 
  private:
-  std::vector<TimeUs> losses_;  // oldest first
+  // A time without an open connection. The first one lasts until the first connection is open.
+  struct Outage {
+    TimeUs from = 0, to = kOngoing;
+    bool began_with_loss = false;  // otherwise nothing but the stated time speaks for a change
+    bool MayContain(const StartWindow& start) const {
+      return from <= start.latest && to >= (began_with_loss ? start.earliest : start.nominal);
+    }
+  };
+  void BeginOutage(const Outage& outage);
+  static constexpr TimeUs kOngoing = ~TimeUs{0};
+  bool IsOngoing() const { return outages_.back().to == kOngoing; }
+
+  std::vector<Outage> outages_{Outage{}};  // oldest first, never empty
 };
 
 // The claim of the current process of an exchange on a connection or call.
--- a/tests/process_succession_test.cpp
+++ b/tests/process_succession_test.cpp
@@ -15,15 +15,23 @@
   return StartWindowOf({.unix_us = static_cast<std::int64_t>(kStart) + ahead}, kTold);
 }
 
+// An address to which a connection has been open for long.
+AddressHistory ConnectedHistory() {
+  AddressHistory history;
+  history.OnConnectionOpened(kStart - 50 * kSecond);
+  return history;
+}
+
 TEST(ProcessSuccessionTest, StatedStartDecidesFarFromIt) {
-  const AddressHistory history;
+  const AddressHistory history = ConnectedHistory();
   EXPECT_EQ(history.OrderOf({kStart - 5 * kSecond, kStart - 4 * kSecond}, Window()), ProcessOrder::kEarlier);
   EXPECT_EQ(history.OrderOf({kStart + 2 * kSecond, kStart + 2 * kSecond}, Window()), ProcessOrder::kStarted);
 }
 
 TEST(ProcessSuccessionTest, LossDecidesCloseToStatedStartWhateverTheClocks) {
-  AddressHistory history;
+  AddressHistory history = ConnectedHistory();
   history.OnAllConnectionsLost(kStart);
+  history.OnConnectionOpened(kStart + 10 * kMs);
   for (const std::int64_t ahead : {-300'000, -30'000, 0, 30'000, 300'000}) {
     SCOPED_TRACE(ahead);
     const StartWindow start = Window(ahead);
@@ -34,8 +42,9 @@
 }
 
 TEST(ProcessSuccessionTest, ConnectionBetweenTwoLossesIsUndecided) {
-  AddressHistory history;
+  AddressHistory history = ConnectedHistory();
   history.OnAllConnectionsLost(kStart - 200 * kMs);
+  history.OnConnectionOpened(kStart - 100 * kMs);
   history.OnAllConnectionsLost(kStart + 200 * kMs);
   EXPECT_EQ(history.OrderOf({kStart - 300 * kMs, kStart - 300 * kMs}, Window()), ProcessOrder::kEarlier);
   EXPECT_EQ(history.OrderOf({kStart - 100 * kMs, kStart - 100 * kMs}, Window()), ProcessOrder::kUndecided);
@@ -43,14 +52,30 @@
 }
 
 TEST(ProcessSuccessionTest, LossesRecordedUnderTwoNamesCountTogether) {
-  AddressHistory history, other;
+  AddressHistory history, other = ConnectedHistory();
   other.OnAllConnectionsLost(kStart);
   history.Merge(other);
   EXPECT_EQ(history.OrderOf({kStart + kMs, kStart + kMs}, Window()), ProcessOrder::kStarted);
 }
 
+// Guards against calls that are cut at an exchange which was first reached as it came back (soak seed 720001).
+TEST(ProcessSuccessionTest, ConnectionThatEndsAnOutageIsAttributedByIt) {
+  AddressHistory first_reached;
+  first_reached.OnConnectFailed(kStart - 2 * kSecond);
+  first_reached.OnConnectionOpened(kStart + 100 * kMs);
+  EXPECT_EQ(first_reached.OrderOf({kStart + 90 * kMs, kStart + 100 * kMs}, Window()), ProcessOrder::kStarted);
+  AddressHistory reached_again = ConnectedHistory();
+  reached_again.OnConnectFailed(kStart - 3 * kSecond);
+  reached_again.OnConnectFailed(kStart - 2 * kSecond);
+  reached_again.OnConnectionOpened(kStart + 100 * kMs);
+  EXPECT_EQ(reached_again.OrderOf({kStart - 100 * kMs, kStart + 100 * kMs}, Window()), ProcessOrder::kStarted);
+  AddressHistory reached_before;
+  reached_before.OnConnectionOpened(kStart - 50 * kMs);
+  EXPECT_EQ(reached_before.OrderOf({kStart - 60 * kMs, kStart - 50 * kMs}, Window()), ProcessOrder::kEarlier);
+}
+
 TEST(ProcessSuccessionTest, WithoutLossOnlyConnectionsUpBeforeTheStatedTimeAreEarlier) {
-  const AddressHistory history;
+  const AddressHistory history = ConnectedHistory();
   EXPECT_EQ(history.OrderOf({kStart - 30 * kMs, kStart - 20 * kMs}, Window()), ProcessOrder::kEarlier);
   EXPECT_EQ(history.OrderOf({kStart - 30 * kMs, kStart + 20 * kMs}, Window()), ProcessOrder::kUndecided);
   EXPECT_EQ(history.OrderOf({kStart + 10 * kMs, kStart + 20 * kMs}, Window()), ProcessOrder::kUndecided);
