Streams: a reset whose error a write has consumed is reported as a reset

An end in order raises no suspicion.

Cause: the kernel reports the error of a reset once. A write that comes before the reader takes it, and the reader sees the end of the data.

Change: after a failed write the end counts as a reset.

--- a/src/runtime/asio_streams.cpp
+++ b/src/runtime/asio_streams.cpp
@@ -50,6 +50,7 @@
   std::string output;
   std::size_t written = 0;  // octets of `output` already sent
   bool open = false, paused = false, writing = false, over = false;
+  bool write_failed = false;  // the connection is lost
 
   void Close() {
     over = true;
@@ -67,7 +68,10 @@
       const auto sent =
           ::send(socket.native_handle(), output.data() + written, output.size() - written, MSG_DONTWAIT | MSG_NOSIGNAL);
       if (sent < 0 && errno == EINTR) continue;
-      if (sent < 0) return errno == EAGAIN || errno == EWOULDBLOCK;
+      if (sent < 0) {
+        write_failed = errno != EAGAIN && errno != EWOULDBLOCK;
+        return !write_failed;
+      }
       written += static_cast<std::size_t>(sent);
     }
     output.clear();
@@ -110,7 +114,9 @@
     if (state->paused) continue;
     const auto received = ::recv(state->socket.native_handle(), buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) continue;
-    if (received <= 0) co_return state->End(received == 0 ? core::StreamEnd::kClosed : core::StreamEnd::kReset);
+    // The error of a reset is reported once, which may have been to a write.
+    const bool is_closed = received == 0 && !state->write_failed;
+    if (received <= 0) co_return state->End(is_closed ? core::StreamEnd::kClosed : core::StreamEnd::kReset);
     state->handler->OnBytes({buffer.data(), static_cast<std::size_t>(received)});
     // Yield to other connections if this one sends at full speed.
     if (static_cast<std::size_t>(received) == buffer.size()) co_await asio::post(executor, asio::use_awaitable);
--- a/tests/streams_test.cpp
+++ b/tests/streams_test.cpp
@@ -1,11 +1,16 @@
 // Streams of AsioRuntime on loopback sockets. The contract of core::Stream that the virtual streams fulfil must hold
 // here as well.
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <functional>
 #include <list>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "runtime/asio_runtime.h"
 
@@ -185,6 +190,33 @@
   for (const Handler& client : clients) EXPECT_TRUE(client.end.has_value());
 }
 
+// Guards against a reset that is taken for an orderly close because a write has consumed its error.
+TEST_F(StreamsTest, ReportsResetThatWasNoticedByAWrite) {
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(kLoopback);
+  socklen_t size = sizeof(address);
+  ASSERT_EQ(::bind(listener, reinterpret_cast<const sockaddr*>(&address), size), 0);
+  ASSERT_EQ(::listen(listener, 1), 0);
+  ASSERT_EQ(::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size), 0);
+  client_.on_open = [&] {
+    const int accepted = ::accept(listener, nullptr, nullptr);
+    EXPECT_EQ(::send(accepted, "x", 1, 0), 1);
+    const linger reset{1, 0};
+    EXPECT_EQ(::setsockopt(accepted, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)), 0);
+    ::close(accepted);
+    while (!client_.stream->PeerClosed()) std::this_thread::yield();
+    client_.stream->Write("y");
+  };
+  client_.on_end = [this] { runtime_.Stop(); };
+  client_.stream = runtime_.Connect({kLoopback, ntohs(address.sin_port)}, kSecond, &client_);
+  Run();
+  ::close(listener);
+  EXPECT_EQ(client_.text, "x");
+  EXPECT_EQ(client_.end, StreamEnd::kReset);
+}
+
 TEST_F(StreamsTest, DetectsPeerCloseBehindUnreadInput) {
   Listen();
   acceptor_.on_accept = [this](Handler& handler) {
