--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -225,7 +225,6 @@
 void ExchangeConnections::CheckCircuitReport(const Connection& connection) {
   Exchange* const exchange = connection.exchange;
   if (!exchange->circuits_used || exchange->established.empty()) return;
-  ConfirmClaimsByReport(exchange);
   policy::FailureDetector& detector = exchange->detector;
   const bool was_suspected = exchange->IsSuspected();
   // Most reports arrive without any suspicion and are not compared call by call.
@@ -437,7 +436,6 @@
 
 void ExchangeConnections::SendRelease(Exchange* exchange, Connection* connection, const std::string& id,
                                       const Carrier& carrier) {
-  exchange->released_at = runtime_->Now();
   if (connection == nullptr) connection = NewestOpenConnection(*exchange);
   if (connection == nullptr) {
     // A removed exchange keeps it for a successor at its address that is listed later.
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -144,6 +144,10 @@
   // other one may be stated too late, if an earlier notification listed it.
   bool IsSuperseded(ExchangeId id, const Target& target, TimeUs since, TimeUs clock_difference,
                     std::uint64_t notification_number) const;
+  // Adds an exchange that the directory tells of for the first time.
+  ExchangeId AddExchange();
+  // Forgets removed exchanges on which nothing depends any more.
+  void ForgetRemovedExchanges();
   // Returns the bounds of a start on the runtime's clock.
   policy::StartWindow StartWindowOf(std::int64_t boot_ms) const;
   // Moves to this exchange the connections and calls that were carried by its process, or may have been, while it was
@@ -176,9 +180,6 @@
   void CheckClaims(Exchange* exchange);
   // The process that `carrier` led to is alive: confirms its claims, and those on what was carried later.
   void ConfirmProcess(Exchange* exchange, const Carrier& carrier);
-  void ConfirmCall(CallLeg* leg, std::string_view why);
-  // Confirms all claims if the last report accounts for all calls.
-  void ConfirmClaimsByReport(Exchange* exchange);
   // Logs a change that the directory tells, with the start that it states.
   void LogListing(const Target& target, TimeUs started_at);
   // Logs when a moved call was answered, and on which connection, relative to the start of the new process.
--- a/src/platform/exchange_connections_state.h
+++ b/src/platform/exchange_connections_state.h
@@ -38,7 +38,6 @@
   std::string last_report;                      // text of the last report
   std::optional<std::size_t> circuits_used;     // according to the last report, if it states them
   std::vector<QueuedRelease> queued_releases;   // sent on the next connection
-  TimeUs released_at = 0;                       // when this softswitch last released a call there
   core::Timer reconnect_timer;
   TimeUs reconnect_delay = 0;
   TimeUs last_sign_at = 0;           // when data last arrived or a connection was opened
--- a/src/platform/exchange_directory.cpp
+++ b/src/platform/exchange_directory.cpp
@@ -106,11 +106,7 @@
         ++ignored;
         continue;
       }
-      id = next_exchange_id_++;
-      exchanges_[id] = std::make_unique<Exchange>(runtime_);
-      exchanges_[id]->id = id;
-      exchanges_[id]->last_sign_at = runtime_->Now();
-      exchanges_[id]->detector.SetDecisionDeadline(decision_deadline_);
+      id = AddExchange();
     }
     Exchange& e = *exchanges_.at(id);
     if (IsSuperseded(id, target, since, clock_difference, notification.number)) {
@@ -157,7 +153,20 @@
   for (auto& [id, e] : exchanges_) {
     if (!e->is_retired) EnsureConnected(e.get());
   }
-  // Forgets removed exchanges without connections and calls.
+  ForgetRemovedExchanges();
+}
+
+ExchangeId ExchangeConnections::AddExchange() {
+  const ExchangeId id = next_exchange_id_++;
+  auto exchange = std::make_unique<Exchange>(runtime_);
+  exchange->id = id;
+  exchange->last_sign_at = runtime_->Now();
+  exchange->detector.SetDecisionDeadline(decision_deadline_);
+  exchanges_[id] = std::move(exchange);
+  return id;
+}
+
+void ExchangeConnections::ForgetRemovedExchanges() {
   std::erase_if(exchanges_, [this](const auto& item) {
     Exchange& e = *item.second;
     if (!e.is_retired || !e.connections.empty() || !e.established.empty()) return false;
--- a/src/platform/exchange_succession.cpp
+++ b/src/platform/exchange_succession.cpp
@@ -34,7 +34,7 @@
 
 ProcessOrder ExchangeConnections::HolderOf(const Exchange& exchange, const CallLeg& leg,
                                            const policy::StartWindow& start) {
-  if (!leg.announced) return exchange.history.OrderOf(leg.carrier.span, start);
+  if (!leg.announced) return exchange.history.OrderOfAnswer(leg.carrier.span, leg.sent_at, start);
   // The call was established at some time before its caller announced it.
   return leg.established_at < start.earliest ? ProcessOrder::kEarlier : ProcessOrder::kUndecided;
 }
@@ -254,26 +254,13 @@
   }
   for (const std::string& id : exchange->established) {
     CallLeg& leg = call_legs_.at(id);
-    if (!leg.announced && is_covered(leg.carrier)) ConfirmCall(&leg, "its process is alive");
+    if (leg.announced || !leg.claim.IsUnconfirmed() || !is_covered(leg.carrier)) continue;
+    leg.claim.OnConfirmed();
+    ++counters_.undecided_confirmed;
+    LogCall("call-confirmed", leg, "its process is alive");
   }
 }
 
-void ExchangeConnections::ConfirmCall(CallLeg* leg, std::string_view why) {
-  if (!leg->claim.IsUnconfirmed()) return;
-  leg->claim.OnConfirmed();
-  ++counters_.undecided_confirmed;
-  LogCall("call-confirmed", *leg, why);
-}
-
-void ExchangeConnections::ConfirmClaimsByReport(Exchange* exchange) {
-  if (!exchange->has_claims) return;
-  // Circuits of calls that are being set up or released would make up for those in question.
-  const bool is_settled = runtime_->Now() >= exchange->released_at + policy::kCallSettlingTime;
-  const policy::CircuitUse use = ComputeCircuitUse(*exchange, 0);
-  if (!is_settled || use.pending > 0 || use.used < use.established) return;
-  for (const std::string& id : exchange->established) ConfirmCall(&call_legs_.at(id), "its circuit is in use");
-}
-
 void ExchangeConnections::LogMovedCall(const CallLeg& leg, const policy::StartWindow& start) {
   log_->Write(core::LogLevel::kInfo, "call-moved", leg.call,
               leg.id + " to " + leg.exchange->target.uid + ", answered on connection " +
--- a/src/policy/process_succession.cpp
+++ b/src/policy/process_succession.cpp
@@ -79,6 +79,12 @@
   return connection.requested_at >= last->from ? ProcessOrder::kStarted : ProcessOrder::kUndecided;
 }
 
+ProcessOrder AddressHistory::OrderOfAnswer(const ConnectionSpan& connection, TimeUs set_up_sent_at,
+                                           const StartWindow& start) const {
+  const ProcessOrder order = OrderOf(connection, start);
+  return order == ProcessOrder::kUndecided && set_up_sent_at > start.latest ? ProcessOrder::kStarted : order;
+}
+
 void ProcessClaim::OnUndecided(TimeUs evidence_from, TimeUs confirm_by) {
   evidence_from_ = std::max(evidence_from_, evidence_from);
   confirm_by_ = IsUnconfirmed() ? std::min(confirm_by_, confirm_by) : confirm_by;
--- a/src/policy/process_succession.h
+++ b/src/policy/process_succession.h
@@ -18,8 +18,9 @@
 //   kHeld         the current process holds the call, as far as is known
 //     -> kUnconfirmed   OnUndecided: a start was told, and the carrier may have led to an earlier process
 //   kUnconfirmed  to be confirmed by a deadline
-//     -> kHeld          OnConfirmed: data of the process at the far end of the carrier that was sent after the start, a
-//                       release of another call of that process, or a report that accounts for all calls
+//     -> kHeld          OnConfirmed: data of the process at the far end of the carrier that was sent after the start,
+//                       or a release of another call of that process. A circuit report is none, as circuits of the
+//                       far end would make up for those in question.
 //     -> expired        the deadline has passed: the owner releases the call at the exchange and ends it
 //
 // Everything here is free of I/O and clocks. Times are microseconds of the clock of the runtime.
@@ -73,6 +74,8 @@
   void Merge(const AddressHistory& other);
   // Attributes a connection that has been open.
   ProcessOrder OrderOf(const ConnectionSpan& connection, const StartWindow& start) const;
+  // Likewise for the process that answered a set-up sent on it at `set_up_sent_at`: an answer follows its set-up.
+  ProcessOrder OrderOfAnswer(const ConnectionSpan& connection, TimeUs set_up_sent_at, const StartWindow& start) const;
 
  private:
   // A time without an open connection. The first one lasts until the first connection is open.
--- a/tests/address_succession_test.cpp
+++ b/tests/address_succession_test.cpp
@@ -441,14 +441,16 @@
   EXPECT_EQ(caller_->FinalMessages(kThirdCall).size(), 1U);
 }
 
-TEST_F(UndecidedCallTest, IsConfirmedByAReportThatAccountsForAllCalls) {
+// The far end of the group may use as many circuits.
+TEST_F(UndecidedCallTest, IsNotConfirmedByAReportOfAsManyCircuitsAsCalls) {
   SetUpCallAcrossReplacement();
   carrier_->Reset();
   PublishReplacement();
   runtime_.RunFor(500 * kMs);
   ReportCircuits(*exchange_.OpenConnections().back(), 1);
   runtime_.RunFor(8'000 * kMs);
-  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 1U);
+  EXPECT_EQ(caller_->FinalMessages(kCall).size(), 2U);
+  EXPECT_EQ(ReleasesOfCall(), 1U);
 }
 
 // Guards against a call that is told over after a restart because its exchange is not listed yet (soak seed 8005).
--- a/tests/failure_detector_test.cpp
+++ b/tests/failure_detector_test.cpp
@@ -117,6 +117,35 @@
   EXPECT_EQ(detector_.suspected_since(), reset_at);
 }
 
+// Guards against a connection to the successor that hides the resets of its predecessor, which are read in the same
+// turn after a standstill.
+TEST_F(FailureDetectorTest, ConnectionOpenedJustBeforeTheReadingOfAResetProvesNothing) {
+  const TimeUs last_sign = now_;
+  now_ += 2 * kSecond;
+  const TimeUs successor_opened = now_;
+  detector_.OnConnectionOpened(successor_opened, kEstablished);
+  EXPECT_FALSE(FailureDetector::HasOutlivedReset(successor_opened, last_sign, now_ + kMs));
+  detector_.OnConnectionReset(now_ + kMs, 0, kEstablished, successor_opened);
+  detector_.OnDataReceived(now_ + 2 * kMs, successor_opened);
+  EXPECT_EQ(detector_.suspected_since(), successor_opened);
+  EXPECT_EQ(RunUntil(now_ + 20 * kSecond, Network::kUp), LivenessAction::kGiveUpReplaced);
+  EXPECT_LT(now_, last_sign + kNotificationTimeout);
+}
+
+TEST_F(FailureDetectorTest, OlderConnectionAndOneFollowedByDataHaveOutlivedAReset) {
+  EXPECT_TRUE(FailureDetector::HasOutlivedReset(now_, 0, now_ + 3 * kSecond));
+  EXPECT_TRUE(FailureDetector::HasOutlivedReset(now_, now_ + kMs, now_ + 2 * kMs));
+}
+
+TEST_F(FailureDetectorTest, LastOrderlyCloseShortlyAfterAResetCountsAsReset) {
+  FailureDetector without_reset = detector_;
+  without_reset.OnConnectionClosed(now_, now_, 0, kEstablished);
+  EXPECT_EQ(without_reset.state(now_), LivenessState::kAlive);
+  detector_.OnConnectionReset(now_, 1, kEstablished);
+  detector_.OnConnectionClosed(now_ + kMs, now_, 0, kEstablished);
+  EXPECT_EQ(detector_.state(now_ + kMs), LivenessState::kSuspected);
+}
+
 // Guards against giving up only the calls older than the first reset when a process is replaced again while that reset
 // is still a suspicion (soak seed 770105).
 TEST_F(FailureDetectorTest, TracksResetDuringSuspicionAsSeparateSuspicion) {
--- a/tests/process_succession_test.cpp
+++ b/tests/process_succession_test.cpp
@@ -81,6 +81,16 @@
   EXPECT_EQ(history.OrderOf({kStart + 10 * kMs, kStart + 20 * kMs}, Window()), ProcessOrder::kUndecided);
 }
 
+// Guards against a call that is cut although its set-up was sent long after the start (the connection had been closed).
+TEST(ProcessSuccessionTest, AnswerToSetUpSentAfterTheWindowIsOfTheProcessThatStarted) {
+  const AddressHistory history = ConnectedHistory();
+  const ConnectionSpan undecided{kStart - 500 * kMs, kStart + 70 * kMs};
+  EXPECT_EQ(history.OrderOfAnswer(undecided, kStart + 500 * kMs, Window()), ProcessOrder::kUndecided);
+  EXPECT_EQ(history.OrderOfAnswer(undecided, kStart + 1'300 * kMs, Window()), ProcessOrder::kStarted);
+  const ConnectionSpan earlier{kStart - 9 * kSecond, kStart - 9 * kSecond};
+  EXPECT_EQ(history.OrderOfAnswer(earlier, kStart + 1'300 * kMs, Window()), ProcessOrder::kEarlier);
+}
+
 TEST(ProcessSuccessionTest, SteppedWallClockWidensTheWindow) {
   constexpr std::int64_t kStep = 3'600'000'000;
   const auto unix_us = static_cast<std::int64_t>(kStart);
