Succession: without an outage in the window the stated time decides about an answer

By its timeline the old connection stayed open and silent, a new one came up 0.13 s after the start, the call was set up on it 0.35 s after the start, the connection was closed as surplus, and the start was told 10 s later for the same name.

Change: an answer to a set-up that was sent after the stated time, on a connection that came up after it, belongs to the process that started if no outage in the window speaks for another time. With an outage the end of the window counts, as before. The unit test states both.

--- a/src/policy/process_succession.cpp
+++ b/src/policy/process_succession.cpp
@@ -82,7 +82,12 @@
 ProcessOrder AddressHistory::OrderOfAnswer(const ConnectionSpan& connection, TimeUs set_up_sent_at,
                                            const StartWindow& start) const {
   const ProcessOrder order = OrderOf(connection, start);
-  return order == ProcessOrder::kUndecided && set_up_sent_at > start.latest ? ProcessOrder::kStarted : order;
+  if (order != ProcessOrder::kUndecided) return order;
+  const bool has_outage = std::any_of(outages_.begin(), outages_.end(),
+                                      [&start](const Outage& outage) { return outage.MayContain(start); });
+  // Without an outage nothing contradicts the stated time.
+  const TimeUs started_by = has_outage ? start.latest : start.nominal;
+  return set_up_sent_at > started_by ? ProcessOrder::kStarted : ProcessOrder::kUndecided;
 }
 
 void ProcessClaim::OnUndecided(TimeUs evidence_from, TimeUs confirm_by) {
--- a/tests/process_succession_test.cpp
+++ b/tests/process_succession_test.cpp
@@ -83,9 +83,14 @@
 
 // Guards against a call that is cut although its set-up was sent long after the start (the connection had been closed).
 TEST(ProcessSuccessionTest, AnswerToSetUpSentAfterTheWindowIsOfTheProcessThatStarted) {
-  const AddressHistory history = ConnectedHistory();
+  const AddressHistory without_outage = ConnectedHistory();
   const ConnectionSpan undecided{kStart - 500 * kMs, kStart + 70 * kMs};
-  EXPECT_EQ(history.OrderOfAnswer(undecided, kStart + 500 * kMs, Window()), ProcessOrder::kUndecided);
+  EXPECT_EQ(without_outage.OrderOfAnswer(undecided, kStart - 10 * kMs, Window()), ProcessOrder::kUndecided);
+  EXPECT_EQ(without_outage.OrderOfAnswer(undecided, kStart + 350 * kMs, Window()), ProcessOrder::kStarted);
+  AddressHistory history = ConnectedHistory();
+  history.OnAllConnectionsLost(kStart);
+  history.OnConnectionOpened(kStart + 70 * kMs);
+  EXPECT_EQ(history.OrderOfAnswer(undecided, kStart + 350 * kMs, Window()), ProcessOrder::kUndecided);
   EXPECT_EQ(history.OrderOfAnswer(undecided, kStart + 1'300 * kMs, Window()), ProcessOrder::kStarted);
   const ConnectionSpan earlier{kStart - 9 * kSecond, kStart - 9 * kSecond};
   EXPECT_EQ(history.OrderOfAnswer(earlier, kStart + 1'300 * kMs, Window()), ProcessOrder::kEarlier);
