--- a/src/lab/soak/judge.cpp
+++ b/src/lab/soak/judge.cpp
@@ -134,9 +134,14 @@
   std::optional<TimeUs> SigtermBefore(int softswitch, TimeUs end_time) const {
     const auto found = processes_.find(softswitch);
     if (found == processes_.end()) return std::nullopt;
+    // A process may be killed shortly after the one before it, which was terminated.
+    TimeUs started_at = 0;
+    for (const Interval& run : found->second.runs) {
+      if (run.from <= end_time) started_at = std::max(started_at, run.from);
+    }
     std::optional<TimeUs> last;
     for (const auto& [at, earliest_kill] : found->second.sigterms) {
-      if (at <= end_time && end_time <= earliest_kill + 1'000'000) last = at;
+      if (at >= started_at && at <= end_time && end_time <= earliest_kill + 1'000'000) last = at;
     }
     return last;
   }
