Soak: an answer read just after the kill of its process is kept and announced

By its timeline the answer arrived at 10.932 s, 1 ms after SIGKILL, and the call was never announced to the next process, ready at 11.451 s.

Cause, in the laboratory: the stand-in of the callers forgot all pending calls at the kill, so that an answer still in its socket was recorded but not kept, and the call could not be announced. The judge looked for an end of the process only after the answer was read, and held the next process to a call that nobody had told it of.

Change: a connection of an ended process keeps its set-ups until all of it has been read. The judge takes the last process that started before an answer was read as the one that gave it; it still demands the end of such a call once it has been announced.

--- a/src/lab/soak/client_stand_in.cpp
+++ b/src/lab/soak/client_stand_in.cpp
@@ -143,18 +143,7 @@
       LineClientHandlers{.on_open = [this, connection] { OnOpen(connection); },
                          .on_line = [this, connection](std::string_view line) { OnLine(connection, line); },
                          .on_end = [this, connection](ConnectionEnd end) { OnEnd(connection, end); },
-                         .on_written =
-                             [this, connection] {
-                               for (const std::string& id : std::exchange(connection->unwritten, {})) {
-                                 const auto found = pending_.find(id);
-                                 if (found == pending_.end()) continue;
-                                 found->second.sent_at = runtime_->Now();
-                                 LogEvent(
-                                     EventKind::kSetUpSent, connection->host, id,
-                                     static_cast<std::int64_t>(
-                                         traits_.caller_timeouts[static_cast<std::size_t>(found->second.call_class)]));
-                               }
-                             }});
+                         .on_written = [this, connection] { OnWritten(connection); }});
   return connection;
 }
 
@@ -166,6 +155,16 @@
   }
 }
 
+void ClientStandIn::OnWritten(Connection* connection) {
+  for (const std::string& id : std::exchange(connection->unwritten, {})) {
+    const auto found = pending_.find(id);
+    if (found == pending_.end() || connection->closed) continue;
+    found->second.sent_at = runtime_->Now();
+    const TimeUs caller_timeout = traits_.caller_timeouts[static_cast<std::size_t>(found->second.call_class)];
+    LogEvent(EventKind::kSetUpSent, connection->host, id, static_cast<std::int64_t>(caller_timeout));
+  }
+}
+
 void ClientStandIn::PlaceCall(int host) { SendSetUp(ConnectionFor(host)); }
 
 void ClientStandIn::SendSetUp(Connection* connection) {
@@ -290,8 +289,13 @@
   });
 }
 
+void ClientStandIn::ForgetSetUps(Connection* connection) {
+  for (const std::string& id : std::exchange(connection->calls, {})) pending_.erase(id);
+}
+
 void ClientStandIn::OnEnd(Connection* connection, ConnectionEnd end) {
   constexpr const char* kNames[] = {"refused", "closed", "reset"};
+  if (connection->closed) ForgetSetUps(connection);  // the end of the process is known
   for (const std::string& id : connection->calls) {
     const auto found = pending_.find(id);
     if (found == pending_.end()) continue;
@@ -332,7 +336,7 @@
       connection->closed = true;
       connection->client.reset();
     }
-    std::erase_if(connections_, [](const auto& connection) { return connection->closed; });
+    std::erase_if(connections_, [](const auto& connection) { return connection->closed && connection->calls.empty(); });
     std::erase_if(bad_clients_, [](const auto& bad) { return bad->closed; });
     ScheduleSweep();
   });
@@ -360,10 +364,10 @@
 
 void ClientStandIn::OnProcessEnded() {
   for (auto& [id, call] : pending_) call.cancel->Stop();
-  pending_.clear();
   for (const auto& connection : connections_) {
-    connection->calls.clear();
     connection->closed = true;
+    // An open connection forgets them once all of it has been read.
+    if (!connection->client || !connection->client->open()) ForgetSetUps(connection.get());
   }
 }
 
--- a/src/lab/soak/client_stand_in.h
+++ b/src/lab/soak/client_stand_in.h
@@ -64,8 +64,8 @@
   void StopCalls() { calling_ = false; }
   // Starts or stops sending set-ups in quick succession, on open connections only (after SIGTERM).
   void SetContinuousLoad(bool enabled);
-  // Forgets the pending calls and the connections of a process that has ended; the established calls are kept for
-  // AnnounceEstablishedCalls.
+  // Uses the connections of a process that has ended no longer. Answers that it wrote before its end are still read,
+  // the other pending calls are forgotten; the established calls are kept for AnnounceEstablishedCalls.
   void OnProcessEnded();
   // Announces the established calls to a restarted process.
   void AnnounceEstablishedCalls();
@@ -120,7 +120,11 @@
   void OnLine(Connection* connection, std::string_view line);
   void OnAnswer(const platform::Message& message, Connection* connection);
   void OnRelease(const platform::Message& message, Connection* connection);
+  // All set-ups of the connection have been handed to the kernel.
+  void OnWritten(Connection* connection);
   void OnEnd(Connection* connection, ConnectionEnd end);
+  // Forgets the set-ups on the connection that have no answer.
+  void ForgetSetUps(Connection* connection);
   // Sends a set-up once more, on a new connection, if it was sent just before its connection closed. Returns false
   // otherwise.
   bool Resend(const std::string& id, PendingCall* call, std::uint32_t host);
--- a/src/lab/soak/judge.cpp
+++ b/src/lab/soak/judge.cpp
@@ -130,6 +130,16 @@
     }
     return std::nullopt;
   }
+  // Returns the end, up to `to`, of the process that answered a call. The answer may be read after that end.
+  std::optional<TimeUs> AnsweringProcessEnd(int softswitch, TimeUs answered, TimeUs to) const {
+    const auto found = processes_.find(softswitch);
+    if (found == processes_.end()) return std::nullopt;
+    std::optional<TimeUs> end;
+    for (const Interval& run : found->second.runs) {
+      if (run.from <= answered) end = run.to;
+    }
+    return end && *end <= to ? end : std::nullopt;
+  }
   // Returns the time of the SIGTERM to the process that ended at `end_time`; nothing if it was killed without SIGTERM.
   std::optional<TimeUs> SigtermBefore(int softswitch, TimeUs end_time) const {
     const auto found = processes_.find(softswitch);
@@ -466,7 +476,7 @@
   TimeUs limit = *deadline + kTimingTolerance;
   if (call.released && *call.released <= limit) return CountCheck(Check::kCallEnd);
   // If the process ended meanwhile, the call is announced to the next one, which then has to report the call's end.
-  if (const auto process_end = ProcessEndWithin(call.softswitch, *call.answered, limit)) {
+  if (const auto process_end = AnsweringProcessEnd(call.softswitch, *call.answered, limit)) {
     if (!call.announced || *call.announced < *process_end) return;
     if (!settings_.exchanges_report && *ended_at < *call.announced) return;
     limit = std::max(limit, std::max(*call.announced, *ended_at) +
--- a/tests/soak_judge_test.cpp
+++ b/tests/soak_judge_test.cpp
@@ -1,6 +1,8 @@
 // Tests the judge of the soak trials: it reports a violation of each check, and none for a correct event log.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "lab/soak/judge.h"
 #include "lab/soak/schedule.h"
 
@@ -30,6 +32,12 @@
   EventLogBuilder& AddExchangeEvent(TimeUs at, EventKind kind, int exchange = 1) {
     return Add(at, {.kind = kind, .softswitch = 0, .exchange = exchange, .call = kCall});
   }
+  // Inserts an event 1 ms in front of the first one of this kind.
+  void InsertBefore(EventKind kind, TrialEvent event) {
+    const auto next = std::find_if(events_.begin(), events_.end(), [kind](const auto& e) { return e.kind == kind; });
+    event.at = next->at - kMs;
+    events_.insert(next, event);
+  }
   // Adds a call that is sent at 1 s and established at exchange 1 at 1.01 s.
   EventLogBuilder& AddEstablishedCall() {
     AddClientEvent(kSecond, EventKind::kSetUpSent, 2 * kSecond);
@@ -148,6 +156,26 @@
   ExpectOnlyViolation(reconnected_until(30 * kSecond).JudgeEvents(), Check::kCallEnd);
 }
 
+TEST(SoakJudgeTest, AttributesAnswerReadAfterKillToTheKilledProcess) {
+  const auto events_with_kill = [] {
+    EventLogBuilder events;
+    events.AddEstablishedCall();
+    // The client found the answer in its socket just after the process had been killed.
+    events.InsertBefore(EventKind::kAnswerReceived, {.kind = EventKind::kKilled, .softswitch = 0});
+    events.Add(kSecond + 300 * kMs, {.kind = EventKind::kStarted, .softswitch = 0});
+    events.Add(kSecond + 350 * kMs, {.kind = EventKind::kReady, .softswitch = 0});
+    events.Add(kSecond + 360 * kMs, {.kind = EventKind::kClientConnected, .softswitch = 0, .host = kHost});
+    return events;
+  };
+  // The next process knows of the call only if the client announces it.
+  ExpectNoViolation(events_with_kill().AddExchangeEvent(5 * kSecond, EventKind::kCallEnded).JudgeEvents());
+  ExpectOnlyViolation(events_with_kill()
+                          .AddClientEvent(2 * kSecond, EventKind::kCallAnnounced)
+                          .AddExchangeEvent(5 * kSecond, EventKind::kCallEnded)
+                          .JudgeEvents(),
+                      Check::kCallEnd);
+}
+
 TEST(SoakJudgeTest, ReportsDisconnectUnlessItMayBeNeeded) {
   const auto disconnected_by_softswitch = [] {
     return EventLogBuilder()
