--- a/src/policy/process_succession.cpp
+++ b/src/policy/process_succession.cpp
@@ -28,18 +28,6 @@
       .earliest = window.earliest, .nominal = std::min(window.nominal, now), .latest = std::min(window.latest, now)};
 }
 
-std::string_view NameOf(ProcessOrder order) {
-  switch (order) {
-    case ProcessOrder::kEarlier:
-      return "earlier";
-    case ProcessOrder::kUndecided:
-      return "undecided";
-    case ProcessOrder::kStarted:
-      return "started";
-  }
-  return "";
-}
-
 void AddressHistory::OnAllConnectionsLost(TimeUs now) { BeginOutage({.from = now, .began_with_loss = true}); }
 
 void AddressHistory::OnConnectFailed(TimeUs now) { BeginOutage({.from = now}); }
--- a/src/policy/process_succession.h
+++ b/src/policy/process_succession.h
@@ -28,7 +28,6 @@
 #define CROFTRUN_POLICY_PROCESS_SUCCESSION_H_
 
 #include <cstdint>
-#include <string_view>
 #include <vector>
 
 #include "croftrun/call_controller.h"
@@ -60,7 +59,6 @@
 
 // The process that a connection led to, compared with one that started within a window.
 enum class ProcessOrder : std::uint8_t { kEarlier, kUndecided, kStarted };
-std::string_view NameOf(ProcessOrder order);
 
 // The times in which the process at one address can have changed.
 class AddressHistory {
