Shutdown: refuse new connections before the exit, and answer those that came up

Cause: the process exited with its listener open, so that connections in the listen queue or just accepted ended with it; one accepted just before the last moment was closed with all others before its first set-up arrived. Kept now: "the request is lost if that connection ends with no whole answer".

--- a/src/core/runtime.h
+++ b/src/core/runtime.h
@@ -97,11 +97,14 @@
   virtual void OnDescriptorsExhausted() {}
 };
 
-// Accepts connections until it is destroyed.
+// Accepts connections until it is destroyed or told to stop. Destroying it resets the connections in the listen queue.
 class StreamListener {
  public:
   virtual ~StreamListener() = default;
   virtual Address Local() const = 0;
+  // Passes all connections in the listen queue to the acceptor, from within this call, and lets later ones be refused.
+  // Returns false, and goes on listening, if one of them cannot be accepted yet.
+  virtual bool StopAccepting() = 0;
 };
 
 using TimerId = std::uint64_t;
--- a/src/platform/caller_connections.cpp
+++ b/src/platform/caller_connections.cpp
@@ -143,6 +143,8 @@
   check_timer_.Start(kCheckInterval, [this] { RunPeriodicCheck(); });
 }
 
+bool CallerConnections::StopListening() { return listener_ == nullptr || listener_->StopAccepting(); }
+
 bool CallerConnections::CanAccept() {
   if (connections_.size() < settings_.max_connections || EvictConnection()) return true;
   ++counters_.connections_waited;
@@ -563,6 +565,8 @@
   for (const auto& connection : connections_) {
     const bool may_be_needed = needed.count(connection.get()) > 0 || awaiting.count(connection->number) > 0;
     if (!include_established && may_be_needed) continue;
+    const bool awaits_first_message = !connection->received_line && now < connection->accepted_at + kMinSilentTime;
+    if (awaits_first_message) continue;
     const bool nothing_open = connection->open_set_ups == 0 && connection->stream->PendingWriteOctets() == 0;
     if (!nothing_open || connection->reader.has_partial_line() || connection->stream->HasUnreadInput()) continue;
     const bool nothing_left =
--- a/src/platform/caller_connections.h
+++ b/src/platform/caller_connections.h
@@ -64,6 +64,9 @@
   const CallerCounters& counters() const { return counters_; }
   // Returns the number of releases that wait for a connection of their caller.
   std::size_t waiting_releases() const { return releases_.waiting_count(); }
+  // Accepts the connections in the listen queue; later ones are refused. Returns false, and goes on listening, if one
+  // of them cannot be accepted yet.
+  bool StopListening();
   // Returns when the last connection was accepted.
   TimeUs last_accepted_at() const { return last_accepted_at_; }
   // Closes the idle connections: those without a set-up, a partial line, unwritten or unread data, recent activity or
@@ -71,7 +74,7 @@
   // to acknowledge. If the own connection of a call is gone, the most recently used one of its caller is kept for its
   // release.
   // With `include_established`, connections with established calls, recent activity or an unacknowledged release are
-  // closed as well.
+  // closed as well, except new ones whose first message is on its way.
   void CloseIdleConnections(bool include_established);
 
   core::StreamHandler* OnAccept(std::unique_ptr<core::Stream> stream) override;
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -24,14 +24,16 @@
 // Number of exchanges allowed per megabyte of memory.
 constexpr std::size_t kExchangesPerMegabyte = 64;
 // After a stop request, calls are accepted for kShutdownAcceptTime and then rejected. When all calls are answered, the
-// callers' connections are closed. A message that crossed the close is sent again within kShutdownQuietTime.
-constexpr TimeUs kShutdownAcceptTime = 750'000, kShutdownQuietTime = 100'000;
+// callers' connections are closed. A message that crossed the close is sent again within kShutdownQuietTime, after
+// which new connections are refused. The last connections linger for kShutdownLingerTime, so that their ends are not
+// resets.
+constexpr TimeUs kShutdownAcceptTime = 750'000, kShutdownQuietTime = 100'000, kShutdownLingerTime = 50'000;
 constexpr TimeUs kShutdownCheckInterval = 20'000;
 // The platform kills the process no earlier after SIGTERM than the longest deadline, which is limited to kMaxKillDelay,
-// plus kMinKillMargin. All calls are answered kAnswerLeadTime before that, and the connections are closed
-// kCloseLeadTime before that.
+// plus kMinKillMargin. All calls are answered kAnswerLeadTime before that, the connections are closed kCloseLeadTime
+// before that, and the process exits kExitLeadTime before that whatever is left.
 constexpr TimeUs kMaxKillDelay = 3'000'000, kMinKillMargin = 700'000;
-constexpr TimeUs kAnswerLeadTime = 350'000, kCloseLeadTime = 250'000;
+constexpr TimeUs kAnswerLeadTime = 350'000, kCloseLeadTime = 250'000, kExitLeadTime = 50'000;
 // Suspected calls are decided this long before the kill, while the callers' connections are still open.
 constexpr TimeUs kDecisionLeadTime = kCloseLeadTime + 2 * policy::kLivenessCheckInterval;
 // Interval and maximum number of retries while the address is in use.
@@ -144,9 +146,9 @@
 }
 
 // The shutdown accepts calls, then (after kShutdownAcceptTime) rejects them, then closes each connection once it is
-// idle. It is complete when no answer is outstanding, no call is open, no line is partial, no data is unread or
-// unwritten, and nothing has arrived for the time in which a message may cross a close. Shortly before the process may
-// be killed, connections are closed although they have established calls.
+// idle. Shortly before the process may be killed, connections are closed although they have established calls. When no
+// answer is outstanding, no call and no connection is open, and nothing has arrived for the time in which a message
+// that crossed a close is sent again, new connections are refused. What was connected by then is still answered.
 void Node::ContinueShutdown() {
   const TimeUs now = runtime_->Now(), closing = std::min(stop_requested_at_ + kShutdownAcceptTime, force_close_at_);
   if (now >= closing) {
@@ -154,15 +156,25 @@
     if (caller_connections_->unanswered_set_ups() > 0 || caller_connections_->connection_count() > 0)
       last_busy_at_ = now;
     caller_connections_->CloseIdleConnections(now >= force_close_at_);
-    const TimeUs quiet_since = std::max({closing, last_busy_at_, caller_connections_->last_accepted_at()});
-    const bool quiet = now >= quiet_since + kShutdownQuietTime;
-    const bool no_open_calls = caller_connections_->open_calls() == 0 || now >= force_close_at_;
-    const bool overdue = now >= force_close_at_ + kShutdownQuietTime;
-    if (caller_connections_->unanswered_set_ups() == 0 && ((quiet && no_open_calls) || overdue)) return on_stopped_();
+    if (StopListeningOnceQuiet(now, closing) && MayExit(now)) return on_stopped_();
   }
   shutdown_timer_.Start(kShutdownCheckInterval, [this] { ContinueShutdown(); });
 }
 
+bool Node::StopListeningOnceQuiet(TimeUs now, TimeUs closing) {
+  const TimeUs quiet_since = std::max({closing, last_busy_at_, caller_connections_->last_accepted_at()});
+  const bool no_open_calls = caller_connections_->open_calls() == 0 || now >= force_close_at_;
+  const bool is_quiet = no_open_calls && now >= quiet_since + kShutdownQuietTime;
+  const bool is_overdue = now >= force_close_at_ + kShutdownQuietTime;
+  return (is_quiet || is_overdue) && caller_connections_->StopListening();
+}
+
+bool Node::MayExit(TimeUs now) const {
+  if (caller_connections_->unanswered_set_ups() > 0) return false;
+  const bool nothing_left = caller_connections_->connection_count() == 0 && now >= last_busy_at_ + kShutdownLingerTime;
+  return nothing_left || now >= force_close_at_ + kCloseLeadTime - kExitLeadTime;
+}
+
 std::string Node::Metrics() const {
   return WriteMetrics(*caller_connections_, *exchange_connections_, *core_, *discovery_client_);
 }
--- a/src/platform/node.h
+++ b/src/platform/node.h
@@ -38,6 +38,11 @@
   void StartMetricsTimer();
   void Listen(int retries_left);
   void ContinueShutdown();
+  // Lets new connections be refused once the shutdown has nothing left to do, or has no more time to wait for that.
+  // Returns whether they are refused. `closing` is when calls began to be rejected.
+  bool StopListeningOnceQuiet(TimeUs now, TimeUs closing);
+  // Returns whether all that was connected has had its answers and its end, or the kill is near.
+  bool MayExit(TimeUs now) const;
 
   core::Runtime* runtime_;
   core::Logger* log_;
--- a/src/runtime/asio_streams.cpp
+++ b/src/runtime/asio_streams.cpp
@@ -262,47 +262,62 @@
 };
 
 struct ListenerState {
-  ListenerState(asio::io_context& context, const core::Address& local, core::StreamAcceptor* stream_acceptor)
+  ListenerState(asio::io_context& context, const core::Address& address, core::StreamAcceptor* stream_acceptor)
       : socket(context), pause(context), acceptor(stream_acceptor) {
-    const tcp::endpoint endpoint = EndpointOf<tcp>(local);
+    const tcp::endpoint endpoint = EndpointOf<tcp>(address);
     socket.open(endpoint.protocol());
     socket.set_option(asio::socket_base::reuse_address(true));
+    socket.non_blocking(true);
     socket.bind(endpoint);
     socket.listen(kListenBacklog);
+    local = AddressOf(socket.local_endpoint());
+  }
+  bool HasQueuedConnection() {
+    pollfd asked{socket.native_handle(), POLLIN, 0};
+    return ::poll(&asked, 1, 0) > 0;
+  }
+  void Close() {
+    acceptor = nullptr;
+    error_code ignored;
+    socket.close(ignored);
+    pause.cancel();
   }
   tcp::acceptor socket;
   asio::steady_timer pause;
-  core::StreamAcceptor* acceptor;  // null once the listener has been destroyed
+  core::Address local;
+  core::StreamAcceptor* acceptor;  // null once the listener has been closed
 };
 
+// Accepts one connection from the listen queue. Returns false if none can be accepted now.
+bool AcceptNext(ListenerState& listener, const std::shared_ptr<Lingering>& lingering) {
+  // A connection that cannot be accepted yet stays in the listen queue: closing it would lose the data it carries.
+  if (!listener.acceptor->CanAccept()) return false;
+  error_code error;
+  tcp::socket socket(listener.socket.get_executor());
+  listener.socket.accept(socket, error);
+  if (error) {
+    if (error == asio::error::no_descriptors && !lingering->CloseOldest()) listener.acceptor->OnDescriptorsExhausted();
+    return false;
+  }
+  const auto remote = socket.remote_endpoint(error);
+  if (error) return true;  // the connection is already gone
+  socket.set_option(tcp::no_delay(true), error);
+  auto stream = std::make_shared<StreamState>(std::move(socket));
+  stream->remote = AddressOf(remote);
+  stream->open = true;
+  stream->handler = listener.acceptor->OnAccept(std::make_unique<AsioStream>(stream, lingering));
+  if (stream->handler != nullptr) asio::co_spawn(listener.socket.get_executor(), Read(stream), asio::detached);
+  return true;
+}
+
 asio::awaitable<void> Accept(std::shared_ptr<ListenerState> state, std::shared_ptr<Lingering> lingering) {
   error_code error;
   while (state->acceptor != nullptr) {
     co_await state->socket.async_wait(tcp::acceptor::wait_read, asio::redirect_error(asio::use_awaitable, error));
     if (state->acceptor == nullptr) co_return;
-    // A connection that cannot be accepted yet stays in the listen queue: closing it would lose the data it carries.
-    if (!state->acceptor->CanAccept()) {
-      state->pause.expires_after(kAcceptRetryDelay);
-      co_await state->pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
-      continue;
-    }
-    tcp::socket socket = co_await state->socket.async_accept(asio::redirect_error(asio::use_awaitable, error));
-    if (state->acceptor == nullptr) co_return;
-    if (error) {
-      if (error == asio::error::no_descriptors && !lingering->CloseOldest()) state->acceptor->OnDescriptorsExhausted();
-      state->pause.expires_after(kAcceptRetryDelay);
-      co_await state->pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
-      continue;
-    }
-    const auto remote = socket.remote_endpoint(error);
-    if (error) continue;  // the connection is already gone
-    socket.set_option(tcp::no_delay(true), error);
-    auto stream = std::make_shared<StreamState>(std::move(socket));
-    stream->remote = AddressOf(remote);
-    stream->open = true;
-    stream->handler = state->acceptor->OnAccept(std::make_unique<AsioStream>(stream, lingering));
-    if (stream->handler == nullptr) continue;
-    asio::co_spawn(state->socket.get_executor(), Read(stream), asio::detached);
+    if (!state->HasQueuedConnection() || AcceptNext(*state, lingering)) continue;
+    state->pause.expires_after(kAcceptRetryDelay);
+    co_await state->pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
   }
 }
 
@@ -310,19 +325,22 @@
  public:
   AsioListener(asio::io_context& context, const core::Address& local, core::StreamAcceptor* acceptor,
                std::shared_ptr<Lingering> lingering)
-      : state_(std::make_shared<ListenerState>(context, local, acceptor)) {
-    asio::co_spawn(context, Accept(state_, std::move(lingering)), asio::detached);
+      : state_(std::make_shared<ListenerState>(context, local, acceptor)), lingering_(std::move(lingering)) {
+    asio::co_spawn(context, Accept(state_, lingering_), asio::detached);
   }
-  ~AsioListener() override {
-    state_->acceptor = nullptr;
-    error_code ignored;
-    state_->socket.close(ignored);
-    state_->pause.cancel();
+  ~AsioListener() override { state_->Close(); }
+  core::Address Local() const override { return state_->local; }
+  bool StopAccepting() override {
+    while (state_->acceptor != nullptr && state_->HasQueuedConnection()) {
+      if (!AcceptNext(*state_, lingering_)) return false;
+    }
+    state_->Close();
+    return true;
   }
-  core::Address Local() const override { return AddressOf(state_->socket.local_endpoint()); }
 
  private:
   std::shared_ptr<ListenerState> state_;
+  std::shared_ptr<Lingering> lingering_;
 };
 
 }  // namespace
--- a/src/sim/virtual_streams.cpp
+++ b/src/sim/virtual_streams.cpp
@@ -76,9 +76,18 @@
  public:
   Listener(VirtualRuntime* runtime, const core::Address& local, core::StreamAcceptor* stream_acceptor)
       : acceptor(stream_acceptor), runtime_(runtime), local_(local) {}
-  ~Listener() override { runtime_->listeners_.erase(local_); }
+  ~Listener() override {
+    const auto found = runtime_->listeners_.find(local_);
+    if (found != runtime_->listeners_.end() && found->second == this) runtime_->listeners_.erase(found);
+  }
   core::Address Local() const override { return local_; }
+  bool StopAccepting() override {
+    if (runtime_->Now() < connections_wait_until) return false;
+    runtime_->listeners_.erase(local_);
+    return true;
+  }
   core::StreamAcceptor* const acceptor;
+  TimeUs connections_wait_until = 0;  // connections in the listen queue are tried again by then
 
  private:
   VirtualRuntime* runtime_;
@@ -116,7 +125,10 @@
     const auto listener = listeners_.find(to);
     if (listener == listeners_.end()) return own->Finish(core::StreamEnd::kRefused);
     // As in a real listen queue, the connection and the data written to it wait until it can be accepted.
-    if (!listener->second->acceptor->CanAccept()) return OpenConnection(to, from, weak, kAcceptRetryDelay);
+    if (!listener->second->acceptor->CanAccept()) {
+      listener->second->connections_wait_until = Now() + kAcceptRetryDelay + 1;
+      return OpenConnection(to, from, weak, kAcceptRetryDelay);
+    }
     auto accepted = std::make_unique<VirtualStream>(this, from);
     accepted->own_ = far;
     accepted->far_ = own;
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -180,5 +180,61 @@
   EXPECT_TRUE(stopped);
 }
 
+class LastMomentTest : public PlatformTest {
+ protected:
+  // Connects callers from `from` to `to` after SIGTERM, each with a set-up, at intervals shorter than the latency of
+  // the network. The process ends as soon as the shutdown is complete.
+  void ConnectCallersDuringShutdown(TimeUs from, TimeUs to) {
+    bool stopped = false;
+    node_->Stop([&stopped] { stopped = true; });
+    runtime_.RunFor(from);
+    for (TimeUs at = from; at < to + 300 * kMs && !stopped; at += kStep) {
+      if (at < to && at % kConnectInterval == 0) {
+        callers_.push_back(std::make_unique<PlatformCaller>(&runtime_, kSoftswitch));
+        callers_.back()->SetUp(kCall, 1);
+      }
+      runtime_.RunFor(kStep);
+    }
+    ASSERT_TRUE(stopped);
+    node_.reset();
+    runtime_.RunFor(50 * kMs);
+  }
+
+  static constexpr TimeUs kStep = 10, kConnectInterval = 90;
+  std::vector<std::unique_ptr<PlatformCaller>> callers_;
+};
+
+// Guards against a set-up without an answer (soak seed 5402): its connection came up just before the exit.
+TEST_F(LastMomentTest, RefusesOrAnswersEachCallerThatConnectsAroundTheExit) {
+  const auto caller = ConnectCaller();
+  EstablishCall(*caller, kOtherCall);
+  // 3.55 s after SIGTERM, with a timer of 20 ms, the shutdown waits no longer for callers to be quiet.
+  ConnectCallersDuringShutdown(3'558 * kMs, 3'563 * kMs);
+  std::size_t refused = 0;
+  for (const auto& late : callers_) {
+    if (late->connection.end == core::StreamEnd::kRefused) {
+      ++refused;
+    } else {
+      EXPECT_EQ(late->FinalMessages(kCall).size(), 1U);
+    }
+  }
+  EXPECT_GT(refused, 0U);
+  EXPECT_LT(refused, callers_.size());
+}
+
+TEST_F(LastMomentTest, KeepsNewConnectionUntilItsFirstSetUpArrives) {
+  const auto caller = ConnectCaller();
+  EstablishCall(*caller, kOtherCall);
+  node_->Stop([] {});
+  runtime_.RunFor(3'440 * kMs);
+  const auto late = ConnectCaller();
+  // All other connections are closed 3.45 s after SIGTERM.
+  runtime_.RunFor(40 * kMs);
+  EXPECT_TRUE(caller->connection.end.has_value());
+  late->SetUp(kCall, 1);
+  runtime_.RunFor(5 * kMs);
+  EXPECT_EQ(late->FinalMessages(kCall).size(), 1U);
+}
+
 }  // namespace
 }  // namespace croftrun::platform
--- a/tests/streams_test.cpp
+++ b/tests/streams_test.cpp
@@ -52,6 +52,8 @@
     if (on_accept) on_accept(*handlers.back());
     return handlers.back().get();
   }
+  bool CanAccept() override { return can_accept; }
+  bool can_accept = true;
   std::list<std::unique_ptr<Handler>> handlers;
   std::function<void(Handler&)> on_accept;
 };
@@ -70,6 +72,18 @@
   void Listen() { listener_ = runtime_.Listen({kLoopback, 0}, &acceptor_); }
   void Connect() { client_.stream = runtime_.Connect(listener_->Local(), kSecond, &client_); }
 
+  // Connects without the event loop; returns the socket, or -1 if the connection is refused.
+  static int ConnectBlocking(const Address& to) {
+    const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(to.host);
+    address.sin_port = htons(to.port);
+    if (::connect(connection, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0) return connection;
+    ::close(connection);
+    return -1;
+  }
+
   AsioRuntime runtime_;
   Acceptor acceptor_;
   Handler client_;
@@ -101,6 +115,39 @@
   EXPECT_FALSE(client_.open);
 }
 
+// A connection in the listen queue has been accepted by the system, so that what it carries may not be lost.
+TEST_F(StreamsTest, AcceptsListenQueueBeforeLaterConnectionsAreRefused) {
+  Listen();
+  const int queued = ConnectBlocking(listener_->Local());
+  ASSERT_EQ(::send(queued, "taken", 5, 0), 5);
+  EXPECT_TRUE(acceptor_.handlers.empty());
+  EXPECT_TRUE(listener_->StopAccepting());
+  ASSERT_EQ(acceptor_.handlers.size(), 1U);
+  acceptor_.handlers.front()->on_bytes = [this] { runtime_.Stop(); };
+  Run();
+  EXPECT_EQ(acceptor_.handlers.front()->text, "taken");
+  client_.on_end = [this] { runtime_.Stop(); };
+  Connect();
+  Run();
+  EXPECT_EQ(client_.end, StreamEnd::kRefused);
+  ::close(queued);
+}
+
+TEST_F(StreamsTest, KeepsListeningWhileAQueuedConnectionCannotBeAccepted) {
+  Listen();
+  const int queued = ConnectBlocking(listener_->Local());
+  acceptor_.can_accept = false;
+  EXPECT_FALSE(listener_->StopAccepting());
+  EXPECT_TRUE(acceptor_.handlers.empty());
+  const int later = ConnectBlocking(listener_->Local());
+  EXPECT_GE(later, 0);
+  acceptor_.can_accept = true;
+  EXPECT_TRUE(listener_->StopAccepting());
+  EXPECT_EQ(acceptor_.handlers.size(), 2U);
+  ::close(queued);
+  ::close(later);
+}
+
 TEST_F(StreamsTest, ReportsCloseAfterDeliveringReceivedOctets) {
   Listen();
   acceptor_.on_accept = [](Handler& handler) {
