Set-ups that wait for a connection begin as it opens, or not at all

When others waited for the same connection, one that was given up stayed there, and was sent together with its release to whichever process answered; one that waited while its exchange drained was sent after the grace; the time left in it was that of the queueing.

Cause: the attempt was taken to begin when it was queued.

Change: ExchangeConnections keeps a set-up until its connection is open. One that is given up before is dropped, and nothing of it is sent; as the connection opens, the caller's leaving and the grace are checked again, and the time left is stated. An id counts as attempted once it was written. Log events set-up-waiting, set-up-withdrawn.

Related paths: connections that are closed at a removal or succession drop what waits on them, as before; releases are queued by exchange.

--- a/src/core/call_core.cpp
+++ b/src/core/call_core.cpp
@@ -479,6 +479,11 @@
 
 // ---- trunks ----
 
+bool CallCore::HasCallerLeft(CallId id) {
+  const Call* const call = Find(id);
+  return call != nullptr && call->owner != nullptr && call->owner->HasLeft(id);
+}
+
 void CallCore::OnTrunkSession(CallId id, int index, std::string_view session) {
   Call* call = Find(id);
   if (call != nullptr && call->attempt && call->attempt->index == index)
--- a/src/core/call_core.h
+++ b/src/core/call_core.h
@@ -279,6 +279,8 @@
   // The far end seized circuits of a trunk group. Circuits and calls are left unchanged unless kAccepted is returned.
   SeizureResult AcceptIncoming(int group, const std::vector<CircuitNumber>& circuits, const CallRequest& request,
                                int origin);
+  // Returns whether the caller is known to have left although its hang-up has not been reported yet; see CallOwner.
+  bool HasCallerLeft(CallId call);
   // Events on the circuits of an outgoing attempt.
   void OnTrunkSession(CallId call, int attempt, std::string_view session);
   void OnTrunkAnswered(CallId call, int attempt);
--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -36,6 +36,14 @@
 // Number of idle connections to one exchange that are kept when another one has been opened for a sign of life.
 constexpr std::size_t kKeptIdleConnections = 2;
 
+// Returns the line of a set-up that is written at `now`, which states the time that is left; empty if it is too long.
+std::string LineOf(const UnsentSetUp& set_up, TimeUs now) {
+  const TimeUs left = set_up.answer_due - std::min(set_up.answer_due, now);
+  Message message = set_up.message;
+  message.fields.emplace_back("left", std::to_string(left / 1000));
+  return WriteMessage(message);
+}
+
 }  // namespace
 
 ExchangeConnections::ExchangeConnections(const ExchangeSettings& settings, core::Runtime* runtime, core::Logger* log,
@@ -397,21 +405,46 @@
   Message message{.type = MessageType::kSetUp, .id = id, .description = set_up.request->session};
   message.fields.emplace_back("class", settings_.classes.at(static_cast<std::size_t>(set_up.request->call_class)));
   if (!set_up.request->called.empty()) message.fields.emplace_back("key", set_up.request->called);
-  message.fields.emplace_back("left", std::to_string(set_up.budget_us / 1000));
-  const std::string line = WriteMessage(message);
-  if (line.empty()) {
+  UnsentSetUp unsent{.message = std::move(message), .answer_due = runtime_->Now() + set_up.budget_us};
+  if (LineOf(unsent, runtime_->Now()).empty()) {
     return core_->OnTrunkReleased(
         call, set_up.attempt,
         MakeReleaseInfo({Outcome::kError, RejectCause::kNone}, core::ReleaseCause::kTemporaryFailure));
   }
   ++counters_.set_ups;
   CallLeg& leg = call_legs_[id] = {call, set_up.attempt, found->second.get(), connection, false, 0, id};
-  leg.sent_at = runtime_->Now();
-  LogCall("set-up-sent", leg, std::to_string(set_up.budget_us / 1000) + " ms remaining");
   call_ids_[call] = id;
   connection->set_ups.insert(id);
-  attempted_.Insert(id);
-  connection->stream->Write(line);
+  if (connection->is_open) return WriteSetUp(&leg, unsent);
+  LogCall("set-up-waiting", leg, "its connection is not open yet");
+  connection->unsent_set_ups.push_back(std::move(unsent));
+}
+
+void ExchangeConnections::WriteSetUp(CallLeg* leg, const UnsentSetUp& set_up) {
+  leg->is_sent = true;
+  leg->sent_at = runtime_->Now();
+  attempted_.Insert(leg->id);
+  leg->connection->stream->Write(LineOf(set_up, leg->sent_at));
+  LogCall("set-up-sent", *leg, std::to_string((set_up.answer_due - leg->sent_at) / 1000) + " ms remaining");
+}
+
+// A set-up begins as it is written. Until then its caller may have left, and the exchange may have been told to drain.
+void ExchangeConnections::SendUnsentSetUps(Connection* connection) {
+  const TimeUs now = runtime_->Now();
+  const TimeUs draining_since = connection->exchange->draining_since;
+  const bool may_send = draining_since == 0 || now <= draining_since + settings_.drain_grace_us;
+  for (const UnsentSetUp& unsent : std::exchange(connection->unsent_set_ups, {})) {
+    const auto found = call_legs_.find(unsent.message.id);
+    if (found == call_legs_.end() || found->second.connection != connection) continue;
+    if (may_send && !core_->HasCallerLeft(found->second.call)) {
+      WriteSetUp(&found->second, unsent);
+      continue;
+    }
+    ++counters_.never_ran;
+    const CallLeg leg = RemoveCallLeg(found);
+    LogCall("set-up-withdrawn", leg, may_send ? "its caller has left" : "the exchange drains");
+    core_->OnTrunkReleased(leg.call, leg.attempt, MakeReleaseInfo(kNotConnected, core::ReleaseCause::kOutOfOrder));
+  }
 }
 
 void ExchangeConnections::Release(const core::CircuitSet& set, const core::ReleaseInfo&) {
@@ -423,17 +456,19 @@
     ++counters_.released;
   } else {
     ++counters_.given_up;
-    given_up_.Insert(leg.id);
     if (leg.connection == nullptr) return;
     leg.connection->is_unresponsive = true;
-    // A connection that is not open yet would send the buffered set-up once it opens. It is closed, unless other
-    // set-ups are pending on it.
-    if (!leg.connection->is_open && leg.connection->set_ups.empty())
-      return EndConnection(leg.connection, DisconnectReason::kClosedLocally);
+    if (!leg.is_sent) return WithdrawSetUp(leg.connection, leg.id);
+    given_up_.Insert(leg.id);
   }
   SendRelease(leg.exchange, leg.connection, leg.id, leg.carrier);
 }
 
+void ExchangeConnections::WithdrawSetUp(Connection* connection, const std::string& id) {
+  std::erase_if(connection->unsent_set_ups, [&id](const UnsentSetUp& unsent) { return unsent.message.id == id; });
+  if (!connection->is_open && connection->set_ups.empty()) EndConnection(connection, DisconnectReason::kClosedLocally);
+}
+
 void ExchangeConnections::SendRelease(Exchange* exchange, Connection* connection, const std::string& id,
                                       const Carrier& carrier) {
   if (connection == nullptr) connection = NewestOpenConnection(*exchange);
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -33,6 +33,7 @@
   std::size_t max_connections = 100;  // limit for all exchanges together
   std::size_t max_exchanges = 2048;   // entries of the directory beyond that are ignored
   TimeUs connect_timeout_us = 500'000;
+  TimeUs drain_grace_us = 0;  // from the notification that an exchange drains to the last set-up that is sent to it
   std::vector<std::string> classes;  // names by class index
   std::vector<std::string> zones, kinds;
   std::vector<std::string> report_fields;  // names of the fields of a report, in the order of Settings::report_fields
@@ -62,6 +63,8 @@
                 unknown_ends = 0;
 };
 
+struct UnsentSetUp;
+
 // Carries the trunk side of the core: set-ups, releases and probes over connections to the exchanges. It also applies
 // the directory and gives up the calls at failed exchanges.
 class ExchangeConnections final : public core::TrunkDriver {
@@ -127,7 +130,8 @@
     bool is_established = false;
     TimeUs established_at = 0;
     std::string id;
-    TimeUs sent_at = 0;  // of the set-up
+    bool is_sent = false;  // the set-up was written
+    TimeUs sent_at = 0;    // of the set-up
     Carrier carrier = {};
     bool announced = false;  // set up by a former process and announced by its caller
     policy::ProcessClaim claim = {};
@@ -137,6 +141,12 @@
 
   // Converts Unix time to the runtime's clock. The result is never 0, except for 0.
   TimeUs ToRuntimeTime(std::int64_t unix_ms) const;
+  // Writes a set-up on the connection of its leg.
+  void WriteSetUp(CallLeg* leg, const UnsentSetUp& set_up);
+  // Writes the set-ups that waited for this connection, except those that may not begin any more.
+  void SendUnsentSetUps(Connection* connection);
+  // Drops a set-up that was not written. A connection that is opened for nothing else is closed.
+  void WithdrawSetUp(Connection* connection, const std::string& id);
   DirectoryEntry MakeDirectoryEntry(const Exchange& exchange) const;
   // Returns whether a newer exchange has the address of this entry of the directory. The newer of two exchanges is the
   // one that was started later. If both state the same start, or none, it is the one that does not drain, and otherwise
@@ -145,6 +155,8 @@
   bool IsSuperseded(ExchangeId id, const Target& target, TimeUs since, TimeUs clock_difference,
                     std::uint64_t notification_number) const;
   // Adds an exchange that the directory tells of for the first time.
+  // Records when the directory tells that the exchange drains, or no longer does.
+  void RecordDrain(Exchange* exchange, ExchangeStatus status);
   ExchangeId AddExchange();
   // Forgets removed exchanges on which nothing depends any more.
   void ForgetRemovedExchanges();
--- a/src/platform/exchange_connections_state.h
+++ b/src/platform/exchange_connections_state.h
@@ -24,6 +24,12 @@
   policy::ConnectionSpan carrier;
 };
 
+// A set-up that waits until its connection is open.
+struct UnsentSetUp {
+  Message message;  // without the time that is left
+  TimeUs answer_due = 0;
+};
+
 struct ExchangeConnections::Exchange {
   explicit Exchange(core::Runtime* runtime) : reconnect_timer(runtime), detector({}), announced_check_timer(runtime) {}
   bool IsSuspected() const { return detector.suspected_since() != 0; }
@@ -32,6 +38,7 @@
   TimeUs started_at_us = 0;
   std::uint64_t listed_by = 0;  // number of the last notification that listed it
   TimeUs retired_at = 0;        // when `is_retired` was set
+  TimeUs draining_since = 0;    // when the directory told that it drains; 0: it does not
   bool is_retired = false;      // removed from the directory, or its address was taken over
   std::list<std::unique_ptr<Connection>> connections;
   std::unordered_set<std::string> established;  // ids of the established calls
@@ -70,6 +77,7 @@
     exchange->unreachable = false;
     for (const QueuedRelease& release : std::exchange(exchange->queued_releases, {}))
       owner_->SendRelease(exchange, this, release.id, {});
+    owner_->SendUnsentSetUps(this);
     owner_->CloseSurplusConnection(exchange);
   }
   void OnBytes(std::string_view bytes) override {
@@ -102,6 +110,7 @@
   bool for_liveness = false;                // opened as a sign of life; set-ups are not queued on it until it is open
   bool is_unresponsive = false;             // a set-up was given up on it and no data has arrived since
   std::unordered_set<std::string> set_ups;  // ids of set-ups without an answer
+  std::vector<UnsentSetUp> unsent_set_ups;  // those among them that wait until it is open
   std::unordered_set<std::string> established;  // ids of established calls that were answered on it
   LineReader reader;
 
--- a/src/platform/exchange_directory.cpp
+++ b/src/platform/exchange_directory.cpp
@@ -120,6 +120,7 @@
     if (since > e.started_at_us && target.status != ExchangeStatus::kGone)
       restarted.emplace_back(&e, StartWindowOf(target.boot_ms));
     const core::Address previous = e.target.address;
+    RecordDrain(&e, target.status);
     e.target = target;
     if (target.status == ExchangeStatus::kGone && target.address == core::Address{}) e.target.address = previous;
     e.started_at_us = since;
@@ -156,6 +157,11 @@
   ForgetRemovedExchanges();
 }
 
+void ExchangeConnections::RecordDrain(Exchange* exchange, ExchangeStatus status) {
+  if (status == ExchangeStatus::kReady) exchange->draining_since = 0;
+  if (status == ExchangeStatus::kDraining && exchange->draining_since == 0) exchange->draining_since = runtime_->Now();
+}
+
 ExchangeId ExchangeConnections::AddExchange() {
   const ExchangeId id = next_exchange_id_++;
   auto exchange = std::make_unique<Exchange>(runtime_);
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -76,6 +76,7 @@
   ExchangeSettings exchange_settings;
   exchange_settings.max_connections = available * kExchangeSharePercent / 100;
   exchange_settings.connect_timeout_us = config.connect_timeout_us;
+  exchange_settings.drain_grace_us = config.module.drain_grace_us;
   exchange_settings.max_exchanges = config.memory_mb * kExchangesPerMegabyte;
   exchange_settings.classes = ClassNames(config.module);
   exchange_settings.zones = config.zones;
