Circuit reports: calls that are denied in part are released at the exchange too

The callers of three calls announced them to a restarted softswitch; two had ended, one stood, the report stated one circuit in use.

Cause: a report that denies most calls ends all that are in question, as it does not tell which ones it denies; these were taken to be gone at the exchange, and no release was sent. Kept now: never is a call told over that stands; what cannot be known is released there.

Change: where the report leaves circuits in use, the calls are released at the exchange as well. Related path, mended with it: calls in question at an exchange whose process was replaced.

--- a/src/platform/exchange_connections.cpp
+++ b/src/platform/exchange_connections.cpp
@@ -240,7 +240,8 @@
     return;
   const policy::CircuitUse use = ComputeCircuitUse(*exchange, detector.CallsInQuestionBefore(connection.opened_at));
   if (detector.OnCircuitReport(runtime_->Now(), connection.opened_at, use))
-    return GiveUpSuspectedCalls(exchange, "its process was replaced: its circuits are free", RemoteState::kCallsGone);
+    return GiveUpSuspectedCalls(exchange, "its process was replaced: its circuits are free",
+                                StateOfDeniedCalls(*exchange));
   LogSuspicionChange(*exchange, was_suspected);
 }
 
@@ -265,7 +266,11 @@
     if (call_legs_.at(id).announced) ids.push_back(id);
   }
   TerminateCalls(exchange, std::move(ids), "its circuits are free, so it does not know the announced calls",
-                 RemoteState::kCallsGone);
+                 StateOfDeniedCalls(*exchange));
+}
+
+ExchangeConnections::RemoteState ExchangeConnections::StateOfDeniedCalls(const Exchange& exchange) {
+  return exchange.circuits_used == 0U ? RemoteState::kCallsGone : RemoteState::kCallsMayExist;
 }
 
 void ExchangeConnections::LogSuspicionChange(const Exchange& exchange, bool was_suspected) {
--- a/src/platform/exchange_connections.h
+++ b/src/platform/exchange_connections.h
@@ -261,6 +261,8 @@
   void NotifyDetector(const Connection& connection, DisconnectReason reason);
   // Whether terminated calls may still exist at the exchange, so that a release has to be sent.
   enum class RemoteState : std::uint8_t { kCallsGone, kCallsMayExist };
+  // The state of calls most of which the last report denies. It does not tell which ones the used circuits belong to.
+  static RemoteState StateOfDeniedCalls(const Exchange& exchange);
   // Terminates the calls at the exchange that were established before `before`.
   void TerminateCallsBefore(Exchange* exchange, TimeUs before, std::string_view why,
                             RemoteState remote_state = RemoteState::kCallsGone);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -409,6 +409,23 @@
   EXPECT_EQ(caller->FinalMessages(kCall)[0].cause, 16);
 }
 
+// Guards against a call that is told over while it stands (soak seed 9254): the report left circuits for one of three
+// announced calls, without telling for which.
+TEST_F(PlatformTest, ReleasesAnnouncedCallsAtExchangeWhoseReportDeniesOnlyMostOfThem) {
+  const auto caller = ConnectCaller();
+  const std::vector<std::string> ids{kCall, kOtherCall, "9b1f03aa5c7e2d43"};
+  for (const std::string& id : ids) caller->SetUp(id, 1, ";at:s-1");
+  runtime_.RunFor(200 * kMs);
+  ReportCircuits(*exchange_1_.OpenConnections()[0], 1);
+  runtime_.RunFor(2'000 * kMs);
+  std::size_t released = 0;
+  for (const std::string& id : ids) {
+    EXPECT_EQ(caller->FinalMessages(id).size(), 1U);
+    for (const Message& message : exchange_1_.Received(MessageType::kRelease)) released += message.id == id ? 1 : 0;
+  }
+  EXPECT_EQ(released, ids.size());
+}
+
 TEST_F(PlatformTest, TerminatesCallsOfDeadExchangeButNotOfLostConnection) {
   const auto caller = ConnectCaller();
   EstablishCall(*caller, kCall);
