--- a/src/platform/attempt_results.cpp
+++ b/src/platform/attempt_results.cpp
@@ -18,7 +18,7 @@
       if (note == "cpu_full") return {Outcome::kNotSent, RejectCause::kProcessorFull};
       return {Outcome::kNotSent, note == "all_trunks_busy" ? RejectCause::kNoCircuit : RejectCause::kNone};
     default:
-      return kReset;
+      return kAttemptReset;
   }
 }
 
--- a/src/platform/attempt_results.h
+++ b/src/platform/attempt_results.h
@@ -10,7 +10,7 @@
 namespace croftrun::platform {
 
 // The connection broke after the set-up was sent, so the exchange may have processed it.
-inline constexpr core::AttemptResult kReset{Outcome::kReset, RejectCause::kNone};
+inline constexpr core::AttemptResult kAttemptReset{Outcome::kReset, RejectCause::kNone};
 // No connection was established, so the set-up was not sent.
 inline constexpr core::AttemptResult kNotConnected{Outcome::kConnectFailed, RejectCause::kNone};
 // Likewise, while other connections show that the exchange is alive.
