--- a/src/lab/soak/client_stand_in.h
+++ b/src/lab/soak/client_stand_in.h
@@ -89,7 +89,6 @@
 
  private:
   struct Connection;
-  struct Host;
   struct PendingCall {
     Connection* connection = nullptr;
     int call_class = 0;
